Set down the workspace, the design page and the core types

Cause: nothing existed. Change: the workspace with one crate a part, the design page, and the value types of the packet path laid out by life span: tokens, views, candidate tables, routing, envelopes, links, ranked locks and the worker pool.

--- /dev/null
+++ b/crates/lentilreach-agent/src/main.rs
@@ -0,0 +1,3 @@
+//! Daemon of the lentilreach agent.
+
+fn main() {}
--- /dev/null
+++ b/crates/lentilreach-balancer/src/main.rs
@@ -0,0 +1,3 @@
+//! Daemon of the lentilreach balancer.
+
+fn main() {}
--- /dev/null
+++ b/crates/lentilreach-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators command.
+
+fn main() {}
--- /dev/null
+++ b/crates/lentilreach/src/connection/mod.rs
@@ -0,0 +1,4 @@
+//! What lives for one connection of a caller.
+
+pub mod socket;
+pub mod token;
--- /dev/null
+++ b/crates/lentilreach/src/process/mod.rs
@@ -0,0 +1,8 @@
+//! What lives for the whole process.
+
+pub mod clock;
+pub mod id;
+pub mod link;
+pub mod lock;
+pub mod name;
+pub mod pool;
--- /dev/null
+++ b/crates/lentilreach/src/request/mod.rs
@@ -0,0 +1,5 @@
+//! What lives for one datagram or one request.
+
+pub mod envelope;
+pub mod packet;
+pub mod route;
--- /dev/null
+++ b/crates/lentilreach/src/version/mod.rs
@@ -0,0 +1,4 @@
+//! What lives for one version of configuration or membership. Immutable once built.
+
+pub mod table;
+pub mod view;
--- /dev/null
+++ b/crates/lentilreach/src/version/view.rs
@@ -0,0 +1,158 @@
+//! What routing reads: services by address, their members, failure domains.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+
+use crate::id::{domain, node, service};
+use crate::process::clock::Millis;
+use crate::process::name::Name;
+use crate::version::table::Table;
+
+/// One version of everything that a routing decision needs.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// The configuration revision that the view was built from.
+    pub revision: u64,
+    /// Sorted by address, without duplicates.
+    services: Vec<Service>,
+    /// Sorted by identifier, without duplicates.
+    domains: Vec<Domain>,
+}
+
+impl View {
+    /// Builds a view. Services and domains may come in any order.
+    pub fn new(
+        revision: u64,
+        mut services: Vec<Service>,
+        mut domains: Vec<Domain>,
+    ) -> Self {
+        services.sort_by_key(|service| service.address);
+        services.dedup_by_key(|service| service.address);
+        domains.sort_by_key(|domain| domain.id);
+        domains.dedup_by_key(|domain| domain.id);
+        Self { revision, services, domains }
+    }
+
+    /// Finds the service behind an address.
+    pub fn service(&self, address: SocketAddr) -> Option<&Service> {
+        let found = self.services.binary_search_by_key(&address, |s| s.address);
+        found.ok().map(|i| &self.services[i])
+    }
+
+    /// All services, sorted by address.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// Whether operators have taken the failure domain out.
+    ///
+    /// An unknown failure domain is in: a view older than the domain must not drop its flows.
+    pub fn is_out(&self, id: domain::Id) -> bool {
+        let found = self.domains.binary_search_by_key(&id, |domain| domain.id);
+        found.is_ok_and(|i| self.domains[i].out)
+    }
+}
+
+/// A failure domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Domain {
+    /// Identifies it in tokens.
+    pub id: domain::Id,
+    /// Its name in the configuration.
+    pub name: Name,
+    /// Whether operators have taken it out.
+    pub out: bool,
+}
+
+/// A service and the backend servers that may serve it.
+#[derive(Debug, Clone)]
+pub struct Service {
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// Identifies it in tokens.
+    pub id: service::Id,
+    /// `ORGANISATION/SERVICE`.
+    pub name: Name,
+    /// Sorted by node identifier, without duplicates.
+    members: Arc<[Member]>,
+    /// Candidate lists over the indices of `members`.
+    table: Arc<Table>,
+}
+
+impl Service {
+    /// Builds a service. Members may come in any order.
+    pub fn new(
+        address: SocketAddr,
+        id: service::Id,
+        name: Name,
+        mut members: Vec<Member>,
+    ) -> Self {
+        members.sort_by_key(|member| member.node);
+        members.dedup_by_key(|member| member.node);
+        let table = Arc::new(Table::build(&members));
+        Self { address, id, name, members: members.into(), table }
+    }
+
+    /// The same service with new load and stage of members, if the set is unchanged.
+    ///
+    /// Spares the table, which depends on the set alone.
+    pub fn refresh(&self, mut members: Vec<Member>) -> Option<Self> {
+        members.sort_by_key(|member| member.node);
+        let same = members.len() == self.members.len()
+            && members.iter().zip(self.members.iter()).all(|(a, b)| a.node == b.node);
+        same.then(|| Self { members: members.into(), ..self.clone() })
+    }
+
+    /// The members, sorted by node identifier.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// The members that a flow with this hash may go to, best first by rendezvous hash.
+    pub fn candidates(&self, hash: u64) -> impl Iterator<Item = &Member> {
+        self.table.candidates(hash).iter().map(|i| &self.members[usize::from(*i)])
+    }
+}
+
+/// A backend server as announced by its agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Member {
+    /// The agent's process, and so its incarnation.
+    pub node: node::Id,
+    /// Where the agent receives envelopes.
+    pub agent: SocketAddrV4,
+    /// The failure domain that it runs in.
+    pub domain: domain::Id,
+    /// What it may be given.
+    pub stage: Stage,
+    /// What it last said of its load.
+    pub load: Load,
+}
+
+/// What a member may be given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// New flows and work.
+    Active,
+    /// New flows and work within its cold limits.
+    Cold,
+    /// Only packets of flows that it has.
+    Leaving,
+    /// The same, since it has not been heard from.
+    Silent,
+}
+
+/// Advised load. It lags, so it steers new flows only.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Open flows.
+    pub open: u32,
+    /// Open flows that it bears at present.
+    pub limit: u32,
+    /// Requests running.
+    pub busy: u16,
+    /// Requests that it may run at once at present.
+    pub slots: u16,
+    /// When the advice was received, in the receiver's time.
+    pub at: Millis,
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
