--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod clock;
 pub mod id;
+pub mod ledger;
 pub mod link;
 pub mod lock;
 pub mod name;
 pub mod pool;
+pub mod warmth;
--- a/crates/lentilreach/src/request/mod.rs
+++ b/crates/lentilreach/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for one datagram or one request.
 
+pub mod admit;
 pub mod envelope;
 pub mod packet;
 pub mod route;
