--- /dev/null
+++ b/crates/lentilreach/src/process/agent.rs
@@ -0,0 +1,342 @@
+//! The body of the agent daemon: ends callers' connections beside a backend server.
+
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use smol::Task;
+
+use crate::connection::flow;
+use crate::connection::open::{self, Outcome};
+use crate::id::{domain, node, service};
+use crate::process::balancer::is_passing;
+use crate::process::clock::Clock;
+use crate::process::counter::Agent as Metrics;
+use crate::process::endpoint::{Endpoint, Identity};
+use crate::process::heard::Heard;
+use crate::process::leave::Leave;
+use crate::process::link::{Link, MAX_DATAGRAM};
+use crate::process::lock::Ranked;
+use crate::process::name::Name;
+use crate::process::pool::Pool;
+use crate::process::seal::Seals;
+use crate::process::site::{self, Site};
+use crate::process::slot::Slots;
+use crate::process::tables::{CONFIG, CONNECTIONS, MEMBERS, Tables};
+use crate::process::upstream::Http;
+use crate::request::admit;
+use crate::request::envelope::{Forward, Header, Sealer};
+use crate::request::packet::{Form, Packet};
+
+/// Tasks that receive envelopes.
+const TASKS: usize = 2;
+
+/// Time between two looks at deadlines and half-open flows.
+const TICK: Duration = Duration::from_millis(20);
+
+/// What an agent is started with.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The process.
+    pub node: node::Id,
+    /// The failure domain that it runs in.
+    pub domain: domain::Id,
+    /// Where the backend server listens for HTTP/1.1.
+    pub backend: SocketAddr,
+    /// Limits of the backend server.
+    pub limits: Limits,
+    /// Certificate and key for callers.
+    pub identity: Identity,
+}
+
+/// What a backend server bears, from its service's template.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Requests.
+    pub requests: admit::Limits,
+    /// Flows.
+    pub flows: open::Limits,
+    /// Longest time for one request, in milliseconds.
+    pub deadline_ms: u64,
+    /// Longest time for the drain, in milliseconds.
+    pub leave_ms: u64,
+}
+
+/// A service that the agent serves.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Served {
+    /// Identifies it.
+    pub id: service::Id,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+    /// `ORGANISATION/SERVICE`.
+    pub name: Name,
+}
+
+/// A running agent. Stops without a drain when dropped.
+#[derive(Debug)]
+pub struct Agent<L: Link> {
+    /// What its tasks share.
+    shared: Arc<Shared<L>>,
+    /// Its tasks.
+    _tasks: Vec<Task<()>>,
+}
+
+/// What the tasks of an agent share.
+#[derive(Debug)]
+pub struct Shared<L: Link> {
+    /// The process.
+    pub node: node::Id,
+    /// Its failure domain.
+    pub domain: domain::Id,
+    /// Receives envelopes and sends them.
+    pub link: L,
+    /// View and keys.
+    pub tables: Arc<Tables>,
+    /// Time.
+    pub clock: Clock,
+    /// Runs tasks.
+    pub pool: Pool,
+    /// Balancers heard, rank [`MEMBERS`].
+    pub heard: Arc<Ranked<Heard>>,
+    /// Open flows, rank [`CONNECTIONS`].
+    pub flows: Ranked<open::Table>,
+    /// Where requests run.
+    pub site: Arc<Site<Http, L>>,
+    /// Answers other agents about their keys.
+    seals: Arc<Seals<L>>,
+    /// Sorted by service identifier, without duplicates; rank [`CONFIG`].
+    endpoints: Ranked<Vec<Endpoint<L>>>,
+    /// Certificate and key for callers.
+    pub identity: Identity,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+impl<L: Link> Agent<L> {
+    /// Starts an agent that serves no service yet.
+    ///
+    /// # Errors
+    /// If the link is not at an IPv4 address, which tokens need.
+    pub fn start(
+        pool: &Pool,
+        tables: Arc<Tables>,
+        link: L,
+        settings: Settings,
+    ) -> io::Result<Self> {
+        let SocketAddr::V4(address) = link.local() else {
+            return Err(io::Error::other("step=start: the envelope address is not IPv4"));
+        };
+        let clock = Clock::new();
+        let (upstream, closed) = Http::new(settings.backend, pool.clone());
+        let slots = Slots::new(settings.limits.requests, clock);
+        let seals = Arc::new(Seals::new(link.clone(), tables.clone()));
+        let site = site::Settings {
+            node: settings.node,
+            agent: address,
+            clock,
+            deadline_ms: settings.limits.deadline_ms,
+            leave_ms: settings.limits.leave_ms,
+        };
+        let site = Site::new(
+            site,
+            tables.clone(),
+            slots.clone(),
+            upstream,
+            seals.clone(),
+            Leave::default(),
+        );
+        let shared = Arc::new(Shared {
+            node: settings.node,
+            domain: settings.domain,
+            link,
+            tables,
+            clock,
+            pool: pool.clone(),
+            heard: Arc::new(Ranked::new(MEMBERS, Heard::default())),
+            flows: Ranked::new(CONNECTIONS, open::Table::new(settings.limits.flows)),
+            site: Arc::new(site),
+            seals,
+            endpoints: Ranked::new(CONFIG, Vec::new()),
+            identity: settings.identity,
+            metrics: Metrics::new(),
+        });
+        let mut tasks: Vec<_> =
+            (0..TASKS).map(|_| pool.spawn(shared.clone().receive_all())).collect();
+        tasks.push(pool.spawn(shared.clone().tick_all()));
+        tasks.push(pool.spawn(async move {
+            while closed.recv().await.is_ok() {
+                slots.closed();
+            }
+        }));
+        Ok(Self { shared, _tasks: tasks })
+    }
+
+    /// Serves exactly these services from now on.
+    ///
+    /// # Errors
+    /// If a QUIC endpoint cannot be set up; the others are served.
+    pub fn serve(&self, services: &[Served]) -> io::Result<()> {
+        let mut endpoints = self.shared.endpoints.write();
+        endpoints.retain(|endpoint| services.contains(endpoint.served()));
+        let mut result = Ok(());
+        for served in services {
+            let found = endpoints.binary_search_by_key(&served.id, |e| e.served().id);
+            let Err(at) = found else { continue };
+            match Endpoint::start(self.shared.clone(), served.clone()) {
+                Ok(endpoint) => endpoints.insert(at, endpoint),
+                Err(error) => result = Err(error),
+            }
+        }
+        result
+    }
+
+    /// Begins the drain: no new flow, no new request, callers are told to leave.
+    pub fn leave(&self) {
+        self.shared.flows.write().set_leaving(true);
+        self.shared.site.slots().set_draining(true);
+        self.shared.site.leave().begin();
+    }
+
+    /// Waits until all flows are closed or the template's limit has passed.
+    pub async fn drained(&self) {
+        let limit = self.shared.site.leave_limit();
+        let end = self.shared.clock.now().after(limit.as_millis() as u64);
+        while self.shared.flows.read().open() > 0 && self.shared.clock.now() < end {
+            Timer::after(TICK).await;
+        }
+    }
+
+    /// Where the agent receives envelopes.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.link.local()
+    }
+
+    /// What the tasks share: flows, gate and keys.
+    pub fn shared(&self) -> &Arc<Shared<L>> {
+        &self.shared
+    }
+}
+
+impl<L: Link> Drop for Agent<L> {
+    fn drop(&mut self) {
+        // Ends the accept tasks, which hold the shared state.
+        self.shared.endpoints.write().clear();
+    }
+}
+
+impl<L: Link> Shared<L> {
+    /// Receives envelopes until the link fails.
+    async fn receive_all(self: Arc<Self>) {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        let mut out = Vec::with_capacity(MAX_DATAGRAM);
+        loop {
+            match self.link.receive(&mut buffer).await {
+                Ok((len, _)) => self.receive(&buffer[..len], &mut out),
+                Err(error) if is_passing(&error) => {}
+                Err(error) => return log::error!("step=receive peer=balancer {error}"),
+            }
+        }
+    }
+
+    /// Takes in one envelope.
+    fn receive(&self, envelope: &[u8], out: &mut Vec<u8>) {
+        if Sealer::is_secret(envelope) {
+            if !self.seals.receive(envelope, |key| self.site.seal(key)) {
+                self.metrics.rejected("secret");
+            }
+            return;
+        }
+        let keys = self.tables.keys();
+        match keys.sealer.open(envelope) {
+            Ok((Header::Forward(forward), datagram)) => self.take(forward, datagram, out),
+            Ok(_) => self.metrics.rejected("kind"),
+            Err(fault) => self.metrics.rejected(fault.as_str()),
+        }
+    }
+
+    /// Takes in a caller's datagram: delivers it, hands it on, or drops it.
+    fn take(&self, forward: Forward, datagram: &[u8], out: &mut Vec<u8>) {
+        self.note(forward.balancer);
+        if !forward.candidates.is_empty() {
+            match self.offer(&forward, datagram) {
+                Some(Outcome::HandOn) => return self.hand_on(&forward, datagram, out),
+                Some(_) => {}
+                None => return self.metrics.rejected("opening"),
+            }
+        }
+        let endpoints = self.endpoints.read();
+        let Ok(at) = endpoints.binary_search_by_key(&forward.service, |e| e.served().id)
+        else {
+            // Another service's packet: a stale view or a reused address.
+            return self.metrics.foreign.increment(1);
+        };
+        if !endpoints[at].push(forward.caller, datagram) {
+            self.metrics.overflow.increment(1);
+        }
+    }
+
+    /// Decides on an opening packet; `None` if it is none.
+    fn offer(&self, forward: &Forward, datagram: &[u8]) -> Option<Outcome> {
+        let packet = Packet::parse(forward.caller, forward.address, datagram).ok()?;
+        if packet.form != Form::Initial {
+            return None;
+        }
+        let serves = {
+            let endpoints = self.endpoints.read();
+            endpoints.binary_search_by_key(&forward.service, |e| e.served().id).is_ok()
+        };
+        if !serves {
+            return Some(Outcome::HandOn);
+        }
+        let flow = flow::Key::new(forward.caller, packet.destination);
+        let cold = self.site.slots().is_cold();
+        let mut flows = self.flows.write();
+        flows.set_cold(cold);
+        let outcome = flows.offer(self.clock.now(), flow, forward.remaining());
+        drop(flows);
+        match outcome {
+            Outcome::Admit => self.metrics.admitted.increment(1),
+            Outcome::Refuse(_) => self.metrics.refused.increment(1),
+            Outcome::Known | Outcome::HandOn => {}
+        }
+        Some(outcome)
+    }
+
+    /// Hands an opening packet to the next candidate.
+    fn hand_on(&self, forward: &Forward, datagram: &[u8], out: &mut Vec<u8>) {
+        let Some((agent, next)) = forward.next() else { return };
+        self.metrics.handed_on.increment(1);
+        if self.tables.keys().sealer.seal(&Header::Forward(next), datagram, out) {
+            // A lost packet is sent again by the caller.
+            let _ = self.link.send(SocketAddr::V4(agent), out);
+        }
+    }
+
+    /// Notes that a balancer is alive.
+    fn note(&self, balancer: SocketAddr) {
+        let now = self.clock.now();
+        if !self.heard.read().is_fresh(now, balancer) {
+            self.heard.write().note(now, balancer);
+        }
+    }
+
+    /// Lets the gate and the table of flows act on the passing of time.
+    async fn tick_all(self: Arc<Self>) {
+        loop {
+            Timer::after(TICK).await;
+            self.site.slots().tick();
+            self.flows.write().expire(self.clock.now());
+        }
+    }
+
+    /// Where the agent receives envelopes, as tokens name it.
+    pub fn origin(&self) -> SocketAddrV4 {
+        match self.link.local() {
+            SocketAddr::V4(address) => address,
+            SocketAddr::V6(_) => unreachable!("checked when the agent started"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/endpoint.rs
@@ -0,0 +1,262 @@
+//! The QUIC endpoint of one service at an agent.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use quinn::crypto::rustls::QuicServerConfig;
+use quinn::{AsyncTimer, AsyncUdpSocket, EndpointConfig, Runtime, ServerConfig};
+use quinn::{IdleTimeout, TransportConfig};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer};
+use smol::Task;
+
+use crate::connection::cid::{Generator, Origin};
+use crate::connection::open::Outcome;
+use crate::connection::session;
+use crate::connection::socket::{Carrier, Socket};
+use crate::connection::{flow, open};
+use crate::process::agent::{Served, Shared};
+use crate::process::clock::Clock;
+use crate::process::heard::Heard;
+use crate::process::link::{Link, MAX_DATAGRAM};
+use crate::process::lock::Ranked;
+use crate::process::pool::Pool;
+use crate::process::tables::Tables;
+use crate::request::envelope::{Header, Return};
+
+/// Time after which a silent caller is taken to be gone.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Time between keep-alives. Keeps address translation near callers open.
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
+
+/// Certificate chain and key that callers see.
+#[derive(Debug)]
+pub struct Identity {
+    /// The chain, the service's own certificate first.
+    pub chain: Vec<CertificateDer<'static>>,
+    /// The key of the first certificate.
+    pub key: PrivateKeyDer<'static>,
+}
+
+impl Clone for Identity {
+    fn clone(&self) -> Self {
+        Self { chain: self.chain.clone(), key: self.key.clone_key() }
+    }
+}
+
+/// Accepts the connections of one service. Closes them when dropped.
+#[derive(Debug)]
+pub struct Endpoint<L: Link> {
+    /// The service.
+    served: Served,
+    /// Takes in callers' datagrams.
+    socket: Arc<Socket<Way<L>>>,
+    /// Ends QUIC.
+    quic: quinn::Endpoint,
+    /// Accepts connections.
+    _task: Task<()>,
+}
+
+impl<L: Link> Endpoint<L> {
+    /// Starts to accept connections for a service.
+    ///
+    /// # Errors
+    /// If certificate or key cannot be used.
+    pub fn start(shared: Arc<Shared<L>>, served: Served) -> io::Result<Self> {
+        let way = Way {
+            link: shared.link.clone(),
+            tables: shared.tables.clone(),
+            heard: shared.heard.clone(),
+            clock: shared.clock,
+        };
+        let socket = Socket::new(served.address, way);
+        let quic = quinn::Endpoint::new_with_abstract_socket(
+            endpoint_config(&shared, &served)?,
+            Some(server_config(&shared)?),
+            socket.clone(),
+            Arc::new(Workers(shared.pool.clone())),
+        )?;
+        let task = shared.pool.spawn(accept(shared.clone(), quic.clone()));
+        Ok(Self { served, socket, quic, _task: task })
+    }
+
+    /// The service.
+    pub fn served(&self) -> &Served {
+        &self.served
+    }
+
+    /// Takes in a caller's datagram; returns whether there was room.
+    pub fn push(&self, caller: SocketAddr, datagram: &[u8]) -> bool {
+        self.socket.push(caller, datagram)
+    }
+}
+
+impl<L: Link> Drop for Endpoint<L> {
+    fn drop(&mut self) {
+        let code = h3::error::Code::H3_NO_ERROR.value();
+        self.quic.close(code.try_into().unwrap_or_default(), b"service removed");
+    }
+}
+
+/// The way back to callers: through any balancer heard lately.
+#[derive(Debug)]
+pub struct Way<L> {
+    /// Sends envelopes.
+    link: L,
+    /// Has the keys.
+    tables: Arc<Tables>,
+    /// Balancers heard.
+    heard: Arc<Ranked<Heard>>,
+    /// Time.
+    clock: Clock,
+}
+
+impl<L: Link> Carrier for Way<L> {
+    fn carry(&self, service: SocketAddr, caller: SocketAddr, datagram: &[u8]) {
+        let chosen = self.heard.read().choose(self.clock.now(), fastrand::u64(..));
+        let Some(balancer) = chosen else { return };
+        let header = Header::Return(Return { address: service, caller });
+        let mut out = Vec::with_capacity(MAX_DATAGRAM);
+        if self.tables.keys().sealer.seal(&header, datagram, &mut out) {
+            // A lost datagram is sent again by QUIC.
+            let _ = self.link.send(balancer, &out);
+        }
+    }
+}
+
+/// Accepts connections until the endpoint closes.
+async fn accept<L: Link>(shared: Arc<Shared<L>>, endpoint: quinn::Endpoint) {
+    while let Some(incoming) = endpoint.accept().await {
+        let flow = flow::Key::new(incoming.remote_address(), &incoming.orig_dst_cid());
+        let outcome = shared.flows.write().offer(shared.clock.now(), flow, 0);
+        if matches!(outcome, Outcome::Refuse(_) | Outcome::HandOn) {
+            incoming.refuse();
+            continue;
+        }
+        shared.pool.spawn(handle(shared.clone(), incoming, flow)).detach();
+    }
+}
+
+/// Serves one connection from handshake to end.
+async fn handle<L: Link>(
+    shared: Arc<Shared<L>>,
+    incoming: quinn::Incoming,
+    flow: flow::Key,
+) {
+    let _open = Open { flows: &shared.flows, flow, clock: shared.clock };
+    let Ok(connecting) = incoming.accept() else { return };
+    let Ok(connection) = connecting.await else { return };
+    if !complete(&shared, flow) {
+        connection.close(refused(), b"no place");
+        return;
+    }
+    session::run(&shared.pool, shared.site.clone(), connection).await;
+}
+
+/// Notes that a handshake is complete; returns whether the flow has a place.
+///
+/// A handshake that took longer than half-open flows are kept, under loss, gets a new place
+/// if there is one: its caller already takes the flow for open.
+fn complete<L: Link>(shared: &Shared<L>, flow: flow::Key) -> bool {
+    let now = shared.clock.now();
+    let mut flows = shared.flows.write();
+    flows.complete(now, flow)
+        || matches!(flows.offer(now, flow, 0), Outcome::Admit | Outcome::Known)
+            && flows.complete(now, flow)
+}
+
+/// The code for connections that the agent has no place for.
+fn refused() -> quinn::VarInt {
+    h3::error::Code::H3_REQUEST_REJECTED.value().try_into().unwrap_or_default()
+}
+
+/// Closes a flow in the table when dropped.
+struct Open<'a> {
+    /// The table.
+    flows: &'a Ranked<open::Table>,
+    /// The flow.
+    flow: flow::Key,
+    /// Time.
+    clock: Clock,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.flows.write().close(self.clock.now(), self.flow);
+    }
+}
+
+/// The endpoint's settings: tokens as connection IDs and a reset key of the fleet.
+fn endpoint_config<L: Link>(
+    shared: &Shared<L>,
+    served: &Served,
+) -> io::Result<EndpointConfig> {
+    let keys = shared.tables.keys();
+    let reset = keys.reset().ok_or_else(|| io::Error::other("step=serve: no key"))?;
+    let mut config = EndpointConfig::new(Arc::new(reset.clone()));
+    let tables = shared.tables.clone();
+    let origin = Origin {
+        service: served.id,
+        domain: shared.domain,
+        agent: shared.origin(),
+        node: shared.node,
+    };
+    config.cid_generator(move || Box::new(Generator::new(tables.clone(), origin)));
+    Ok(config)
+}
+
+/// TLS 1.3 without 0-RTT, and QUIC's limits.
+fn server_config<L: Link>(shared: &Shared<L>) -> io::Result<ServerConfig> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let identity = shared.identity.clone();
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(io::Error::other)?
+        .with_no_client_auth()
+        .with_single_cert(identity.chain, identity.key)
+        .map_err(io::Error::other)?;
+    tls.alpn_protocols = vec![b"h3".to_vec()];
+    // Early data can be replayed, and a replayed request would run twice.
+    tls.max_early_data_size = 0;
+    let tls = QuicServerConfig::try_from(tls).map_err(io::Error::other)?;
+    let mut config = ServerConfig::with_crypto(Arc::new(tls));
+    config.transport_config(Arc::new(transport()?));
+    Ok(config)
+}
+
+/// Limits of a connection.
+fn transport() -> io::Result<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    let idle = IdleTimeout::try_from(IDLE).map_err(io::Error::other)?;
+    transport.max_idle_timeout(Some(idle));
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    // Envelopes add up to 120 bytes to a datagram, so it must stay well under the usual
+    // 1,500 bytes of a link: the minimum of QUIC is kept.
+    transport.mtu_discovery_config(None);
+    Ok(transport)
+}
+
+/// Lets quinn run its tasks on our worker pool.
+#[derive(Debug)]
+struct Workers(Pool);
+
+impl Runtime for Workers {
+    fn new_timer(&self, at: Instant) -> Pin<Box<dyn AsyncTimer>> {
+        quinn::SmolRuntime.new_timer(at)
+    }
+
+    fn spawn(&self, future: Pin<Box<dyn Future<Output = ()> + Send>>) {
+        self.0.spawn(future).detach();
+    }
+
+    fn wrap_udp_socket(
+        &self,
+        socket: std::net::UdpSocket,
+    ) -> io::Result<Arc<dyn AsyncUdpSocket>> {
+        quinn::SmolRuntime.wrap_udp_socket(socket)
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/entry.rs
@@ -0,0 +1,112 @@
+//! How datagrams of callers reach a balancer and leave it again.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::link::{Link, MAX_DATAGRAM};
+
+/// The side of a balancer that faces callers.
+pub trait Entry: Clone + Send + Sync + 'static {
+    /// Waits for a caller's datagram; returns its place in `buffer`.
+    ///
+    /// `None` stands for one that could not be read and is to be counted and dropped.
+    fn receive(
+        &self,
+        buffer: &mut [u8],
+    ) -> impl Future<Output = io::Result<Option<Arrival>>> + Send;
+
+    /// Sends a datagram to a caller from the service address.
+    ///
+    /// # Errors
+    /// If the system does not take the datagram.
+    fn send(
+        &self,
+        service: SocketAddr,
+        caller: SocketAddr,
+        datagram: &[u8],
+    ) -> io::Result<()>;
+}
+
+/// A datagram received for a service address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrival {
+    /// Who sent it.
+    pub caller: SocketAddr,
+    /// The service address that it was sent to.
+    pub service: SocketAddr,
+    /// Index of its first byte in the buffer.
+    pub start: usize,
+    /// Index after its last byte in the buffer.
+    pub end: usize,
+}
+
+/// Header of a datagram between the fabric and a balancer; the caller's datagram follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Transit {
+    /// The caller's address.
+    pub caller: SocketAddr,
+    /// The service address.
+    pub service: SocketAddr,
+}
+
+impl Transit {
+    /// Writes header and datagram into `out`, replacing what it held.
+    pub fn encode(&self, datagram: &[u8], out: &mut Vec<u8>) -> bool {
+        out.clear();
+        let Ok(header) = postcard::to_extend(self, std::mem::take(out)) else {
+            return false;
+        };
+        *out = header;
+        out.extend_from_slice(datagram);
+        true
+    }
+
+    /// Splits a datagram into header and the caller's datagram.
+    pub fn decode(bytes: &[u8]) -> Option<(Self, &[u8])> {
+        postcard::take_from_bytes(bytes).ok()
+    }
+}
+
+/// A fabric that encapsulates callers' datagrams with a [`Transit`] header.
+#[derive(Debug, Clone)]
+pub struct Encapsulated<L> {
+    /// Receives from the fabric and sends to it.
+    link: L,
+    /// Where the fabric takes datagrams for callers.
+    fabric: SocketAddr,
+}
+
+impl<L: Link> Encapsulated<L> {
+    /// An entry over a link; `fabric` takes what goes to callers.
+    pub fn new(link: L, fabric: SocketAddr) -> Self {
+        Self { link, fabric }
+    }
+}
+
+impl<L: Link> Entry for Encapsulated<L> {
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<Option<Arrival>> {
+        let (len, _) = self.link.receive(buffer).await?;
+        let arrival = Transit::decode(&buffer[..len]).map(|(transit, rest)| Arrival {
+            caller: transit.caller,
+            service: transit.service,
+            start: len - rest.len(),
+            end: len,
+        });
+        Ok(arrival)
+    }
+
+    fn send(
+        &self,
+        service: SocketAddr,
+        caller: SocketAddr,
+        datagram: &[u8],
+    ) -> io::Result<()> {
+        let mut out = Vec::with_capacity(MAX_DATAGRAM);
+        Transit { caller, service }.encode(datagram, &mut out);
+        self.link.send(self.fabric, &out)
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/key.rs
@@ -0,0 +1,115 @@
+//! The key ring: what every process of the fleet derives from the shared secrets.
+
+use std::fmt::{self, Debug, Formatter};
+
+use ring::hmac;
+
+use crate::connection::token;
+use crate::id::node;
+use crate::request::envelope::{self, Sealer};
+
+/// One secret of the fleet. Never printed.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret {
+    /// Identifies the keys derived from it in tokens and envelopes.
+    pub id: u8,
+    /// Random bytes.
+    pub bytes: [u8; 32],
+}
+
+impl Debug for Secret {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Secret").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+impl Secret {
+    /// Derives 32 bytes for one purpose.
+    fn derive(&self, purpose: &str) -> [u8; 32] {
+        let key = hmac::Key::new(hmac::HMAC_SHA256, &self.bytes);
+        let tag = hmac::sign(&key, purpose.as_bytes());
+        let mut bytes = [0; 32];
+        bytes.copy_from_slice(tag.as_ref());
+        bytes
+    }
+}
+
+/// All keys derived from the secrets in force.
+#[derive(Debug)]
+pub struct Ring {
+    /// Encode and decode tokens.
+    pub tokens: token::Keys,
+    /// Seals and opens envelopes.
+    pub sealer: Sealer,
+    /// Signs bindings and stateless resets, by key identifier.
+    signers: Vec<Signer>,
+    /// The identifier of the key for new tokens, envelopes and bindings.
+    current: u8,
+}
+
+/// Signing keys derived from one secret.
+#[derive(Debug)]
+struct Signer {
+    /// The secret's identifier.
+    id: u8,
+    /// Signs bindings.
+    binding: hmac::Key,
+    /// Makes stateless reset tokens.
+    reset: hmac::Key,
+}
+
+impl Ring {
+    /// Derives the keys of one process. `current` names the secret for new uses; the others
+    /// stay valid for what was made with them.
+    pub fn new(node: node::Id, secrets: &[Secret], current: u8) -> Self {
+        let token = |s: &Secret| token::Key::new(s.id, &s.derive("token"));
+        let seal = |s: &Secret| {
+            let mut key = [0; 16];
+            key.copy_from_slice(&s.derive("envelope")[..16]);
+            envelope::Key::new(s.id, &key)
+        };
+        let sign = |s: &Secret| Signer {
+            id: s.id,
+            binding: hmac::Key::new(hmac::HMAC_SHA256, &s.derive("binding")),
+            reset: hmac::Key::new(hmac::HMAC_SHA256, &s.derive("reset")),
+        };
+        let mut signers: Vec<Signer> = secrets.iter().map(sign).collect();
+        signers.sort_by_key(|signer| signer.id);
+        Self {
+            tokens: token::Keys::new(secrets.iter().map(token).collect(), current),
+            sealer: Sealer::new(node, secrets.iter().map(seal).collect(), current),
+            signers,
+            current,
+        }
+    }
+
+    /// Signs a binding with the current key; `None` without keys.
+    pub fn sign(&self, text: &[u8]) -> Option<(u8, hmac::Tag)> {
+        let signer = self.signer(self.current)?;
+        Some((signer.id, hmac::sign(&signer.binding, text)))
+    }
+
+    /// Whether a binding was signed with the key of this identifier.
+    ///
+    /// `tag` may be cut to its first bytes. The comparison takes the same time whatever the
+    /// bytes are, so that a tag cannot be guessed byte by byte.
+    pub fn verify(&self, id: u8, text: &[u8], tag: &[u8]) -> bool {
+        let Some(signer) = self.signer(id) else { return false };
+        let expected = hmac::sign(&signer.binding, text);
+        let Some(expected) = expected.as_ref().get(..tag.len()) else { return false };
+        let differing = expected.iter().zip(tag).fold(0, |sum, (a, b)| sum | (a ^ b));
+        !tag.is_empty() && differing == 0
+    }
+
+    /// The key for stateless resets: of the oldest secret, so that a new incarnation can
+    /// still end the flows of the one before a rotation.
+    pub fn reset(&self) -> Option<&hmac::Key> {
+        self.signers.first().map(|signer| &signer.reset)
+    }
+
+    /// Finds signing keys by identifier.
+    fn signer(&self, id: u8) -> Option<&Signer> {
+        let found = self.signers.binary_search_by_key(&id, |signer| signer.id);
+        found.ok().map(|i| &self.signers[i])
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/leave.rs
@@ -0,0 +1,47 @@
+//! The drain of a process: announced once, heard by every connection.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use event_listener::Event;
+
+/// Tells all parts of a process that it leaves. Clones share the state.
+#[derive(Debug, Clone, Default)]
+pub struct Leave {
+    /// Shared by all clones.
+    shared: Arc<Shared>,
+}
+
+/// State of a [`Leave`].
+#[derive(Debug, Default)]
+struct Shared {
+    /// Set once, never reset.
+    begun: AtomicBool,
+    /// Notified when `begun` is set.
+    event: Event,
+}
+
+impl Leave {
+    /// Begins the drain. A second call has no effect.
+    pub fn begin(&self) {
+        self.shared.begun.store(true, Ordering::Release);
+        self.shared.event.notify(usize::MAX);
+    }
+
+    /// Whether the drain has begun.
+    pub fn has_begun(&self) -> bool {
+        self.shared.begun.load(Ordering::Acquire)
+    }
+
+    /// Waits until the drain begins.
+    pub async fn wait(&self) {
+        loop {
+            let listener = self.shared.event.listen();
+            // Checked after the listener exists, so that no notification is missed.
+            if self.has_begun() {
+                return;
+            }
+            listener.await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/site.rs
@@ -0,0 +1,180 @@
+//! What all requests at one agent share: the gate, the ledger, the backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderValue, StatusCode};
+
+use crate::id::node;
+use crate::process::binding::{Binding, Key, LIFE_MS};
+use crate::process::clock::{Clock, Millis};
+use crate::process::leave::Leave;
+use crate::process::ledger::{self, Answer, Entry, Ledger, Sealing};
+use crate::process::link::Link;
+use crate::process::lock::Ranked;
+use crate::process::seal::{Seals, Verdict};
+use crate::process::slot::Slots;
+use crate::process::tables::{LEDGER, Tables};
+use crate::request::rule::{self, Outcome};
+use crate::request::serve::{Once, Upstream};
+
+/// Records that the ledger holds at most.
+///
+/// One record is kept for [`LIFE_MS`], so this allows 18 non-idempotent requests a second
+/// on average; above that new ones are refused as not run.
+const RECORDS: usize = 65_536;
+
+/// The place where requests run: one agent with its backend server.
+#[derive(Debug)]
+pub struct Site<U, L> {
+    /// Settings that hold for the site's life.
+    settings: Settings,
+    /// View and keys.
+    tables: Arc<Tables>,
+    /// The gate to the backend server.
+    slots: Slots,
+    /// The at-most-once record.
+    ledger: Ranked<Ledger>,
+    /// Connections to the backend server.
+    upstream: U,
+    /// Asks other agents about their keys.
+    seals: Arc<Seals<L>>,
+    /// The drain of the process.
+    leave: Leave,
+}
+
+/// Settings of a [`Site`].
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// The agent's process.
+    pub node: node::Id,
+    /// Where the agent receives envelopes.
+    pub agent: std::net::SocketAddrV4,
+    /// The agent's time.
+    pub clock: Clock,
+    /// Longest time for one request, in milliseconds.
+    pub deadline_ms: u64,
+    /// Longest time for the drain of a connection, in milliseconds.
+    pub leave_ms: u64,
+}
+
+/// What is to happen with a non-idempotent request.
+#[derive(Debug)]
+pub enum Claim {
+    /// Run it; it has been recorded under this key.
+    Run(ledger::Key),
+    /// It has run; this is the answer.
+    Answered(Answer),
+    /// Tell the caller this.
+    Told(StatusCode, Outcome),
+}
+
+impl<U: Upstream, L: Link> Site<U, L> {
+    /// A site for one backend server.
+    pub fn new(
+        settings: Settings,
+        tables: Arc<Tables>,
+        slots: Slots,
+        upstream: U,
+        seals: Arc<Seals<L>>,
+        leave: Leave,
+    ) -> Self {
+        let ledger = Ledger::new(settings.node, RECORDS, LIFE_MS);
+        let ledger = Ranked::new(LEDGER, ledger);
+        Self { settings, tables, slots, ledger, upstream, seals, leave }
+    }
+
+    /// The agent's time.
+    pub fn now(&self) -> Millis {
+        self.settings.clock.now()
+    }
+
+    /// Longest time for one request, in milliseconds.
+    pub fn deadline_ms(&self) -> u64 {
+        self.settings.deadline_ms
+    }
+
+    /// Longest time for the drain of a connection.
+    pub fn leave_limit(&self) -> Duration {
+        Duration::from_millis(self.settings.leave_ms)
+    }
+
+    /// The gate to the backend server.
+    pub fn slots(&self) -> &Slots {
+        &self.slots
+    }
+
+    /// Connections to the backend server.
+    pub fn upstream(&self) -> &U {
+        &self.upstream
+    }
+
+    /// The drain of the process.
+    pub fn leave(&self) -> &Leave {
+        &self.leave
+    }
+
+    /// Adds a fresh binding to the headers of an answer.
+    pub fn bind(&self, headers: &mut HeaderMap) {
+        let binding = Binding {
+            node: self.settings.node,
+            agent: self.settings.agent,
+            expiry: self.ledger.read().expiry(self.now()),
+            serial: fastrand::u64(..),
+        };
+        let text = binding.encode(&self.tables.keys());
+        if let Some(text) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
+            headers.insert(rule::BINDING, text);
+        }
+    }
+
+    /// Decides on a non-idempotent request by its idempotency key.
+    pub async fn claim(&self, headers: &HeaderMap) -> Claim {
+        let required = Claim::Told(StatusCode::PRECONDITION_REQUIRED, Outcome::NotRun);
+        let Some(text) = headers.get(rule::IDEMPOTENCY_KEY) else { return required };
+        let Ok(text) = text.to_str() else { return required };
+        let keys = self.tables.keys();
+        let Ok(key) = Key::decode(text, &keys) else { return required };
+        let record = ledger::Key::from(&key);
+        if key.binding.node != self.settings.node {
+            let owner = SocketAddr::V4(key.binding.agent);
+            return Self::told(self.seals.ask(owner, record).await);
+        }
+        let entry = self.ledger.write().begin(self.now(), &record);
+        match entry {
+            Entry::Run => Claim::Run(record),
+            Entry::Running => Claim::Told(StatusCode::CONFLICT, Outcome::Running),
+            Entry::Done(answer) => Claim::Answered(answer.as_ref().clone()),
+            Entry::Sealed => Claim::Told(StatusCode::CONFLICT, Outcome::NotRun),
+            Entry::Expired => Claim::Told(StatusCode::BAD_GATEWAY, Outcome::Unknown),
+            Entry::Full => Claim::Told(StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun),
+        }
+    }
+
+    /// Records how a request that was to run has ended.
+    pub fn settle(&self, key: &ledger::Key, end: &Once) {
+        let outcome = match end {
+            Once::Answered(answer) => ledger::Outcome::Answered(answer.clone()),
+            Once::NotRun(_) => ledger::Outcome::NotRun,
+            Once::Unknown => ledger::Outcome::Unknown,
+        };
+        self.ledger.write().finish(self.now(), key, outcome);
+    }
+
+    /// Seals a key for another agent.
+    pub fn seal(&self, key: &ledger::Key) -> Sealing {
+        self.ledger.write().seal(self.now(), key)
+    }
+
+    /// What the caller is told of a key that another agent owns.
+    fn told(verdict: Verdict) -> Claim {
+        match verdict {
+            Verdict::Sealed => Claim::Told(StatusCode::CONFLICT, Outcome::NotRun),
+            Verdict::Running => Claim::Told(StatusCode::CONFLICT, Outcome::Running),
+            Verdict::Done(answer) => Claim::Answered(answer),
+            Verdict::Large => Claim::Told(StatusCode::CONFLICT, Outcome::Done),
+            Verdict::Unknown => Claim::Told(StatusCode::BAD_GATEWAY, Outcome::Unknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/upstream.rs
@@ -0,0 +1,136 @@
+//! HTTP/1.1 connections to the backend server beside an agent.
+
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use async_io::Async;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use parking_lot::Mutex;
+use smol_hyper::rt::FuturesIo;
+
+use crate::process::pool::Pool;
+use crate::request::serve::Upstream;
+
+/// Idle connections kept at most. Above the number of slots they are of no use.
+const MAX_IDLE: usize = 64;
+
+/// Sends requests to one backend server over kept-alive connections.
+#[derive(Debug, Clone)]
+pub struct Http {
+    /// Shared by all request tasks.
+    shared: Arc<Shared>,
+}
+
+/// State of an [`Http`].
+#[derive(Debug)]
+struct Shared {
+    /// Where the backend server listens.
+    address: SocketAddr,
+    /// Runs the connections.
+    pool: Pool,
+    /// Idle connections, the last used at the end.
+    idle: Mutex<Vec<Connection>>,
+    /// Open connections, idle or in use.
+    open: AtomicUsize,
+    /// Told when the backend server has closed the last open connection.
+    closed: async_channel::Sender<()>,
+}
+
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    /// Sends requests on it.
+    sender: SendRequest<Full<Bytes>>,
+    /// Set when this side gives the connection up.
+    released: Arc<AtomicBool>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.released.store(true, Ordering::Release);
+    }
+}
+
+impl Http {
+    /// A client for a backend server. The receiver hears when the backend server has closed
+    /// the last open connection, which a restart does and an idle timeout of one does not.
+    pub fn new(address: SocketAddr, pool: Pool) -> (Self, async_channel::Receiver<()>) {
+        // One pending message is enough: a second close says nothing new.
+        let (closed, receiver) = async_channel::bounded(1);
+        let shared = Shared {
+            address,
+            pool,
+            idle: Mutex::default(),
+            closed,
+            open: AtomicUsize::new(0),
+        };
+        (Self { shared: Arc::new(shared) }, receiver)
+    }
+
+    /// Takes an idle connection or opens one.
+    async fn connect(&self) -> io::Result<Connection> {
+        while let Some(idle) = self.shared.idle.lock().pop() {
+            if idle.sender.is_ready() {
+                return Ok(idle);
+            }
+        }
+        let stream = Async::<TcpStream>::connect(self.shared.address).await?;
+        stream.get_ref().set_nodelay(true)?;
+        let (sender, connection) =
+            http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
+        let released = Arc::new(AtomicBool::new(false));
+        let (shared, own) = (self.shared.clone(), released.clone());
+        shared.open.fetch_add(1, Ordering::AcqRel);
+        let run = async move {
+            let _ = connection.await;
+            let last = shared.open.fetch_sub(1, Ordering::AcqRel) == 1;
+            if last && !own.load(Ordering::Acquire) {
+                let _ = shared.closed.try_send(());
+            }
+        };
+        self.shared.pool.spawn(run).detach();
+        Ok(Connection { sender, released })
+    }
+}
+
+impl Upstream for Http {
+    type Lease = Lease;
+
+    async fn lease(&self) -> io::Result<Lease> {
+        let connection = self.connect().await?;
+        Ok(Lease { connection: Some(connection), shared: self.shared.clone() })
+    }
+
+    async fn call(
+        lease: &mut Lease,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        let connection = lease.connection.as_mut().expect("set until dropped");
+        connection.sender.send_request(request).await
+    }
+}
+
+/// A connection in use; goes back to the idle ones when dropped.
+#[derive(Debug)]
+pub struct Lease {
+    /// Set until dropped.
+    connection: Option<Connection>,
+    /// Where it goes back to.
+    shared: Arc<Shared>,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let Some(connection) = self.connection.take() else { return };
+        let mut idle = self.shared.idle.lock();
+        if !connection.sender.is_closed() && idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+    }
+}
--- a/crates/lentilreach/src/request/envelope.rs
+++ b/crates/lentilreach/src/request/envelope.rs
@@ -13,9 +13,12 @@
 use crate::id::{node, service};
 use crate::request::route::Candidates;
 
-/// Version of the layout.
+/// Version of the layout whose payload is authenticated only.
 const VERSION: u8 = 1;
 
+/// Version of the layout of a message that is encrypted whole.
+const SECRET_VERSION: u8 = 2;
+
 /// Bytes before the header.
 const PREFIX: usize = 14;
 
@@ -203,6 +206,52 @@
         postcard::take_from_bytes(&body[PREFIX..]).map_err(|_| Fault::Header)
     }
 
+    /// Writes a message that only the fleet can read, replacing what `out` held.
+    ///
+    /// Returns whether there was a key to do so.
+    pub fn seal_secret(&self, message: &[u8], out: &mut Vec<u8>) -> bool {
+        let Some(key) = self.keys.get(self.current) else { return false };
+        let nonce = self.nonce();
+        out.clear();
+        out.extend_from_slice(&[SECRET_VERSION, key.id]);
+        out.extend_from_slice(&nonce);
+        let mut body = message.to_vec();
+        let nonce = Nonce::assume_unique_for_key(nonce);
+        let aad = Aad::from(&out[..2]);
+        let Ok(tag) = key.cipher.seal_in_place_separate_tag(nonce, aad, &mut body) else {
+            return false;
+        };
+        out.extend_from_slice(&body);
+        out.extend_from_slice(tag.as_ref());
+        true
+    }
+
+    /// Reads a message written by [`Self::seal_secret`].
+    ///
+    /// # Errors
+    /// If it was not sealed with one of the keys.
+    pub fn open_secret(&self, envelope: &[u8]) -> Result<Vec<u8>, Fault> {
+        if envelope.len() < PREFIX + TAG {
+            return Err(Fault::Short);
+        }
+        if envelope[0] != SECRET_VERSION {
+            return Err(Fault::Version);
+        }
+        let key = self.find(envelope[1]).ok_or(Fault::UnknownKey)?;
+        let mut nonce = [0; 12];
+        nonce.copy_from_slice(&envelope[2..PREFIX]);
+        let nonce = Nonce::assume_unique_for_key(nonce);
+        let mut body = envelope[PREFIX..].to_vec();
+        let aad = Aad::from(&envelope[..2]);
+        let plain = key.cipher.open_in_place(nonce, aad, &mut body);
+        plain.map(|plain| plain.to_vec()).map_err(|_| Fault::Tag)
+    }
+
+    /// Whether an envelope is to be read by [`Self::open_secret`].
+    pub fn is_secret(envelope: &[u8]) -> bool {
+        envelope.first() == Some(&SECRET_VERSION)
+    }
+
     /// A nonce that this sealer has not used.
     fn nonce(&self) -> [u8; 12] {
         let mut nonce = [0; 12];
--- a/crates/lentilreach/src/request/mod.rs
+++ b/crates/lentilreach/src/request/mod.rs
@@ -4,3 +4,5 @@
 pub mod envelope;
 pub mod packet;
 pub mod route;
+pub mod rule;
+pub mod serve;
--- /dev/null
+++ b/crates/standin/src/demo.rs
@@ -0,0 +1,337 @@
+//! One run: a deployment, callers, a plan of changes, a report.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use lentilreach::process::leave::Leave;
+use lentilreach::process::pool::Pool;
+use parking_lot::Mutex;
+use serde::Serialize;
+use smol::Task;
+
+use crate::caller::{Crowd, Habit};
+use crate::cluster::Cluster;
+use crate::deployment::Deployment;
+use crate::plan::Plan;
+use crate::record::{Count, Record};
+use crate::tls;
+
+/// Worker threads of a run.
+const THREADS: usize = 8;
+
+/// QUIC endpoints that callers share.
+const ENDPOINTS: usize = 8;
+
+/// Time over which callers open their first flows.
+const ARRIVAL: Duration = Duration::from_millis(2_500);
+
+/// Time after which imbalance is measured.
+const WARM_UP: Duration = Duration::from_secs(4);
+
+/// Time between two samples of open flows.
+const SAMPLE: Duration = Duration::from_millis(100);
+
+/// Time between two reports of load.
+const REPORT: Duration = Duration::from_millis(500);
+
+/// Mean time between two requests on a flow.
+const THINK: Duration = Duration::from_millis(1_200);
+
+/// How long short flows last.
+const SHORT: Duration = Duration::from_secs(5);
+
+/// One in this many flows is a short one.
+const SHORT_SHARE: u32 = 5;
+
+/// Settings of a run.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// What changes.
+    pub plan: Plan,
+    /// Seeds loss and spraying.
+    pub seed: u64,
+    /// Length of the run after the warm-up, in seconds.
+    pub seconds: u64,
+    /// Share of the deployment's connections.
+    pub scale: f64,
+    /// Share of datagrams lost between failure domains and to callers, in percent.
+    pub loss: f64,
+}
+
+/// What callers and backend servers saw. A value that was not measured is absent.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// The deployment's organisation.
+    pub organisation: &'static str,
+    /// The plan.
+    pub plan: &'static str,
+    /// The seed.
+    pub seed: u64,
+    /// Share of the deployment's connections.
+    pub scale: f64,
+    /// Flows opened.
+    pub flows_opened: u64,
+    /// Flows cut without a reason.
+    pub flows_broken: u64,
+    /// Flows cut since their process or failure domain was gone.
+    pub flows_lost_to_failure: u64,
+    /// Attempts to open a flow that failed.
+    pub flows_not_opened: u64,
+    /// Requests sent, repeats not counted.
+    pub requests_sent: u64,
+    /// Requests answered whole.
+    pub requests_answered: u64,
+    /// Attempts refused as not run.
+    pub requests_refused_not_run: u64,
+    /// Requests of which the caller does not know whether they ran.
+    pub requests_unknown: u64,
+    /// Non-idempotent requests that ran more than once.
+    pub requests_run_twice: u64,
+    /// Attempts refused as not run that had run.
+    pub not_run_but_run: u64,
+    /// Requests that reached another service.
+    pub wrong_service: u64,
+    /// Answers not whole or not the caller's own.
+    pub answers_mismatched: u64,
+    /// Requests beyond what a cold backend server bears.
+    pub cold_overruns: u64,
+    /// Requests that reached a backend server 3 s or more after it announced leaving.
+    pub leaving_new_work: u64,
+    /// Datagrams to a failure domain 3 s or more after it was taken out.
+    pub out_domain_packets: u64,
+    /// For each service: largest over mean of open flows per eligible backend server.
+    pub imbalance: Vec<Imbalance>,
+    /// Smallest share of requests answered in any second, in the domain plan.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub service_share: Option<f64>,
+}
+
+/// Imbalance of one service.
+#[derive(Debug, Clone, Serialize)]
+pub struct Imbalance {
+    /// The service.
+    pub service: &'static str,
+    /// Largest over mean, averaged over the run.
+    pub value: f64,
+}
+
+impl Report {
+    /// Whether every promise that is counted was kept.
+    pub fn is_kept(&self) -> bool {
+        let broken = [
+            self.flows_broken,
+            self.requests_run_twice,
+            self.not_run_but_run,
+            self.wrong_service,
+            self.answers_mismatched,
+            self.cold_overruns,
+            self.leaving_new_work,
+            self.out_domain_packets,
+        ];
+        broken.iter().all(|count| *count == 0)
+    }
+}
+
+/// Runs a demo; `progress` is told of changes and, each second, of the state.
+///
+/// # Errors
+/// If sockets, threads or certificates cannot be had.
+pub fn run(settings: &Settings, progress: impl Fn(&str)) -> io::Result<Report> {
+    let pool = Pool::new(THREADS)?;
+    let record = Record::new(0);
+    let cluster = Cluster::start(
+        &pool,
+        settings.deployment.clone(),
+        record.clone(),
+        settings.scale,
+        settings.loss / 100.0,
+        settings.seed,
+    )?;
+    let stop = Leave::default();
+    let callers = start_callers(&pool, &cluster, &record, &stop)?;
+    let publish = pool.spawn(publish(cluster.clone()));
+    smol::block_on(Timer::after(WARM_UP));
+    progress("warmed up");
+    let sampler = Arc::new(Mutex::new(Sampler::new(settings.deployment.services.len())));
+    let sample = pool.spawn(sample(cluster.clone(), record.clone(), sampler.clone()));
+    let start = Instant::now();
+    let time = Duration::from_secs(settings.seconds);
+    smol::block_on(async {
+        let plan = settings.plan.run(&cluster, time.mul_f64(0.8), &progress);
+        futures_lite::future::zip(plan, watch(&record, start + time, &progress)).await;
+    });
+    drop(sample);
+    stop.begin();
+    // Callers finish the request that they are at.
+    smol::block_on(Timer::after(Duration::from_millis(500)));
+    drop(callers);
+    drop(publish);
+    let imbalance = sampler.lock().imbalance(&settings.deployment);
+    Ok(report(settings, &cluster, &record, imbalance))
+}
+
+/// Starts the callers of all services.
+fn start_callers(
+    pool: &Pool,
+    cluster: &Cluster,
+    record: &Record,
+    stop: &Leave,
+) -> io::Result<Vec<Task<()>>> {
+    let config = tls::client(cluster.identity())?;
+    let endpoints = (0..ENDPOINTS)
+        .map(|_| {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let mut endpoint = quinn::Endpoint::client(any)?;
+            endpoint.set_default_client_config(config.clone());
+            Ok(endpoint)
+        })
+        .collect::<io::Result<Vec<_>>>()?;
+    let crowd = Crowd {
+        pool: pool.clone(),
+        record: record.clone(),
+        endpoints: endpoints.into(),
+        fate: cluster.clone(),
+        stop: stop.clone(),
+    };
+    let mut callers = Vec::new();
+    for (index, service) in cluster.deployment().services.iter().enumerate() {
+        let count = cluster.flows_per_unit() * service.targets as u32;
+        for at in 0..count {
+            let number = callers.len() as u32 + 1;
+            let habit = Habit {
+                service: service.name,
+                address: cluster.address(index),
+                delay: ARRIVAL * at / count,
+                think: THINK,
+                keep: number.is_multiple_of(SHORT_SHARE).then_some(SHORT),
+            };
+            callers.push(crowd.start(number, habit));
+        }
+    }
+    Ok(callers)
+}
+
+/// Reports load again and again.
+async fn publish(cluster: Cluster) {
+    loop {
+        Timer::after(REPORT).await;
+        cluster.publish();
+    }
+}
+
+/// Samples open flows again and again.
+async fn sample(cluster: Cluster, record: Record, sampler: Arc<Mutex<Sampler>>) {
+    loop {
+        Timer::after(SAMPLE).await;
+        let flows = record.flows();
+        let units = cluster.units();
+        let mut sampler = sampler.lock();
+        for service in 0..sampler.services.len() {
+            let eligible = units.iter().filter(|unit| {
+                let out = cluster.network().is_out(unit.domain);
+                unit.service == service && unit.is_eligible() && !out
+            });
+            let open: Vec<_> = eligible.map(|u| flows[u.backend.number()]).collect();
+            sampler.add(service, &open);
+        }
+    }
+}
+
+/// Tells of the state each second until the end.
+async fn watch(record: &Record, end: Instant, progress: &impl Fn(&str)) {
+    while Instant::now() < end {
+        Timer::after(Duration::from_secs(1)).await;
+        progress(&format!(
+            "open {}, answered {} of {}, refused {}, broken {}",
+            record.flows().iter().sum::<i64>(),
+            record.get(Count::Answered),
+            record.get(Count::Sent),
+            record.get(Count::Refused),
+            record.get(Count::Broken),
+        ));
+    }
+}
+
+/// Averages imbalance over a run.
+struct Sampler {
+    /// By service: sum and number of samples.
+    services: Vec<(f64, u32)>,
+}
+
+impl Sampler {
+    /// A sampler for a number of services.
+    fn new(services: usize) -> Self {
+        Self { services: vec![(0.0, 0); services] }
+    }
+
+    /// Adds a sample of open flows per eligible backend server.
+    fn add(&mut self, service: usize, open: &[i64]) {
+        let sum: i64 = open.iter().sum();
+        let Some(largest) = open.iter().max().filter(|_| sum > 0) else { return };
+        let mean = sum as f64 / open.len() as f64;
+        self.services[service].0 += *largest as f64 / mean;
+        self.services[service].1 += 1;
+    }
+
+    /// The average of each service.
+    fn imbalance(&self, deployment: &Deployment) -> Vec<Imbalance> {
+        let services = deployment.services.iter().zip(&self.services);
+        let measured = services.filter(|(_, (_, count))| *count > 0);
+        measured
+            .map(|(service, (sum, count))| Imbalance {
+                service: service.name,
+                value: (sum / f64::from(*count) * 1_000.0).round() / 1_000.0,
+            })
+            .collect()
+    }
+}
+
+/// Makes the report.
+fn report(
+    settings: &Settings,
+    cluster: &Cluster,
+    record: &Record,
+    imbalance: Vec<Imbalance>,
+) -> Report {
+    let service_share = (settings.plan == Plan::Domain).then(|| share(record));
+    Report {
+        organisation: settings.deployment.organisation,
+        plan: settings.plan.as_str(),
+        seed: settings.seed,
+        scale: settings.scale,
+        flows_opened: record.get(Count::Opened),
+        flows_broken: record.get(Count::Broken),
+        flows_lost_to_failure: record.get(Count::Lost),
+        flows_not_opened: record.get(Count::OpenFailed),
+        requests_sent: record.get(Count::Sent),
+        requests_answered: record.get(Count::Answered),
+        requests_refused_not_run: record.get(Count::Refused),
+        requests_unknown: record.get(Count::Unknown),
+        requests_run_twice: record.run_twice(),
+        not_run_but_run: record.refused_but_run(),
+        wrong_service: record.get(Count::WrongService),
+        answers_mismatched: record.get(Count::Mismatched),
+        cold_overruns: record.get(Count::ColdOverrun),
+        leaving_new_work: record.get(Count::LeavingWork),
+        out_domain_packets: cluster.network().out_packets(),
+        imbalance,
+        service_share,
+    }
+}
+
+/// Smallest share of requests answered in any whole second after the warm-up.
+fn share(record: &Record) -> f64 {
+    let seconds = record.seconds();
+    // Requests of the last two seconds may still be on their way.
+    let whole = seconds.len().saturating_sub(2);
+    let seconds = seconds.iter().take(whole).skip(WARM_UP.as_secs() as usize);
+    let shares = seconds
+        .filter(|(sent, _)| *sent > 0)
+        .map(|(sent, answered)| *answered as f64 / *sent as f64);
+    (shares.fold(1.0, f64::min) * 1_000.0).round() / 1_000.0
+}
--- /dev/null
+++ b/crates/standin/src/deployment.rs
@@ -0,0 +1,81 @@
+//! The deployments of the brief.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// A deployment: an organisation with its failure domains and services.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Deployment {
+    /// The organisation.
+    pub organisation: &'static str,
+    /// Its failure domains.
+    pub domains: &'static [&'static str],
+    /// One-way delay between failure domains.
+    pub domain_delay: Duration,
+    /// One-way delay to callers.
+    pub caller_delay: Duration,
+    /// Its services.
+    pub services: Vec<Service>,
+}
+
+/// A service of a deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Service {
+    /// Its name.
+    pub name: &'static str,
+    /// Number of backend servers.
+    pub targets: usize,
+    /// Requests that a warm backend server runs at once.
+    pub slots: u16,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+}
+
+/// Connections per backend server in both deployments, before scaling.
+pub const CONNECTIONS: f64 = 2_000.0;
+
+impl Deployment {
+    /// Stadtwerke Weilheim Konfitürendienst.
+    pub fn weilheim() -> Self {
+        Self {
+            organisation: "weilheim",
+            domains: &["raum-nord", "raum-sued", "raum-penzberg"],
+            domain_delay: Duration::from_millis(4),
+            caller_delay: Duration::from_millis(3),
+            services: vec![
+                Service::new("abo-kalender", 7, 5, 1),
+                Service::new("beleg-dienst", 3, 5, 2),
+            ],
+        }
+    }
+
+    /// Peakline Rope Makers Co-operative.
+    pub fn peakline() -> Self {
+        Self {
+            organisation: "peakline",
+            domains: &["belper", "wirksworth", "ashbourne", "matlock"],
+            domain_delay: Duration::from_millis(3),
+            caller_delay: Duration::from_millis(1),
+            services: vec![
+                Service::new("ropeledger", 7, 2, 3),
+                Service::new("certdesk", 4, 2, 4),
+            ],
+        }
+    }
+
+    /// Finds a deployment by its organisation.
+    pub fn find(organisation: &str) -> Option<Self> {
+        [Self::weilheim(), Self::peakline()]
+            .into_iter()
+            .find(|deployment| deployment.organisation == organisation)
+    }
+}
+
+impl Service {
+    /// A service; `host` is the last part of its loopback address.
+    fn new(name: &'static str, targets: usize, slots: u16, host: u8) -> Self {
+        // Port 0: the fabric takes a free one, so that runs side by side do not collide.
+        let address = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 1, 0, host)), 0);
+        Self { name, targets, slots, address }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,22 @@
-//! Stand-ins.
+//! Stand-ins for the systems around lentilreach, and the demo that runs them together.
+//!
+//! The daemons do not depend on this crate. A demo run goes like this:
+//!
+//! 1. [`deployment`] gives the failure domains, services and sizes of an organisation.
+//! 2. [`demo`] starts a [`network`] with delay and loss, a [`fabric`], balancers, agents
+//!    and [`backend`] servers, all over real sockets on loopback.
+//! 3. [`caller`]s open flows and send requests while a [`plan`] changes things.
+//! 4. The [`record`] holds what callers and backend servers saw; the report is made of it.
+
+pub mod backend;
+pub mod caller;
+pub mod cluster;
+pub mod demo;
+pub mod deployment;
+pub mod exchange;
+pub mod fabric;
+pub mod network;
+pub mod plan;
+pub mod record;
+pub mod tls;
+pub mod work;
--- /dev/null
+++ b/crates/standin/src/plan.rs
@@ -0,0 +1,135 @@
+//! What changes while callers are served.
+
+use std::fmt::{self, Display, Formatter};
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_util::future::join_all;
+
+use crate::cluster::{COLD, Cluster, Gone};
+
+/// A plan of changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Plan {
+    /// Nothing changes.
+    Steady,
+    /// Balancers and backend servers are replaced in turn.
+    Rolling,
+    /// A failure domain is taken out and brought back.
+    Domain,
+    /// Processes stop without warning and backend servers turn cold by themselves.
+    Crash,
+}
+
+impl Plan {
+    /// All plans.
+    pub const ALL: [Self; 4] = [Self::Steady, Self::Rolling, Self::Domain, Self::Crash];
+
+    /// The name of the plan.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Steady => "steady",
+            Self::Rolling => "rolling",
+            Self::Domain => "domain",
+            Self::Crash => "crash",
+        }
+    }
+
+    /// Carries the plan out within `time`; `note` is told of each change.
+    pub async fn run(self, cluster: &Cluster, time: Duration, note: impl Fn(&str)) {
+        match self {
+            Self::Steady => {}
+            Self::Rolling => roll(cluster, time, note).await,
+            Self::Domain => domain(cluster, time, note).await,
+            Self::Crash => crash(cluster, time, note).await,
+        }
+    }
+}
+
+impl Display for Plan {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for Plan {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        Self::ALL.into_iter().find(|plan| plan.as_str() == text).ok_or(())
+    }
+}
+
+/// Replaces the backend servers of each service in turn, and the balancers.
+async fn roll(cluster: &Cluster, time: Duration, note: impl Fn(&str)) {
+    let end = Instant::now() + time;
+    let services = 0..cluster.deployment().services.len();
+    let services = services.map(|service| roll_service(cluster, service, end, &note));
+    futures_lite::future::zip(join_all(services), roll_balancers(cluster, end, &note))
+        .await;
+}
+
+/// Replaces the backend servers of one service until the time is over.
+async fn roll_service(
+    cluster: &Cluster,
+    service: usize,
+    end: Instant,
+    note: &impl Fn(&str),
+) {
+    let old: Vec<_> =
+        cluster.units().into_iter().filter(|unit| unit.service == service).collect();
+    let mut drains = Vec::new();
+    for unit in old {
+        if Instant::now() >= end {
+            break;
+        }
+        let number = unit.backend.number();
+        let Ok(new) = cluster.add_unit(service, unit.domain) else { continue };
+        note(&format!("backend server {new} joins for {number}"));
+        Timer::after(COLD + Duration::from_millis(300)).await;
+        note(&format!("backend server {number} leaves"));
+        unit.leave();
+        cluster.publish();
+        drains.push(async move { unit.finish().await });
+    }
+    join_all(drains).await;
+}
+
+/// Replaces the balancers until the time is over.
+async fn roll_balancers(cluster: &Cluster, end: Instant, note: &impl Fn(&str)) {
+    while Instant::now() < end {
+        Timer::after(Duration::from_secs(2)).await;
+        if cluster.add_balancer().is_ok() {
+            note("balancer replaced");
+            cluster.remove_balancer(Duration::from_secs(1)).await;
+        }
+    }
+}
+
+/// Takes the first failure domain out and brings it back.
+async fn domain(cluster: &Cluster, time: Duration, note: impl Fn(&str)) {
+    Timer::after(time / 8).await;
+    note("failure domain out");
+    cluster.set_out(0, true);
+    Timer::after(time / 2).await;
+    note("failure domain back");
+    cluster.set_out(0, false);
+}
+
+/// Stops a balancer and a backend server with its agent, and turns others cold.
+async fn crash(cluster: &Cluster, time: Duration, note: impl Fn(&str)) {
+    let step = time / 5;
+    Timer::after(step).await;
+    note("balancer crashes");
+    cluster.crash_balancer(Duration::from_secs(1)).await;
+    Timer::after(step).await;
+    let units = cluster.units();
+    note("backend server 0 and its agent crash");
+    units[0].stop(Gone::Crashed);
+    Timer::after(step).await;
+    note("backend server 1 restarts cold");
+    units[1].backend.restart();
+    let _ = cluster.add_unit(units[0].service, units[0].domain);
+    let _ = cluster.add_balancer();
+}
