Add the client of the platform's store

The control plane needs compare-and-swap, leases and watches on the platform's store (the etcd v3 gRPC subset) without a second async runtime.

process::store has the Store trait, a client over tonic's codec and hyper's HTTP/2 on the worker pool, and a generic layer with the call budget, timeouts and retries that never repeats a write of unknown outcome.

--- /dev/null
+++ b/crates/lentilreach/src/process/store/retry.rs
@@ -0,0 +1,259 @@
+//! Budget, timeouts and retries for any store.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+
+use super::backoff::Backoff;
+use super::budget::Budget;
+use super::error::{Error, Limit, Step};
+use super::settings::Settings;
+use super::{Batch, Lease, RANK, Range, Store, Txn, Watch as _, Written};
+use crate::process::clock::{Clock, Millis};
+use crate::process::lock::Ranked;
+use crate::process::name::Name;
+
+/// What follows a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// Another attempt.
+    Again {
+        /// Delay before it, in milliseconds.
+        after_ms: u64,
+    },
+    /// The error goes to the caller.
+    Stop,
+}
+
+/// Decides what follows a failed attempt with `left_ms` milliseconds left for the call.
+///
+/// A change whose outcome is unknown is never tried again: only the caller can read back and
+/// tell whether it took effect.
+pub fn next(error: &Error, backoff: &mut Backoff, left_ms: u64, random: u64) -> Next {
+    let is_budget = matches!(error, Error::Throttled { limit: Limit::Budget, .. });
+    if !error.is_transient() || is_budget {
+        return Next::Stop;
+    }
+    let after_ms = backoff.next(random);
+    if after_ms < left_ms { Next::Again { after_ms } } else { Next::Stop }
+}
+
+/// A store whose calls keep to a budget and are tried again where that is safe.
+///
+/// All clones share the budget, so a process makes one and clones it.
+#[derive(Debug, Clone)]
+pub struct Retry<S> {
+    /// Makes the attempts.
+    store: S,
+    /// What clones share.
+    shared: Arc<Shared>,
+}
+
+/// What clones share.
+#[derive(Debug)]
+struct Shared {
+    /// Timeouts and delays.
+    settings: Settings,
+    /// The time of the budget.
+    clock: Clock,
+    /// Limits calls, attempts included.
+    budget: Ranked<Budget>,
+}
+
+impl<S: Store> Retry<S> {
+    /// Puts a budget, timeouts and retries in front of a store.
+    pub fn new(store: S, settings: Settings) -> Self {
+        let budget = Budget::new(settings.rate, settings.burst);
+        let budget = Ranked::new(RANK, budget);
+        let shared = Shared { settings, clock: Clock::new(), budget };
+        Self { store, shared: Arc::new(shared) }
+    }
+
+    /// Makes a call with as many attempts as its time, the budget and safety allow.
+    async fn run<T, F>(
+        &self,
+        step: Step,
+        attempt: impl Fn() -> F + Send,
+    ) -> Result<T, Error>
+    where
+        T: Send,
+        F: Future<Output = Result<T, Error>> + Send,
+    {
+        let start = self.shared.clock.now();
+        let mut backoff = self.backoff();
+        loop {
+            let left_ms = self.left(start);
+            let error = match self.attempt(step, left_ms, attempt()).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            let random = fastrand::u64(..);
+            match next(&error, &mut backoff, self.left(start), random) {
+                Next::Again { after_ms } => sleep(after_ms).await,
+                Next::Stop => return Err(error),
+            }
+        }
+    }
+
+    /// Makes one attempt within the budget and `left_ms` milliseconds.
+    async fn attempt<T: Send>(
+        &self,
+        step: Step,
+        left_ms: u64,
+        call: impl Future<Output = Result<T, Error>> + Send,
+    ) -> Result<T, Error> {
+        let waited_ms = self.admit(step, left_ms).await?;
+        let timeout_ms = self.shared.settings.attempt_ms.min(left_ms - waited_ms).max(1);
+        metrics::counter!("lentilreach_store_calls", "step" => step.as_str())
+            .increment(1);
+        let late = async {
+            sleep(timeout_ms).await;
+            Err(self.late(step, timeout_ms))
+        };
+        let answer = future::or(call, late).await;
+        if let Err(error) = &answer {
+            let labels = [("step", step.as_str()), ("error", error.as_str())];
+            metrics::counter!("lentilreach_store_errors", &labels).increment(1);
+        }
+        answer
+    }
+
+    /// Waits for a place in the budget; returns the wait in milliseconds.
+    async fn admit(&self, step: Step, patience_ms: u64) -> Result<u64, Error> {
+        let now = self.shared.clock.now();
+        let place = self.shared.budget.write().reserve(now, patience_ms);
+        let wait_ms = place.map_err(|_| Error::Throttled {
+            step,
+            peer: self.peer(),
+            limit: Limit::Budget,
+        })?;
+        if wait_ms > 0 {
+            sleep(wait_ms).await;
+        }
+        Ok(wait_ms)
+    }
+
+    /// The error of an attempt without an answer.
+    fn late(&self, step: Step, after_ms: u64) -> Error {
+        let peer = self.peer();
+        if step.is_repeatable() {
+            return Error::Timeout { step, peer, after_ms };
+        }
+        Error::Unknown { step, peer, cause: format!("no answer for {after_ms} ms") }
+    }
+
+    /// Milliseconds left for a call.
+    fn left(&self, start: Millis) -> u64 {
+        let spent_ms = self.shared.clock.now().since(start);
+        self.shared.settings.call_ms.saturating_sub(spent_ms)
+    }
+
+    /// Delays as the settings say.
+    fn backoff(&self) -> Backoff {
+        let settings = &self.shared.settings;
+        Backoff::new(settings.backoff_ms, settings.backoff_cap_ms)
+    }
+}
+
+impl<S: Store> Store for Retry<S> {
+    type Watch = Watch<S>;
+
+    fn peer(&self) -> Name {
+        self.store.peer()
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Range, Error> {
+        self.run(Step::Range, || self.store.range(prefix)).await
+    }
+
+    async fn write(&self, txn: Txn) -> Result<Written, Error> {
+        self.run(Step::Write, || self.store.write(txn.clone())).await
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
+        self.run(Step::Grant, || self.store.grant(ttl)).await
+    }
+
+    async fn keep(&self, lease: Lease) -> Result<Duration, Error> {
+        self.run(Step::Keep, || self.store.keep(lease)).await
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        self.run(Step::Revoke, || self.store.revoke(lease)).await
+    }
+
+    async fn watch(&self, prefix: &str, from: u64) -> Result<Watch<S>, Error> {
+        let open = self.run(Step::Watch, || self.store.watch(prefix, from)).await?;
+        Ok(Watch {
+            retry: self.clone(),
+            prefix: prefix.into(),
+            from,
+            open: Some(open),
+            backoff: self.backoff(),
+            not_before: Millis(0),
+        })
+    }
+}
+
+/// A watch that opens again after a loss, without a gap and without repeating a change.
+///
+/// Each error is reported once; the next call opens the watch again after a delay. After
+/// [`Error::Compacted`] the watch cannot go on.
+#[derive(Debug)]
+pub struct Watch<S: Store> {
+    /// Opens the watch.
+    retry: Retry<S>,
+    /// What is watched.
+    prefix: Name,
+    /// First revision that has not been reported.
+    from: u64,
+    /// The store's watch; none after an error.
+    open: Option<S::Watch>,
+    /// Delays between attempts to open.
+    backoff: Backoff,
+    /// When it may be opened again.
+    not_before: Millis,
+}
+
+impl<S: Store> super::Watch for Watch<S> {
+    async fn next(&mut self) -> Result<Batch, Error> {
+        match self.advance().await {
+            Ok(batch) => {
+                self.from = batch.revision + 1;
+                self.backoff.reset();
+                Ok(batch)
+            }
+            Err(error) => {
+                self.open = None;
+                let delay_ms = self.backoff.next(fastrand::u64(..));
+                self.not_before = self.retry.shared.clock.now().after(delay_ms);
+                Err(error)
+            }
+        }
+    }
+}
+
+impl<S: Store> Watch<S> {
+    /// Opens the watch if needed and waits for changes.
+    async fn advance(&mut self) -> Result<Batch, Error> {
+        if self.open.is_none() {
+            sleep(self.not_before.since(self.retry.shared.clock.now())).await;
+            let call_ms = self.retry.shared.settings.call_ms;
+            let call = self.retry.store.watch(&self.prefix, self.from);
+            self.open = Some(self.retry.attempt(Step::Watch, call_ms, call).await?);
+        }
+        match &mut self.open {
+            Some(open) => open.next().await,
+            // Set above.
+            None => Ok(Batch::default()),
+        }
+    }
+}
+
+/// Waits without blocking a worker.
+async fn sleep(ms: u64) {
+    Timer::after(Duration::from_millis(ms)).await;
+}
