Add the stand-in store

Tests and the demo need the platform's store without the platform.

The stand-in keeps keys, leases and history in memory and serves them over gRPC on loopback or directly.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins.
+
+pub mod store;
--- /dev/null
+++ b/crates/standin/src/store/wire.rs
@@ -0,0 +1,157 @@
+//! Conversions between the protocol's messages and the stand-in's types.
+
+use std::str;
+
+use lentilreach::process::name::Name;
+use lentilreach::process::store::proto::etcdserverpb::compare::{
+    CompareResult, CompareTarget, TargetUnion,
+};
+use lentilreach::process::store::proto::etcdserverpb::{
+    self as rpc, ResponseHeader, TxnRequest, TxnResponse, WatchResponse,
+    request_op::Request, response_op::Response,
+};
+use lentilreach::process::store::proto::mvccpb::{Event, KeyValue, event::EventType};
+use lentilreach::process::store::{
+    Batch, Change, Compare, Entry, Lease, Put, Txn, Written,
+};
+use tonic::Status;
+
+/// The part of every answer.
+pub(super) fn header(revision: u64) -> ResponseHeader {
+    ResponseHeader {
+        cluster_id: 1,
+        member_id: 1,
+        revision: revision as i64,
+        raft_term: 1,
+    }
+}
+
+/// A key with its value.
+pub(super) fn pair(entry: Entry) -> KeyValue {
+    KeyValue {
+        key: entry.key.as_bytes().to_vec().into(),
+        create_revision: entry.created as i64,
+        mod_revision: entry.modified as i64,
+        value: entry.value,
+        ..KeyValue::default()
+    }
+}
+
+/// A transaction, and the keys to read if a condition fails.
+pub(super) fn txn(request: TxnRequest) -> Result<(Txn, Vec<Name>), Status> {
+    let compares = request.compare.into_iter().map(compare);
+    let mut txn = Txn { compares: compares.collect::<Result<_, _>>()?, ..Txn::new() };
+    for operation in request.success {
+        match operation.request {
+            Some(Request::RequestPut(request)) => txn.puts.push(put(request)?),
+            Some(Request::RequestDeleteRange(request))
+                if request.range_end.is_empty() =>
+            {
+                txn.deletes.push(name(&request.key)?);
+            }
+            _ => return Err(unsupported()),
+        }
+    }
+    let mut reads = Vec::new();
+    for operation in request.failure {
+        let Some(Request::RequestRange(request)) = operation.request else {
+            return Err(unsupported());
+        };
+        let key = name(&request.key)?;
+        let is_compared = txn.compares.iter().any(|compare| compare.key == key);
+        if !request.range_end.is_empty() || !is_compared {
+            return Err(unsupported());
+        }
+        reads.push(key);
+    }
+    Ok((txn, reads))
+}
+
+/// The answer to a transaction.
+pub(super) fn written(
+    written: Written,
+    reads: &[Name],
+    header: Option<ResponseHeader>,
+) -> TxnResponse {
+    let Written::Lost { current } = written else {
+        // The client does not read the answers to its puts and deletes.
+        return TxnResponse { header, succeeded: true, responses: Vec::new() };
+    };
+    let read = |key: &Name| {
+        let found = current.iter().filter(|entry| entry.key == *key).cloned();
+        let kvs: Vec<_> = found.map(pair).collect();
+        let count = kvs.len() as i64;
+        let range = rpc::RangeResponse { header, kvs, more: false, count };
+        rpc::ResponseOp { response: Some(Response::ResponseRange(range)) }
+    };
+    let responses = reads.iter().map(read).collect();
+    TxnResponse { header, succeeded: false, responses }
+}
+
+/// The changes of a watch.
+pub(super) fn changes(batch: Batch) -> WatchResponse {
+    WatchResponse {
+        header: Some(header(batch.revision)),
+        events: batch.changes.into_iter().map(event).collect(),
+        ..WatchResponse::default()
+    }
+}
+
+/// The end of a watch whose next revision is gone.
+pub(super) fn compacted(oldest: u64) -> WatchResponse {
+    WatchResponse {
+        header: Some(header(oldest)),
+        canceled: true,
+        compact_revision: oldest as i64,
+        ..WatchResponse::default()
+    }
+}
+
+/// A change of one key.
+fn event(change: Change) -> Event {
+    match change {
+        Change::Put(entry) => {
+            Event { r#type: EventType::Put.into(), kv: Some(pair(entry)) }
+        }
+        Change::Delete { key, revision } => {
+            let kv = KeyValue {
+                key: key.as_bytes().to_vec().into(),
+                mod_revision: revision as i64,
+                ..KeyValue::default()
+            };
+            Event { r#type: EventType::Delete.into(), kv: Some(kv) }
+        }
+    }
+}
+
+/// A condition on the revision of one key.
+fn compare(compare: rpc::Compare) -> Result<Compare, Status> {
+    let Some(TargetUnion::ModRevision(modified)) = compare.target_union else {
+        return Err(unsupported());
+    };
+    let is_supported = compare.result == i32::from(CompareResult::Equal)
+        && compare.target == i32::from(CompareTarget::Mod);
+    if !is_supported {
+        return Err(unsupported());
+    }
+    let modified = u64::try_from(modified)
+        .map_err(|_| Status::invalid_argument("negative revision"))?;
+    Ok(Compare { key: name(&compare.key)?, modified })
+}
+
+/// A write of one key.
+fn put(request: rpc::PutRequest) -> Result<Put, Status> {
+    let lease = (request.lease != 0).then_some(Lease(request.lease));
+    Ok(Put { key: name(&request.key)?, value: request.value, lease })
+}
+
+/// A key, which must be UTF-8.
+fn name(key: &[u8]) -> Result<Name, Status> {
+    let text = str::from_utf8(key);
+    text.map(Name::from).map_err(|_| Status::invalid_argument("key is not UTF-8"))
+}
+
+/// The answer to requests outside the part of the protocol that is served.
+fn unsupported() -> Status {
+    Status::unimplemented("not in the part of the protocol that is served")
+}
