--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -19,6 +19,7 @@
 pub mod seal;
 pub mod site;
 pub mod slot;
+pub mod store;
 pub mod tables;
 pub mod upstream;
 pub mod warmth;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod network;
 pub mod plan;
 pub mod record;
+pub mod store;
 pub mod tls;
 pub mod work;
