--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 pub mod id;
+pub mod input;
 pub mod link;
 pub mod lock;
 pub mod name;
--- a/crates/lentilreach/src/version/config/limits.rs
+++ b/crates/lentilreach/src/version/config/limits.rs
@@ -3,6 +3,9 @@
 use std::fmt::{self, Display, Formatter};
 use std::ops::RangeInclusive;
 
+/// Shortest time. A time below 10 ms is most likely in seconds.
+const SHORTEST_MS: u64 = 10;
+
 /// The parameters of a template.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Limits {
@@ -23,6 +26,19 @@
 }
 
 impl Limits {
+    /// The lowest value of every parameter.
+    pub fn lowest() -> Self {
+        Self {
+            slots: 1,
+            connections: 1,
+            cold_slots: 1,
+            cold_ms: SHORTEST_MS,
+            leave_ms: SHORTEST_MS,
+            queue: 0,
+            deadline_ms: SHORTEST_MS,
+        }
+    }
+
     /// The limits with one parameter set.
     ///
     /// # Errors
@@ -115,7 +131,7 @@
     }
 
     /// Its name in documents.
-    pub fn name(self) -> &'static str {
+    pub const fn name(self) -> &'static str {
         match self {
             Self::Slots => "slots",
             Self::Connections => "connections",
@@ -134,16 +150,16 @@
 
     /// The values that are accepted.
     ///
-    /// The bounds catch a wrong unit: a time below 10 ms is most likely in seconds, a time
-    /// above its bound in microseconds. The others are far above what one VM serves.
+    /// The bounds catch a wrong unit: a time above its bound is most likely in microseconds.
+    /// The others are far above what one VM serves.
     pub fn range(self) -> RangeInclusive<u64> {
         match self {
             Self::Slots | Self::ColdSlots => 1..=4_096,
             Self::Connections => 1..=1_000_000,
-            Self::ColdMs => 10..=600_000,
-            Self::LeaveMs => 10..=3_600_000,
+            Self::ColdMs => SHORTEST_MS..=600_000,
+            Self::LeaveMs => SHORTEST_MS..=3_600_000,
             Self::Queue => 0..=16_384,
-            Self::DeadlineMs => 10..=300_000,
+            Self::DeadlineMs => SHORTEST_MS..=300_000,
         }
     }
 }
