Add the settings of the daemons

Balancer and agent settings are read from JSON with comments, with the same complete error reports as operators' files, or made with a builder.

--- a/crates/lentilreach/src/process/input.rs
+++ b/crates/lentilreach/src/process/input.rs
@@ -46,9 +46,14 @@
 
 impl Errors {
     /// Sorts mistakes by place; `None` if there is none.
-    pub fn new(mut list: Vec<Error>) -> Option<Self> {
+    pub fn new(list: Vec<Error>) -> Option<Self> {
+        (!list.is_empty()).then(|| Self::sorted(list))
+    }
+
+    /// Sorts mistakes by place. The list must not be empty.
+    fn sorted(mut list: Vec<Error>) -> Self {
         list.sort_by_key(|error| error.place);
-        (!list.is_empty()).then_some(Self(list))
+        Self(list)
     }
 
     /// The mistakes, by place.
--- a/crates/lentilreach/src/process/input/reader.rs
+++ b/crates/lentilreach/src/process/input/reader.rs
@@ -36,12 +36,19 @@
         Self { file: file.into(), text, lines, errors: Vec::new() }
     }
 
-    /// Ends reading.
+    /// Ends reading: what was read, unless there are mistakes.
     ///
     /// # Errors
-    /// If a mistake was noted.
-    pub fn finish(self) -> Result<(), Errors> {
-        Errors::new(self.errors).map_or(Ok(()), Err)
+    /// If a mistake was noted or nothing was read.
+    pub fn finish<T>(mut self, read: Option<T>) -> Result<T, Errors> {
+        let Some(read) = read else {
+            // Whatever returned `None` has noted why; this keeps the list from being empty.
+            if self.errors.is_empty() {
+                self.fault(&Range::from_byte_index(0), "the file is not complete", None);
+            }
+            return Err(Errors::sorted(self.errors));
+        };
+        Errors::new(self.errors).map_or(Ok(read), Err)
     }
 
     /// The file as the operator named it.
--- /dev/null
+++ b/crates/lentilreach/src/process/settings/builder.rs
@@ -0,0 +1,101 @@
+//! Builds settings in code.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+
+use super::{Agent, Balancer, Node};
+
+/// Builds the settings of a daemon for tests and the demo.
+///
+/// Values are taken as they are. Only settings files are checked.
+#[derive(Debug, Clone)]
+pub struct Builder {
+    /// The settings so far.
+    node: Node,
+}
+
+impl Builder {
+    /// Starts with the defaults of [`Node::builder`].
+    pub(super) fn new(name: &str, organisation: &str, domain: &str) -> Self {
+        let at = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let node = Node {
+            name: name.into(),
+            organisation: organisation.into(),
+            domain: domain.into(),
+            envelope: at(7_000),
+            exchange: at(7_001),
+            admin: at(7_002),
+            store: Vec::new(),
+            peers: Vec::new(),
+            threads: 1,
+            secret: PathBuf::new(),
+        };
+        Self { node }
+    }
+
+    /// Where envelopes are received.
+    #[must_use]
+    pub fn envelope(mut self, address: SocketAddr) -> Self {
+        self.node.envelope = address;
+        self
+    }
+
+    /// Where messages of the gossip exchange are received.
+    #[must_use]
+    pub fn exchange(mut self, address: SocketAddr) -> Self {
+        self.node.exchange = address;
+        self
+    }
+
+    /// Where metrics, readiness and the timeline are served.
+    #[must_use]
+    pub fn admin(mut self, address: SocketAddr) -> Self {
+        self.node.admin = address;
+        self
+    }
+
+    /// Adds endpoints of the store.
+    #[must_use]
+    pub fn store(mut self, endpoints: impl IntoIterator<Item = SocketAddr>) -> Self {
+        self.node.store.extend(endpoints);
+        self
+    }
+
+    /// Adds exchange addresses of balancers.
+    #[must_use]
+    pub fn peers(mut self, peers: impl IntoIterator<Item = SocketAddr>) -> Self {
+        self.node.peers.extend(peers);
+        self
+    }
+
+    /// Worker threads; at least 1.
+    #[must_use]
+    pub fn threads(mut self, threads: usize) -> Self {
+        self.node.threads = threads.max(1);
+        self
+    }
+
+    /// The file that holds the fleet secret.
+    #[must_use]
+    pub fn secret(mut self, path: impl Into<PathBuf>) -> Self {
+        self.node.secret = path.into();
+        self
+    }
+
+    /// The settings of a balancer that receives callers' packets at `service`.
+    pub fn balancer(self, service: SocketAddr) -> Balancer {
+        Balancer { node: self.node, service }
+    }
+
+    /// The settings of an agent.
+    pub fn agent(
+        self,
+        set: &str,
+        server: SocketAddr,
+        certificate: impl Into<PathBuf>,
+        key: impl Into<PathBuf>,
+    ) -> Agent {
+        let (certificate, key) = (certificate.into(), key.into());
+        Agent { node: self.node, set: set.into(), server, certificate, key }
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/settings/parse.rs
@@ -0,0 +1,243 @@
+//! From the text of a settings file to settings.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use jsonc_parser::ast::{Object, Value};
+
+use super::{Agent, Balancer, Node, default_threads};
+use crate::process::input::{Errors, Reader};
+use crate::process::name::Name;
+
+/// Keys of every daemon.
+const COMMON: [&str; 8] = [
+    "name",
+    "organisation",
+    "domain",
+    "listen",
+    "store",
+    "peers",
+    "threads",
+    "fleet_secret",
+];
+
+/// Keys of an agent besides.
+const AGENT: [&str; 4] = ["set", "server", "certificate", "certificate_key"];
+
+/// Most worker threads.
+const MAX_THREADS: u64 = 256;
+
+/// Parses the settings of a balancer. `exists` tells whether a file is there.
+pub fn balancer(
+    file: &str,
+    text: &str,
+    exists: impl Fn(&Path) -> bool,
+) -> Result<Balancer, Errors> {
+    let mut reader = Reader::new(file, text);
+    let settings = reader.root().and_then(|root| {
+        let mut parser = Parser { reader: &mut reader, root: &root, exists };
+        parser.reader.keys(parser.root, "the settings of a balancer", &COMMON);
+        let listen = parser.listen(true);
+        let node = parser.node(&listen, Needs { store: true, peers: false });
+        Some(Balancer { node: node?, service: listen.service? })
+    });
+    reader.finish(settings)
+}
+
+/// Parses the settings of an agent. `exists` tells whether a file is there.
+pub fn agent(
+    file: &str,
+    text: &str,
+    exists: impl Fn(&Path) -> bool,
+) -> Result<Agent, Errors> {
+    let mut reader = Reader::new(file, text);
+    let settings = reader.root().and_then(|root| {
+        let mut parser = Parser { reader: &mut reader, root: &root, exists };
+        let keys = [&COMMON[..], &AGENT[..]].concat();
+        parser.reader.keys(parser.root, "the settings of an agent", &keys);
+        let listen = parser.listen(false);
+        let node = parser.node(&listen, Needs { store: false, peers: true });
+        let (set, server) = (parser.name("set"), parser.server());
+        let certificate = parser.file("certificate");
+        let key = parser.file("certificate_key");
+        let (node, set, server) = (node?, set?, server?);
+        Some(Agent { node, set, server, certificate: certificate?, key: key? })
+    });
+    reader.finish(settings)
+}
+
+/// The listen addresses that are valid.
+#[derive(Default)]
+struct Listen {
+    /// For the fabric.
+    service: Option<SocketAddr>,
+    /// For envelopes.
+    envelope: Option<SocketAddr>,
+    /// For the gossip exchange.
+    exchange: Option<SocketAddr>,
+    /// For HTTP.
+    admin: Option<SocketAddr>,
+}
+
+/// Which lists may not be empty.
+struct Needs {
+    /// The endpoints of the store.
+    store: bool,
+    /// The peers.
+    peers: bool,
+}
+
+/// Reads the parts of a settings file.
+struct Parser<'r, 'o, 'a, E> {
+    /// Notes mistakes.
+    reader: &'r mut Reader<'a>,
+    /// The whole file.
+    root: &'o Object<'a>,
+    /// Whether a file is there.
+    exists: E,
+}
+
+impl<'a, E: Fn(&Path) -> bool> Parser<'_, '_, 'a, E> {
+    /// Reads what every daemon has.
+    fn node(&mut self, listen: &Listen, needs: Needs) -> Option<Node> {
+        let name = self.name("name");
+        let organisation = self.name("organisation");
+        let domain = self.name("domain");
+        let store = self.addresses("store", needs.store);
+        let peers = self.addresses("peers", needs.peers);
+        let threads = self.threads();
+        let secret = self.file("fleet_secret");
+        Some(Node {
+            name: name?,
+            organisation: organisation?,
+            domain: domain?,
+            envelope: listen.envelope?,
+            exchange: listen.exchange?,
+            admin: listen.admin?,
+            store: store?,
+            peers: peers?,
+            threads: threads?,
+            secret: secret?,
+        })
+    }
+
+    /// Reads the listen addresses.
+    fn listen(&mut self, service: bool) -> Listen {
+        let value = self.reader.require(self.root, "the file", "listen");
+        let Some(object) = value.and_then(|value| self.reader.object(value, "listen"))
+        else {
+            return Listen::default();
+        };
+        let keys = ["envelope", "exchange", "admin", "service"];
+        let keys = if service { &keys[..] } else { &keys[..3] };
+        self.reader.keys(object, "listen", keys);
+        let mut seen = Vec::new();
+        let mut read = |key: &str| self.listen_at(object, key, &mut seen);
+        Listen {
+            service: service.then(|| read("service")).flatten(),
+            envelope: read("envelope"),
+            exchange: read("exchange"),
+            admin: read("admin"),
+        }
+    }
+
+    /// Reads one listen address; `seen` holds those before it.
+    fn listen_at(
+        &mut self,
+        object: &Object<'a>,
+        key: &str,
+        seen: &mut Vec<SocketAddr>,
+    ) -> Option<SocketAddr> {
+        let value = self.reader.require(object, "listen", key)?;
+        let address = self.reader.address(value, &format!("listen.{key}"))?;
+        if seen.contains(&address) {
+            let message = format!("{address} is already another listen address");
+            self.reader.fault(value, message, Some("use another port".into()));
+            return None;
+        }
+        seen.push(address);
+        if matches!(key, "envelope" | "exchange") && address.ip().is_unspecified() {
+            let message =
+                format!("listen.{key} is {address}, which peers cannot send to");
+            let hint = "name the address of this VM";
+            self.reader.fault(value, message, Some(hint.into()));
+            return None;
+        }
+        // A token carries the address of an agent and has room for IPv4 only.
+        if key == "envelope" && !address.is_ipv4() {
+            let message = format!("listen.envelope is {address}, which is not IPv4");
+            let hint = "envelopes use IPv4, because a token has no room for IPv6";
+            self.reader.fault(value, message, Some(hint.into()));
+            return None;
+        }
+        Some(address)
+    }
+
+    /// Reads a name.
+    fn name(&mut self, key: &str) -> Option<Name> {
+        let value = self.reader.require(self.root, "the file", key)?;
+        self.reader.name(value, key)
+    }
+
+    /// Reads a list of addresses; absent and empty are the same.
+    fn addresses(&mut self, key: &str, needed: bool) -> Option<Vec<SocketAddr>> {
+        let Some(property) = self.root.get(key) else {
+            if needed {
+                self.reader.require(self.root, "the file", key);
+                return None;
+            }
+            return Some(Vec::new());
+        };
+        let list = self.reader.list(&property.value, key)?;
+        if list.is_empty() && needed {
+            let hint = "list at least one address and port";
+            self.reader.fault(
+                &property.value,
+                format!("{key} is empty"),
+                Some(hint.into()),
+            );
+            return None;
+        }
+        let read =
+            |value: &Value<'a>| self.reader.address(value, &format!("an entry of {key}"));
+        let addresses: Vec<_> = list.iter().map(read).collect();
+        addresses.into_iter().collect()
+    }
+
+    /// Reads the number of worker threads.
+    fn threads(&mut self) -> Option<usize> {
+        let Some(property) = self.root.get("threads") else {
+            return Some(default_threads());
+        };
+        let range = 1..=MAX_THREADS;
+        let threads = self.reader.integer(&property.value, "threads", range, "");
+        threads.map(|threads| threads as usize)
+    }
+
+    /// Reads the backend server's address.
+    fn server(&mut self) -> Option<SocketAddr> {
+        let value = self.reader.require(self.root, "the file", "server")?;
+        let address = self.reader.address(value, "server")?;
+        if !address.ip().is_loopback() {
+            let message = format!("server is {address}, which is not a loopback address");
+            let hint = "requests to the backend server are not encrypted; run the agent \
+                        beside it";
+            self.reader.fault(value, message, Some(hint.into()));
+            return None;
+        }
+        Some(address)
+    }
+
+    /// Reads the path of a file.
+    fn file(&mut self, key: &str) -> Option<PathBuf> {
+        let value = self.reader.require(self.root, "the file", key)?;
+        let path = PathBuf::from(self.reader.filled(value, key)?);
+        if !(self.exists)(&path) {
+            let message = format!("{key}: there is no file {}", path.display());
+            let hint = "paths are relative to the working directory";
+            self.reader.fault(value, message, Some(hint.into()));
+            return None;
+        }
+        Some(path)
+    }
+}
--- a/crates/lentilreach/src/version/config/document/parse.rs
+++ b/crates/lentilreach/src/version/config/document/parse.rs
@@ -25,20 +25,18 @@
 /// Parses and checks a file.
 pub fn document(file: &str, text: &str) -> Result<Document, Errors> {
     let mut reader = Reader::new(file, text);
-    let draft = reader.root().map(|root| read(&mut reader, &root));
-    let file = reader.file().clone();
-    reader.finish()?;
-    // Without a mistake there is a draft with an organisation; both are noted otherwise.
-    let (organisation, draft) = draft
-        .and_then(|draft| Some((draft.organisation.clone()?, draft)))
-        .unwrap_or_default();
-    let (services, marks) = draft.services.into_iter().unzip();
-    let source = Source { file, domains: draft.place, services: marks };
-    Ok(Document { organisation, domains: draft.domains, services, source })
+    let document = reader.root().and_then(|root| {
+        let draft = read(&mut reader, &root);
+        let (services, marks) = draft.services.into_iter().unzip();
+        let file = reader.file().clone();
+        let source = Source { file, domains: draft.place, services: marks };
+        let organisation = draft.organisation?;
+        Some(Document { organisation, domains: draft.domains, services, source })
+    });
+    reader.finish(document)
 }
 
 /// What could be read of a file.
-#[derive(Default)]
 struct Draft {
     /// The organisation, if valid.
     organisation: Option<Name>,
