Submit changes with compare-and-swap and read-back

A change is planned against what is in force and written in one transaction. A lost answer is resolved by the operation recorded in the documents. The loser of a race is told which parameters changed and by which operation.

--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -8,3 +8,4 @@
 pub mod name;
 pub mod pool;
 pub mod settings;
+pub mod submit;
--- a/crates/lentilreach/src/version/config/snapshot.rs
+++ b/crates/lentilreach/src/version/config/snapshot.rs
@@ -30,21 +30,6 @@
         Self { revision, services: services.into(), domains }
     }
 
-    /// The next version, which shares the services that are equal in this one.
-    pub fn next(
-        &self,
-        revision: u64,
-        services: impl IntoIterator<Item = Service>,
-        domains: Domains,
-    ) -> Self {
-        let share =
-            |service: Service| match self.find(&service.organisation, &service.name) {
-                Some(old) if **old == service => old.clone(),
-                _ => Arc::new(service),
-            };
-        Self::new(revision, services.into_iter().map(share).collect(), domains)
-    }
-
     /// The next version after changes in the store: keys with their new value, or `None` if
     /// the key was deleted. Keys that hold no configuration are ignored.
     ///
--- a/crates/lentilreach/src/version/config/wire.rs
+++ b/crates/lentilreach/src/version/config/wire.rs
@@ -28,9 +28,9 @@
     set: Name,
     /// What one of its backend servers can handle.
     limits: Limits,
-    /// The operation that wrote it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    operation: Option<Name>,
+    /// The operations that wrote it and the version before.
+    #[serde(flatten)]
+    marks: Marks,
 }
 
 /// The limits of a service document.
@@ -59,6 +59,31 @@
 pub struct DomainList {
     /// By rising identifier.
     domains: Vec<DomainEntry>,
+    /// The operations that wrote it and the version before.
+    #[serde(flatten)]
+    marks: Marks,
+}
+
+/// The operations in a document.
+///
+/// They tell an operator whose write was not answered whether it took effect, also if
+/// another operation has written the document since.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Marks {
+    /// The operation that wrote the document.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operation: Option<Name>,
+    /// The operation that wrote the version before it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub replaced: Option<Name>,
+}
+
+impl Marks {
+    /// Reads the operations of a document; none if it cannot be read.
+    pub fn read(bytes: &[u8]) -> Self {
+        serde_json::from_slice(bytes).unwrap_or_default()
+    }
 }
 
 /// One failure domain of the domain document.
@@ -100,6 +125,13 @@
         encode(&Service::from(self))
     }
 
+    /// Encodes the document as the successor of the version that `replaced` wrote.
+    pub fn encode_after(&self, replaced: Option<Name>) -> Bytes {
+        let mut wire = Service::from(self);
+        wire.marks.replaced = replaced;
+        encode(&wire)
+    }
+
     /// Decodes a document of the store.
     ///
     /// # Errors
@@ -112,7 +144,12 @@
 impl Domains {
     /// Encodes the document for the store.
     pub fn encode(&self) -> Bytes {
-        encode(&DomainList::from(self))
+        self.encode_with(Marks::default())
+    }
+
+    /// Encodes the document with the operations that wrote it and the version before.
+    pub fn encode_with(&self, marks: Marks) -> Bytes {
+        encode(&DomainList { marks, ..DomainList::from(self) })
     }
 
     /// Decodes a document of the store.
@@ -132,7 +169,7 @@
             address: service.address,
             set: service.set.clone(),
             limits: service.limits.into(),
-            operation: service.operation.clone(),
+            marks: Marks { operation: service.operation.clone(), replaced: None },
         }
     }
 }
@@ -155,7 +192,7 @@
             address: wire.address,
             set: wire.set,
             limits: wire.limits.try_into()?,
-            operation: wire.operation,
+            operation: wire.marks.operation,
         })
     }
 }
@@ -201,7 +238,8 @@
             operation: domain.changed.as_ref().map(|change| change.operation.clone()),
             wall_ms: domain.changed.as_ref().map_or(0, |change| change.wall_ms),
         };
-        Self { domains: domains.as_slice().iter().map(entry).collect() }
+        let domains = domains.as_slice().iter().map(entry).collect();
+        Self { domains, marks: Marks::default() }
     }
 }
 
--- a/crates/lentilreach/src/version/diff.rs
+++ b/crates/lentilreach/src/version/diff.rs
@@ -26,7 +26,7 @@
     /// Compares two versions. Services that they share are not looked into.
     pub fn between(old: &Snapshot, new: &Snapshot) -> Self {
         let mut diff = Self::of_services(old.services(), new.services());
-        diff.domains = domain_changes(&old.domains, &new.domains);
+        diff.domains = Self::of_domains(&old.domains, &new.domains);
         diff
     }
 
@@ -54,6 +54,31 @@
         diff
     }
 
+    /// The failure domains in which two versions differ.
+    pub fn of_domains(old: &Domains, new: &Domains) -> Vec<DomainChange> {
+        let change = |domain: &Domain| match old.find(&domain.name) {
+            None => Some(DomainChange::Added(domain.clone())),
+            Some(old) if old.out == domain.out => None,
+            Some(_) if domain.out => Some(DomainChange::Out(domain.clone())),
+            Some(_) => Some(DomainChange::Back(domain.clone())),
+        };
+        new.as_slice().iter().filter_map(change).collect()
+    }
+
+    /// Whether the change must be ordered with those of other organisations.
+    ///
+    /// Addresses are unique over all organisations, and a removal leaves no document of its
+    /// own to tell which operation made it.
+    pub fn needs_order(&self) -> bool {
+        let moves = |changed: &Changed| {
+            changed.changes.iter().any(|change| matches!(change, Change::Address { .. }))
+        };
+        !self.added.is_empty()
+            || !self.removed.is_empty()
+            || !self.domains.is_empty()
+            || self.changed.iter().any(moves)
+    }
+
     /// Whether nothing differs.
     pub fn is_empty(&self) -> bool {
         self.added.is_empty()
@@ -128,6 +153,15 @@
     Back(Domain),
 }
 
+impl DomainChange {
+    /// The name of the failure domain.
+    pub fn name(&self) -> &Name {
+        match self {
+            Self::Added(domain) | Self::Out(domain) | Self::Back(domain) => &domain.name,
+        }
+    }
+}
+
 impl Display for Diff {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         if self.is_empty() {
@@ -205,17 +239,6 @@
     changes
 }
 
-/// The failure domains in which two versions differ.
-fn domain_changes(old: &Domains, new: &Domains) -> Vec<DomainChange> {
-    let change = |domain: &Domain| match old.find(&domain.name) {
-        None => Some(DomainChange::Added(domain.clone())),
-        Some(old) if old.out == domain.out => None,
-        Some(_) if domain.out => Some(DomainChange::Out(domain.clone())),
-        Some(_) => Some(DomainChange::Back(domain.clone())),
-    };
-    new.as_slice().iter().filter_map(change).collect()
-}
-
 /// A service and all its parameters in one line.
 fn line(service: &Service) -> String {
     let limits: Vec<_> = Parameter::ALL
