--- /dev/null
+++ b/crates/lentilreach-cli/src/completions.rs
@@ -0,0 +1,41 @@
+//! `lentilreach completions`: prints a completion script for a shell.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use clap_complete::Shell;
+use serde_json::json;
+
+use crate::command;
+use crate::reply::{Reply, Status};
+
+/// The name of the subcommand.
+pub const NAME: &str = "completions";
+
+/// Help below the options.
+const EXAMPLE: &str = "\
+Example:
+  lentilreach completions bash > ~/.local/share/bash-completion/completions/lentilreach";
+
+/// The subcommand.
+pub fn command() -> Command {
+    let shell = Arg::new("shell")
+        .value_name("SHELL")
+        .help("Shell that the script is for")
+        .required(true)
+        .value_parser(value_parser!(Shell));
+    Command::new(NAME)
+        .about("Print a completion script for a shell")
+        .arg(shell)
+        .after_help(EXAMPLE)
+}
+
+/// Prints the script.
+pub fn run(matches: &ArgMatches) -> Reply {
+    let Some(shell) = matches.get_one::<Shell>("shell").copied() else {
+        return Reply::input("no shell given");
+    };
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut command::build(), command::BINARY, &mut script);
+    let script = String::from_utf8_lossy(&script).trim_end().to_owned();
+    let fields = json!({ "shell": shell.to_string(), "script": script });
+    Reply::new(Status::Done, script, fields)
+}
--- a/crates/lentilreach-cli/src/main.rs
+++ b/crates/lentilreach-cli/src/main.rs
@@ -1,3 +1,45 @@
-//! The operators command.
+//! The operators' command of lentilreach.
+//!
+//! Exit statuses: 0 done, 1 failed, 2 bad input, 3 outcome unknown.
 
-fn main() {}
+mod backend;
+mod check;
+mod command;
+mod completions;
+mod confirm;
+mod context;
+mod domain;
+mod reply;
+mod show;
+mod submit;
+mod wait;
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+
+use crate::context::Context;
+use crate::reply::Reply;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    // clap itself ends the process with status 2 on wrong usage.
+    let matches = command::build().get_matches();
+    let context = Context::from(&matches);
+    let reply = run(&context, &matches);
+    reply.print(context.report);
+    reply.status.into()
+}
+
+/// Runs the subcommand.
+fn run(context: &Context, matches: &ArgMatches) -> Reply {
+    match matches.subcommand() {
+        Some((check::NAME, matches)) => check::run(context, matches),
+        Some((submit::NAME, matches)) => submit::run(context, matches),
+        Some((show::NAME, matches)) => show::run(context, matches),
+        Some((domain::NAME, matches)) => domain::run(context, matches),
+        Some((completions::NAME, matches)) => completions::run(matches),
+        // clap requires one of the subcommands above.
+        _ => Reply::input("no subcommand"),
+    }
+}
--- /dev/null
+++ b/crates/lentilreach-cli/src/submit.rs
@@ -0,0 +1,118 @@
+//! `lentilreach submit`: brings an operators' file into force.
+
+use clap::{ArgMatches, Command};
+use futures_lite::future;
+use lentilreach::process::clock::wall_ms;
+use lentilreach::process::submit::{self, Fault, Outcome, Plan, Target};
+use lentilreach::version::config::Change;
+use serde_json::{Value, json};
+
+use crate::context::Context;
+use crate::reply::{Reply, Status};
+use crate::{backend, check, confirm, wait};
+
+/// The name of the subcommand.
+pub const NAME: &str = "submit";
+
+/// Help below the options.
+const EXAMPLE: &str = "\
+Services of the organisation that the file does not name are removed. Failure domains are
+only added.
+
+Example:
+  lentilreach --store 127.1.0.250:2379 submit --wait --admin 127.1.1.1:9100 weilheim.jsonc";
+
+/// The subcommand.
+pub fn command() -> Command {
+    Command::new(NAME)
+        .about("Bring a configuration file into force")
+        .arg(check::file())
+        .arg(confirm::yes())
+        .args(wait::args())
+        .after_help(EXAMPLE)
+}
+
+/// Submits the file.
+pub fn run(context: &Context, matches: &ArgMatches) -> Reply {
+    match check::load(matches) {
+        Ok(document) => change(context, matches, &Target::Document(Box::new(document))),
+        Err(errors) => Reply::errors(&errors),
+    }
+}
+
+/// Submits any change, and waits until it is in force if the options say so.
+pub fn change(context: &Context, matches: &ArgMatches, target: &Target) -> Reply {
+    let store = match backend::open(context) {
+        Ok(store) => store,
+        Err(reply) => return reply,
+    };
+    let change = next_change();
+    let mut planned = Value::Null;
+    let confirm = |plan: &Plan| {
+        planned = plan.diff.to_string().lines().collect();
+        confirm::ask(matches, plan)
+    };
+    let outcome = future::block_on(submit::submit(&store, target, &change, confirm));
+    let operation = &*change.operation;
+    match outcome {
+        Ok(outcome) => {
+            let fields = fields(&outcome, operation, planned);
+            let text = format!("operation {operation}: {outcome}");
+            let reply = Reply::new(status(&outcome), text, fields);
+            wait::wait(matches, &outcome, reply)
+        }
+        Err(fault) => refused(&fault),
+    }
+}
+
+/// A new operation of the operator who runs the command.
+fn next_change() -> Change {
+    let operator = std::env::var("USER").unwrap_or_default();
+    let wall_ms = wall_ms();
+    let operation = submit::operation(&operator, wall_ms, fastrand::u32(..));
+    Change { operation, wall_ms }
+}
+
+/// The exit status of an outcome.
+fn status(outcome: &Outcome) -> Status {
+    match outcome {
+        Outcome::Unchanged | Outcome::Done { .. } => Status::Done,
+        Outcome::Declined | Outcome::Lost(_) | Outcome::Failed(_) => Status::Failed,
+        Outcome::Unknown(_) | Outcome::Superseded(_) => Status::Unknown,
+    }
+}
+
+/// The JSON fields of an outcome.
+fn fields(outcome: &Outcome, operation: &str, planned: Value) -> Value {
+    let conflicts: Vec<_> = match outcome {
+        Outcome::Lost(list) | Outcome::Superseded(list) => {
+            list.iter().map(ToString::to_string).collect()
+        }
+        _ => Vec::new(),
+    };
+    let (label, revision) = match outcome {
+        Outcome::Unchanged => ("unchanged", None),
+        Outcome::Declined => ("declined", None),
+        Outcome::Done { revision, .. } => ("took-effect", Some(*revision)),
+        Outcome::Lost(_) => ("lost", None),
+        Outcome::Failed(_) => ("did-not-take-effect", None),
+        Outcome::Unknown(_) | Outcome::Superseded(_) => ("still-unknown", None),
+    };
+    json!({
+        "operation": operation,
+        "outcome": label,
+        "revision": revision,
+        "planned": planned,
+        "conflicts": conflicts,
+        "message": outcome.to_string(),
+    })
+}
+
+/// The reply for a change that was refused.
+fn refused(fault: &Fault) -> Reply {
+    match fault {
+        Fault::Document(errors) => Reply::errors(errors),
+        Fault::Domain { .. } | Fault::Large { .. } => Reply::input(fault.to_string()),
+        Fault::Read(_) | Fault::Store(_) => Reply::failed(fault.to_string()),
+    }
+}
