--- a/crates/lentilreach/src/process/input/reader.rs
+++ b/crates/lentilreach/src/process/input/reader.rs
@@ -279,14 +279,11 @@
             return Some(text.into());
         }
         let message = if text.is_empty() {
-            format!("the name of {what} is empty")
+            format!("{what}: the name is empty")
         } else if text.len() > MAX_NAME {
-            format!(
-                "the name of {what} has {} bytes, the limit is {MAX_NAME}",
-                text.len()
-            )
+            format!("{what}: the name has {} bytes, the limit is {MAX_NAME}", text.len())
         } else {
-            format!("{text:?} is not a name for {what}")
+            format!("{what}: {text:?} is not a name")
         };
         self.fault(at, message, Some(name_hint(text)));
         None
@@ -312,7 +309,7 @@
                 | Token::Null
         );
         if starts && after_value && depth > 0 {
-            return Err((at, "expected a comma before this".into(), None));
+            return Err((at, "expected a comma or a colon before this".into(), None));
         }
         match token {
             Token::CommentLine(_) | Token::CommentBlock(_) => continue,
@@ -368,7 +365,8 @@
     match value {
         Value::StringLit(_) => "a text",
         Value::NumberLit(_) => "a number",
-        Value::BooleanLit(_) => "true or false",
+        Value::BooleanLit(literal) if literal.value => "true",
+        Value::BooleanLit(_) => "false",
         Value::Object(_) => "an object",
         Value::Array(_) => "a list",
         Value::NullKeyword(_) => "null",
--- a/crates/lentilreach/src/process/submit.rs
+++ b/crates/lentilreach/src/process/submit.rs
@@ -90,7 +90,12 @@
 pub async fn commit<S: Store>(store: &S, plan: &Plan) -> Outcome {
     match store.write(plan.txn().clone()).await {
         Ok(Written::Done { revision }) => Outcome::Done { revision, read_back: false },
-        Ok(Written::Lost { current }) => Outcome::Lost(plan.conflicts(&current)),
+        Ok(Written::Lost { current }) => {
+            // The domain document may tell more than the keys that were compared.
+            let entries =
+                store.range(key::PREFIX).await.map_or(current, |range| range.entries);
+            Outcome::Lost(plan.conflicts(&entries))
+        }
         Err(error) if error.is_unknown() => resolve(store, plan, error).await,
         Err(error) => Outcome::Failed(error),
     }
--- a/crates/lentilreach/src/process/submit/conflict.rs
+++ b/crates/lentilreach/src/process/submit/conflict.rs
@@ -15,7 +15,7 @@
 pub struct Conflict {
     /// The key of the document.
     pub key: Name,
-    /// The operation that last wrote it; absent if it was deleted or not recorded.
+    /// The operation that last wrote or deleted it, if that can be told.
     pub operation: Option<Name>,
     /// What changed.
     pub what: What,
@@ -38,8 +38,18 @@
 
 impl Conflict {
     /// Compares a document as it was read with what is there now.
-    pub(super) fn between(base: &Snapshot, key: &Name, now: Option<&Entry>) -> Self {
-        let operation = now.and_then(|entry| Marks::read(&entry.value).operation);
+    ///
+    /// `remover` is the operation that removed it if it is gone.
+    pub(super) fn between(
+        base: &Snapshot,
+        key: &Name,
+        now: Option<&Entry>,
+        remover: Option<&Name>,
+    ) -> Self {
+        let operation = match now {
+            Some(entry) => Marks::read(&entry.value).operation,
+            None => remover.cloned(),
+        };
         let what = match Kind::parse(key) {
             Some(Kind::Service { organisation, name }) => {
                 let old = base.find(organisation, name);
--- a/crates/lentilreach/src/process/submit/plan.rs
+++ b/crates/lentilreach/src/process/submit/plan.rs
@@ -45,6 +45,8 @@
     operation: Name,
     /// What was in force when it was planned.
     base: Snapshot,
+    /// The operation that wrote the domain document when it was planned, if recorded.
+    order: Option<Name>,
     /// The comparisons and writes.
     txn: Txn,
     /// The operation that wrote the compared version of each key of `txn.compares`.
@@ -71,6 +73,7 @@
             diff,
             operation: change.operation.clone(),
             base: force.snapshot.clone(),
+            order: force.operation(key::DOMAINS),
             txn: Txn::new(),
             replaced: Vec::new(),
         };
@@ -113,12 +116,15 @@
         risks
     }
 
-    /// What others changed, from the present state of the compared keys (sorted).
+    /// What others changed, from the present entries of the store (sorted).
     pub fn conflicts(&self, current: &[Entry]) -> Vec<Conflict> {
+        let remover = self.remover(current);
         let changed = self.txn.compares.iter().filter_map(|compare| {
             let now = force::find(current, &compare.key);
             let same = now.map_or(0, |entry| entry.modified) == compare.modified;
-            (!same).then(|| Conflict::between(&self.base, &compare.key, now))
+            (!same).then(|| {
+                Conflict::between(&self.base, &compare.key, now, remover.as_ref())
+            })
         });
         changed.collect()
     }
@@ -165,6 +171,17 @@
         }
     }
 
+    /// The operation that removed documents since the plan was made.
+    ///
+    /// A removal writes the domain document. If only one operation has written that since,
+    /// it made every removal.
+    fn remover(&self, current: &[Entry]) -> Option<Name> {
+        let entry = force::find(current, key::DOMAINS)?;
+        let marks = Marks::read(&entry.value);
+        (self.order.is_some() && marks.replaced == self.order)
+            .then_some(marks.operation)?
+    }
+
     /// Fills in the transaction.
     fn fill(&mut self, force: &Force, domains: &Domains) {
         let diff = self.diff.clone();
--- a/crates/lentilreach/src/version/config/document.rs
+++ b/crates/lentilreach/src/version/config/document.rs
@@ -2,6 +2,8 @@
 
 mod parse;
 
+use std::sync::Arc;
+
 use crate::process::input::{Error, Errors, Place};
 use crate::process::name::Name;
 use crate::version::config::domains::Fault;
@@ -39,15 +41,27 @@
     /// Every service whose address or identifier a service of another organisation has, and
     /// failure domains for which no identifier is left.
     pub fn check(&self, force: &Snapshot) -> Result<(), Errors> {
+        let others = || {
+            let services = force.services().iter();
+            services.filter(|other| other.organisation != self.organisation)
+        };
+        let mut addresses: Vec<_> =
+            others().map(|other| (other.address, other)).collect();
+        addresses.sort_by_key(|(address, _)| *address);
+        let mut ids: Vec<_> = others().map(|other| (other.id(), other)).collect();
+        ids.sort_by_key(|(id, _)| *id);
         let mut errors = Vec::new();
-        let others: Vec<_> = force
-            .services()
-            .iter()
-            .filter(|other| other.organisation != self.organisation)
-            .collect();
-        for (index, service) in self.services.iter().enumerate() {
-            for other in &others {
-                errors.extend(self.clash(index, service, other));
+        for (service, marks) in self.services.iter().zip(&self.source.services) {
+            if let Some(other) = find(&addresses, service.address) {
+                let message =
+                    format!("{} already belongs to {}", service.address, other.path());
+                let hint = "give the service an address of its own";
+                errors.push(self.error(marks.address, message, Some(hint.into())));
+            }
+            if let Some(other) = find(&ids, service.id()) {
+                let (path, other) = (service.path(), other.path());
+                let message = format!("{path} has the same id as {other}");
+                errors.push(self.error(marks.name, message, Some(RENAME.into())));
             }
         }
         if let Err(fault) = force.domains.with(&self.domains, None) {
@@ -56,23 +70,6 @@
         Errors::new(errors).map_or(Ok(()), Err)
     }
 
-    /// The mistake of a service that clashes with one of another organisation.
-    fn clash(&self, index: usize, service: &Service, other: &Service) -> Option<Error> {
-        let marks = self.source.services.get(index).copied().unwrap_or_default();
-        if service.address == other.address {
-            let address = service.address;
-            let message = format!("{address} already belongs to {}", other.path());
-            let hint = "give the service an address of its own";
-            return Some(self.error(marks.address, message, Some(hint.into())));
-        }
-        if service.id() == other.id() {
-            let message =
-                format!("{} has the same id as {}", service.path(), other.path());
-            return Some(self.error(marks.name, message, Some(RENAME.into())));
-        }
-        None
-    }
-
     /// A mistake at a place of the file.
     fn error(&self, place: Place, message: String, hint: Option<String>) -> Error {
         Error { file: self.source.file.clone(), place, message, hint }
@@ -102,6 +99,12 @@
     address: Place,
 }
 
+/// Finds the service with a key among sorted pairs.
+fn find<'s, K: Ord>(pairs: &[(K, &'s Arc<Service>)], key: K) -> Option<&'s Arc<Service>> {
+    let found = pairs.binary_search_by(|(other, _)| other.cmp(&key));
+    found.ok().map(|i| pairs[i].1)
+}
+
 /// How to correct a fault of the failure domains.
 fn hint(fault: &Fault) -> Option<String> {
     matches!(fault, Fault::Full).then(|| {
--- a/crates/lentilreach/src/version/config/document/parse.rs
+++ b/crates/lentilreach/src/version/config/document/parse.rs
@@ -88,7 +88,7 @@
         reader.fault(value, "domains is empty", Some(hint.into()));
     }
     for value in list {
-        let Some(name) = reader.name(value, "a failure domain") else { continue };
+        let Some(name) = reader.name(value, "failure domain") else { continue };
         if names.contains(&name) {
             reader.fault(value, format!("failure domain {name} is listed twice"), None);
         } else {
@@ -107,7 +107,7 @@
     let mut templates = Vec::new();
     for property in &object.properties {
         let name = property.name.as_str();
-        reader.key_name(property, "a template");
+        reader.key_name(property, "template");
         let what = format!("template {name}");
         let mut values = Values::default();
         if let Some(template) = reader.object(&property.value, &what) {
@@ -210,7 +210,7 @@
     organisation: &Name,
     templates: &[Template<'_>],
 ) -> Entry<'a, 'o> {
-    let name = reader.key_name(property, "a service");
+    let name = reader.key_name(property, "service");
     let what = format!("service {}", property.name.as_str());
     let mut marks = Marks { name: reader.place(&property.name), ..Marks::default() };
     let Some(object) = reader.object(&property.value, &what) else {
@@ -224,7 +224,7 @@
         marks.address = reader.place(value);
     }
     let set = reader.require(object, &what, "set");
-    let set = set.and_then(|value| reader.name(value, "a set of backend servers"));
+    let set = set.and_then(|value| reader.name(value, "set"));
     let limits = read_limits(reader, object, &what, templates);
     let service = || {
         Some(Service {
