--- a/crates/lentilreach-cli/src/demo.rs
+++ b/crates/lentilreach-cli/src/demo.rs
@@ -1,18 +1,21 @@
 //! `lentilreach demo`: a whole deployment in one process.
 
-use std::process::ExitCode;
-
 use clap::{Arg, ArgMatches, Command, value_parser};
 use lentilreach_standin::demo::{self, Report, Settings};
 use lentilreach_standin::deployment::Deployment;
 use lentilreach_standin::plan::Plan;
 
+use crate::reply::{Reply, Status};
+
+/// The name of the subcommand.
+pub const NAME: &str = "demo";
+
 /// Connections of the brief times this are opened unless `--scale` says otherwise.
 const SCALE: &str = "0.02";
 
 /// The subcommand.
 pub fn command() -> Command {
-    Command::new("demo")
+    Command::new(NAME)
         .about("Run a whole deployment on loopback and report what its ends saw")
         .after_help("Example:\n  lentilreach demo --organisation peakline --plan rolling")
         .arg(
@@ -39,28 +42,14 @@
             option("loss", "PERCENT", "0", "Datagrams lost on long links")
                 .value_parser(percent),
         )
-        .arg(
-            option("report", "FORM", "text", "Form of the report")
-                .value_parser(["text", "json"]),
-        )
 }
 
-/// Runs the demo. Exits with 0 if every promise was kept, 1 if one was broken or the run
-/// failed.
-pub fn run(matches: &ArgMatches) -> ExitCode {
-    let settings = settings(matches);
-    let json = text(matches, "report") == "json";
+/// Runs the demo. Fails if a promise was broken or the run could not be set up.
+pub fn run(matches: &ArgMatches) -> Reply {
     // Standard output is for the report alone.
-    let report = demo::run(&settings, |line| eprintln!("{line}"));
-    match report {
-        Ok(report) => {
-            print(&report, json);
-            if report.is_kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
-        }
-        Err(error) => {
-            eprintln!("error: step=demo {error}");
-            ExitCode::FAILURE
-        }
+    match demo::run(&settings(matches), |line| eprintln!("{line}")) {
+        Ok(report) => reply(&report),
+        Err(error) => Reply::failed(format!("step=demo {error}")),
     }
 }
 
@@ -112,15 +101,11 @@
     }
 }
 
-/// Prints a report.
-fn print(report: &Report, json: bool) {
-    let value = serde_json::to_value(report).expect("a report is plain data");
-    if json {
-        println!("{value}");
-        return;
-    }
-    let fields = value.as_object().into_iter().flatten();
-    for (name, value) in fields {
-        println!("{name:26} {value}");
-    }
+/// The report as a reply.
+fn reply(report: &Report) -> Reply {
+    let fields = serde_json::to_value(report).expect("a report is plain data");
+    let lines = fields.as_object().into_iter().flatten();
+    let lines: Vec<_> = lines.map(|(name, value)| format!("{name:26} {value}")).collect();
+    let status = if report.is_kept() { Status::Done } else { Status::Failed };
+    Reply::new(status, lines.join("\n"), fields)
 }
--- a/crates/lentilreach-cli/src/main.rs
+++ b/crates/lentilreach-cli/src/main.rs
@@ -1,26 +1,47 @@
-//! The operators' command.
+//! The operators' command of lentilreach.
+//!
+//! Exit statuses: 0 done, 1 failed, 2 bad input, 3 outcome unknown.
 
+mod backend;
+mod check;
+mod command;
+mod completions;
+mod confirm;
+mod context;
 mod demo;
+mod domain;
+mod reply;
+mod show;
+mod submit;
+mod wait;
 
 use std::process::ExitCode;
 
-use clap::Command;
+use clap::ArgMatches;
+
+use crate::context::Context;
+use crate::reply::Reply;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("error"))
-        .init();
-    let matches = command().get_matches();
-    match matches.subcommand() {
-        Some(("demo", matches)) => demo::run(matches),
-        _ => ExitCode::from(2),
-    }
+    env_logger::init();
+    // clap itself ends the process with status 2 on wrong usage.
+    let matches = command::build().get_matches();
+    let context = Context::from(&matches);
+    let reply = run(&context, &matches);
+    reply.print(context.report);
+    reply.status.into()
 }
 
-/// The command with its subcommands.
-fn command() -> Command {
-    Command::new("lentilreach")
-        .about("Operate lentilreach, a layer-4 load balancer")
-        .version(clap::crate_version!())
-        .subcommand_required(true)
-        .subcommand(demo::command())
+/// Runs the subcommand.
+fn run(context: &Context, matches: &ArgMatches) -> Reply {
+    match matches.subcommand() {
+        Some((check::NAME, matches)) => check::run(context, matches),
+        Some((submit::NAME, matches)) => submit::run(context, matches),
+        Some((show::NAME, matches)) => show::run(context, matches),
+        Some((domain::NAME, matches)) => domain::run(context, matches),
+        Some((completions::NAME, matches)) => completions::run(matches),
+        Some((demo::NAME, matches)) => demo::run(matches),
+        // clap requires one of the subcommands above.
+        _ => Reply::input("no subcommand"),
+    }
 }
