--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -6,3 +6,4 @@
 pub mod lock;
 pub mod name;
 pub mod pool;
+pub mod spread;
--- /dev/null
+++ b/crates/lentilreach/src/process/spread/attach.rs
@@ -0,0 +1,172 @@
+//! The balancers that a node sends its heartbeats to.
+
+use std::net::SocketAddr;
+
+use fastrand::Rng;
+
+use crate::id::{domain, node};
+use crate::process::clock::Millis;
+use crate::process::spread::entry::{MONITORS, Node, Role, Stage};
+use crate::process::spread::member::Status;
+use crate::process::spread::state::State;
+
+/// Age of the last response in milliseconds at which another is asked for.
+const ASK_MS: u64 = 3_000;
+
+/// Age of the last response in milliseconds at which the balancer is replaced.
+///
+/// Leaves four questions, so that 1% loss alone replaces hardly ever.
+const LOST_MS: u64 = 7_500;
+
+/// Time in milliseconds for which a replaced balancer is not chosen again.
+const AVOID_MS: u64 = 30_000;
+
+/// Time in milliseconds between replacements that only improve the choice.
+const BETTER_MS: u64 = 10_000;
+
+/// The balancers that a node attaches to, at most [`MONITORS`].
+#[derive(Debug, Default)]
+pub struct List {
+    /// The balancers; the first one passes loads and new entries on.
+    slots: Vec<Slot>,
+    /// Balancers that did not respond, and when.
+    avoid: Vec<(node::Id, Millis)>,
+    /// When a balancer was last replaced for a better one.
+    bettered: Millis,
+}
+
+impl List {
+    /// The balancers' identifiers.
+    pub fn ids(&self) -> Vec<node::Id> {
+        self.slots.iter().map(|slot| slot.id).collect()
+    }
+
+    /// The balancers.
+    pub fn slots(&self) -> &[Slot] {
+        &self.slots
+    }
+
+    /// Notes a response; `counter` is the version of the announcement that it confirms.
+    pub fn ack(&mut self, now: Millis, id: node::Id, counter: u64) {
+        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.id == id) {
+            slot.acked = now;
+            slot.known = counter;
+        }
+    }
+
+    /// Replaces balancers that are lost or leaving; returns whether the list changed.
+    pub fn review(
+        &mut self,
+        now: Millis,
+        me: &Node,
+        state: &State,
+        rng: &mut Rng,
+    ) -> bool {
+        let before = self.ids();
+        self.avoid.retain(|(_, since)| now.since(*since) < AVOID_MS);
+        for slot in &self.slots {
+            if now.since(slot.acked) >= LOST_MS {
+                self.avoid.push((slot.id, now));
+            }
+        }
+        self.slots.retain(|slot| {
+            now.since(slot.acked) < LOST_MS && is_fit(state, slot.id, me.id)
+        });
+        self.fill(now, me, state, rng);
+        self.better(now, me, state, rng);
+        before != self.ids()
+    }
+
+    /// Chooses balancers for the free slots.
+    fn fill(&mut self, now: Millis, me: &Node, state: &State, rng: &mut Rng) {
+        let mut tries = MONITORS;
+        while self.slots.len() < MONITORS && tries > 0 {
+            tries -= 1;
+            // A full scan for each slot is affordable: choices are rare.
+            if let Some(slot) = self.choose(now, me, state, rng, |_| true) {
+                self.slots.push(slot);
+            }
+        }
+    }
+
+    /// Replaces a balancer of another failure domain once one of the own is available.
+    fn better(&mut self, now: Millis, me: &Node, state: &State, rng: &mut Rng) {
+        let other = self.slots.iter().rposition(|slot| slot.domain != me.domain);
+        let Some(index) = other.filter(|_| me.role == Role::Agent) else { return };
+        if now.since(self.bettered) < BETTER_MS {
+            return;
+        }
+        self.bettered = now;
+        if let Some(slot) = self.choose(now, me, state, rng, |d| d == me.domain) {
+            self.slots[index] = slot;
+        }
+    }
+
+    /// Draws a balancer.
+    ///
+    /// Agents prefer their own failure domain, which keeps heartbeats off the links between
+    /// domains. Balancers draw from all, so that a cut domain is noticed from outside.
+    fn choose(
+        &self,
+        now: Millis,
+        me: &Node,
+        state: &State,
+        rng: &mut Rng,
+        filter: impl Fn(domain::Id) -> bool,
+    ) -> Option<Slot> {
+        let nodes = state.members().iter().filter_map(|member| member.node.as_ref());
+        let nodes = nodes.filter(|n| {
+            is_fit(state, n.id, me.id)
+                && filter(n.domain)
+                && self.slots.iter().all(|slot| slot.id != n.id)
+                && self.avoid.iter().all(|(id, _)| *id != n.id)
+        });
+        let mut best: Option<(bool, u32, &Node)> = None;
+        for node in nodes {
+            let near = me.role == Role::Agent && node.domain == me.domain;
+            let rank = (near, rng.u32(..));
+            if best.is_none_or(|(near, draw, _)| rank > (near, draw)) {
+                best = Some((rank.0, rank.1, node));
+            }
+        }
+        best.map(|(_, _, node)| Slot::new(now, node))
+    }
+}
+
+/// A balancer that a node attaches to.
+#[derive(Debug, Clone, Copy)]
+pub struct Slot {
+    /// The balancer.
+    pub id: node::Id,
+    /// Where it receives the exchange.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    domain: domain::Id,
+    /// When it last responded, or was chosen.
+    acked: Millis,
+    /// Version of the announcement that it has confirmed.
+    pub known: u64,
+}
+
+impl Slot {
+    /// Attaches to a balancer.
+    fn new(now: Millis, node: &Node) -> Self {
+        let (id, address, domain) = (node.id, node.exchange, node.domain);
+        Self { id, address, domain, acked: now, known: 0 }
+    }
+
+    /// Whether the next heartbeat asks for a response.
+    pub fn asks(&self, now: Millis) -> bool {
+        self.known == 0 || now.since(self.acked) >= ASK_MS
+    }
+}
+
+/// Whether a member is a balancer that can be attached to.
+fn is_fit(state: &State, id: node::Id, me: node::Id) -> bool {
+    let Some(member) = state.member(id).filter(|member| member.id != me) else {
+        return false;
+    };
+    let node = member.node.as_ref();
+    member.status == Status::Alive
+        && node.is_some_and(|n| n.role == Role::Balancer && n.stage != Stage::Leaving)
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -0,0 +1,365 @@
+//! The decisions of the exchange: events and the time in, actions out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fastrand::Rng;
+
+use crate::id::node;
+use crate::process::clock::Millis;
+use crate::process::name::Name;
+use crate::process::spread::attach;
+use crate::process::spread::budget::Budget;
+use crate::process::spread::digest::Scope;
+use crate::process::spread::entry::{
+    Class, Document, Entry, Key, Load, Node, Pulse, Role, Stage, Vital,
+};
+use crate::process::spread::hot::Queue;
+use crate::process::spread::member::Member;
+use crate::process::spread::message::{Body, Message};
+use crate::process::spread::part;
+use crate::process::spread::repair::Repair;
+use crate::process::spread::state::{Outcome, State};
+use crate::process::spread::steady::Steady;
+use crate::process::spread::watch;
+
+/// What happens to a node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// Time passes; due about every [`TICK_MS`] milliseconds.
+    Tick,
+    /// A message arrived.
+    Received {
+        /// The address that it came from.
+        from: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// A document was read from the store. Other entries are ignored: a node announces
+    /// itself by `Stage` and `Load`.
+    Local(Entry),
+    /// A peer's address is known.
+    Join(SocketAddr),
+    /// The full configuration was read from the store, so no peer is needed for it.
+    Complete,
+    /// The node's stage changed.
+    Stage(Stage),
+    /// The node's load changed. `node` and `counter` are ignored.
+    Load(Load),
+}
+
+/// What a node is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message.
+    Send {
+        /// The receiver.
+        to: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// An entry changed, or the status of the node that a pulse is about.
+    Changed(Entry),
+    /// The node has the full state.
+    Ready,
+}
+
+/// Time between ticks in milliseconds.
+pub const TICK_MS: u64 = 100;
+
+/// One node's part in the exchange.
+#[derive(Debug)]
+pub struct Core {
+    /// The node's announcement.
+    pub(super) me: Arc<Node>,
+    /// What the node's digests cover.
+    pub(super) scope: Scope,
+    /// The time as counted here.
+    pub(super) time: Steady,
+    /// Draws peers.
+    pub(super) rng: Rng,
+    /// The highest version of each entry.
+    pub(super) state: State,
+    /// Bytes sent and received.
+    pub(super) budget: Budget,
+    /// Entries to push.
+    pub(super) hot: Queue,
+    /// Nodes that attach here.
+    pub(super) watches: watch::List,
+    /// Balancers attached to.
+    pub(super) slots: attach::List,
+    /// The digest exchange.
+    pub(super) repair: Repair,
+    /// Documents that arrive in parts.
+    pub(super) parts: part::List,
+    /// The last heartbeat.
+    pub(super) beat: u64,
+    /// When the next heartbeat is due.
+    pub(super) next_beat: Millis,
+    /// Number of ticks.
+    pub(super) ticks: u64,
+    /// Whether the node has the full state.
+    pub(super) ready: bool,
+    /// Addresses of peers from the settings.
+    pub(super) seeds: Vec<SocketAddr>,
+    /// Balancers that are alive, without this node.
+    pub(super) peers: Vec<SocketAddr>,
+    /// When any node was last heard.
+    pub(super) heard: Millis,
+    /// The load now, if it was ever given.
+    pub(super) load: Option<Load>,
+    /// The load last reported, and when.
+    pub(super) reported: Option<(Load, Millis)>,
+}
+
+impl Core {
+    /// A node that starts. `seed` sets its random choices.
+    ///
+    /// The node's announcement is published once the node is ready; `monitors` and `counter`
+    /// are set here.
+    pub fn new(node: Node, seed: u64) -> Self {
+        let scope = match node.role {
+            Role::Balancer => Scope::All,
+            Role::Agent => Scope::Leaf(node.organisation.clone()),
+        };
+        Self {
+            me: Arc::new(Node { counter: 1, monitors: Vec::new(), ..node }),
+            scope,
+            time: Steady::new(),
+            rng: Rng::with_seed(seed),
+            state: State::default(),
+            budget: Budget::new(),
+            hot: Queue::default(),
+            watches: watch::List::default(),
+            slots: attach::List::default(),
+            repair: Repair::new(),
+            parts: part::List::default(),
+            beat: 0,
+            next_beat: Millis(0),
+            ticks: 0,
+            ready: false,
+            seeds: Vec::new(),
+            peers: Vec::new(),
+            heard: Millis(0),
+            load: None,
+            reported: None,
+        }
+    }
+
+    /// Takes an event at time `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        let now = self.time.read(now);
+        match event {
+            Event::Tick => self.tick(now, actions),
+            Event::Received { from, message } => {
+                self.receive(now, from, message, actions)
+            }
+            Event::Local(entry) => {
+                if matches!(entry, Entry::Document(_)) {
+                    self.apply(now, entry, actions);
+                }
+            }
+            Event::Join(address) => {
+                if !self.seeds.contains(&address) {
+                    self.seeds.push(address);
+                }
+            }
+            Event::Complete => self.complete(now, actions),
+            Event::Stage(stage) => self.enter(now, stage, actions),
+            Event::Load(load) => self.load = Some(load),
+        }
+    }
+
+    /// Whether the node has the full state.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// The node's own announcement.
+    pub fn me(&self) -> &Arc<Node> {
+        &self.me
+    }
+
+    /// The documents, sorted by key, with deletions.
+    pub fn documents(&self) -> &[Document] {
+        self.state.documents()
+    }
+
+    /// The content of a document; `None` if it is unknown or deleted.
+    pub fn document(&self, key: &Name) -> Option<&Bytes> {
+        let documents = self.state.documents();
+        let index = documents.binary_search_by(|d| d.key.cmp(key)).ok()?;
+        documents[index].value.as_ref()
+    }
+
+    /// The members with an announcement, sorted by identifier, with this node if it is ready.
+    pub fn members(&self) -> impl Iterator<Item = (&Arc<Node>, &Member)> {
+        let members = self.state.members().iter();
+        members.filter_map(|member| member.node.as_ref().map(|node| (node, member)))
+    }
+
+    /// Root of the digest over everything that the node needs to know.
+    pub fn root(&self) -> u32 {
+        self.state.digest().root(&self.scope)
+    }
+
+    /// Milliseconds since the load report of a member arrived.
+    pub fn load_age_ms(&self, member: &Member) -> u64 {
+        self.time.now().since(member.load_at)
+    }
+
+    /// Starts with known entries and as ready, without pushing them; for measurements.
+    pub fn preload(&mut self, now: Millis, entries: &[Entry]) {
+        let now = self.time.read(now);
+        for entry in entries {
+            self.state.apply(now, entry);
+        }
+        self.ready = true;
+        self.heard = now;
+        self.state.apply(now, &Entry::Node(self.me.clone()));
+    }
+
+    /// Becomes ready.
+    pub(super) fn complete(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.ready {
+            return;
+        }
+        self.ready = true;
+        actions.push(Action::Ready);
+        self.apply(now, Entry::Node(self.me.clone()), actions);
+        self.next_beat = now;
+    }
+
+    /// Publishes a new stage of this node.
+    fn enter(&mut self, now: Millis, stage: Stage, actions: &mut Vec<Action>) {
+        if self.me.stage != stage {
+            self.announce(now, |me| me.stage = stage, actions);
+            // Draining must be known at once, not at the next heartbeat.
+            self.next_beat = now;
+        }
+    }
+
+    /// Publishes a changed announcement of this node.
+    pub(super) fn announce(
+        &mut self,
+        now: Millis,
+        change: impl FnOnce(&mut Node),
+        actions: &mut Vec<Action>,
+    ) {
+        let me = Arc::make_mut(&mut self.me);
+        change(me);
+        me.counter += 1;
+        if self.ready {
+            self.apply(now, Entry::Node(self.me.clone()), actions);
+        }
+    }
+
+    /// Sends a message if the budget allows it; returns whether it was sent.
+    pub(super) fn send(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        body: Body,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let fits = self.budget.take(now, body.class(), body.size());
+        if fits {
+            actions
+                .push(Action::Send { to, message: Message { sender: self.me.id, body } });
+        }
+        fits
+    }
+
+    /// Takes in an entry and passes it on if it is new.
+    pub(super) fn apply(&mut self, now: Millis, entry: Entry, actions: &mut Vec<Action>) {
+        if let Entry::Pulse(pulse) = &entry
+            && self.refute(now, pulse, actions)
+        {
+            return;
+        }
+        let key = entry.key();
+        match self.state.apply(now, &entry) {
+            Outcome::New => self.accept(now, key, entry, actions),
+            Outcome::Same => self.hot.known(&key),
+            Outcome::Old | Outcome::Refused => {}
+        }
+    }
+
+    /// Follows up on a new entry.
+    fn accept(&mut self, now: Millis, key: Key, entry: Entry, actions: &mut Vec<Action>) {
+        if entry.area().is_some() {
+            self.repair.changed(now);
+        }
+        match &entry {
+            Entry::Node(node) if node.monitors.contains(&self.me.id) => {
+                self.watches.expect(now, node.id, node.exchange);
+            }
+            Entry::Pulse(pulse) if pulse.vital == Vital::Alive => {
+                self.watches.confirm(now, pulse.node, pulse.beat);
+            }
+            _ => {}
+        }
+        if self.me.role == Role::Balancer && self.ready {
+            let rounds = self.rounds(&entry);
+            self.hot.add(key.clone(), entry.class(), rounds);
+            self.queue_for_leaves(&key, &entry);
+        }
+        actions.push(Action::Changed(entry));
+    }
+
+    /// Answers a pulse that is known to be wrong; returns whether it was.
+    fn refute(&mut self, now: Millis, pulse: &Pulse, actions: &mut Vec<Action>) -> bool {
+        if pulse.vital == Vital::Alive {
+            return false;
+        }
+        let beat = if pulse.node == self.me.id {
+            self.beat = self.beat.max(pulse.beat + 1);
+            Some(self.beat)
+        } else {
+            self.watches.evidence(now, pulse.node).filter(|beat| *beat > pulse.beat)
+        };
+        let Some(beat) = beat else { return false };
+        let (node, role) = (pulse.node, pulse.role);
+        let alive = Pulse { node, role, beat, vital: Vital::Alive, age_ms: 0 };
+        self.apply(now, Entry::Pulse(alive), actions);
+        if node == self.me.id {
+            // Those that had removed this node need its announcement again.
+            let rounds = self.rounds(&Entry::Node(self.me.clone()));
+            self.hot.add(Key::Node(node), Class::Liveness, rounds);
+        }
+        true
+    }
+
+    /// Number of pushes of a new entry: all but a few nodes get it from one of them.
+    ///
+    /// Each node passes an entry on, so the share that remains without it falls by a factor
+    /// of e with each push. The digest reaches the rest.
+    fn rounds(&self, entry: &Entry) -> u8 {
+        let nodes = self.peers.len() as u32 + 2;
+        let log = (u32::BITS - nodes.leading_zeros()) as u8;
+        match entry.class() {
+            Class::Configuration => log + 1,
+            Class::Load => log.div_ceil(3),
+            _ => log,
+        }
+    }
+
+    /// Queues an entry for the agents that this balancer is the first one of.
+    fn queue_for_leaves(&mut self, key: &Key, entry: &Entry) {
+        let Some(area) = entry.area() else { return };
+        let me = self.me.id;
+        let needs = |id: &node::Id| {
+            let node = self.state.member(*id).and_then(|member| member.node.as_ref());
+            node.is_some_and(|node| {
+                let scope = Scope::Leaf(node.organisation.clone());
+                let first = node.monitors.first() == Some(&me);
+                node.role == Role::Agent && first && scope.covers(&area)
+            })
+        };
+        let leaves: Vec<node::Id> = self.watches.ids().filter(needs).collect();
+        for id in leaves {
+            self.watches.queue(id, key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/spread/driver.rs
@@ -0,0 +1,344 @@
+//! Connects the decisions of the exchange to a link, a timer and the rest of the process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use async_io::Timer;
+use event_listener::Event as Signal;
+use futures_lite::StreamExt;
+use smol::Task;
+
+use crate::id::node;
+use crate::process::clock::{Clock, Hybrid, wall_ms};
+use crate::process::link::{self, Link};
+use crate::process::lock::Ranked;
+use crate::process::pool::Pool;
+use crate::process::spread::core::{Action, Core, Event, TICK_MS};
+use crate::process::spread::entry::{Entry, Load, Stage};
+use crate::process::spread::message::Message;
+use crate::process::spread::seal::{self, Key, Sealer};
+use crate::process::spread::wire;
+
+/// Rank of the lock on the members.
+const MEMBERS: u8 = 20;
+
+/// Rank of the lock on the keys.
+const KEYS: u8 = 40;
+
+/// Time in milliseconds before a link that failed to receive is tried again.
+const RETRY_MS: u64 = 100;
+
+/// The running exchange of a process. Clones share it; it stops when the last is dropped.
+#[derive(Debug)]
+pub struct Exchange<L> {
+    /// What the tasks work on.
+    shared: Arc<Shared<L>>,
+    /// The tasks; dropping them cancels them.
+    _tasks: Arc<[Task<()>; 2]>,
+}
+
+impl<L: Link> Exchange<L> {
+    /// Starts the exchange over a link.
+    ///
+    /// `hybrid` is the process's logical clock, shared with its timeline.
+    pub fn start(
+        pool: &Pool,
+        link: L,
+        core: Core,
+        sealer: Sealer,
+        hybrid: Arc<Ranked<Hybrid>>,
+    ) -> Self {
+        let shared = Arc::new(Shared {
+            link,
+            clock: Clock::new(),
+            core: Ranked::new(MEMBERS, core),
+            keys: Ranked::new(KEYS, Keys { sealer, others: Vec::new() }),
+            hybrid,
+            notice: Notice::default(),
+        });
+        let (ticks, datagrams) = (shared.clone(), shared.clone());
+        let tasks = [
+            pool.spawn(async move { ticks.tick().await }),
+            pool.spawn(async move { datagrams.receive().await }),
+        ];
+        Self { shared, _tasks: Arc::new(tasks) }
+    }
+
+    /// Publishes a document as read from the store.
+    pub fn submit(&self, entry: Entry) {
+        self.shared.handle(Event::Local(entry));
+    }
+
+    /// Notes that the full configuration was read from the store and submitted.
+    pub fn complete(&self) {
+        self.shared.handle(Event::Complete);
+    }
+
+    /// Adds a peer from the settings.
+    pub fn join(&self, address: SocketAddr) {
+        self.shared.handle(Event::Join(address));
+    }
+
+    /// Publishes a new stage of this node.
+    pub fn stage(&self, stage: Stage) {
+        self.shared.handle(Event::Stage(stage));
+    }
+
+    /// Gives the present load, which is reported if it changed enough.
+    pub fn load(&self, load: Load) {
+        self.shared.handle(Event::Load(load));
+    }
+
+    /// Replaces the keys; `current` is the identifier of the key for new messages.
+    pub fn rotate(&self, keys: Vec<Key>, current: u8) {
+        self.shared.keys.write().sealer.rotate(keys, current);
+    }
+
+    /// Reads documents and members. The lock of rank 20 is held meanwhile.
+    pub fn read<T>(&self, read: impl FnOnce(&Core) -> T) -> T {
+        read(&self.shared.core.read())
+    }
+
+    /// Waits until something changed since the last call.
+    ///
+    /// The caller then reads what it needs anew. Meant for one caller per process.
+    pub async fn changed(&self) -> Changes {
+        self.shared.notice.wait().await
+    }
+}
+
+impl<L> Clone for Exchange<L> {
+    fn clone(&self) -> Self {
+        Self { shared: self.shared.clone(), _tasks: self._tasks.clone() }
+    }
+}
+
+/// What changed since it was last asked.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Changes {
+    /// A document.
+    pub documents: bool,
+    /// An announcement or the liveness of a node.
+    pub members: bool,
+    /// A load report.
+    pub loads: bool,
+    /// This node became ready.
+    pub ready: bool,
+}
+
+impl Changes {
+    /// The changes as bits.
+    fn bits(self) -> u8 {
+        let bits = [self.documents, self.members, self.loads, self.ready];
+        bits.iter().rev().fold(0, |all, bit| all << 1 | u8::from(*bit))
+    }
+
+    /// The changes from bits.
+    fn of(bits: u8) -> Self {
+        let bit = |index: u8| bits & (1 << index) != 0;
+        Self { documents: bit(0), members: bit(1), loads: bit(2), ready: bit(3) }
+    }
+
+    /// The change that an action stands for.
+    fn by(action: &Action) -> Self {
+        let none = Self::default();
+        match action {
+            Action::Send { .. } => none,
+            Action::Ready => Self { ready: true, ..none },
+            Action::Changed(Entry::Document(_)) => Self { documents: true, ..none },
+            Action::Changed(Entry::Load(_)) => Self { loads: true, ..none },
+            Action::Changed(_) => Self { members: true, ..none },
+        }
+    }
+}
+
+/// What the tasks of an exchange work on.
+#[derive(Debug)]
+struct Shared<L> {
+    /// Datagrams to and from peers.
+    link: L,
+    /// The time of the decisions.
+    clock: Clock,
+    /// The decisions.
+    core: Ranked<Core>,
+    /// The keys.
+    keys: Ranked<Keys>,
+    /// The logical clock.
+    hybrid: Arc<Ranked<Hybrid>>,
+    /// Tells of changes.
+    notice: Notice,
+}
+
+impl<L: Link> Shared<L> {
+    /// Lets the time pass.
+    async fn tick(&self) {
+        let mut interval = Timer::interval(Duration::from_millis(TICK_MS));
+        while interval.next().await.is_some() {
+            self.handle(Event::Tick);
+        }
+    }
+
+    /// Takes datagrams in.
+    async fn receive(&self) {
+        let mut buffer = vec![0; link::MAX_DATAGRAM];
+        loop {
+            match self.link.receive(&mut buffer).await {
+                Ok((length, from)) => self.take(from, &mut buffer[..length]),
+                Err(error) => {
+                    // Some systems report a peer's closed port here; the socket still works.
+                    log::debug!("exchange at {}: {error}", self.link.local());
+                    Timer::after(Duration::from_millis(RETRY_MS)).await;
+                }
+            }
+        }
+    }
+
+    /// Takes one datagram in.
+    fn take(&self, from: SocketAddr, datagram: &mut [u8]) {
+        metrics::counter!("lentilreach_exchange_received_bytes")
+            .increment(datagram.len() as u64);
+        let opened = self.keys.write().open(from, datagram);
+        let (sender, decoded) = match opened {
+            Ok((sender, message)) => (sender, wire::decode(message)),
+            Err(fault) => return drop_datagram(fault.as_str()),
+        };
+        let (stamp, body) = match decoded {
+            Ok(decoded) => decoded,
+            Err(fault) => return drop_datagram(fault.as_str()),
+        };
+        if !self.hybrid.write().observe(stamp, wall_ms()) {
+            metrics::counter!("lentilreach_exchange_clock_ahead").increment(1);
+        }
+        self.handle(Event::Received { from, message: Message { sender, body } });
+    }
+
+    /// Lets the core decide and carries out what it decided.
+    fn handle(&self, event: Event) {
+        let mut actions = Vec::new();
+        let now = self.clock.now();
+        self.core.write().handle(now, event, &mut actions);
+        let (mut plain, mut sealed) = (Vec::new(), Vec::new());
+        let mut changes = 0;
+        for action in &actions {
+            changes |= Changes::by(action).bits();
+            if let Action::Send { to, message } = action {
+                self.send(*to, message, &mut plain, &mut sealed);
+            }
+        }
+        self.notice.add(changes);
+    }
+
+    /// Encodes, seals and sends a message.
+    fn send(
+        &self,
+        to: SocketAddr,
+        message: &Message,
+        plain: &mut Vec<u8>,
+        sealed: &mut Vec<u8>,
+    ) {
+        let stamp = self.hybrid.write().stamp(wall_ms());
+        if let Err(fault) = wire::encode(stamp, &message.body, plain) {
+            return drop_datagram(fault.as_str());
+        }
+        if let Err(fault) = self.keys.write().seal(to, plain, sealed) {
+            return drop_datagram(fault.as_str());
+        }
+        metrics::counter!("lentilreach_exchange_sent_bytes")
+            .increment(sealed.len() as u64);
+        if self.link.send(to, sealed).is_err() {
+            drop_datagram("send");
+        }
+    }
+}
+
+/// The keys of the exchange and which of them peers use.
+#[derive(Debug)]
+struct Keys {
+    /// Seals and opens.
+    sealer: Sealer,
+    /// Peers that last used another key than the current one, sorted by address.
+    others: Vec<(SocketAddr, u8)>,
+}
+
+impl Keys {
+    /// Peers that are remembered.
+    const MAX_OTHERS: usize = 8_192;
+
+    /// Opens a datagram and notes which key the peer uses.
+    fn open<'a>(
+        &mut self,
+        from: SocketAddr,
+        datagram: &'a mut [u8],
+    ) -> Result<(node::Id, &'a [u8]), seal::Fault> {
+        let opened = self.sealer.open(datagram)?;
+        let found = self.others.binary_search_by_key(&from, |(address, _)| *address);
+        match found {
+            Ok(index) if opened.key == self.sealer.current() => {
+                self.others.remove(index);
+            }
+            Ok(index) => self.others[index].1 = opened.key,
+            Err(index) if opened.key != self.sealer.current() => {
+                self.others.truncate(Self::MAX_OTHERS - 1);
+                self.others.insert(index.min(self.others.len()), (from, opened.key));
+            }
+            Err(_) => {}
+        }
+        Ok((opened.sender, opened.message))
+    }
+
+    /// Seals a message with the key that the peer uses: it may not have the newest yet.
+    fn seal(
+        &mut self,
+        to: SocketAddr,
+        message: &[u8],
+        out: &mut Vec<u8>,
+    ) -> Result<(), seal::Fault> {
+        let found = self.others.binary_search_by_key(&to, |(address, _)| *address);
+        let other = found.ok().map(|index| self.others[index].1);
+        let current = self.sealer.current();
+        let sealed = self.sealer.seal(other.unwrap_or(current), message, out);
+        if sealed.is_err() && other.is_some() {
+            return self.sealer.seal(current, message, out);
+        }
+        sealed
+    }
+}
+
+/// Collects changes until they are asked for, so that none is lost however slow the reader.
+#[derive(Debug, Default)]
+struct Notice {
+    /// Changes since the last call, as bits.
+    bits: AtomicU8,
+    /// Wakes the reader.
+    signal: Signal,
+}
+
+impl Notice {
+    /// Adds changes.
+    fn add(&self, bits: u8) {
+        if bits != 0 {
+            self.bits.fetch_or(bits, Ordering::AcqRel);
+            self.signal.notify(1);
+        }
+    }
+
+    /// Waits for changes.
+    async fn wait(&self) -> Changes {
+        loop {
+            // Listens before it looks, so that a change in between is not missed.
+            let listener = self.signal.listen();
+            let bits = self.bits.swap(0, Ordering::AcqRel);
+            if bits != 0 {
+                return Changes::of(bits);
+            }
+            listener.await;
+        }
+    }
+}
+
+/// Counts a datagram that is dropped.
+fn drop_datagram(reason: &'static str) {
+    metrics::counter!("lentilreach_exchange_dropped", "reason" => reason).increment(1);
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/spread/entry.rs
@@ -0,0 +1,265 @@
+//! What the exchange carries: typed entries, each with a key and a version.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::id::{domain, node};
+use crate::process::name::Name;
+use crate::process::spread::digest::Area;
+
+/// Longest document in bytes.
+pub const MAX_DOCUMENT: usize = 64 << 10;
+
+/// Most balancers that a node attaches to.
+pub const MONITORS: usize = 3;
+
+/// One versioned piece of state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Entry {
+    /// A configuration document, or its deletion.
+    Document(Document),
+    /// A node's announcement of itself.
+    Node(Arc<Node>),
+    /// A change of a node's liveness.
+    Pulse(Pulse),
+    /// A load report.
+    Load(Load),
+}
+
+impl Entry {
+    /// A document as read from the store at `revision`; `None` if it was deleted.
+    pub fn document(key: Name, revision: u64, value: Option<Bytes>) -> Self {
+        Self::Document(Document { key, revision, value })
+    }
+
+    /// What the entry is about.
+    pub fn key(&self) -> Key {
+        match self {
+            Self::Document(document) => Key::Document(document.key.clone()),
+            Self::Node(node) => Key::Node(node.id),
+            Self::Pulse(pulse) => Key::Pulse(pulse.node),
+            Self::Load(load) => Key::Load(load.node),
+        }
+    }
+
+    /// How urgent the entry is.
+    pub fn class(&self) -> Class {
+        match self {
+            Self::Document(_) => Class::Configuration,
+            Self::Node(node) if node.stage == Stage::Leaving => Class::Configuration,
+            Self::Node(_) | Self::Pulse(_) => Class::Liveness,
+            Self::Load(_) => Class::Load,
+        }
+    }
+
+    /// The nodes that need the entry; `None` for loads, which digests leave out.
+    pub fn area(&self) -> Option<Area> {
+        let area = |role| match role {
+            Role::Balancer => Area::Common,
+            Role::Agent => Area::Balancers,
+        };
+        match self {
+            Self::Document(document) => Some(document.area()),
+            Self::Node(node) => Some(area(node.role)),
+            Self::Pulse(pulse) => Some(area(pulse.role)),
+            Self::Load(_) => None,
+        }
+    }
+}
+
+/// Identifies an entry.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Key {
+    /// A document by its store key.
+    Document(Name),
+    /// The announcement of a node.
+    Node(node::Id),
+    /// The liveness of a node.
+    Pulse(node::Id),
+    /// The load of a node.
+    Load(node::Id),
+}
+
+/// Priority of traffic, most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    /// Configuration, out-of-service and draining state, heartbeats.
+    Configuration,
+    /// Announcements and liveness.
+    Liveness,
+    /// Digests and what they repair.
+    Repair,
+    /// Load reports.
+    Load,
+}
+
+/// A configuration document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Document {
+    /// Its key in the store.
+    pub key: Name,
+    /// The store revision of the last change or deletion; the version.
+    pub revision: u64,
+    /// Its content, opaque to the exchange; `None` if it was deleted.
+    pub value: Option<Bytes>,
+}
+
+impl Document {
+    /// The nodes that need the document: those of its organisation or all.
+    pub fn area(&self) -> Area {
+        let mut parts = self.key.trim_start_matches("lentilreach/").split('/');
+        match (parts.next(), parts.next()) {
+            (Some("service"), Some(organisation)) => {
+                Area::Organisation(Name::from(organisation))
+            }
+            _ => Area::Common,
+        }
+    }
+
+    /// Hash of the key, which places the document in a digest.
+    pub fn place(&self) -> u64 {
+        xxh3_64(self.key.as_bytes())
+    }
+
+    /// Hash of key and version.
+    pub fn fingerprint(&self) -> u64 {
+        xxh3_64_with_seed(self.key.as_bytes(), self.revision)
+    }
+}
+
+/// A node as it announces itself. Only the node itself changes its announcement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Node {
+    /// The process, and so its incarnation.
+    pub id: node::Id,
+    /// Counts the changes of the announcement; the version.
+    pub counter: u64,
+    /// Its name.
+    pub name: Name,
+    /// What it does.
+    pub role: Role,
+    /// Where it receives envelopes.
+    pub envelope: SocketAddr,
+    /// Where it receives the exchange.
+    pub exchange: SocketAddr,
+    /// Where it serves metrics and readiness.
+    pub admin: SocketAddr,
+    /// Its failure domain.
+    pub domain: domain::Id,
+    /// The set of backend servers that it belongs to; empty for balancers.
+    pub set: Name,
+    /// Its organisation; empty for balancers.
+    pub organisation: Name,
+    /// What it may be given.
+    pub stage: Stage,
+    /// The balancers that it attaches to, at most [`MONITORS`].
+    pub monitors: Vec<node::Id>,
+}
+
+impl Node {
+    /// Hash of key and version.
+    pub fn fingerprint(&self) -> u64 {
+        hash(self.id, self.counter, 1)
+    }
+}
+
+/// What a node does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    /// Full member of the exchange.
+    Balancer,
+    /// Leaf member: attaches to balancers.
+    Agent,
+}
+
+/// What a node may be given, in its own words.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// New flows and work.
+    Active,
+    /// New flows and work within its cold limits.
+    Cold,
+    /// Only packets of flows that it has.
+    Leaving,
+}
+
+/// A change of a node's liveness, published by a balancer that the node attaches to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pulse {
+    /// The node.
+    pub node: node::Id,
+    /// What it does.
+    pub role: Role,
+    /// The last heartbeat heard of it; the first part of the version.
+    pub beat: u64,
+    /// What is known of it; the second part of the version.
+    pub vital: Vital,
+    /// Milliseconds since the change. Not part of the version: a span needs no common clock.
+    pub age_ms: u64,
+}
+
+impl Pulse {
+    /// Orders pulses of one node. A newer heartbeat refutes silence.
+    pub fn version(&self) -> (u64, Vital) {
+        (self.beat, self.vital)
+    }
+
+    /// Hash of key and version.
+    pub fn fingerprint(&self) -> u64 {
+        hash(self.node, self.beat, 2 + self.vital as u64)
+    }
+}
+
+/// What is known of a node's liveness.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Vital {
+    /// Heard again after silence.
+    Alive,
+    /// Not heard for the silence period.
+    Silent,
+    /// Silent for so long that its entries are removed.
+    Dead,
+}
+
+/// A load report of an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// The agent.
+    pub node: node::Id,
+    /// Counts the reports; the version.
+    pub counter: u64,
+    /// Open flows.
+    pub open: u32,
+    /// Open flows that it bears at present.
+    pub limit: u32,
+    /// Requests running.
+    pub busy: u16,
+    /// Requests that it may run at once at present.
+    pub slots: u16,
+}
+
+impl Load {
+    /// Whether the change since `last` is worth a report.
+    ///
+    /// Routing orders candidates by load, so a change of less than 5% of the limit and less
+    /// than two flows or requests does not alter decisions.
+    pub fn differs(&self, last: &Self) -> bool {
+        let step = (self.limit / 20).max(2);
+        let busy = (self.slots / 4).max(2);
+        self.open.abs_diff(last.open) >= step
+            || self.busy.abs_diff(last.busy) >= busy
+            || self.limit != last.limit
+            || self.slots != last.slots
+    }
+}
+
+/// Hash of a node's key and version; `kind` separates announcements from pulses.
+fn hash(id: node::Id, version: u64, kind: u64) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&id.0.to_le_bytes());
+    bytes[8..].copy_from_slice(&version.to_le_bytes());
+    xxh3_64_with_seed(&bytes, kind)
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -0,0 +1,236 @@
+//! What a node does with a message.
+
+use std::net::SocketAddr;
+
+use crate::id::node;
+use crate::process::clock::Millis;
+use crate::process::spread::core::{Action, Core};
+use crate::process::spread::digest::Scope;
+use crate::process::spread::entry::{Entry, Pulse, Role, Vital};
+use crate::process::spread::hot::Batch;
+use crate::process::spread::message::{Ack, Beat, Body, MAX_FIELDS, Message, Part, Pull};
+
+/// Most messages that answer one pull.
+const MAX_FILLS: usize = 8;
+
+impl Core {
+    /// Takes a message.
+    pub(super) fn receive(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        message: Message,
+        actions: &mut Vec<Action>,
+    ) {
+        let Message { sender, body } = message;
+        if sender == self.me.id {
+            return;
+        }
+        self.budget.receive(now, body.size());
+        self.heard = now;
+        match body {
+            Body::Beat(beat) => self.receive_beat(now, from, sender, beat, actions),
+            Body::Ack(ack) => self.receive_ack(now, from, sender, ack, actions),
+            Body::Push(entries) => self.take_all(now, entries, actions),
+            Body::Part(part) => {
+                if let Some(document) = self.parts.add(now, part) {
+                    self.apply(now, Entry::Document(document), actions);
+                }
+            }
+            Body::Query { node, beat } => {
+                let known = self.watches.evidence(now, node).filter(|b| *b > beat);
+                if let Some(beat) = known {
+                    self.send(now, from, Body::Evidence { node, beat }, actions);
+                }
+            }
+            Body::Evidence { node, beat } => self.watches.confirm(now, node, beat),
+            Body::Compare { scope, root } => {
+                self.answer_compare(now, from, scope, root, actions);
+            }
+            Body::Hashes { scope, ready, sums } => {
+                self.receive_hashes(now, from, &scope, ready, &sums, actions);
+            }
+            Body::Pull(pull) => self.answer_pull(now, from, pull, actions),
+            Body::Fill { index, last, entries } => {
+                self.take_all(now, entries, actions);
+                self.repair.filled(now, index, last);
+                self.pull(now, actions);
+            }
+        }
+    }
+
+    /// Takes entries in.
+    fn take_all(&mut self, now: Millis, entries: Vec<Entry>, actions: &mut Vec<Action>) {
+        for entry in entries {
+            self.apply(now, entry, actions);
+        }
+    }
+
+    /// Takes a heartbeat.
+    fn receive_beat(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        sender: node::Id,
+        beat: Beat,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.ready || self.me.role != Role::Balancer {
+            return;
+        }
+        if self.watches.beat(now, sender, from, beat.beat) {
+            self.end_silence(now, sender, beat.beat, actions);
+        }
+        self.take_all(now, beat.entries, actions);
+        let node = self.state.member(sender).and_then(|member| member.node.clone());
+        let counter = node.as_ref().map_or(0, |node| node.counter);
+        let scope = match &node {
+            Some(node) if node.role == Role::Agent => {
+                Scope::Leaf(node.organisation.clone())
+            }
+            _ => Scope::All,
+        };
+        let root = self.state.digest().root(&scope);
+        if beat.ask || counter != beat.counter {
+            let ack = Ack { beat: beat.beat, counter, root };
+            self.send(now, from, Body::Ack(ack), actions);
+        }
+        if scope == Scope::All && node.is_some() && root != beat.root {
+            self.compare(now, from, actions);
+        }
+    }
+
+    /// Publishes that a silent node is heard again, once its heartbeats are steady.
+    fn end_silence(
+        &mut self,
+        now: Millis,
+        id: node::Id,
+        beat: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(member) = self.state.member(id) else { return };
+        let Some(pulse) = member.pulse.filter(|p| p.vital != Vital::Alive) else {
+            return;
+        };
+        let steady = self.watches.steady_ms(now, id) >= member.hold_ms();
+        if beat > pulse.beat && steady {
+            let alive = Pulse { beat, vital: Vital::Alive, age_ms: 0, ..pulse };
+            self.apply(now, Entry::Pulse(alive), actions);
+        }
+    }
+
+    /// Takes the response to a heartbeat.
+    fn receive_ack(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        sender: node::Id,
+        ack: Ack,
+        actions: &mut Vec<Action>,
+    ) {
+        self.slots.ack(now, sender, ack.counter);
+        if ack.counter != 0 && ack.root != self.root() {
+            self.compare(now, from, actions);
+        }
+    }
+
+    /// Asks a peer with a different digest for its sums, if that is due.
+    pub(super) fn compare(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.repair.is_due(now) {
+            let body = Body::Compare { scope: self.scope.clone(), root: self.root() };
+            if self.send(now, to, body, actions) {
+                self.repair.asked(now);
+            }
+        }
+    }
+
+    /// Answers with the sums of this node's digest.
+    fn answer_compare(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        scope: Scope,
+        root: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        let digest = self.state.digest();
+        let same = digest.root(&scope) == root;
+        let sums = if same { Vec::new() } else { digest.hashes(&scope) };
+        let ready = self.ready;
+        self.send(now, to, Body::Hashes { scope, ready, sums }, actions);
+    }
+
+    /// Takes the sums of a peer.
+    fn receive_hashes(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        scope: &Scope,
+        ready: bool,
+        sums: &[u32],
+        actions: &mut Vec<Action>,
+    ) {
+        if *scope != self.scope {
+            return;
+        }
+        self.repair.compare(from, &self.state, scope, ready, sums);
+        if !self.ready && self.repair.is_covered() {
+            self.complete(now, actions);
+        }
+        self.pull(now, actions);
+    }
+
+    /// Answers with the entries of one part of the digest that the peer lacks.
+    fn answer_pull(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        pull: Pull,
+        actions: &mut Vec<Action>,
+    ) {
+        let (index, width) = (usize::from(pull.index), usize::from(pull.width));
+        let part = self.state.part(now, &pull.scope, index, width);
+        let lacks = |hash: &u32| part.iter().all(|(own, _)| own != hash);
+        let ask_back = pull.back && pull.have.iter().any(lacks);
+        let own: Vec<u32> = part.iter().map(|(hash, _)| *hash).collect();
+        let missing = part.into_iter().filter(|(hash, _)| !pull.have.contains(hash));
+        self.fill(now, to, pull.index, missing.map(|(_, entry)| entry), actions);
+        if ask_back && self.ready {
+            let body = Body::Pull(Pull { back: false, have: own, ..pull });
+            self.send(now, to, body, actions);
+        }
+    }
+
+    /// Sends entries in as many messages as needed and allowed.
+    fn fill(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        index: u16,
+        entries: impl Iterator<Item = Entry>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut entries = entries.peekable();
+        for _ in 0..MAX_FILLS {
+            let mut batch = Batch::default();
+            while let Some(entry) =
+                entries.next_if(|e| batch.add(e.clone(), MAX_FIELDS - 8))
+            {
+                drop(entry);
+            }
+            for part in batch.long.iter().filter_map(Part::split).flatten() {
+                self.send(now, to, Body::Part(part), actions);
+            }
+            let last = entries.peek().is_none();
+            let body = Body::Fill { index, last, entries: batch.entries };
+            if !self.send(now, to, body, actions) || last {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/spread/repair.rs
@@ -0,0 +1,146 @@
+//! Paces the digest exchange and tells when a new node has the full state.
+
+use std::net::SocketAddr;
+
+use fastrand::Rng;
+
+use crate::process::clock::Millis;
+use crate::process::spread::digest::{Scope, WIDTH};
+use crate::process::spread::state::State;
+
+/// Parts that are asked for at the same time.
+const WINDOW: usize = 4;
+
+/// Time in milliseconds after which a response is no longer expected.
+const TIMEOUT_MS: u64 = 1_000;
+
+/// Least time between comparisons in milliseconds.
+const PACE_MS: u64 = 1_000;
+
+/// The same while the own state changes: pushes are likely to bring what is missing.
+const BUSY_MS: u64 = 3_000;
+
+/// Time without news in milliseconds after which the own state counts as settled.
+const SETTLED_MS: u64 = 700;
+
+/// A digest exchange in progress, and the progress of a new node.
+#[derive(Debug)]
+pub struct Repair {
+    /// Where the sums came from.
+    peer: Option<SocketAddr>,
+    /// Number of parts of the digest.
+    width: usize,
+    /// Parts that differ and have not been asked for.
+    pending: Vec<u16>,
+    /// Parts that have been asked for, and when.
+    open: Vec<(u16, Millis)>,
+    /// Places at which the state has once been equal to that of a ready node.
+    covered: Box<[bool; WIDTH]>,
+    /// When a comparison was last asked for.
+    asked: Millis,
+    /// When the own state last changed.
+    news: Millis,
+}
+
+impl Repair {
+    /// No exchange in progress.
+    pub fn new() -> Self {
+        Self {
+            peer: None,
+            width: WIDTH,
+            pending: Vec::new(),
+            open: Vec::new(),
+            covered: Box::new([false; WIDTH]),
+            asked: Millis(0),
+            news: Millis(0),
+        }
+    }
+
+    /// Notes that the own state changed.
+    pub fn changed(&mut self, now: Millis) {
+        self.news = now;
+    }
+
+    /// Whether a comparison is due, given that a peer's digest differs or is unknown.
+    pub fn is_due(&self, now: Millis) -> bool {
+        let settled = now.since(self.news) >= SETTLED_MS;
+        let pace = if settled { PACE_MS } else { BUSY_MS };
+        self.is_idle() && now.since(self.asked) >= pace
+    }
+
+    /// Whether a new node should ask for a comparison.
+    pub fn is_due_to_join(&self, now: Millis) -> bool {
+        self.is_idle() && now.since(self.asked) >= TIMEOUT_MS / 2
+    }
+
+    /// Notes that a comparison was asked for.
+    pub fn asked(&mut self, now: Millis) {
+        self.asked = now;
+    }
+
+    /// Takes the sums of a peer.
+    pub fn compare(
+        &mut self,
+        from: SocketAddr,
+        state: &State,
+        scope: &Scope,
+        ready: bool,
+        sums: &[u32],
+    ) {
+        let width = if sums.is_empty() { WIDTH } else { sums.len() };
+        let own = if sums.is_empty() {
+            Vec::new()
+        } else {
+            state.digest().narrow(scope, width)
+        };
+        self.peer = Some(from);
+        self.width = width;
+        self.pending.clear();
+        let differs = |place: usize| sums.get(place % width) != own.get(place % width);
+        for place in 0..WIDTH {
+            if !differs(place) {
+                self.covered[place] |= ready;
+            } else if place < width {
+                self.pending.push(place as u16);
+            }
+        }
+    }
+
+    /// Whether each part of the state was once equal to that of a ready node.
+    pub fn is_covered(&self) -> bool {
+        self.covered.iter().all(|covered| *covered)
+    }
+
+    /// Takes the next part to ask for: the peer, the number of parts, the part.
+    pub fn next(&mut self, now: Millis, rng: &mut Rng) -> Option<(SocketAddr, u16, u16)> {
+        self.open.retain(|(_, since)| now.since(*since) < TIMEOUT_MS);
+        let peer = self.peer?;
+        if self.open.len() >= WINDOW || self.pending.is_empty() {
+            return None;
+        }
+        // At random, so that nodes that join together do not ask for the same parts.
+        let part = self.pending.swap_remove(rng.usize(..self.pending.len()));
+        self.open.push((part, now));
+        Some((peer, self.width as u16, part))
+    }
+
+    /// Notes that a part has arrived or, if not `last`, is arriving.
+    pub fn filled(&mut self, now: Millis, part: u16, last: bool) {
+        if last {
+            self.open.retain(|(open, _)| *open != part);
+        } else if let Some(open) = self.open.iter_mut().find(|(open, _)| *open == part) {
+            open.1 = now;
+        }
+    }
+
+    /// Whether no exchange is in progress.
+    fn is_idle(&self) -> bool {
+        self.pending.is_empty() && self.open.is_empty()
+    }
+}
+
+impl Default for Repair {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/spread/watch.rs
@@ -0,0 +1,193 @@
+//! Liveness of the nodes that attach to this balancer.
+
+use std::net::SocketAddr;
+
+use crate::id::node;
+use crate::process::clock::Millis;
+use crate::process::spread::entry::{Key, Vital};
+use crate::process::spread::member::{Member, SILENT_MS, SUSPECT_MS};
+use crate::process::spread::state::State;
+
+/// Missing heartbeats in milliseconds after which the node's other balancers are asked.
+///
+/// Heartbeats come each second, so that this is more than one lost heartbeat.
+const ASK_MS: u64 = 2_200;
+
+/// Time between questions in milliseconds.
+const AGAIN_MS: u64 = 200;
+
+/// A heartbeat as recent as this, in milliseconds, is evidence for another balancer.
+const FRESH_MS: u64 = 2_000;
+
+/// The nodes that send their heartbeats here.
+#[derive(Debug, Default)]
+pub struct List {
+    /// Sorted by node, without duplicates.
+    watches: Vec<Watch>,
+}
+
+impl List {
+    /// Notes a heartbeat; returns whether it is newer than those before.
+    pub fn beat(
+        &mut self,
+        now: Millis,
+        id: node::Id,
+        from: SocketAddr,
+        beat: u64,
+    ) -> bool {
+        let watch = self.entry(now, id, from);
+        if beat <= watch.beat {
+            return false;
+        }
+        if now.since(watch.heard) > ASK_MS {
+            watch.steady = now;
+        }
+        watch.address = from;
+        watch.hear(now, beat);
+        true
+    }
+
+    /// Starts to watch a node that names this balancer in its announcement.
+    pub fn expect(&mut self, now: Millis, id: node::Id, address: SocketAddr) {
+        self.entry(now, id, address);
+    }
+
+    /// The heartbeat of a node, if it was heard recently.
+    pub fn evidence(&self, now: Millis, id: node::Id) -> Option<u64> {
+        let watch = self.get(id)?;
+        (now.since(watch.heard) < FRESH_MS && watch.beat > 0).then_some(watch.beat)
+    }
+
+    /// Notes that another balancer has heard the node.
+    pub fn confirm(&mut self, now: Millis, id: node::Id, beat: u64) {
+        if let Ok(index) = self.find(id)
+            && beat > self.watches[index].beat
+        {
+            self.watches[index].hear(now, beat);
+        }
+    }
+
+    /// Milliseconds of steady heartbeats of a node.
+    pub fn steady_ms(&self, now: Millis, id: node::Id) -> u64 {
+        self.get(id).map_or(0, |watch| now.since(watch.steady))
+    }
+
+    /// Judges the silence of all nodes.
+    pub fn review(&mut self, now: Millis, state: &State, me: node::Id) -> Vec<Verdict> {
+        let mut verdicts = Vec::new();
+        self.watches.retain_mut(|watch| {
+            let quiet = now.since(watch.heard);
+            let member = state.member(watch.node);
+            if quiet < ASK_MS {
+                return true;
+            }
+            if !member.is_some_and(|member| names(member, me)) {
+                return quiet < SILENT_MS;
+            }
+            if quiet >= SILENT_MS - SUSPECT_MS {
+                let known = member.is_some_and(|m| m.vital() != Vital::Alive);
+                if !known {
+                    verdicts.push(Verdict::Silent(watch.node, watch.beat));
+                }
+            } else if watch.asked.is_none_or(|asked| now.since(asked) >= AGAIN_MS) {
+                watch.asked = Some(now);
+                verdicts.push(Verdict::Ask(watch.node, watch.beat));
+            }
+            true
+        });
+        verdicts
+    }
+
+    /// Treats the last `ms` milliseconds as not passed.
+    pub fn shift(&mut self, now: Millis, ms: u64) {
+        for watch in &mut self.watches {
+            watch.heard = watch.heard.after(ms).min(now);
+        }
+    }
+
+    /// Queues an entry for a node.
+    pub fn queue(&mut self, id: node::Id, key: &Key) {
+        if let Ok(index) = self.find(id)
+            && !self.watches[index].queue.contains(key)
+        {
+            self.watches[index].queue.push(key.clone());
+        }
+    }
+
+    /// The nodes that entries wait for.
+    pub fn waiting(&mut self) -> impl Iterator<Item = &mut Watch> {
+        self.watches.iter_mut().filter(|watch| !watch.queue.is_empty())
+    }
+
+    /// The watched nodes.
+    pub fn ids(&self) -> impl Iterator<Item = node::Id> {
+        self.watches.iter().map(|watch| watch.node)
+    }
+
+    /// Finds a watch.
+    fn get(&self, id: node::Id) -> Option<&Watch> {
+        self.find(id).ok().map(|index| &self.watches[index])
+    }
+
+    /// Finds a watch or starts one.
+    fn entry(&mut self, now: Millis, id: node::Id, address: SocketAddr) -> &mut Watch {
+        let index = self.find(id).unwrap_or_else(|index| {
+            self.watches.insert(index, Watch::new(now, id, address));
+            index
+        });
+        &mut self.watches[index]
+    }
+
+    /// Position of a watch.
+    fn find(&self, id: node::Id) -> Result<usize, usize> {
+        self.watches.binary_search_by_key(&id, |watch| watch.node)
+    }
+}
+
+/// A node that sends its heartbeats here.
+#[derive(Debug)]
+pub struct Watch {
+    /// The node.
+    pub node: node::Id,
+    /// Where it sends from.
+    pub address: SocketAddr,
+    /// Its last heartbeat.
+    beat: u64,
+    /// When that was heard, here or elsewhere.
+    heard: Millis,
+    /// Since when heartbeats arrive without a gap.
+    steady: Millis,
+    /// When its other balancers were last asked in the present silence.
+    asked: Option<Millis>,
+    /// Entries to be sent to it, without duplicates.
+    pub queue: Vec<Key>,
+}
+
+impl Watch {
+    /// Starts to watch a node as if it had just been heard.
+    fn new(now: Millis, node: node::Id, address: SocketAddr) -> Self {
+        let queue = Vec::new();
+        Self { node, address, beat: 0, heard: now, steady: now, asked: None, queue }
+    }
+
+    /// Notes a newer heartbeat.
+    fn hear(&mut self, now: Millis, beat: u64) {
+        self.beat = beat;
+        self.heard = now;
+        self.asked = None;
+    }
+}
+
+/// What to do about a silent node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Ask its other balancers for a heartbeat newer than this.
+    Ask(node::Id, u64),
+    /// Publish that it is silent since this heartbeat.
+    Silent(node::Id, u64),
+}
+
+/// Whether a member attaches to the balancer.
+fn names(member: &Member, me: node::Id) -> bool {
+    member.node.as_ref().is_some_and(|node| node.monitors.contains(&me))
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/spread/wire.rs
@@ -0,0 +1,419 @@
+//! Wire format of the exchange: a version byte, then a frame encoded by `postcard`.
+//!
+//! The types here are separate from those of [`super::message`], so that the decisions can
+//! change without the format and the other way round.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{domain, node};
+use crate::process::clock::Stamp;
+use crate::process::name::Name;
+use crate::process::spread::digest::{Scope, WIDTH};
+use crate::process::spread::entry::{self, MAX_DOCUMENT, MONITORS};
+use crate::process::spread::message::{self, Body, MAX_FIELDS};
+
+/// Version of the format.
+pub const VERSION: u8 = 1;
+
+/// Longest name of a node, set or organisation in bytes.
+const MAX_NAME: usize = 128;
+
+/// Longest document key in bytes.
+const MAX_KEY: usize = 200;
+
+/// Entries of one message. The shortest entry takes about ten bytes.
+const MAX_ENTRIES: usize = 128;
+
+/// Encodes a message, without the seal.
+///
+/// # Errors
+/// If the message is longer than a datagram allows.
+pub fn encode(stamp: Stamp, body: &Body, out: &mut Vec<u8>) -> Result<(), Fault> {
+    out.clear();
+    out.push(VERSION);
+    let frame = Frame { stamp: (stamp.wall_ms, stamp.count), body: body.into() };
+    *out = postcard::to_extend(&frame, std::mem::take(out)).map_err(|_| Fault::Format)?;
+    if out.len() > MAX_FIELDS + 17 { Err(Fault::Size) } else { Ok(()) }
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// If the version is unknown or the content is malformed or too large.
+pub fn decode(bytes: &[u8]) -> Result<(Stamp, Body), Fault> {
+    let (version, frame) = bytes.split_first().ok_or(Fault::Format)?;
+    if *version != VERSION {
+        return Err(Fault::Version);
+    }
+    if bytes.len() > message::MAX_DATAGRAM {
+        return Err(Fault::Size);
+    }
+    let (frame, rest) =
+        postcard::take_from_bytes::<Frame<'_>>(frame).map_err(|_| Fault::Format)?;
+    if !rest.is_empty() {
+        return Err(Fault::Format);
+    }
+    let (wall_ms, count) = frame.stamp;
+    Ok((Stamp { wall_ms, count }, frame.body.try_into()?))
+}
+
+/// Why a message is not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Another version of the format.
+    Version,
+    /// Malformed or truncated.
+    Format,
+    /// A field or the whole is too large.
+    Size,
+}
+
+impl Fault {
+    /// The label of the fault in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Version => "version",
+            Self::Format => "format",
+            Self::Size => "size",
+        }
+    }
+}
+
+/// Time stamp and message.
+#[derive(Serialize, Deserialize)]
+struct Frame<'a> {
+    /// Hybrid logical time of the sender: milliseconds and counter.
+    stamp: (u64, u32),
+    /// The message.
+    #[serde(borrow)]
+    body: Wire<'a>,
+}
+
+/// Counterpart of [`Body`].
+#[derive(Serialize, Deserialize)]
+enum Wire<'a> {
+    /// Heartbeat: number, version of the announcement, question, root, entries.
+    Beat(u64, u64, bool, [u8; 4], #[serde(borrow)] Vec<Entry<'a>>),
+    /// Response: number, version of the announcement, root.
+    Ack(u64, u64, [u8; 4]),
+    /// Entries.
+    Push(#[serde(borrow)] Vec<Entry<'a>>),
+    /// Part of a document: key, revision, index, count, bytes.
+    Part(&'a str, u64, u16, u16, &'a [u8]),
+    /// Question for a heartbeat: node, number.
+    Query([u8; 8], u64),
+    /// A heartbeat: node, number.
+    Evidence([u8; 8], u64),
+    /// Question for sums: scope, root.
+    Compare(#[serde(borrow)] Area<'a>, [u8; 4]),
+    /// Sums: scope, ready, sums.
+    Hashes(#[serde(borrow)] Area<'a>, bool, Vec<[u8; 4]>),
+    /// Question for entries: scope, width, index, back, fingerprints.
+    Pull(#[serde(borrow)] Area<'a>, u16, u16, bool, Vec<[u8; 4]>),
+    /// Entries of one part: index, last, entries.
+    Fill(u16, bool, #[serde(borrow)] Vec<Entry<'a>>),
+}
+
+/// Counterpart of [`Scope`].
+#[derive(Serialize, Deserialize)]
+enum Area<'a> {
+    /// Everything.
+    All,
+    /// What agents of an organisation need.
+    Leaf(&'a str),
+}
+
+/// Counterpart of [`entry::Entry`].
+#[derive(Serialize, Deserialize)]
+enum Entry<'a> {
+    /// Document: key, revision, content.
+    Document(&'a str, u64, Option<&'a [u8]>),
+    /// Announcement.
+    Node(#[serde(borrow)] Node<'a>),
+    /// Liveness: node, kind (role and state), heartbeat, age in milliseconds.
+    Pulse([u8; 8], u8, u64, u64),
+    /// Load: node, version, open, limit, busy, slots.
+    Load([u8; 8], u64, u32, u32, u16, u16),
+}
+
+/// Counterpart of [`entry::Node`].
+#[derive(Serialize, Deserialize)]
+struct Node<'a> {
+    /// The process.
+    id: [u8; 8],
+    /// The version.
+    counter: u64,
+    /// Its name.
+    name: &'a str,
+    /// Role (0 balancer, 1 agent) and stage (0 active, 1 cold, 2 leaving).
+    kind: (u8, u8),
+    /// Addresses for envelopes, exchange and metrics.
+    addresses: [SocketAddr; 3],
+    /// Its failure domain.
+    domain: u8,
+    /// Its set.
+    set: &'a str,
+    /// Its organisation.
+    organisation: &'a str,
+    /// Balancers that it attaches to.
+    monitors: Vec<[u8; 8]>,
+}
+
+impl<'a> From<&'a Body> for Wire<'a> {
+    fn from(body: &'a Body) -> Self {
+        match body {
+            Body::Beat(b) => Self::Beat(
+                b.beat,
+                b.counter,
+                b.ask,
+                b.root.to_le_bytes(),
+                list(&b.entries),
+            ),
+            Body::Ack(a) => Self::Ack(a.beat, a.counter, a.root.to_le_bytes()),
+            Body::Push(entries) => Self::Push(list(entries)),
+            Body::Part(p) => Self::Part(&p.key, p.revision, p.index, p.count, &p.bytes),
+            Body::Query { node, beat } => Self::Query(node.0.to_le_bytes(), *beat),
+            Body::Evidence { node, beat } => Self::Evidence(node.0.to_le_bytes(), *beat),
+            Body::Compare { scope, root } => {
+                Self::Compare(scope.into(), root.to_le_bytes())
+            }
+            Body::Hashes { scope, ready, sums } => {
+                Self::Hashes(scope.into(), *ready, words(sums))
+            }
+            Body::Pull(p) => {
+                Self::Pull((&p.scope).into(), p.width, p.index, p.back, words(&p.have))
+            }
+            Body::Fill { index, last, entries } => {
+                Self::Fill(*index, *last, list(entries))
+            }
+        }
+    }
+}
+
+impl TryFrom<Wire<'_>> for Body {
+    type Error = Fault;
+
+    fn try_from(wire: Wire<'_>) -> Result<Self, Fault> {
+        Ok(match wire {
+            Wire::Beat(beat, counter, ask, root, entries) => Self::Beat(message::Beat {
+                beat,
+                counter,
+                ask,
+                root: u32::from_le_bytes(root),
+                entries: unlist(entries)?,
+            }),
+            Wire::Ack(beat, counter, root) => {
+                let root = u32::from_le_bytes(root);
+                Self::Ack(message::Ack { beat, counter, root })
+            }
+            Wire::Push(entries) => Self::Push(unlist(entries)?),
+            Wire::Part(key, revision, index, count, bytes) => Self::Part(message::Part {
+                key: name(key, MAX_KEY)?,
+                revision,
+                index,
+                count,
+                bytes: Bytes::copy_from_slice(bytes),
+            }),
+            Wire::Query(id, beat) => Self::Query { node: id_of(id), beat },
+            Wire::Evidence(id, beat) => Self::Evidence { node: id_of(id), beat },
+            Wire::Compare(scope, root) => {
+                Self::Compare { scope: scope.try_into()?, root: u32::from_le_bytes(root) }
+            }
+            Wire::Hashes(scope, ready, sums) => {
+                // Parts fold onto each other only if their number is a power of two.
+                let valid = sums.is_empty() || is_width(sums.len());
+                let sums = valid.then(|| unwords(&sums)).ok_or(Fault::Size)?;
+                Self::Hashes { scope: scope.try_into()?, ready, sums }
+            }
+            Wire::Pull(scope, width, index, back, have) => {
+                if !is_width(width.into()) || index >= width {
+                    return Err(Fault::Size);
+                }
+                let (scope, have) = (scope.try_into()?, unwords(&have));
+                Self::Pull(message::Pull { scope, width, index, back, have })
+            }
+            Wire::Fill(index, last, entries) => {
+                Self::Fill { index, last, entries: unlist(entries)? }
+            }
+        })
+    }
+}
+
+impl<'a> From<&'a Scope> for Area<'a> {
+    fn from(scope: &'a Scope) -> Self {
+        match scope {
+            Scope::All => Self::All,
+            Scope::Leaf(name) => Self::Leaf(name),
+        }
+    }
+}
+
+impl TryFrom<Area<'_>> for Scope {
+    type Error = Fault;
+
+    fn try_from(area: Area<'_>) -> Result<Self, Fault> {
+        Ok(match area {
+            Area::All => Self::All,
+            Area::Leaf(organisation) => Self::Leaf(name(organisation, MAX_NAME)?),
+        })
+    }
+}
+
+impl<'a> From<&'a entry::Entry> for Entry<'a> {
+    fn from(entry: &'a entry::Entry) -> Self {
+        match entry {
+            entry::Entry::Document(d) => {
+                Self::Document(&d.key, d.revision, d.value.as_deref())
+            }
+            entry::Entry::Node(node) => Self::Node(node.as_ref().into()),
+            entry::Entry::Pulse(p) => {
+                let kind = p.role as u8 * 4 + p.vital as u8;
+                Self::Pulse(p.node.0.to_le_bytes(), kind, p.beat, p.age_ms)
+            }
+            entry::Entry::Load(l) => {
+                let id = l.node.0.to_le_bytes();
+                Self::Load(id, l.counter, l.open, l.limit, l.busy, l.slots)
+            }
+        }
+    }
+}
+
+impl TryFrom<Entry<'_>> for entry::Entry {
+    type Error = Fault;
+
+    fn try_from(wire: Entry<'_>) -> Result<Self, Fault> {
+        Ok(match wire {
+            Entry::Document(key, revision, value) => {
+                if value.is_some_and(|value| value.len() > MAX_DOCUMENT) {
+                    return Err(Fault::Size);
+                }
+                let value = value.map(Bytes::copy_from_slice);
+                Self::document(name(key, MAX_KEY)?, revision, value)
+            }
+            Entry::Node(node) => Self::Node(Arc::new(node.try_into()?)),
+            Entry::Pulse(id, kind, beat, age_ms) => Self::Pulse(entry::Pulse {
+                node: id_of(id),
+                role: role(kind / 4)?,
+                beat,
+                vital: vital(kind % 4)?,
+                age_ms,
+            }),
+            Entry::Load(id, counter, open, limit, busy, slots) => {
+                let node = id_of(id);
+                Self::Load(entry::Load { node, counter, open, limit, busy, slots })
+            }
+        })
+    }
+}
+
+impl<'a> From<&'a entry::Node> for Node<'a> {
+    fn from(node: &'a entry::Node) -> Self {
+        Self {
+            id: node.id.0.to_le_bytes(),
+            counter: node.counter,
+            name: &node.name,
+            kind: (node.role as u8, node.stage as u8),
+            addresses: [node.envelope, node.exchange, node.admin],
+            domain: node.domain.0,
+            set: &node.set,
+            organisation: &node.organisation,
+            monitors: node.monitors.iter().map(|id| id.0.to_le_bytes()).collect(),
+        }
+    }
+}
+
+impl TryFrom<Node<'_>> for entry::Node {
+    type Error = Fault;
+
+    fn try_from(wire: Node<'_>) -> Result<Self, Fault> {
+        if wire.monitors.len() > MONITORS {
+            return Err(Fault::Size);
+        }
+        let [envelope, exchange, admin] = wire.addresses;
+        Ok(Self {
+            id: id_of(wire.id),
+            counter: wire.counter,
+            name: name(wire.name, MAX_NAME)?,
+            role: role(wire.kind.0)?,
+            envelope,
+            exchange,
+            admin,
+            domain: domain::Id(wire.domain),
+            set: name(wire.set, MAX_NAME)?,
+            organisation: name(wire.organisation, MAX_NAME)?,
+            stage: stage(wire.kind.1)?,
+            monitors: wire.monitors.into_iter().map(id_of).collect(),
+        })
+    }
+}
+
+/// Converts entries for the wire.
+fn list(entries: &[entry::Entry]) -> Vec<Entry<'_>> {
+    entries.iter().map(Entry::from).collect()
+}
+
+/// Converts entries from the wire.
+fn unlist(entries: Vec<Entry<'_>>) -> Result<Vec<entry::Entry>, Fault> {
+    if entries.len() > MAX_ENTRIES {
+        return Err(Fault::Size);
+    }
+    entries.into_iter().map(entry::Entry::try_from).collect()
+}
+
+/// Converts numbers to a fixed width, which is shorter than `postcard`'s for large numbers.
+fn words(values: &[u32]) -> Vec<[u8; 4]> {
+    values.iter().map(|value| value.to_le_bytes()).collect()
+}
+
+/// The inverse of [`words`].
+fn unwords(words: &[[u8; 4]]) -> Vec<u32> {
+    words.iter().map(|word| u32::from_le_bytes(*word)).collect()
+}
+
+/// Whether a digest may have this number of parts.
+fn is_width(width: usize) -> bool {
+    width.is_power_of_two() && width <= WIDTH
+}
+
+/// Reads an identifier.
+fn id_of(bytes: [u8; 8]) -> node::Id {
+    node::Id(u64::from_le_bytes(bytes))
+}
+
+/// Reads a name of limited length.
+fn name(text: &str, longest: usize) -> Result<Name, Fault> {
+    if text.len() > longest { Err(Fault::Size) } else { Ok(Name::from(text)) }
+}
+
+/// Reads a role.
+fn role(value: u8) -> Result<entry::Role, Fault> {
+    match value {
+        0 => Ok(entry::Role::Balancer),
+        1 => Ok(entry::Role::Agent),
+        _ => Err(Fault::Format),
+    }
+}
+
+/// Reads a stage.
+fn stage(value: u8) -> Result<entry::Stage, Fault> {
+    match value {
+        0 => Ok(entry::Stage::Active),
+        1 => Ok(entry::Stage::Cold),
+        2 => Ok(entry::Stage::Leaving),
+        _ => Err(Fault::Format),
+    }
+}
+
+/// Reads a liveness.
+fn vital(value: u8) -> Result<entry::Vital, Fault> {
+    match value {
+        0 => Ok(entry::Vital::Alive),
+        1 => Ok(entry::Vital::Silent),
+        2 => Ok(entry::Vital::Dead),
+        _ => Err(Fault::Format),
+    }
+}
