--- a/crates/lentilreach/src/process/spread/budget.rs
+++ b/crates/lentilreach/src/process/spread/budget.rs
@@ -1,9 +1,9 @@
-//! The byte budget of a node: what it sends and receives in any second.
+//! The byte budget of a node for the exchange.
 
 use crate::process::clock::Millis;
 use crate::process::spread::entry::Class;
 
-/// Bytes per second that a node may send and receive for the exchange.
+/// Bytes that a node may send for the exchange in any second, headers included.
 pub const BYTES_PER_S: u32 = 11_000;
 
 /// Bytes of the IPv4 and UDP headers, counted for each datagram.
@@ -18,7 +18,10 @@
 /// Counts bytes over a sliding window of one second.
 ///
 /// Each class has a ceiling. The room above it remains for more urgent classes, which makes
-/// the priorities strict.
+/// the priorities strict. What a node can put off, loads and pulls, also counts against the
+/// bytes received, so that both directions together stay below the budget in steady state.
+/// What others wait for, heartbeats, news and answers, counts against the bytes sent: a node
+/// that peers flood must still answer and show that it is alive.
 #[derive(Debug, Clone)]
 pub struct Budget {
     /// Bytes sent in each slot.
@@ -36,9 +39,6 @@
     }
 
     /// Takes `size` bytes for sending, if the class has room for them.
-    ///
-    /// Received bytes count, but not against heartbeats: a node that peers flood must still
-    /// be able to show that it is alive.
     pub fn take(&mut self, now: Millis, class: Class, size: usize) -> bool {
         self.turn(now);
         let size = (size + HEADERS) as u32;
@@ -56,28 +56,33 @@
         *slot = slot.saturating_add((size + HEADERS) as u32);
     }
 
-    /// Bytes that the class may use now.
+    /// Bytes that the class may send now.
     pub fn left(&mut self, now: Millis, class: Class) -> usize {
         self.turn(now);
         (self.room(class) as usize).saturating_sub(HEADERS)
     }
 
+    /// Bytes that may be asked for now.
+    pub fn pullable(&mut self, now: Millis) -> usize {
+        self.turn(now);
+        ceiling(REPAIR, self.both()) as usize
+    }
+
     /// Room of a class in the current window.
     fn room(&self, class: Class) -> u32 {
-        let sent: u32 = self.sent.iter().sum();
-        let received: u32 =
-            self.received.iter().fold(0, |sum, bytes| sum.saturating_add(*bytes));
-        let both = sent.saturating_add(received);
         match class {
-            Class::Configuration => {
-                (BYTES_PER_S.saturating_sub(both)).max(RESERVE.saturating_sub(sent))
-            }
-            Class::Liveness => ceiling(10_500, both),
-            Class::Repair => ceiling(9_500, both),
-            Class::Load => ceiling(7_500, both),
+            Class::Configuration => ceiling(BYTES_PER_S, sum(&self.sent)),
+            Class::Liveness => ceiling(LIVENESS, sum(&self.sent)),
+            Class::Repair => ceiling(REPAIR, sum(&self.sent)),
+            Class::Load => ceiling(LOAD, self.both()),
         }
     }
 
+    /// Bytes sent and received in the current window.
+    fn both(&self) -> u32 {
+        sum(&self.sent).saturating_add(sum(&self.received))
+    }
+
     /// Clears the slots that have left the window.
     fn turn(&mut self, now: Millis) {
         let slot = now.0 / SLOT_MS;
@@ -97,8 +102,19 @@
     }
 }
 
-/// Bytes per second that stay available for heartbeats however much is received.
-const RESERVE: u32 = 1_500;
+/// Ceiling of announcements and liveness in bytes per second.
+const LIVENESS: u32 = 10_500;
+
+/// Ceiling of digests and what they repair in bytes per second.
+const REPAIR: u32 = 9_500;
+
+/// Ceiling of loads in bytes per second, both directions.
+const LOAD: u32 = 8_000;
+
+/// Bytes in all slots.
+fn sum(slots: &[u32; SLOTS]) -> u32 {
+    slots.iter().fold(0, |sum, bytes| sum.saturating_add(*bytes))
+}
 
 /// Room below a ceiling.
 fn ceiling(limit: u32, used: u32) -> u32 {
--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -105,6 +105,8 @@
     pub(super) seeds: Vec<SocketAddr>,
     /// Balancers that are alive, without this node.
     pub(super) peers: Vec<SocketAddr>,
+    /// The same in the order in which they are pushed to; refilled when used up.
+    pub(super) order: Vec<SocketAddr>,
     /// When any node was last heard.
     pub(super) heard: Millis,
     /// The load now, if it was ever given.
@@ -141,6 +143,7 @@
             ready: false,
             seeds: Vec::new(),
             peers: Vec::new(),
+            order: Vec::new(),
             heard: Millis(0),
             load: None,
             reported: None,
@@ -340,7 +343,7 @@
         let log = (u32::BITS - nodes.leading_zeros()) as u8;
         match entry.class() {
             Class::Configuration => log + 1,
-            Class::Load => log.div_ceil(3),
+            Class::Load => log.div_ceil(4).max(2),
             _ => log,
         }
     }
--- a/crates/lentilreach/src/process/spread/entry.rs
+++ b/crates/lentilreach/src/process/spread/entry.rs
@@ -244,11 +244,10 @@
 impl Load {
     /// Whether the change since `last` is worth a report.
     ///
-    /// Routing orders candidates by load, so a change of less than 5% of the limit and less
-    /// than two flows or requests does not alter decisions.
+    /// The target for imbalance is 1.05, so that a change of 2% of the open flows matters.
     pub fn differs(&self, last: &Self) -> bool {
-        let step = (self.limit / 20).max(2);
-        let busy = (self.slots / 4).max(2);
+        let step = (last.open / 50).max(1);
+        let busy = (self.slots / 4).max(1);
         self.open.abs_diff(last.open) >= step
             || self.busy.abs_diff(last.busy) >= busy
             || self.limit != last.limit
--- a/crates/lentilreach/src/process/spread/member.rs
+++ b/crates/lentilreach/src/process/spread/member.rs
@@ -18,7 +18,7 @@
 const ORPHAN_MS: u64 = 1_000;
 
 /// The same for a node that has never attached.
-const ALONE_MS: u64 = 6_000;
+const ALONE_MS: u64 = 10_000;
 
 /// Silence in milliseconds after which a node's entries are removed.
 const DEAD_MS: u64 = 120_000;
--- a/crates/lentilreach/src/process/spread/message.rs
+++ b/crates/lentilreach/src/process/spread/message.rs
@@ -74,6 +74,10 @@
     Fill {
         /// The part.
         index: u16,
+        /// Position of the message in the response.
+        turn: u8,
+        /// Whether the sender has the full state.
+        ready: bool,
         /// Whether this is the last message for the part.
         last: bool,
         /// The entries.
@@ -101,10 +105,26 @@
                     scope_size(scope) + 3 + 4 * sums.len()
                 }
                 Self::Pull(pull) => scope_size(&pull.scope) + 9 + 4 * pull.have.len(),
-                Self::Fill { entries, .. } => 6 + sum(entries),
+                Self::Fill { entries, .. } => 8 + sum(entries),
             }
     }
 
+    /// The label of the message in metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Beat(_) => "beat",
+            Self::Ack(_) => "ack",
+            Self::Push(_) => "push",
+            Self::Part(_) => "part",
+            Self::Query { .. } => "query",
+            Self::Evidence { .. } => "evidence",
+            Self::Compare { .. } => "compare",
+            Self::Hashes { .. } => "hashes",
+            Self::Pull(_) => "pull",
+            Self::Fill { .. } => "fill",
+        }
+    }
+
     /// The class of the message.
     pub fn class(&self) -> Class {
         match self {
--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -11,7 +11,7 @@
 use crate::process::spread::message::{Ack, Beat, Body, MAX_FIELDS, Message, Part, Pull};
 
 /// Most messages that answer one pull.
-const MAX_FILLS: usize = 8;
+const MAX_FILLS: u8 = 8;
 
 impl Core {
     /// Takes a message.
@@ -51,9 +51,10 @@
                 self.receive_hashes(now, from, &scope, ready, &sums, actions);
             }
             Body::Pull(pull) => self.answer_pull(now, from, pull, actions),
-            Body::Fill { index, last, entries } => {
+            Body::Fill { index, turn, ready, last, entries } => {
                 self.take_all(now, entries, actions);
-                self.repair.filled(now, index, last);
+                self.repair.filled(now, index, turn, ready, last);
+                self.check_covered(now, actions);
                 self.pull(now, actions);
             }
         }
@@ -179,10 +180,15 @@
             return;
         }
         self.repair.compare(from, &self.state, scope, ready, sums);
+        self.check_covered(now, actions);
+        self.pull(now, actions);
+    }
+
+    /// Becomes ready once the state is complete.
+    fn check_covered(&mut self, now: Millis, actions: &mut Vec<Action>) {
         if !self.ready && self.repair.is_covered() {
             self.complete(now, actions);
         }
-        self.pull(now, actions);
     }
 
     /// Answers with the entries of one part of the digest that the peer lacks.
@@ -216,10 +222,11 @@
         actions: &mut Vec<Action>,
     ) {
         let mut entries = entries.peekable();
-        for _ in 0..MAX_FILLS {
+        let ready = self.ready;
+        for turn in 0..MAX_FILLS {
             let mut batch = Batch::default();
             while let Some(entry) =
-                entries.next_if(|e| batch.add(e.clone(), MAX_FIELDS - 8))
+                entries.next_if(|e| batch.add(e.clone(), MAX_FIELDS - 10))
             {
                 drop(entry);
             }
@@ -227,7 +234,10 @@
                 self.send(now, to, Body::Part(part), actions);
             }
             let last = entries.peek().is_none();
-            let body = Body::Fill { index, last, entries: batch.entries };
+            let long = !batch.long.is_empty();
+            // Parts may be lost unnoticed, so a long document does not count as received.
+            let ready = ready && !long;
+            let body = Body::Fill { index, turn, ready, last, entries: batch.entries };
             if !self.send(now, to, body, actions) || last {
                 return;
             }
--- a/crates/lentilreach/src/process/spread/repair.rs
+++ b/crates/lentilreach/src/process/spread/repair.rs
@@ -32,9 +32,9 @@
     width: usize,
     /// Parts that differ and have not been asked for.
     pending: Vec<u16>,
-    /// Parts that have been asked for, and when.
-    open: Vec<(u16, Millis)>,
-    /// Places at which the state has once been equal to that of a ready node.
+    /// Parts that have been asked for.
+    open: Vec<Open>,
+    /// Places at which the state once contained that of a ready node.
     covered: Box<[bool; WIDTH]>,
     /// When a comparison was last asked for.
     asked: Millis,
@@ -106,30 +106,41 @@
         }
     }
 
-    /// Whether each part of the state was once equal to that of a ready node.
+    /// Whether each part of the state once contained that of a ready node.
     pub fn is_covered(&self) -> bool {
         self.covered.iter().all(|covered| *covered)
     }
 
     /// Takes the next part to ask for: the peer, the number of parts, the part.
     pub fn next(&mut self, now: Millis, rng: &mut Rng) -> Option<(SocketAddr, u16, u16)> {
-        self.open.retain(|(_, since)| now.since(*since) < TIMEOUT_MS);
+        self.open.retain(|open| now.since(open.at) < TIMEOUT_MS);
         let peer = self.peer?;
         if self.open.len() >= WINDOW || self.pending.is_empty() {
             return None;
         }
         // At random, so that nodes that join together do not ask for the same parts.
         let part = self.pending.swap_remove(rng.usize(..self.pending.len()));
-        self.open.push((part, now));
+        self.open.push(Open { part, at: now, turn: 0, whole: true });
         Some((peer, self.width as u16, part))
     }
 
-    /// Notes that a part has arrived or, if not `last`, is arriving.
-    pub fn filled(&mut self, now: Millis, part: u16, last: bool) {
-        if last {
-            self.open.retain(|(open, _)| *open != part);
-        } else if let Some(open) = self.open.iter_mut().find(|(open, _)| *open == part) {
-            open.1 = now;
+    /// Notes a message with entries of a part.
+    ///
+    /// The part is covered if a ready node sent it and no message of the response is missing.
+    pub fn filled(&mut self, now: Millis, part: u16, turn: u8, ready: bool, last: bool) {
+        let Some(index) = self.open.iter().position(|open| open.part == part) else {
+            return;
+        };
+        let open = &mut self.open[index];
+        open.at = now;
+        open.whole &= ready && open.turn == turn;
+        open.turn = turn.saturating_add(1);
+        if !last {
+            return;
+        }
+        if self.open.swap_remove(index).whole {
+            let places = (usize::from(part)..WIDTH).step_by(self.width);
+            places.for_each(|place| self.covered[place] = true);
         }
     }
 
@@ -144,3 +155,16 @@
         Self::new()
     }
 }
+
+/// A part that has been asked for.
+#[derive(Debug)]
+struct Open {
+    /// The part.
+    part: u16,
+    /// When it was asked for, or a message of the response last arrived.
+    at: Millis,
+    /// Position of the next message.
+    turn: u8,
+    /// Whether no message is missing.
+    whole: bool,
+}
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -24,7 +24,7 @@
 const MANY_LOADS: usize = 40;
 
 /// Time in milliseconds after which a load report is repeated.
-const LOAD_MS: u64 = 30_000;
+const LOAD_MS: u64 = 120_000;
 
 /// Time in milliseconds without any message after which a node takes itself for cut off.
 const CUT_OFF_MS: u64 = 1_500;
@@ -66,7 +66,7 @@
 
     /// Asks for the next parts of a digest exchange.
     pub(super) fn pull(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        while self.budget.left(now, Class::Repair) >= PULL_BYTES {
+        while self.budget.pullable(now) >= PULL_BYTES {
             let next = self.repair.next(now, &mut self.rng);
             let Some((peer, width, index)) = next else { return };
             // A new node spreads its questions, so that no peer carries the whole load.
@@ -100,7 +100,8 @@
             self.announce(now, |me| me.monitors = monitors, actions);
         }
         self.beat(now, actions);
-        self.state.note_orphans(now, self.me.id);
+        let strict = self.me.role == Role::Balancer;
+        self.state.note_orphans(now, self.me.id, strict);
         for id in self.state.expire(now, self.me.id) {
             let entry = self.status_entry(now, id);
             actions.extend(entry.map(Action::Changed));
@@ -231,7 +232,7 @@
             if !self.hot.is_urgent() && !loads {
                 return;
             }
-            let Some(to) = self.any_peer() else { return };
+            let Some(to) = self.next_peer() else { return };
             let space = self.budget.left(now, Class::Liveness).min(MAX_FIELDS - 2);
             let load_space = self.budget.left(now, Class::Load).min(MAX_FIELDS - 2);
             let batch = self.hot.batch(now, &self.state, space, load_space);
@@ -269,6 +270,21 @@
         self.peers.extend(balancers.map(|node| node.exchange));
     }
 
+    /// The balancer to push to next.
+    ///
+    /// All have their turn in random order, so that the pushes of an entry go to different
+    /// balancers and reach all of a small fleet.
+    fn next_peer(&mut self) -> Option<SocketAddr> {
+        while let Some(peer) = self.order.pop() {
+            if self.peers.contains(&peer) {
+                return Some(peer);
+            }
+        }
+        self.order.clone_from(&self.peers);
+        self.rng.shuffle(&mut self.order);
+        self.order.pop()
+    }
+
     /// A random balancer that is alive.
     pub(super) fn any_peer(&mut self) -> Option<SocketAddr> {
         pick(&self.peers, &mut self.rng)
--- a/crates/lentilreach/src/process/spread/state.rs
+++ b/crates/lentilreach/src/process/spread/state.rs
@@ -129,17 +129,18 @@
     }
 
     /// Notes which members attach to silent balancers only.
-    pub fn note_orphans(&mut self, now: Millis, me: node::Id) {
+    ///
+    /// A balancer that is unknown here counts as alive: its announcement may be on its way.
+    /// `strict` also notes members that have not attached at all.
+    pub fn note_orphans(&mut self, now: Millis, me: node::Id, strict: bool) {
         for index in 0..self.members.len() {
             let member = &self.members[index];
             let Some(node) = &member.node else { continue };
             let hears = |id: &node::Id| {
-                *id == me
-                    || self
-                        .member(*id)
-                        .is_some_and(|m| m.node.is_some() && !m.is_silent(now))
+                *id == me || self.member(*id).is_none_or(|m| !m.is_silent(now))
             };
-            let heard = member.id == me || node.monitors.iter().any(hears);
+            let alone = !strict && node.monitors.is_empty();
+            let heard = member.id == me || alone || node.monitors.iter().any(hears);
             let orphan = &mut self.members[index].orphan;
             *orphan = if heard { None } else { Some(orphan.unwrap_or(now)) };
         }
@@ -200,6 +201,7 @@
         if let (Entry::Node(node), Some(area)) = (&entry, entry.area()) {
             self.digest.add(&area, node.id.0, node.fingerprint());
             self.members[index].node = Some(node.clone());
+            self.members[index].orphan = None;
         }
         Outcome::New
     }
--- a/crates/lentilreach/src/process/spread/wire.rs
+++ b/crates/lentilreach/src/process/spread/wire.rs
@@ -114,8 +114,8 @@
     Hashes(#[serde(borrow)] Area<'a>, bool, Vec<[u8; 4]>),
     /// Question for entries: scope, width, index, back, fingerprints.
     Pull(#[serde(borrow)] Area<'a>, u16, u16, bool, Vec<[u8; 4]>),
-    /// Entries of one part: index, last, entries.
-    Fill(u16, bool, #[serde(borrow)] Vec<Entry<'a>>),
+    /// Entries of one part: index, position, ready, last, entries.
+    Fill(u16, u8, bool, bool, #[serde(borrow)] Vec<Entry<'a>>),
 }
 
 /// Counterpart of [`Scope`].
@@ -187,8 +187,8 @@
             Body::Pull(p) => {
                 Self::Pull((&p.scope).into(), p.width, p.index, p.back, words(&p.have))
             }
-            Body::Fill { index, last, entries } => {
-                Self::Fill(*index, *last, list(entries))
+            Body::Fill { index, turn, ready, last, entries } => {
+                Self::Fill(*index, *turn, *ready, *last, list(entries))
             }
         }
     }
@@ -236,8 +236,8 @@
                 let (scope, have) = (scope.try_into()?, unwords(&have));
                 Self::Pull(message::Pull { scope, width, index, back, have })
             }
-            Wire::Fill(index, last, entries) => {
-                Self::Fill { index, last, entries: unlist(entries)? }
+            Wire::Fill(index, turn, ready, last, entries) => {
+                Self::Fill { index, turn, ready, last, entries: unlist(entries)? }
             }
         })
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,4 @@
 //! Stand-ins.
+
+pub mod measure;
+pub mod network;
