--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -21,6 +21,7 @@
 pub mod settings;
 pub mod site;
 pub mod slot;
+pub mod spread;
 pub mod store;
 pub mod submit;
 pub mod tables;
--- /dev/null
+++ b/crates/lentilreach/src/process/spread/budget.rs
@@ -0,0 +1,122 @@
+//! The byte budget of a node for the exchange.
+
+use crate::process::clock::Millis;
+use crate::process::spread::entry::Class;
+
+/// Bytes that a node may send for the exchange in any second, headers included.
+pub const BYTES_PER_S: u32 = 11_000;
+
+/// Bytes of the IPv4 and UDP headers, counted for each datagram.
+pub const HEADERS: usize = 28;
+
+/// Length of a slot of the window in milliseconds.
+const SLOT_MS: u64 = 50;
+
+/// Slots of the window. One more than a second holds, so that the window covers any second.
+const SLOTS: usize = 21;
+
+/// Counts bytes over a sliding window of one second.
+///
+/// Each class has a ceiling. The room above it remains for more urgent classes, which makes
+/// the priorities strict. What a node can put off, loads and pulls, also counts against the
+/// bytes received, so that both directions together stay below the budget in steady state.
+/// What others wait for, heartbeats, news and answers, counts against the bytes sent: a node
+/// that peers flood must still answer and show that it is alive.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    /// Bytes sent in each slot.
+    sent: [u32; SLOTS],
+    /// Bytes received in each slot.
+    received: [u32; SLOTS],
+    /// Number of the current slot since the start.
+    slot: u64,
+}
+
+impl Budget {
+    /// An unused budget.
+    pub fn new() -> Self {
+        Self { sent: [0; SLOTS], received: [0; SLOTS], slot: 0 }
+    }
+
+    /// Takes `size` bytes for sending, if the class has room for them.
+    pub fn take(&mut self, now: Millis, class: Class, size: usize) -> bool {
+        self.turn(now);
+        let size = (size + HEADERS) as u32;
+        let room = self.room(class);
+        if size <= room {
+            self.sent[self.slot as usize % SLOTS] += size;
+        }
+        size <= room
+    }
+
+    /// Notes `size` received bytes.
+    pub fn receive(&mut self, now: Millis, size: usize) {
+        self.turn(now);
+        let slot = &mut self.received[self.slot as usize % SLOTS];
+        *slot = slot.saturating_add((size + HEADERS) as u32);
+    }
+
+    /// Bytes that the class may send now.
+    pub fn left(&mut self, now: Millis, class: Class) -> usize {
+        self.turn(now);
+        (self.room(class) as usize).saturating_sub(HEADERS)
+    }
+
+    /// Bytes that may be asked for now.
+    pub fn pullable(&mut self, now: Millis) -> usize {
+        self.turn(now);
+        ceiling(REPAIR, self.both()) as usize
+    }
+
+    /// Room of a class in the current window.
+    fn room(&self, class: Class) -> u32 {
+        match class {
+            Class::Configuration => ceiling(BYTES_PER_S, sum(&self.sent)),
+            Class::Liveness => ceiling(LIVENESS, sum(&self.sent)),
+            Class::Repair => ceiling(REPAIR, sum(&self.sent)),
+            Class::Load => ceiling(LOAD, self.both()),
+        }
+    }
+
+    /// Bytes sent and received in the current window.
+    fn both(&self) -> u32 {
+        sum(&self.sent).saturating_add(sum(&self.received))
+    }
+
+    /// Clears the slots that have left the window.
+    fn turn(&mut self, now: Millis) {
+        let slot = now.0 / SLOT_MS;
+        for passed in (self.slot + 1..=slot).take(SLOTS) {
+            // Only the last `SLOTS` numbers matter; `take` bounds the work after a pause.
+            let index = passed as usize % SLOTS;
+            self.sent[index] = 0;
+            self.received[index] = 0;
+        }
+        self.slot = self.slot.max(slot);
+    }
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Ceiling of announcements and liveness in bytes per second.
+const LIVENESS: u32 = 10_500;
+
+/// Ceiling of digests and what they repair in bytes per second.
+const REPAIR: u32 = 9_500;
+
+/// Ceiling of loads in bytes per second, both directions.
+const LOAD: u32 = 8_000;
+
+/// Bytes in all slots.
+fn sum(slots: &[u32; SLOTS]) -> u32 {
+    slots.iter().fold(0, |sum, bytes| sum.saturating_add(*bytes))
+}
+
+/// Room below a ceiling.
+fn ceiling(limit: u32, used: u32) -> u32 {
+    limit.saturating_sub(used)
+}
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -23,7 +23,7 @@
 use crate::caller::Fate;
 use crate::deployment::{CONNECTIONS, Deployment};
 use crate::fabric::Fabric;
-use crate::network::{Link, Network};
+use crate::loopback::{Link, Network};
 use crate::record::Record;
 use crate::tls;
 
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use smol::Task;
 
-use crate::network::{Line, Network};
+use crate::loopback::{Line, Network};
 
 /// A running fabric.
 #[derive(Debug)]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,7 +3,7 @@
 //! The daemons do not depend on this crate. A demo run goes like this:
 //!
 //! 1. [`deployment`] gives the failure domains, services and sizes of an organisation.
-//! 2. [`demo`] starts a [`network`] with delay and loss, a [`fabric`], balancers, agents
+//! 2. [`demo`] starts a [`loopback`] network with delay and loss, a [`fabric`], balancers, agents
 //!    and [`backend`] servers, all over real sockets on loopback.
 //! 3. [`caller`]s open flows and send requests while a [`plan`] changes things.
 //! 4. The [`record`] holds what callers and backend servers saw; the report is made of it.
@@ -15,6 +15,8 @@
 pub mod deployment;
 pub mod exchange;
 pub mod fabric;
+pub mod loopback;
+pub mod measure;
 pub mod network;
 pub mod plan;
 pub mod record;
