Add the steering experiment and weighted rendezvous routing

Ordering all candidates by reported load with a random salt sends the flows of one report interval to the member that looked idle in it, and copies of one opening packet to different agents. Routing now orders by weighted rendezvous hash of the flow.

--- a/crates/lentilreach/src/connection/open.rs
+++ b/crates/lentilreach/src/connection/open.rs
@@ -205,9 +205,12 @@
     }
 
     /// Whether there are more open flows than the mean of the service by 5% and one.
+    ///
+    /// In a cold start, the mean counts in proportion to the limit.
     fn is_ahead(&self) -> bool {
         let Some(mean) = self.mean else { return false };
-        let mean = u64::from(mean);
+        let share = u64::from(self.limit()) * u64::from(mean);
+        let mean = share / u64::from(self.limits.flows.max(1));
         u64::from(self.open()) * 10 > mean + mean / 20 + 10
     }
 
--- a/crates/lentilreach/src/request/route.rs
+++ b/crates/lentilreach/src/request/route.rs
@@ -1,14 +1,15 @@
 //! The decision for one datagram at a balancer.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
+use std::sync::LazyLock;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_128_with_seed;
 
 use crate::connection::token;
 use crate::id::service;
 use crate::request::packet::{Form, Packet};
 use crate::version::table::WIDTH;
-use crate::version::view::{Member, Service, Stage, View};
+use crate::version::view::{Service, View};
 
 /// What to do with a datagram.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -95,7 +96,8 @@
 
 /// Routes one datagram.
 ///
-/// `salt` is a random number that spreads flows over members of equal load.
+/// `salt` is a secret number that all balancers share: callers cannot aim at a backend server,
+/// and copies of an opening packet take the same way through any balancer.
 pub fn route(view: &View, keys: &token::Keys, packet: &Packet<'_>, salt: u64) -> Verdict {
     let Some(service) = view.service(packet.service) else {
         return Verdict::Drop(Reason::UnknownService);
@@ -109,19 +111,24 @@
     }
 }
 
-/// Orders the candidates of an opening packet by stage and advised load.
+/// Orders the candidates of an opening packet by weighted rendezvous hash.
+///
+/// The order depends on the flow and on the costs alone. A small difference in cost between two
+/// views changes the order for few flows only, so balancers mostly agree and none sends all its
+/// flows to the member that looked idle in the last report.
 fn offer(view: &View, service: &Service, packet: &Packet<'_>, salt: u64) -> Verdict {
-    let hash = xxh3_64_with_seed(packet.destination, u64::from(packet.caller.port()));
-    let mut ranked = [(u32::MAX, SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0)); WIDTH];
+    let hash = hash(packet, salt);
+    let draws = (hash >> 64) as u64;
+    let mut ranked = [(f32::MAX, SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0)); WIDTH];
     let mut len = 0;
-    for (place, member) in service.candidates(hash).enumerate() {
+    for (place, (member, cost)) in service.candidates(hash as u64).enumerate() {
         if view.is_out(member.domain) {
             continue;
         }
-        let cost = cost(member, (salt >> (8 * place)) as u8);
-        let at = ranked[..len].partition_point(|(other, _)| *other <= cost);
+        let score = cost * draw((draws >> (8 * place)) as u8);
+        let at = ranked[..len].partition_point(|(other, _)| *other <= score);
         ranked.copy_within(at..len, at + 1);
-        ranked[at] = (cost, member.agent);
+        ranked[at] = (score, member.agent);
         len += 1;
     }
     if len == 0 {
@@ -134,16 +141,26 @@
     Verdict::Offer { service: service.id, candidates }
 }
 
-/// The cost of giving a member a new flow: stage, then advised use, then a random byte.
+/// Hashes what identifies a flow: the caller and the connection ID that it chose.
+fn hash(packet: &Packet<'_>, salt: u64) -> u128 {
+    let mut input = [0; 20 + 18];
+    let id = packet.destination;
+    let len = id.len().min(20);
+    input[..len].copy_from_slice(&id[..len]);
+    match packet.caller.ip() {
+        IpAddr::V4(ip) => input[20..24].copy_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => input[20..36].copy_from_slice(&ip.octets()),
+    }
+    input[36..].copy_from_slice(&packet.caller.port().to_be_bytes());
+    xxh3_128_with_seed(&input, salt)
+}
+
+/// An exponentially distributed draw from a uniform byte.
 ///
-/// Use is quantised to 1/64 of the limit, so that members of about equal load share the
-/// flows that arrive between two advices.
-fn cost(member: &Member, noise: u8) -> u32 {
-    let stage = match member.stage {
-        Stage::Active | Stage::Cold => 0,
-        Stage::Leaving | Stage::Silent => 1,
-    };
-    let limit = u64::from(member.load.limit.max(1));
-    let used = (u64::from(member.load.open) * 64 / limit).min(0xffff) as u32;
-    stage << 24 | used << 8 | u32::from(noise)
+/// The member with the least product of cost and draw is chosen in proportion to its weight.
+fn draw(byte: u8) -> f32 {
+    /// The draws for all bytes.
+    static DRAWS: LazyLock<[f32; 256]> =
+        LazyLock::new(|| std::array::from_fn(|i| -((i as f32 + 0.5) / 256.0).ln()));
+    DRAWS[usize::from(byte)]
 }
--- /dev/null
+++ b/crates/lentilreach/src/version/load.rs
@@ -0,0 +1,76 @@
+//! What members say of their load, and what it costs to give one a flow.
+
+use crate::process::clock::Millis;
+use crate::version::view::{Member, Stage};
+
+/// How much a member's weight changes with its distance from the mean.
+///
+/// A member 10% below the mean gets twice its share of new flows. A larger gain makes
+/// balancers with reports a second old overshoot; see `docs/decisions/steering.md`.
+const GAIN: f32 = 10.0;
+
+/// Least weight of a member. It still gets a few flows, so that a wrong report does not starve
+/// it for ever.
+const MIN_WEIGHT: f32 = 0.02;
+
+/// Added to the cost of a member that may get no new flow: it comes after all others.
+pub const LAST: f32 = 1e9;
+
+/// Advised load. It lags, so it steers new flows only.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Open flows.
+    pub open: u32,
+    /// Open flows that it bears at present. Zero stands for unknown.
+    pub limit: u32,
+    /// Requests running.
+    pub busy: u16,
+    /// Requests that it may run at once at present.
+    pub slots: u16,
+    /// When the advice was received, in the receiver's time.
+    pub at: Millis,
+}
+
+/// The cost of giving each member a flow: the inverse of its weight.
+///
+/// The weight is the share of new flows that a member is to get. It grows with the member's
+/// limit and with its distance below the mean use of the service. Members that may get no new
+/// flow cost [`LAST`] more.
+pub fn costs(members: &[Member]) -> Vec<f32> {
+    let takers = || members.iter().filter(|member| is_taker(member));
+    let open: u64 = takers().map(|member| u64::from(member.load.open)).sum();
+    let limit: u64 = takers().map(|member| u64::from(member.load.limit)).sum();
+    let largest = takers().map(|member| member.load.limit).max().unwrap_or(0);
+    let mean = open as f32 / limit.max(1) as f32;
+    let cost = |member: &Member| {
+        let cost = 1.0 / weight(&member.load, mean, largest);
+        if is_taker(member) { cost } else { cost + LAST }
+    };
+    members.iter().map(cost).collect()
+}
+
+/// The mean of the reported open flows of a service, in tenths of a flow.
+///
+/// Only members that are neither cold nor draining count; `None` without any.
+pub fn mean(members: &[Member]) -> Option<u32> {
+    let warm = || members.iter().filter(|member| member.stage == Stage::Active);
+    let count = warm().count() as u64;
+    let open: u64 = warm().map(|member| u64::from(member.load.open)).sum();
+    (open * 10).checked_div(count).map(|tenths| tenths as u32)
+}
+
+/// Whether a member may be given new flows.
+fn is_taker(member: &Member) -> bool {
+    matches!(member.stage, Stage::Active | Stage::Cold)
+}
+
+/// The weight of a member in a service with this mean use and largest limit.
+fn weight(load: &Load, mean: f32, largest: u32) -> f32 {
+    if load.limit == 0 || mean == 0.0 {
+        return 1.0;
+    }
+    let limit = load.limit as f32;
+    let below = 1.0 - load.open as f32 / (limit * mean);
+    let share = limit / largest.max(1) as f32;
+    (share * (1.0 + GAIN * below)).max(MIN_WEIGHT)
+}
--- a/crates/lentilreach/src/version/mod.rs
+++ b/crates/lentilreach/src/version/mod.rs
@@ -1,4 +1,5 @@
 //! What lives for one version of configuration or membership. Immutable once built.
 
+pub mod load;
 pub mod table;
 pub mod view;
--- a/crates/lentilreach/src/version/view.rs
+++ b/crates/lentilreach/src/version/view.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use crate::id::{domain, node, service};
-use crate::process::clock::Millis;
 use crate::process::name::Name;
+use crate::version::load;
+pub use crate::version::load::Load;
 use crate::version::table::Table;
 
 /// One version of everything that a routing decision needs.
@@ -77,6 +78,8 @@
     members: Arc<[Member]>,
     /// Candidate lists over the indices of `members`.
     table: Arc<Table>,
+    /// For each member, what it costs to give it a flow.
+    costs: Arc<[f32]>,
 }
 
 impl Service {
@@ -90,7 +93,8 @@
         members.sort_by_key(|member| member.node);
         members.dedup_by_key(|member| member.node);
         let table = Arc::new(Table::build(&members));
-        Self { address, id, name, members: members.into(), table }
+        let costs = load::costs(&members).into();
+        Self { address, id, name, members: members.into(), table, costs }
     }
 
     /// The same service with new load and stage of members, if the set is unchanged.
@@ -100,7 +104,8 @@
         members.sort_by_key(|member| member.node);
         let same = members.len() == self.members.len()
             && members.iter().zip(self.members.iter()).all(|(a, b)| a.node == b.node);
-        same.then(|| Self { members: members.into(), ..self.clone() })
+        let costs = load::costs(&members).into();
+        same.then(|| Self { members: members.into(), costs, ..self.clone() })
     }
 
     /// The members, sorted by node identifier.
@@ -108,9 +113,11 @@
         &self.members
     }
 
-    /// The members that a flow with this hash may go to, best first by rendezvous hash.
-    pub fn candidates(&self, hash: u64) -> impl Iterator<Item = &Member> {
-        self.table.candidates(hash).iter().map(|i| &self.members[usize::from(*i)])
+    /// The members that a flow with this hash may go to, best first by rendezvous hash, and
+    /// the cost of each (see [`load::costs`]).
+    pub fn candidates(&self, hash: u64) -> impl Iterator<Item = (&Member, f32)> {
+        let indices = self.table.candidates(hash).iter().map(|i| usize::from(*i));
+        indices.map(|i| (&self.members[i], self.costs[i]))
     }
 }
 
@@ -141,18 +148,3 @@
     /// The same, since it has not been heard from.
     Silent,
 }
-
-/// Advised load. It lags, so it steers new flows only.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub struct Load {
-    /// Open flows.
-    pub open: u32,
-    /// Open flows that it bears at present.
-    pub limit: u32,
-    /// Requests running.
-    pub busy: u16,
-    /// Requests that it may run at once at present.
-    pub slots: u16,
-    /// When the advice was received, in the receiver's time.
-    pub at: Millis,
-}
--- /dev/null
+++ b/crates/standin/examples/steering.rs
@@ -0,0 +1,55 @@
+//! Prints the comparison of steering policies for `docs/decisions/steering.md`.
+//!
+//! The first argument is the number of seeds (default 5).
+
+use lentilreach_standin::experiment::{Figures, Order, Policy, Scenario, run};
+
+/// What is compared.
+const POLICIES: [(&str, Policy); 8] = [
+    ("rendezvous", Policy { order: Order::Rendezvous, bound: false }),
+    ("two choices", Policy { order: Order::TwoChoices, bound: false }),
+    ("least reported", Policy { order: Order::Least, bound: false }),
+    ("rendezvous + bound", Policy { order: Order::Rendezvous, bound: true }),
+    ("two choices + bound", Policy { order: Order::TwoChoices, bound: true }),
+    ("least reported + bound", Policy { order: Order::Least, bound: true }),
+    ("reported and sent + bound", Policy { order: Order::Sent, bound: true }),
+    ("library", Policy { order: Order::Library, bound: true }),
+];
+
+fn main() {
+    let seeds = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(5);
+    for rolling in [false, true] {
+        for (members, flows) in
+            [(3, 40), (4, 40), (7, 40), (40, 40), (3, 400), (4, 400), (7, 400), (40, 400)]
+        {
+            println!("\n{members} members, {flows} flows each, rolling: {rolling}");
+            println!("| policy | imbalance | p99 | hops | split | refused |");
+            println!("| --- | --- | --- | --- | --- | --- |");
+            for (name, policy) in POLICIES {
+                let figures = (1..=seeds).map(|seed| {
+                    let duration_ms = if rolling { 230_000 } else { 140_000 };
+                    let life_ms = 20_000;
+                    let scenario =
+                        Scenario { members, flows, life_ms, rolling, duration_ms, seed };
+                    run(scenario, policy)
+                });
+                print(name, &figures.collect::<Vec<_>>());
+            }
+        }
+    }
+}
+
+/// Prints the means over the seeds.
+fn print(name: &str, all: &[Figures]) {
+    let mean = |field: fn(&Figures) -> f64| {
+        all.iter().map(field).sum::<f64>() / all.len().max(1) as f64
+    };
+    println!(
+        "| {name} | {:.3} | {:.3} | {:.2} | {:.2} | {:.4} |",
+        mean(|f| f.imbalance),
+        mean(|f| f.worst),
+        mean(|f| f.hops),
+        mean(|f| f.split),
+        mean(|f| f.refused),
+    );
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Stand-ins.
+//! Stand-ins for the systems that lentilreach serves.
+
+pub mod experiment;
