--- a/crates/lentilreach/src/version/mod.rs
+++ b/crates/lentilreach/src/version/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod config;
 pub mod diff;
+pub mod load;
 pub mod table;
 pub mod view;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod exchange;
+pub mod experiment;
 pub mod fabric;
 pub mod loopback;
 pub mod measure;
