Add the timeline and the metrics

Decisions need a way to report state changes without a clock or a lock. They return event drafts; a recorder stamps them with the hybrid logical clock, keeps them in two bounded rings (state changes, sampled flows) and counts every event.

--- /dev/null
+++ b/crates/lentilreach/tests/event.rs
@@ -0,0 +1,312 @@
+//! The timeline: ring, recorder, JSON form, merge and filter.
+
+use lentilreach::Name;
+use lentilreach::id::node;
+use lentilreach::process::clock::{Hybrid, Stamp};
+use lentilreach::process::event::merge::merge;
+use lentilreach::process::event::recorder::{Bounds, Recorder};
+use lentilreach::process::event::wire::{Fault, Frame};
+use lentilreach::process::event::{
+    Close, Drain, DrainEnd, Event, Evidence, Filter, Kind, Label, Refusal, Ring, Role,
+    Stop,
+};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use proptest::prelude::*;
+
+/// Guards against a ring that grows without bound or loses its latest events.
+#[test]
+fn ring_keeps_the_latest_and_counts_the_rest() {
+    let mut ring = Ring::new(3);
+
+    for wall_ms in 1..=5 {
+        ring.push(event("b1", wall_ms, Kind::StoreAway));
+    }
+
+    let kept: Vec<u64> = ring.since(stamp(0)).map(|event| event.stamp.wall_ms).collect();
+    assert_eq!(kept, [3, 4, 5]);
+    assert_eq!(ring.len(), 3);
+    assert_eq!(ring.overwritten(), 2);
+}
+
+/// Guards against a reader that gets an event twice or misses one at the boundary.
+#[test]
+fn ring_returns_events_after_a_stamp_only() {
+    let mut ring = Ring::new(10);
+    for wall_ms in [1, 2, 3] {
+        ring.push(event("b1", wall_ms, Kind::StoreAway));
+    }
+
+    let later: Vec<u64> = ring.since(stamp(2)).map(|event| event.stamp.wall_ms).collect();
+
+    assert_eq!(later, [3]);
+    assert_eq!(ring.since(stamp(3)).count(), 0);
+}
+
+/// Guards against traffic that displaces state changes from the timeline, and against flow
+/// events that are not counted because they are not kept.
+#[test]
+fn flows_are_sampled_and_do_not_displace_state_changes() {
+    let metrics = PrometheusBuilder::new().build_recorder();
+    let bounds = Bounds { states: 4, flows: 2, sample: 10 };
+    let recorder = ::metrics::with_local_recorder(&metrics, || {
+        Recorder::with("a1".into(), "belper".into(), bounds)
+    });
+
+    recorder.record(1, Kind::BackendWarm);
+    for flow in 0..100 {
+        recorder.record(2, Kind::FlowOpened { flow });
+    }
+
+    let kept = recorder.since(Stamp::default());
+    let flows: Vec<u64> = kept.iter().filter_map(|event| event.kind.flow()).collect();
+    assert_eq!(flows, [80, 90], "of the 10 sampled flows, the latest 2");
+    assert_eq!(kept[0].kind, Kind::BackendWarm);
+    assert_eq!(recorder.overwritten(), 8);
+    let text = metrics.handle().render();
+    assert!(
+        text.contains("lentilreach_events_total{kind=\"flow-opened\"} 100"),
+        "{text}"
+    );
+    assert!(text.contains("lentilreach_events_overwritten_total 8"), "{text}");
+}
+
+/// Guards against a flow whose opening is kept but whose closing is not.
+#[test]
+fn a_sampled_flow_has_its_opening_and_its_closing() {
+    let bounds = Bounds { sample: 8, ..Bounds::default() };
+    let recorder = Recorder::with("a1".into(), "belper".into(), bounds);
+
+    for flow in 0..64 {
+        recorder.record(1, Kind::FlowOpened { flow });
+        recorder.record(2, Kind::FlowClosed { flow, cause: Close::Drained });
+    }
+
+    let kept = recorder.since(Stamp::default());
+    let of = |label| {
+        let events = kept.iter().filter(move |event| event.kind.label() == label);
+        events.filter_map(|event| event.kind.flow()).collect::<Vec<u64>>()
+    };
+    assert_eq!(of(Label::FlowOpened), [0, 8, 16, 24, 32, 40, 48, 56]);
+    assert_eq!(of(Label::FlowOpened), of(Label::FlowClosed));
+}
+
+/// Guards against a recorder whose memory depends on what a store value says of itself.
+#[test]
+fn a_long_reason_is_cut_at_a_character() {
+    let recorder = Recorder::new("b1".into(), "belper".into());
+    let reason: Name = "ü".repeat(1_000).into();
+
+    recorder
+        .record(1, Kind::ConfigRejected { entry: "lentilreach/domain".into(), reason });
+
+    let kept = recorder.since(Stamp::default());
+    let Kind::ConfigRejected { reason, .. } = &kept[0].kind else { panic!("{kept:?}") };
+    assert_eq!(reason.chars().count(), 128, "256 bytes");
+}
+
+/// Guards against a merge that shows an effect before its cause because the wall clock of
+/// the process with the effect is behind.
+#[test]
+fn merge_keeps_causes_before_effects_with_skewed_clocks() {
+    let ahead = Recorder::new("ahead".into(), "belper".into());
+    let behind = Recorder::new("behind".into(), "matlock".into());
+
+    ahead.record(10_000, Kind::RelayGained { slot: 0 });
+    let message = ahead.stamp(10_001);
+    behind.record(2_000, Kind::StoreAway);
+    assert!(behind.observe(message, 2_010));
+    behind.record(2_010, Kind::ConfigInForce.under(7));
+    let answer = behind.stamp(2_011);
+    assert!(ahead.observe(answer, 10_002));
+    ahead.record(10_002, Kind::RelayLost { slot: 0 });
+
+    let merged =
+        merge(vec![behind.since(Stamp::default()), ahead.since(Stamp::default())]);
+    let labels: Vec<Label> = merged.iter().map(|event| event.kind.label()).collect();
+    assert_eq!(
+        labels,
+        [Label::StoreAway, Label::RelayGained, Label::ConfigInForce, Label::RelayLost]
+    );
+}
+
+/// Guards against an event shown twice when a process was asked twice.
+#[test]
+fn merge_removes_repeated_events() {
+    let events = vec![event("b1", 1, Kind::StoreAway), event("b1", 2, Kind::StoreBack)];
+
+    let merged = merge(vec![events.clone(), events.clone(), events[1..].to_vec()]);
+
+    assert_eq!(merged, events);
+}
+
+proptest! {
+    /// Guards against an order that depends on which process answered first, and against an
+    /// effect before its cause under any skew of the clocks within the allowed lead.
+    #[test]
+    fn merge_is_causal_for_any_exchange(
+        skews in prop::collection::vec(0_u64..50_000, 4),
+        messages in prop::collection::vec((0_usize..4, 0_usize..4), 1..60),
+    ) {
+        let mut clocks: Vec<Hybrid> = skews.iter().map(|_| Hybrid::default()).collect();
+        let mut timelines = vec![Vec::new(); 4];
+        let mut pairs = Vec::new();
+
+        for (step, (from, to)) in messages.into_iter().enumerate() {
+            let now = 1_000 + step as u64;
+            let slot = step as u8;
+            let sent = clocks[from].stamp(now + skews[from]);
+            timelines[from].push(stamped(from, sent, Kind::RelayGained { slot }));
+            prop_assert!(clocks[to].observe(sent, now + skews[to]));
+            let received = clocks[to].stamp(now + skews[to]);
+            timelines[to].push(stamped(to, received, Kind::RelayLost { slot }));
+            pairs.push(slot);
+        }
+
+        let merged = merge(timelines.clone());
+        timelines.reverse();
+        prop_assert_eq!(&merged, &merge(timelines));
+        let place = |kind: Kind| merged.iter().position(|event| event.kind == kind);
+        for slot in pairs {
+            let cause = place(Kind::RelayGained { slot });
+            let effect = place(Kind::RelayLost { slot });
+            prop_assert!(cause.is_some() && cause < effect);
+        }
+    }
+}
+
+/// Guards against a kind that does not survive its way to the operator's command.
+#[test]
+fn json_round_trip_of_every_kind() {
+    let kinds = kinds();
+
+    for kind in &kinds {
+        let event = Event { kind: kind.clone(), ..event("b1", 5, Kind::StoreAway) };
+        let text = serde_json::to_string(&Frame::from(&event)).expect("a frame is JSON");
+        let frame: Frame = serde_json::from_str(&text).expect("the text is a frame");
+        assert_eq!(Event::try_from(frame), Ok(event), "{text}");
+    }
+
+    let mut labels: Vec<Label> = kinds.iter().map(Kind::label).collect();
+    labels.dedup();
+    assert_eq!(labels, Label::ALL, "every kind is tried");
+}
+
+/// Guards against a change of the JSON form that scripts of operators read.
+#[test]
+fn json_form_is_stable() {
+    let kind = Kind::FlowClosed { flow: u64::MAX, cause: Close::DomainOut };
+    let event = Event {
+        service: Some("peakline/ropeledger".into()),
+        revision: Some(41),
+        ..event("a1", 1_700_000_000_000, kind)
+    };
+
+    let text = serde_json::to_string(&Frame::from(&event)).expect("a frame is JSON");
+
+    insta::assert_snapshot!(text, @r#"{"stamp":"1700000000000.0","process":"a1","domain":"belper","service":"peakline/ropeledger","revision":41,"kind":"flow-closed","cause":"domain-out","flow":"ffffffffffffffff"}"#);
+    insta::assert_snapshot!(event, @"flow-closed service=peakline/ropeledger revision=41 flow=ffffffffffffffff cause=domain-out");
+}
+
+/// Guards against a panic or a made-up event when a frame is damaged or from a later version.
+#[test]
+fn damaged_frames_are_rejected() {
+    let good = Frame::from(&event("b1", 5, Kind::RelayGained { slot: 1 }));
+    let cases = [
+        (Frame { kind: "sun-rose".into(), ..good.clone() }, Fault::Kind),
+        (Frame { slot: None, ..good.clone() }, Fault::Field("slot")),
+        (Frame { stamp: "5".into(), ..good.clone() }, Fault::Stamp),
+        (Frame { stamp: "-5.0".into(), ..good.clone() }, Fault::Stamp),
+        (Frame { process: String::new(), ..good.clone() }, Fault::Field("process")),
+        (Frame { kind: "backend-cold".into(), ..good.clone() }, Fault::Field("cause")),
+        (Frame { kind: "flow-opened".into(), ..good }, Fault::Field("flow")),
+    ];
+
+    for (frame, fault) in cases {
+        assert_eq!(Event::try_from(frame), Err(fault));
+    }
+}
+
+/// Guards against a filter that hides events asked for or shows others.
+#[test]
+fn filter_restricts_by_every_field() {
+    let silent = Kind::MemberSilent { member: "abo-3".into() };
+    let events = [
+        Event {
+            service: Some("weilheim/abo-kalender".into()),
+            ..event("b1", 1, silent.clone())
+        },
+        Event { revision: Some(7), ..event("b2", 2, Kind::ConfigInForce) },
+        event("abo-3", 3, Kind::BackendWarm),
+    ];
+    let shown = |filter: Filter| -> Vec<u64> {
+        let shown = events.iter().filter(|event| filter.admits(event));
+        shown.map(|event| event.stamp.wall_ms).collect()
+    };
+
+    assert_eq!(shown(Filter::default()), [1, 2, 3]);
+    let service =
+        |name: &str| Filter { services: vec![name.into()], ..Filter::default() };
+    assert_eq!(shown(service("abo-kalender")), [1]);
+    assert_eq!(shown(service("weilheim/abo-kalender")), [1]);
+    assert_eq!(shown(service("peakline/abo-kalender")), [] as [u64; 0]);
+    let process = Filter { processes: vec!["abo-3".into()], ..Filter::default() };
+    assert_eq!(shown(process.clone()), [1, 3], "what it did and what was seen of it");
+    assert_eq!(shown(Filter { revisions: vec![7], ..Filter::default() }), [2]);
+    let kinds = Filter { kinds: vec![Label::BackendWarm, silent.label()], ..process };
+    assert_eq!(shown(kinds), [1, 3]);
+}
+
+/// One event of every kind, in the order of [`Label::ALL`].
+fn kinds() -> Vec<Kind> {
+    let member: Name = "abo-3".into();
+    let affected: Name = "matlock".into();
+    let entry: Name = "lentilreach/service/peakline/certdesk".into();
+    vec![
+        Kind::ProcessStarted { role: Role::Agent, node: node::Id(u64::MAX) },
+        Kind::ProcessStopping { cause: Stop::Drained },
+        Kind::ProcessStopped,
+        Kind::ConfigInForce,
+        Kind::ConfigRejected { entry, reason: "line 3: \"slots\" is 0".into() },
+        Kind::DomainOut { affected: affected.clone() },
+        Kind::DomainBack { affected },
+        Kind::MemberJoined { member: member.clone() },
+        Kind::MemberLeaving { member: member.clone() },
+        Kind::MemberSilent { member: member.clone() },
+        Kind::MemberHeard { member: member.clone() },
+        Kind::MemberGone { member },
+        Kind::BackendCold { evidence: Evidence::Overdue },
+        Kind::BackendWarm,
+        Kind::DrainStarted { cause: Drain::BackendServer },
+        Kind::DrainFinished { end: DrainEnd::Limit },
+        Kind::FlowOpened { flow: 1 },
+        Kind::FlowClosed { flow: 2, cause: Close::IdleTimeout },
+        Kind::FlowRefused { flow: 3, why: Refusal::Cold },
+        Kind::RelayGained { slot: 1 },
+        Kind::RelayLost { slot: 0 },
+        Kind::KeysRotated { key: 9 },
+        Kind::StoreAway,
+        Kind::StoreBack,
+    ]
+}
+
+/// An event of a process.
+fn event(process: &str, wall_ms: u64, kind: Kind) -> Event {
+    Event {
+        stamp: stamp(wall_ms),
+        process: process.into(),
+        domain: "belper".into(),
+        service: None,
+        revision: None,
+        kind,
+    }
+}
+
+/// An event of process number `process`.
+fn stamped(process: usize, stamp: Stamp, kind: Kind) -> Event {
+    Event { stamp, ..event(&format!("p{process}"), 0, kind) }
+}
+
+/// The first stamp of a millisecond.
+fn stamp(wall_ms: u64) -> Stamp {
+    Stamp { wall_ms, count: 0 }
+}
