Add the admin endpoint and the stop signals

Operators need metrics, readiness, timeline and status of each process. The answers are plain functions of the request; the front end is hyper on smol with bounded heads, connections and times. async-signal, until now a transitive dependency, carries SIGTERM and SIGINT.

--- /dev/null
+++ b/crates/lentilreach/src/process/admin.rs
@@ -0,0 +1,177 @@
+//! The admin endpoint: metrics, liveness, readiness, timeline and status over HTTP/1.1.
+//!
+//! [`Admin::answer`] decides on a request without I/O; [`server`] is the front end.
+
+pub mod fetch;
+pub mod server;
+pub mod status;
+pub mod wire;
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use http::{Method, StatusCode, Uri};
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::process::clock::Stamp;
+use crate::process::event::Recorder;
+use crate::process::event::wire::Frame;
+
+pub use fetch::Error;
+pub use server::Server;
+pub use status::Status;
+
+/// Where the endpoint listens unless the settings say otherwise.
+pub const DEFAULT: SocketAddr =
+    SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9_464));
+
+/// Header with the number of events that were overwritten since the process start.
+pub const OVERWRITTEN: &str = "lentilreach-events-overwritten";
+
+/// What a daemon says of itself.
+pub trait Source: Send + Sync + 'static {
+    /// Whether the process may be given traffic: a configuration is in force and it is not
+    /// stopping.
+    ///
+    /// # Errors
+    /// The reason why not, as one sentence for operators.
+    fn ready(&self) -> Result<(), String>;
+
+    /// The state of the process and what it knows of others.
+    fn status(&self) -> Status;
+}
+
+/// Answers requests for a process.
+#[derive(Debug)]
+pub struct Admin<S> {
+    /// What the daemon says of itself.
+    source: S,
+    /// The timeline.
+    recorder: Recorder,
+    /// Renders the metrics.
+    metrics: PrometheusHandle,
+}
+
+impl<S: Source> Admin<S> {
+    /// Puts the endpoint together.
+    pub fn new(source: S, recorder: Recorder, metrics: PrometheusHandle) -> Self {
+        Self { source, recorder, metrics }
+    }
+
+    /// Answers one request. Bodies of requests are not read.
+    pub fn answer(&self, method: &Method, uri: &Uri) -> Reply {
+        if !matches!(*method, Method::GET | Method::HEAD) {
+            return Reply::text(StatusCode::METHOD_NOT_ALLOWED, "use GET or HEAD\n");
+        }
+        match uri.path() {
+            "/metrics" => Reply::new(Content::Metrics, self.metrics.render()),
+            "/live" => Reply::text(StatusCode::OK, "live\n"),
+            "/ready" => self.ready(),
+            "/events" => self.events(uri.query().unwrap_or_default()),
+            "/status" => self.status(),
+            _ => Reply::text(
+                StatusCode::NOT_FOUND,
+                "there are /metrics, /live, /ready, /events?since=STAMP and /status\n",
+            ),
+        }
+    }
+
+    /// Whether the process may be given traffic.
+    fn ready(&self) -> Reply {
+        match self.source.ready() {
+            Ok(()) => Reply::text(StatusCode::OK, "ready\n"),
+            Err(reason) => {
+                Reply::text(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n"))
+            }
+        }
+    }
+
+    /// Events later than the stamp in the query, one JSON object per line.
+    fn events(&self, query: &str) -> Reply {
+        let since = match since(query) {
+            Ok(since) => since,
+            Err(fault) => return Reply::text(StatusCode::BAD_REQUEST, fault),
+        };
+        // Read first: an event overwritten in between is then missing but not counted, which
+        // the next answer makes good. The other order would count an event that is sent.
+        let overwritten = self.recorder.overwritten();
+        let mut body = String::new();
+        for event in self.recorder.since(since) {
+            let line = serde_json::to_string(&Frame::from(&event));
+            body.push_str(&line.expect("a frame has string keys only"));
+            body.push('\n');
+        }
+        Reply { overwritten: Some(overwritten), ..Reply::new(Content::Lines, body) }
+    }
+
+    /// The status as JSON.
+    fn status(&self) -> Reply {
+        let unready = self.source.ready().err();
+        let status = wire::Status::new(&self.source.status(), unready);
+        let body = serde_json::to_string(&status).expect("a status has string keys only");
+        Reply::new(Content::Json, body + "\n")
+    }
+}
+
+/// The answer to a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// What the body is.
+    pub content: Content,
+    /// Value of the header [`OVERWRITTEN`], if there is one.
+    pub overwritten: Option<u64>,
+    /// The body.
+    pub body: String,
+}
+
+impl Reply {
+    /// A successful answer.
+    fn new(content: Content, body: String) -> Self {
+        Self { status: StatusCode::OK, content, overwritten: None, body }
+    }
+
+    /// An answer in plain text.
+    fn text(status: StatusCode, body: impl Into<String>) -> Self {
+        Self { status, ..Self::new(Content::Text, body.into()) }
+    }
+}
+
+/// Type of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Content {
+    /// Plain text.
+    Text,
+    /// Prometheus text format.
+    Metrics,
+    /// JSON objects, one per line.
+    Lines,
+    /// One JSON object.
+    Json,
+}
+
+impl Content {
+    /// The value of the header `content-type`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Text => "text/plain; charset=utf-8",
+            Self::Metrics => "text/plain; version=0.0.4; charset=utf-8",
+            Self::Lines => "application/x-ndjson",
+            Self::Json => "application/json",
+        }
+    }
+}
+
+/// Reads the parameter `since`; without it, all events are later.
+fn since(query: &str) -> Result<Stamp, String> {
+    let mut since = Stamp::default();
+    for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+        match pair.split_once('=') {
+            Some(("since", value)) => {
+                since = value.parse().map_err(|fault| format!("since: {fault}\n"))?;
+            }
+            _ => return Err("the only parameter is since=STAMP\n".into()),
+        }
+    }
+    Ok(since)
+}
--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for the whole process.
 
+pub mod admin;
 pub mod clock;
 pub mod event;
 pub mod id;
@@ -9,3 +10,4 @@
 pub mod metric;
 pub mod name;
 pub mod pool;
+pub mod signal;
--- /dev/null
+++ b/crates/lentilreach/tests/admin.rs
@@ -0,0 +1,285 @@
+//! The admin endpoint over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use async_channel::Sender;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use lentilreach::id::node;
+use lentilreach::process::admin::status::{Member, Service, Status};
+use lentilreach::process::admin::{self, Admin, Error, Server, Source, fetch};
+use lentilreach::process::clock::{Millis, Stamp};
+use lentilreach::process::event::{Kind, Label, Recorder, Role};
+use lentilreach::process::metric;
+use lentilreach::version::view::{Load, Stage};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use smol::Task;
+use smol::net::{TcpListener, TcpStream};
+
+/// Guards against traffic for a process that has no configuration yet.
+#[test]
+fn ready_follows_the_source_and_live_does_not() {
+    smol::block_on(async {
+        let endpoint = Endpoint::start().await;
+
+        let live = endpoint.ask("GET /live HTTP/1.1").await;
+        let before = endpoint.ask("GET /ready HTTP/1.1").await;
+        endpoint.ready.store(true, Ordering::SeqCst);
+        let after = endpoint.ask("GET /ready HTTP/1.1").await;
+
+        assert!(live.starts_with("HTTP/1.1 200 OK"), "{live}");
+        assert!(before.starts_with("HTTP/1.1 503 "), "{before}");
+        assert!(
+            before.ends_with("\r\n\r\nno configuration is in force yet\n"),
+            "{before}"
+        );
+        assert!(after.starts_with("HTTP/1.1 200 OK"), "{after}");
+    });
+}
+
+/// Guards against metrics that are counted but not shown.
+#[test]
+fn metrics_are_in_prometheus_text() {
+    smol::block_on(async {
+        let endpoint = Endpoint::start().await;
+        endpoint.recorder.record(1, Kind::StoreAway);
+
+        let text = endpoint.ask("GET /metrics HTTP/1.1").await;
+
+        assert!(text.contains("content-type: text/plain; version=0.0.4"), "{text}");
+        let line = "lentilreach_events_total{kind=\"store-away\"} 1";
+        assert!(text.lines().any(|found| found == line), "{text}");
+    });
+}
+
+/// Guards against a follower that misses events or gets them twice.
+#[test]
+fn events_since_a_stamp_are_fetched_in_order() {
+    smol::block_on(async {
+        let endpoint = Endpoint::start().await;
+        let peer = endpoint.address.to_string();
+        endpoint.recorder.record(1_000, Kind::StoreAway);
+        endpoint.recorder.record(1_000, Kind::StoreBack);
+
+        let first = fetch::events(&peer, Stamp::default()).await.expect("served");
+        let last = first.events.last().expect("two events").stamp;
+        let none = fetch::events(&peer, last).await.expect("served");
+        endpoint.recorder.record(900, Kind::ConfigInForce.under(3));
+        let second = fetch::events(&peer, last).await.expect("served");
+
+        let labels = |timeline: &fetch::Timeline| -> Vec<Label> {
+            timeline.events.iter().map(|event| event.kind.label()).collect()
+        };
+        assert_eq!(labels(&first), [Label::StoreAway, Label::StoreBack]);
+        assert_eq!(labels(&none), []);
+        assert_eq!(
+            labels(&second),
+            [Label::ConfigInForce],
+            "though its wall time is older"
+        );
+        assert_eq!(second.events[0].revision, Some(3));
+    });
+}
+
+/// Guards against a status that scripts cannot read back.
+#[test]
+fn status_is_fetched_as_it_is() {
+    smol::block_on(async {
+        let endpoint = Endpoint::start().await;
+
+        let fetched = fetch::status(&endpoint.address.to_string()).await.expect("served");
+
+        assert!(!fetched.ready);
+        assert_eq!(fetched.unready.as_deref(), Some("no configuration is in force yet"));
+        assert_eq!(Status::try_from(fetched), Ok(status()));
+    });
+}
+
+/// Guards against a change of the JSON form that scripts of operators read.
+#[test]
+fn status_json_is_stable() {
+    let form = admin::wire::Status::new(&status(), None);
+
+    let text = serde_json::to_string(&form).expect("a status is JSON");
+
+    insta::assert_snapshot!(text, @r#"{"name":"b1","role":"balancer","incarnation":"000000000000feed","domain":"belper","ready":true,"revision":12,"services":[{"name":"peakline/ropeledger","members":[{"name":"rope-1","domain":"matlock","stage":"active","open":41,"limit":2000,"busy":1,"slots":2},{"name":"rope-2","domain":"matlock","stage":"silent","open":0,"limit":2000,"busy":1,"slots":2}]}]}"#);
+}
+
+/// Guards against undefined answers to requests that the endpoint does not serve.
+#[test]
+fn other_requests_are_told_what_is_wrong() {
+    smol::block_on(async {
+        let endpoint = Endpoint::start().await;
+        let long = format!("GET /{} HTTP/1.1", "x".repeat(17_000));
+        let cases = [
+            ("POST /ready HTTP/1.1", "405"),
+            ("GET /nothing HTTP/1.1", "404"),
+            ("GET /events?since=yesterday HTTP/1.1", "400"),
+            ("GET /events?until=5.0 HTTP/1.1", "400"),
+            ("nonsense", "400"),
+            (long.as_str(), "431"),
+        ];
+
+        for (line, status) in cases {
+            let answer = endpoint.ask(line).await;
+            let start = format!("HTTP/1.1 {status}");
+            assert!(answer.starts_with(&start), "{:.40} got {answer:.80}", line);
+        }
+
+        assert!(endpoint.ask("GET /live HTTP/1.1").await.starts_with("HTTP/1.1 200"));
+    });
+}
+
+/// Guards against one stalled connection that keeps the endpoint from others.
+#[test]
+fn a_stalled_connection_does_not_block_others() {
+    smol::block_on(async {
+        let endpoint = Endpoint::start().await;
+        let mut stalled = TcpStream::connect(endpoint.address).await.expect("accepted");
+        stalled.write_all(b"GET /metr").await.expect("written");
+
+        let answer = endpoint.ask("GET /live HTTP/1.1").await;
+
+        assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+    });
+}
+
+/// Guards against a shutdown that waits for idle connections or goes on accepting.
+#[test]
+fn stop_ends_idle_connections_and_frees_the_port() {
+    smol::block_on(async {
+        let endpoint = Endpoint::start().await;
+        let mut idle = TcpStream::connect(endpoint.address).await.expect("accepted");
+        let request = b"GET /live HTTP/1.1\r\nhost: a\r\n\r\n";
+        idle.write_all(request).await.expect("written");
+        let mut answer = [0; 15];
+        idle.read_exact(&mut answer).await.expect("answered");
+
+        drop(endpoint.stop);
+        endpoint.task.await;
+
+        let mut rest = Vec::new();
+        idle.read_to_end(&mut rest).await.expect("closed in order");
+        assert!(String::from_utf8_lossy(&rest).ends_with("live\n"));
+        TcpListener::bind(endpoint.address).await.expect("the port is free");
+    });
+}
+
+/// Guards against a report that blames the wrong process or hides why one is missing.
+#[test]
+fn fetch_errors_name_the_peer_and_the_step() {
+    smol::block_on(async {
+        let closed = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let peer = closed.local_addr().expect("bound").to_string();
+        drop(closed);
+
+        let error = fetch::status(&peer).await.expect_err("nobody listens");
+
+        assert!(matches!(&error, Error::Unreachable { step: "connect", .. }), "{error}");
+        assert_eq!(error.peer(), peer);
+    });
+}
+
+/// Guards against a panic on the answer of some other HTTP server.
+#[test]
+fn fetch_rejects_what_is_no_admin_endpoint() {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let peer = listener.local_addr().expect("bound").to_string();
+        let other = smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("connected");
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nhello\n";
+            stream.write_all(answer).await.expect("written");
+            stream.read(&mut [0; 512]).await.expect("read");
+        });
+
+        let error = fetch::events(&peer, Stamp::default()).await.expect_err("not JSON");
+
+        assert!(matches!(error, Error::Invalid { .. }), "{error}");
+        other.await;
+    });
+}
+
+/// A served admin endpoint.
+struct Endpoint {
+    /// Where it listens.
+    address: SocketAddr,
+    /// The timeline behind it.
+    recorder: Recorder,
+    /// What its source says.
+    ready: Arc<AtomicBool>,
+    /// Stops it when dropped.
+    stop: Sender<()>,
+    /// Ends when it has stopped.
+    task: Task<()>,
+}
+
+impl Endpoint {
+    /// Serves on a free port of loopback, with metrics of its own.
+    async fn start() -> Self {
+        let metrics = PrometheusBuilder::new().build_recorder();
+        let recorder = ::metrics::with_local_recorder(&metrics, || {
+            metric::describe();
+            Recorder::new("b1".into(), "belper".into())
+        });
+        let ready = Arc::new(AtomicBool::new(false));
+        let admin = Admin::new(Fixed(ready.clone()), recorder.clone(), metrics.handle());
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(loopback).await.expect("a free port");
+        let address = server.local();
+        let (stop, stopped) = async_channel::bounded(1);
+        let task = smol::spawn(async move {
+            let stop = async move {
+                let _ = stopped.recv().await;
+            };
+            server.serve(admin, stop).await;
+        });
+        Self { address, recorder, ready, stop, task }
+    }
+
+    /// Sends a request line on a connection of its own; returns all of the answer.
+    async fn ask(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.address).await.expect("accepted");
+        let request = format!("{line}\r\nhost: a\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.expect("written");
+        let mut answer = Vec::new();
+        // A refused request may end in a reset after the answer; what was read counts.
+        let _ = stream.read_to_end(&mut answer).await;
+        String::from_utf8(answer).expect("text")
+    }
+}
+
+/// A source with one service that is ready when told.
+struct Fixed(Arc<AtomicBool>);
+
+impl Source for Fixed {
+    fn ready(&self) -> Result<(), String> {
+        let ready = self.0.load(Ordering::SeqCst);
+        ready.then_some(()).ok_or("no configuration is in force yet".into())
+    }
+
+    fn status(&self) -> Status {
+        status()
+    }
+}
+
+/// The status of a balancer that knows one service with two members.
+fn status() -> Status {
+    let member = |name: &str, stage, open| Member {
+        name: name.into(),
+        domain: "matlock".into(),
+        stage,
+        load: Load { open, limit: 2_000, busy: 1, slots: 2, at: Millis::default() },
+    };
+    let members =
+        vec![member("rope-1", Stage::Active, 41), member("rope-2", Stage::Silent, 0)];
+    Status {
+        name: "b1".into(),
+        role: Role::Balancer,
+        node: node::Id(0xfeed),
+        domain: "belper".into(),
+        revision: Some(12),
+        services: vec![Service { name: "peakline/ropeledger".into(), members }],
+    }
+}
