--- /dev/null
+++ b/crates/lentilreach-cli/src/timeline.rs
@@ -0,0 +1,236 @@
+//! `lentilreach timeline`: the events of many processes in one causal order.
+
+pub mod lanes;
+pub mod text;
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use lentilreach::Name;
+use lentilreach::process::admin::Error;
+use lentilreach::process::admin::fetch::{self, Timeline};
+use lentilreach::process::clock::Stamp;
+use lentilreach::process::event::merge::{Feed, merge};
+use lentilreach::process::event::wire::Frame;
+use lentilreach::process::event::{Event, Filter, Label};
+use serde::Serialize;
+
+use crate::fleet::{self, Report, Unreachable};
+
+/// Pause between two rounds of `--follow`.
+const ROUND: Duration = Duration::from_secs(1);
+
+/// The command line of `lentilreach timeline`.
+pub fn command() -> Command {
+    Command::new("timeline")
+        .about("Show what happened in all processes, causes before effects")
+        .arg(fleet::admin())
+        .arg(selection("service", "NAME", "Only events about a service"))
+        .arg(selection("process", "NAME", "Only events of or about a process"))
+        .arg(
+            selection("revision", "N", "Only events about a configuration revision")
+                .value_parser(value_parser!(u64)),
+        )
+        .arg(
+            selection("kind", "KIND", "Only events of a kind")
+                .hide_possible_values(true)
+                .value_parser(PossibleValuesParser::new(
+                    Label::ALL.iter().map(|label| label.as_str()),
+                )),
+        )
+        .arg(
+            Arg::new("follow")
+                .long("follow")
+                .action(ArgAction::SetTrue)
+                .help("Go on printing events as they occur; JSON is one event per line"),
+        )
+        .arg(
+            Arg::new("svg")
+                .long("svg")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .conflicts_with("follow")
+                .help("Also draw one lane per process into an SVG file"),
+        )
+        .arg(fleet::report())
+}
+
+/// Runs `lentilreach timeline`.
+///
+/// The exit status is 1 if no process answered or the SVG file cannot be written.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let peers = fleet::peers(matches);
+    let filter = filter(matches);
+    let form = fleet::form(matches);
+    if matches.get_flag("follow") {
+        return smol::block_on(follow(&peers, &filter, form));
+    }
+    let answers = smol::block_on(fetch(&peers, &vec![Stamp::default(); peers.len()]));
+    let report = Summary::new(&peers, answers, &filter);
+    match form {
+        Report::Text => fleet::print(&report.text()),
+        Report::Json => fleet::print_json(&report.json()),
+    };
+    if let Some(path) = matches.get_one::<PathBuf>("svg")
+        && let Err(error) = fs::write(path, lanes::svg(&report.events))
+    {
+        eprintln!("lentilreach: write {}: {error}", path.display());
+        return ExitCode::FAILURE;
+    }
+    ExitCode::from(u8::from(report.unreachable.len() == peers.len()))
+}
+
+/// What the processes answered.
+#[derive(Debug)]
+pub struct Summary {
+    /// Selected events in causal order.
+    pub events: Vec<Event>,
+    /// Processes that did not answer.
+    pub unreachable: Vec<Unreachable>,
+    /// Notes on what is missing, one sentence each.
+    pub notes: Vec<String>,
+}
+
+impl Summary {
+    /// Merges and filters answers, which are in the order of `peers`.
+    pub fn new(
+        peers: &[String],
+        answers: Vec<Result<Timeline, Error>>,
+        filter: &Filter,
+    ) -> Self {
+        let mut timelines = Vec::new();
+        let mut unreachable = Vec::new();
+        let mut notes = Vec::new();
+        for (peer, answer) in peers.iter().zip(answers) {
+            match answer {
+                Ok(timeline) => {
+                    notes.extend(missing(peer, &timeline));
+                    timelines.push(timeline.events);
+                }
+                Err(error) => unreachable.push(Unreachable::from(&error)),
+            }
+        }
+        let mut events = merge(timelines);
+        events.retain(|event| filter.admits(event));
+        Self { events, unreachable, notes }
+    }
+
+    /// The report for people.
+    pub fn text(&self) -> String {
+        let mut out = text::lines(&self.events);
+        for note in &self.notes {
+            out.push_str(&format!("note: {note}\n"));
+        }
+        for process in &self.unreachable {
+            out.push_str(&format!("unreachable: {}\n", process.reason));
+        }
+        out
+    }
+
+    /// The report for scripts.
+    pub fn json(&self) -> impl Serialize + use<> {
+        /// The JSON form.
+        #[derive(Serialize)]
+        struct Json {
+            /// In causal order.
+            events: Vec<Frame>,
+            /// Processes that did not answer.
+            unreachable: Vec<Unreachable>,
+            /// What else is missing.
+            notes: Vec<String>,
+        }
+        Json {
+            events: self.events.iter().map(Frame::from).collect(),
+            unreachable: self.unreachable.clone(),
+            notes: self.notes.clone(),
+        }
+    }
+}
+
+/// Prints events as they occur, until nobody reads any more.
+async fn follow(peers: &[String], filter: &Filter, form: Report) -> ExitCode {
+    let mut since = vec![Stamp::default(); peers.len()];
+    let mut away = vec![false; peers.len()];
+    let mut feed = Feed::default();
+    loop {
+        let mut timelines = Vec::new();
+        for (place, answer) in fetch(peers, &since).await.into_iter().enumerate() {
+            // Reported once for each absence.
+            if let Err(error) = &answer
+                && !away[place]
+            {
+                eprintln!("unreachable: {error}");
+            }
+            away[place] = answer.is_err();
+            if let Ok(timeline) = answer {
+                since[place] =
+                    timeline.events.last().map_or(since[place], |event| event.stamp);
+                timelines.push(timeline.events);
+            }
+        }
+        let mut events = feed.round(timelines);
+        events.retain(|event| filter.admits(event));
+        let read = match form {
+            Report::Text => fleet::print(&text::lines(&events)),
+            Report::Json => {
+                events.iter().all(|event| fleet::print_json(&Frame::from(event)))
+            }
+        };
+        if !read {
+            return ExitCode::SUCCESS;
+        }
+        smol::Timer::after(ROUND).await;
+    }
+}
+
+/// Fetches from each peer the events later than its stamp.
+async fn fetch(peers: &[String], since: &[Stamp]) -> Vec<Result<Timeline, Error>> {
+    let questions = peers.iter().cloned().zip(since.iter().copied());
+    let request =
+        |(peer, since): (String, Stamp)| async move { fetch::events(&peer, since).await };
+    fleet::ask(questions, request).await
+}
+
+/// Says what a process can no longer or not show.
+fn missing(peer: &str, timeline: &Timeline) -> Vec<String> {
+    let Timeline { overwritten, unknown, .. } = timeline;
+    let mut notes = Vec::new();
+    if *overwritten > 0 {
+        notes.push(format!("{peer} has overwritten older events: {overwritten}"));
+    }
+    if *unknown > 0 {
+        notes.push(format!(
+            "{peer} sent events of kinds that this version does not know: {unknown}"
+        ));
+    }
+    notes
+}
+
+/// An argument that selects events.
+fn selection(id: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(id)
+        .long(id)
+        .value_name(value)
+        .action(ArgAction::Append)
+        .value_delimiter(',')
+        .help(help)
+}
+
+/// The filter given by the arguments.
+fn filter(matches: &ArgMatches) -> Filter {
+    let names = |id| -> Vec<Name> {
+        let values = matches.get_many::<String>(id).unwrap_or_default();
+        values.map(|value| Name::from(value.as_str())).collect()
+    };
+    let kinds = matches.get_many::<String>("kind").unwrap_or_default();
+    Filter {
+        services: names("service"),
+        processes: names("process"),
+        revisions: matches.get_many("revision").unwrap_or_default().copied().collect(),
+        kinds: kinds.filter_map(|kind| Label::find(kind)).collect(),
+    }
+}
--- a/crates/lentilreach/src/process/event/merge.rs
+++ b/crates/lentilreach/src/process/event/merge.rs
@@ -14,3 +14,27 @@
     events.dedup();
     events
 }
+
+/// Merges timelines that are fetched round by round.
+///
+/// In one round, a process may be asked before it records a cause and another one after it
+/// recorded the effect. Events are therefore held back for one round, in which the cause
+/// arrives. An event that arrives later still, as from a process that was unreachable, comes
+/// out at once and out of order.
+#[derive(Debug, Default)]
+pub struct Feed {
+    /// Events of the last round, in order.
+    pending: Vec<Event>,
+}
+
+impl Feed {
+    /// Takes in the new events of a round; returns those that are due, in order.
+    pub fn round(&mut self, timelines: Vec<Vec<Event>>) -> Vec<Event> {
+        let due = self.pending.last().map(|event| event.stamp);
+        let held = std::mem::take(&mut self.pending);
+        let mut events = merge(timelines.into_iter().chain([held]).collect());
+        let split = events.partition_point(|event| Some(event.stamp) <= due);
+        self.pending = events.split_off(split);
+        events
+    }
+}
--- a/crates/lentilreach/tests/event.rs
+++ b/crates/lentilreach/tests/event.rs
@@ -3,7 +3,7 @@
 use lentilreach::Name;
 use lentilreach::id::node;
 use lentilreach::process::clock::{Hybrid, Stamp};
-use lentilreach::process::event::merge::merge;
+use lentilreach::process::event::merge::{Feed, merge};
 use lentilreach::process::event::recorder::{Bounds, Recorder};
 use lentilreach::process::event::wire::{Fault, Frame};
 use lentilreach::process::event::{
@@ -139,6 +139,25 @@
     assert_eq!(merged, events);
 }
 
+/// Guards against a live timeline that shows an effect before a cause which was fetched one
+/// round later.
+#[test]
+fn feed_holds_events_back_for_one_round() {
+    let cause = event("a", 5, Kind::RelayGained { slot: 0 });
+    let effect = event("b", 6, Kind::ConfigInForce);
+    let later = event("a", 9, Kind::RelayLost { slot: 0 });
+    let mut feed = Feed::default();
+
+    let first = feed.round(vec![vec![], vec![effect.clone()]]);
+    let second = feed.round(vec![vec![cause.clone(), later.clone()], vec![]]);
+    let third = feed.round(vec![vec![], vec![]]);
+
+    assert_eq!(first, []);
+    assert_eq!(second, [cause, effect]);
+    assert_eq!(third, [later]);
+    assert_eq!(feed.round(vec![]), []);
+}
+
 proptest! {
     /// Guards against an order that depends on which process answered first, and against an
     /// effect before its cause under any skew of the clocks within the allowed lead.
