--- a/crates/lentilreach-cli/tests/timeline.rs
+++ b/crates/lentilreach-cli/tests/timeline.rs
@@ -1,11 +1,17 @@
 //! The timeline as operators see it.
 
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+
 use lentilreach::id::node;
-use lentilreach::process::admin::Error;
 use lentilreach::process::admin::fetch::Timeline;
+use lentilreach::process::admin::{Admin, Error, Server, Source, Status};
 use lentilreach::process::clock::Stamp;
-use lentilreach::process::event::{Close, Drain, Event, Evidence, Filter, Kind, Role};
-use lentilreach_cli::timeline::{Summary, command, lanes, text};
+use lentilreach::process::event::{
+    Close, Drain, Event, Evidence, Filter, Kind, Recorder, Role,
+};
+use lentilreach_cli::timeline::{Summary, command, lanes, run, text};
+use metrics_exporter_prometheus::PrometheusBuilder;
 
 /// Guards against a timeline whose lines are out of order, out of line or lack a field.
 #[test]
@@ -81,6 +87,69 @@
     assert!(parse("timeline --follow --svg lanes.svg").is_err());
 }
 
+/// Guards against a command that asks one process only, or fails as a whole when one of them
+/// is unreachable.
+#[test]
+fn run_draws_what_the_reachable_processes_say() {
+    let first = endpoint("b1");
+    let second = endpoint("rope-1");
+    let unreachable = unused();
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("lanes.svg");
+    let path = file.to_str().expect("a path in UTF-8");
+    let peers = format!("{first},{second},{unreachable}");
+
+    let line = ["timeline", "--admin", &peers, "--svg", path];
+    let matches = command().get_matches_from(line);
+    let status = run(&matches);
+
+    assert_eq!(format!("{status:?}"), format!("{:?}", ExitCode::SUCCESS));
+    let svg = std::fs::read_to_string(file).expect("drawn");
+    assert!(svg.contains("\nb1\n") && svg.contains("\nrope-1\n"), "{svg}");
+}
+
+/// Guards against a script that takes an unreachable fleet for one without events.
+#[test]
+fn run_fails_if_no_process_answers() {
+    let line = format!("timeline --admin {}", unused());
+
+    let status = run(&command().get_matches_from(line.split(' ')));
+
+    assert_eq!(format!("{status:?}"), format!("{:?}", ExitCode::FAILURE));
+}
+
+/// Serves the admin endpoint of a process with one event until the test ends.
+fn endpoint(process: &str) -> SocketAddr {
+    let recorder = Recorder::new(process.into(), "belper".into());
+    recorder.record(1_700_000_000_000, Kind::StoreAway);
+    let metrics = PrometheusBuilder::new().build_recorder().handle();
+    let server = smol::block_on(Server::bind(SocketAddr::from(([127, 0, 0, 1], 0))));
+    let server = server.expect("a free port");
+    let address = server.local();
+    let admin = Admin::new(Silent, recorder, metrics);
+    smol::spawn(server.serve(admin, std::future::pending())).detach();
+    address
+}
+
+/// An address of loopback at which nobody listens.
+fn unused() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+/// A source that is not asked.
+struct Silent;
+
+impl Source for Silent {
+    fn ready(&self) -> Result<(), String> {
+        unreachable!("the timeline does not ask for readiness")
+    }
+
+    fn status(&self) -> Status {
+        unreachable!("the timeline does not ask for the status")
+    }
+}
+
 /// A failure domain is taken out while a backend server of another one drains.
 fn incident() -> Vec<Event> {
     let service = |mut event: Event| {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,4 @@
 //! Stand-ins.
+
+pub mod plot;
+pub mod report;
