Withhold reasons about the key ring from the timeline

A parser that quotes its input could have put key material into an event and the log. The recorder replaces the reason of a rejected value under lentilreach/key.

--- a/crates/lentilreach/src/process/event/recorder.rs
+++ b/crates/lentilreach/src/process/event/recorder.rs
@@ -17,6 +17,12 @@
 /// Longest reason of a rejected configuration value, in bytes.
 const MAX_REASON: usize = 256;
 
+/// Start of the store keys whose values hold keys.
+const SECRET: &str = "lentilreach/key";
+
+/// Reason in place of one that may quote a key.
+const WITHHELD: &str = "withheld, as the value holds keys";
+
 /// Bounds of a recorder.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
@@ -114,7 +120,7 @@
             domain: shared.domain.clone(),
             service,
             revision,
-            kind: bounded(kind),
+            kind: checked(kind),
         };
         if flow.is_none() {
             log::info!("{event}");
@@ -169,12 +175,15 @@
     }
 }
 
-/// Cuts free text, so that the memory of a ring has a bound.
-fn bounded(kind: Kind) -> Kind {
+/// Bounds the memory that free text takes, and withholds text about values that hold keys.
+fn checked(kind: Kind) -> Kind {
     match kind {
+        Kind::ConfigRejected { entry, .. } if entry.starts_with(SECRET) => {
+            Kind::ConfigRejected { entry, reason: WITHHELD.into() }
+        }
         Kind::ConfigRejected { entry, reason } if reason.len() > MAX_REASON => {
-            let end = (0..=MAX_REASON).rev().find(|i| reason.is_char_boundary(*i));
-            Kind::ConfigRejected { entry, reason: reason[..end.unwrap_or(0)].into() }
+            let end = reason.floor_char_boundary(MAX_REASON);
+            Kind::ConfigRejected { entry, reason: reason[..end].into() }
         }
         kind => kind,
     }
--- a/crates/lentilreach/tests/event.rs
+++ b/crates/lentilreach/tests/event.rs
@@ -104,6 +104,21 @@
     assert_eq!(reason.chars().count(), 128, "256 bytes");
 }
 
+/// Guards against key material in the timeline and the log when a parser quotes its input.
+#[test]
+fn reasons_about_the_key_ring_are_withheld() {
+    let recorder = Recorder::new("b1".into(), "belper".into());
+    let reason: Name = "line 1: unexpected \"5eC2e7\"".into();
+
+    recorder.record(1, Kind::ConfigRejected { entry: "lentilreach/key".into(), reason });
+
+    let shown = recorder.since(Stamp::default())[0].to_string();
+    assert!(
+        shown.contains("entry=lentilreach/key") && !shown.contains("5eC2e7"),
+        "{shown}"
+    );
+}
+
 /// Guards against a merge that shows an effect before its cause because the wall clock of
 /// the process with the effect is behind.
 #[test]
