--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for the whole process.
 
+pub mod admin;
 pub mod agent;
 pub mod balancer;
 pub mod binding;
@@ -7,18 +8,22 @@
 pub mod counter;
 pub mod endpoint;
 pub mod entry;
+pub mod event;
 pub mod heard;
 pub mod id;
 pub mod input;
 pub mod key;
+mod label;
 pub mod leave;
 pub mod ledger;
 pub mod link;
 pub mod lock;
+pub mod metric;
 pub mod name;
 pub mod pool;
 pub mod seal;
 pub mod settings;
+pub mod signal;
 pub mod site;
 pub mod slot;
 pub mod spread;
