Report connections cut off by the stop of the admin endpoint

The test for idle connections passed also when they had to be cut off after the grace period; serve now returns their number, and the test asserts zero. Tests that need a closed port use loopback addresses of their own.

--- a/crates/lentilreach-cli/tests/timeline.rs
+++ b/crates/lentilreach-cli/tests/timeline.rs
@@ -131,9 +131,9 @@
     address
 }
 
-/// An address of loopback at which nobody listens.
+/// An address of loopback at which nobody listens; no endpoint uses this part of loopback.
 fn unused() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listener = TcpListener::bind("127.44.1.1:0").expect("a free port");
     listener.local_addr().expect("bound")
 }
 
--- a/crates/lentilreach/src/process/admin/server.rs
+++ b/crates/lentilreach/src/process/admin/server.rs
@@ -73,8 +73,12 @@
     }
 
     /// Serves until `stop` is ready, then ends idle connections and gives running requests
-    /// 2 s.
-    pub async fn serve<S: Source>(self, admin: Admin<S>, stop: impl Future<Output = ()>) {
+    /// 2 s. Returns the number of connections that were cut off after that.
+    pub async fn serve<S: Source>(
+        self,
+        admin: Admin<S>,
+        stop: impl Future<Output = ()>,
+    ) -> usize {
         let mut stop = pin!(stop);
         let (running, stopped) = async_channel::bounded::<()>(1);
         let mut open = FuturesUnordered::new();
@@ -112,6 +116,7 @@
         drop(running);
         let drained = async { while open.next().await.is_some() {} };
         or(drained, elapse(GRACE)).await;
+        open.len()
     }
 }
 
--- a/crates/lentilreach/tests/admin.rs
+++ b/crates/lentilreach/tests/admin.rs
@@ -149,7 +149,8 @@
 #[test]
 fn stop_ends_idle_connections_and_frees_the_port() {
     smol::block_on(async {
-        let endpoint = Endpoint::start().await;
+        // An address of its own: no other test can take the port once it is free.
+        let endpoint = Endpoint::at([127, 44, 0, 1]).await;
         let mut idle = TcpStream::connect(endpoint.address).await.expect("accepted");
         let request = b"GET /live HTTP/1.1\r\nhost: a\r\n\r\n";
         idle.write_all(request).await.expect("written");
@@ -157,8 +158,9 @@
         idle.read_exact(&mut answer).await.expect("answered");
 
         drop(endpoint.stop);
-        endpoint.task.await;
+        let cut = endpoint.task.await;
 
+        assert_eq!(cut, 0, "idle connections need no grace period");
         let mut rest = Vec::new();
         idle.read_to_end(&mut rest).await.expect("closed in order");
         assert!(String::from_utf8_lossy(&rest).ends_with("live\n"));
@@ -170,7 +172,8 @@
 #[test]
 fn fetch_errors_name_the_peer_and_the_step() {
     smol::block_on(async {
-        let closed = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        // An address of its own: no other test listens there.
+        let closed = TcpListener::bind("127.44.0.2:0").await.expect("bound");
         let peer = closed.local_addr().expect("bound").to_string();
         drop(closed);
 
@@ -189,9 +192,10 @@
         let peer = listener.local_addr().expect("bound").to_string();
         let other = smol::spawn(async move {
             let (mut stream, _) = listener.accept().await.expect("connected");
+            // An answer before the request would be another fault.
+            stream.read(&mut [0; 512]).await.expect("read");
             let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\nhello\n";
             stream.write_all(answer).await.expect("written");
-            stream.read(&mut [0; 512]).await.expect("read");
         });
 
         let error = fetch::events(&peer, Stamp::default()).await.expect_err("not JSON");
@@ -211,13 +215,18 @@
     ready: Arc<AtomicBool>,
     /// Stops it when dropped.
     stop: Sender<()>,
-    /// Ends when it has stopped.
-    task: Task<()>,
+    /// Ends when it has stopped, with the number of connections cut off.
+    task: Task<usize>,
 }
 
 impl Endpoint {
     /// Serves on a free port of loopback, with metrics of its own.
     async fn start() -> Self {
+        Self::at([127, 0, 0, 1]).await
+    }
+
+    /// Serves on a free port of an address.
+    async fn at(address: [u8; 4]) -> Self {
         let metrics = PrometheusBuilder::new().build_recorder();
         let recorder = ::metrics::with_local_recorder(&metrics, || {
             metric::describe();
@@ -225,15 +234,15 @@
         });
         let ready = Arc::new(AtomicBool::new(false));
         let admin = Admin::new(Fixed(ready.clone()), recorder.clone(), metrics.handle());
-        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::bind(loopback).await.expect("a free port");
+        let server =
+            Server::bind(SocketAddr::from((address, 0))).await.expect("a free port");
         let address = server.local();
         let (stop, stopped) = async_channel::bounded(1);
         let task = smol::spawn(async move {
             let stop = async move {
                 let _ = stopped.recv().await;
             };
-            server.serve(admin, stop).await;
+            server.serve(admin, stop).await
         });
         Self { address, recorder, ready, stop, task }
     }
