Spread attachments apart from announcements

An attachment changes whenever one of three balancers fails; as part of the announcement it made every node send 95 bytes to all. It is now an entry of its own of about 25 bytes with low priority.

--- a/crates/lentilreach/src/process/spread/attach.rs
+++ b/crates/lentilreach/src/process/spread/attach.rs
@@ -6,7 +6,7 @@
 
 use crate::id::{domain, node};
 use crate::process::clock::Millis;
-use crate::process::spread::entry::{MONITORS, Node, Role, Stage};
+use crate::process::spread::entry::{MONITORS, Node, Role, Stage, short};
 use crate::process::spread::member::Status;
 use crate::process::spread::state::State;
 
@@ -41,16 +41,32 @@
         self.slots.iter().map(|slot| slot.id).collect()
     }
 
+    /// The balancers as they are announced.
+    pub fn monitors(&self) -> [Option<u32>; MONITORS] {
+        let mut monitors = [None; MONITORS];
+        for (monitor, slot) in monitors.iter_mut().zip(&self.slots) {
+            *monitor = Some(short(slot.id));
+        }
+        monitors
+    }
+
+    /// Attaches to the given balancers; for measurements.
+    pub fn preset(&mut self, now: Millis, nodes: &[&Node], known: (u64, u64)) {
+        self.slots = nodes.iter().map(|node| Slot::new(now, node)).collect();
+        self.slots.iter_mut().for_each(|slot| slot.known = known);
+        self.bettered = now;
+    }
+
     /// The balancers.
     pub fn slots(&self) -> &[Slot] {
         &self.slots
     }
 
-    /// Notes a response; `counter` is the version of the announcement that it confirms.
-    pub fn ack(&mut self, now: Millis, id: node::Id, counter: u64) {
+    /// Notes a response and the versions of announcement and attachment that it confirms.
+    pub fn ack(&mut self, now: Millis, id: node::Id, known: (u64, u64)) {
         if let Some(slot) = self.slots.iter_mut().find(|slot| slot.id == id) {
             slot.acked = now;
-            slot.known = counter;
+            slot.known = known;
         }
     }
 
@@ -144,20 +160,20 @@
     domain: domain::Id,
     /// When it last responded, or was chosen.
     acked: Millis,
-    /// Version of the announcement that it has confirmed.
-    pub known: u64,
+    /// Versions of announcement and attachment that it has confirmed.
+    pub known: (u64, u64),
 }
 
 impl Slot {
     /// Attaches to a balancer.
     fn new(now: Millis, node: &Node) -> Self {
         let (id, address, domain) = (node.id, node.exchange, node.domain);
-        Self { id, address, domain, acked: now, known: 0 }
+        Self { id, address, domain, acked: now, known: (0, 0) }
     }
 
     /// Whether the next heartbeat asks for a response.
     pub fn asks(&self, now: Millis) -> bool {
-        self.known == 0 || now.since(self.acked) >= ASK_MS
+        self.known.0 == 0 || now.since(self.acked) >= ASK_MS
     }
 }
 
--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -13,7 +13,7 @@
 use crate::process::spread::budget::Budget;
 use crate::process::spread::digest::Scope;
 use crate::process::spread::entry::{
-    Class, Document, Entry, Key, Load, Node, Pulse, Role, Stage, Vital,
+    Attach, Class, Document, Entry, Key, Load, MONITORS, Node, Pulse, Role, Stage, Vital,
 };
 use crate::process::spread::hot::Queue;
 use crate::process::spread::member::Member;
@@ -73,6 +73,8 @@
 pub struct Core {
     /// The node's announcement.
     pub(super) me: Arc<Node>,
+    /// The node's attachment.
+    pub(super) attach: Attach,
     /// What the node's digests cover.
     pub(super) scope: Scope,
     /// The time as counted here.
@@ -118,15 +120,15 @@
 impl Core {
     /// A node that starts. `seed` sets its random choices.
     ///
-    /// The node's announcement is published once the node is ready; `monitors` and `counter`
-    /// are set here.
+    /// The node's announcement is published once the node is ready; `counter` is set here.
     pub fn new(node: Node, seed: u64) -> Self {
         let scope = match node.role {
             Role::Balancer => Scope::All,
             Role::Agent => Scope::Leaf(node.organisation.clone()),
         };
         Self {
-            me: Arc::new(Node { counter: 1, monitors: Vec::new(), ..node }),
+            attach: Attach { node: node.id, counter: 0, monitors: [None; MONITORS] },
+            me: Arc::new(Node { counter: 1, ..node }),
             scope,
             time: Steady::new(),
             rng: Rng::with_seed(seed),
@@ -221,6 +223,19 @@
         self.ready = true;
         self.heard = now;
         self.state.apply(now, &Entry::Node(self.me.clone()));
+        if let Some(attach) = self.state.member(self.me.id).and_then(|m| m.attach) {
+            let monitors = attach.monitors.iter().flatten();
+            let nodes: Vec<&Node> = monitors
+                .filter_map(|m| self.state.monitor(*m))
+                .map(|n| n.as_ref())
+                .collect();
+            self.attach = attach;
+            self.slots.preset(now, &nodes, (self.me.counter, attach.counter));
+        }
+        let attaches = self.state.members().iter().filter_map(|member| member.attach);
+        for attach in attaches.filter(|attach| attach.names(self.me.id)) {
+            self.watches.expect(now, attach.node, self.me.exchange);
+        }
     }
 
     /// Becomes ready.
@@ -295,8 +310,11 @@
             self.repair.changed(now);
         }
         match &entry {
-            Entry::Node(node) if node.monitors.contains(&self.me.id) => {
-                self.watches.expect(now, node.id, node.exchange);
+            Entry::Attach(attach) if attach.names(self.me.id) => {
+                let node = self.state.member(attach.node).and_then(|m| m.node.as_ref());
+                if let Some(address) = node.map(|node| node.exchange) {
+                    self.watches.expect(now, attach.node, address);
+                }
             }
             Entry::Pulse(pulse) if pulse.vital == Vital::Alive => {
                 self.watches.confirm(now, pulse.node, pulse.beat);
@@ -330,6 +348,7 @@
             // Those that had removed this node need its announcement again.
             let rounds = self.rounds(&Entry::Node(self.me.clone()));
             self.hot.add(Key::Node(node), Class::Liveness, rounds);
+            self.hot.add(Key::Attach(node), Class::Repair, rounds);
         }
         true
     }
@@ -353,12 +372,13 @@
         let Some(area) = entry.area() else { return };
         let me = self.me.id;
         let needs = |id: &node::Id| {
-            let node = self.state.member(*id).and_then(|member| member.node.as_ref());
-            node.is_some_and(|node| {
-                let scope = Scope::Leaf(node.organisation.clone());
-                let first = node.monitors.first() == Some(&me);
-                node.role == Role::Agent && first && scope.covers(&area)
-            })
+            let Some(member) = self.state.member(*id) else { return false };
+            let first = member.attach.is_some_and(|attach| attach.is_first(me));
+            first
+                && member.node.as_ref().is_some_and(|node| {
+                    let scope = Scope::Leaf(node.organisation.clone());
+                    node.role == Role::Agent && scope.covers(&area)
+                })
         };
         let leaves: Vec<node::Id> = self.watches.ids().filter(needs).collect();
         for id in leaves {
--- a/crates/lentilreach/src/process/spread/entry.rs
+++ b/crates/lentilreach/src/process/spread/entry.rs
@@ -23,6 +23,8 @@
     Document(Document),
     /// A node's announcement of itself.
     Node(Arc<Node>),
+    /// The balancers that a node attaches to.
+    Attach(Attach),
     /// A change of a node's liveness.
     Pulse(Pulse),
     /// A load report.
@@ -40,6 +42,7 @@
         match self {
             Self::Document(document) => Key::Document(document.key.clone()),
             Self::Node(node) => Key::Node(node.id),
+            Self::Attach(attach) => Key::Attach(attach.node),
             Self::Pulse(pulse) => Key::Pulse(pulse.node),
             Self::Load(load) => Key::Load(load.node),
         }
@@ -51,6 +54,9 @@
             Self::Document(_) => Class::Configuration,
             Self::Node(node) if node.stage == Stage::Leaving => Class::Configuration,
             Self::Node(_) | Self::Pulse(_) => Class::Liveness,
+            // Those that it concerns learn it from heartbeats; the others need it only if
+            // all of them fail.
+            Self::Attach(_) => Class::Repair,
             Self::Load(_) => Class::Load,
         }
     }
@@ -64,6 +70,7 @@
         match self {
             Self::Document(document) => Some(document.area()),
             Self::Node(node) => Some(area(node.role)),
+            Self::Attach(_) => Some(Area::Balancers),
             Self::Pulse(pulse) => Some(area(pulse.role)),
             Self::Load(_) => None,
         }
@@ -77,6 +84,8 @@
     Document(Name),
     /// The announcement of a node.
     Node(node::Id),
+    /// The attachment of a node.
+    Attach(node::Id),
     /// The liveness of a node.
     Pulse(node::Id),
     /// The load of a node.
@@ -155,8 +164,6 @@
     pub organisation: Name,
     /// What it may be given.
     pub stage: Stage,
-    /// The balancers that it attaches to, at most [`MONITORS`].
-    pub monitors: Vec<node::Id>,
 }
 
 impl Node {
@@ -166,6 +173,42 @@
     }
 }
 
+/// The balancers that a node attaches to. Only the node itself changes it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Attach {
+    /// The node.
+    pub node: node::Id,
+    /// Counts the changes; the version.
+    pub counter: u64,
+    /// The balancers, shortened by [`short`], at most [`MONITORS`]; the first ones count.
+    pub monitors: [Option<u32>; MONITORS],
+}
+
+impl Attach {
+    /// Whether a balancer is among them.
+    pub fn names(&self, id: node::Id) -> bool {
+        self.monitors.contains(&Some(short(id)))
+    }
+
+    /// Whether a balancer is the first of them, which passes news on to the node.
+    pub fn is_first(&self, id: node::Id) -> bool {
+        self.monitors[0] == Some(short(id))
+    }
+
+    /// Hash of key and version.
+    pub fn fingerprint(&self) -> u64 {
+        hash(self.node, self.counter, 8)
+    }
+}
+
+/// Shortens the identifier of a balancer.
+///
+/// Two balancers may share a value. Then one of them asks about a node that it need not
+/// watch, or silence is concluded later; neither is wrong.
+pub fn short(id: node::Id) -> u32 {
+    (id.0 ^ (id.0 >> 32)) as u32
+}
+
 /// What a node does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
--- a/crates/lentilreach/src/process/spread/member.rs
+++ b/crates/lentilreach/src/process/spread/member.rs
@@ -4,7 +4,7 @@
 
 use crate::id::node;
 use crate::process::clock::Millis;
-use crate::process::spread::entry::{Load, Node, Pulse, Stage, Vital};
+use crate::process::spread::entry::{Attach, Load, Node, Pulse, Stage, Vital};
 
 /// Heartbeats missing for this long, in milliseconds, make a node silent.
 pub const SILENT_MS: u64 = 3_000;
@@ -17,9 +17,6 @@
 /// others.
 const ORPHAN_MS: u64 = 1_000;
 
-/// The same for a node that has never attached.
-const ALONE_MS: u64 = 10_000;
-
 /// Silence in milliseconds after which a node's entries are removed.
 const DEAD_MS: u64 = 120_000;
 
@@ -43,6 +40,8 @@
     pub id: node::Id,
     /// Its announcement, unless it is unknown or removed.
     pub node: Option<Arc<Node>>,
+    /// The balancers that it attaches to, unless unknown or removed.
+    pub attach: Option<Attach>,
     /// The last change of its liveness; none if it was never silent.
     pub pulse: Option<Pulse>,
     /// Its last load report.
@@ -67,6 +66,7 @@
         Self {
             id,
             node: None,
+            attach: None,
             pulse: None,
             load: None,
             load_at: Millis(0),
@@ -124,9 +124,7 @@
 
     /// Whether silence follows from the silence of its balancers.
     fn is_orphan(&self, now: Millis) -> bool {
-        let never = self.node.as_ref().is_some_and(|node| node.monitors.is_empty());
-        let grace = if never { ALONE_MS } else { ORPHAN_MS };
-        self.orphan.is_some_and(|since| now.since(since) >= grace)
+        self.orphan.is_some_and(|since| now.since(since) >= ORPHAN_MS)
     }
 
     /// Whether the member has been silent for so long that its entries are removed.
--- a/crates/lentilreach/src/process/spread/message.rs
+++ b/crates/lentilreach/src/process/spread/message.rs
@@ -7,7 +7,9 @@
 use crate::id::node;
 use crate::process::name::Name;
 use crate::process::spread::digest::Scope;
-use crate::process::spread::entry::{Class, Document, Entry, Load, Node, Pulse};
+use crate::process::spread::entry::{
+    Class, Document, Entry, Load, MONITORS, Node, Pulse,
+};
 
 /// Longest datagram in bytes, sealed, without the IP and UDP headers.
 pub const MAX_DATAGRAM: usize = 1_200;
@@ -94,7 +96,9 @@
         OVERHEAD
             + match self {
                 Self::Beat(beat) => beat.size(),
-                Self::Ack(ack) => varint(ack.beat) + varint(ack.counter) + 4,
+                Self::Ack(ack) => {
+                    varint(ack.beat) + varint(ack.counter) + varint(ack.attach) + 4
+                }
                 Self::Push(entries) => 2 + sum(entries),
                 Self::Part(part) => part.size(),
                 Self::Query { beat, .. } | Self::Evidence { beat, .. } => {
@@ -149,18 +153,21 @@
     pub beat: u64,
     /// Version of the sender's announcement.
     pub counter: u64,
+    /// Version of the sender's attachment.
+    pub attach: u64,
     /// Whether the sender wants a response.
     pub ask: bool,
     /// Root of the sender's digest.
     pub root: u32,
-    /// Its announcement until the receiver has it, and its load if that changed.
+    /// Its announcement and attachment until the receiver has them, and its load if that changed.
     pub entries: Vec<Entry>,
 }
 
 impl Beat {
     /// Upper bound of the encoded size of the fields in bytes.
     fn size(&self) -> usize {
-        varint(self.beat) + varint(self.counter) + 1 + 4 + 2 + sum(&self.entries)
+        let versions = varint(self.counter) + varint(self.attach);
+        varint(self.beat) + versions + 1 + 4 + 2 + sum(&self.entries)
     }
 }
 
@@ -171,6 +178,8 @@
     pub beat: u64,
     /// Version of the receiver's announcement that the sender knows; 0 if none.
     pub counter: u64,
+    /// Version of the receiver's attachment that the sender knows; 0 if none.
+    pub attach: u64,
     /// Root of the sender's digest for the receiver's scope.
     pub root: u32,
 }
@@ -237,6 +246,7 @@
             2 + document.key.len() + varint(document.revision) + 1 + value
         }
         Entry::Node(node) => node_size(node),
+        Entry::Attach(attach) => 8 + varint(attach.counter) + 5 * MONITORS,
         Entry::Pulse(Pulse { beat, age_ms, .. }) => {
             8 + 2 + varint(*beat) + varint(*age_ms)
         }
@@ -249,7 +259,7 @@
     let names = node.name.len() + node.set.len() + node.organisation.len() + 6;
     let addresses = [node.envelope, node.exchange, node.admin];
     let addresses: usize = addresses.iter().map(address_size).sum();
-    8 + varint(node.counter) + names + addresses + 3 + 1 + 8 * node.monitors.len()
+    8 + varint(node.counter) + names + addresses + 3
 }
 
 /// Upper bound of the encoded size of a load report in bytes.
--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -85,6 +85,8 @@
         self.take_all(now, beat.entries, actions);
         let node = self.state.member(sender).and_then(|member| member.node.clone());
         let counter = node.as_ref().map_or(0, |node| node.counter);
+        let attach = self.state.member(sender).and_then(|member| member.attach);
+        let attach = attach.map_or(0, |attach| attach.counter);
         let scope = match &node {
             Some(node) if node.role == Role::Agent => {
                 Scope::Leaf(node.organisation.clone())
@@ -92,8 +94,8 @@
             _ => Scope::All,
         };
         let root = self.state.digest().root(&scope);
-        if beat.ask || counter != beat.counter {
-            let ack = Ack { beat: beat.beat, counter, root };
+        if beat.ask || (counter, attach) != (beat.counter, beat.attach) {
+            let ack = Ack { beat: beat.beat, counter, attach, root };
             self.send(now, from, Body::Ack(ack), actions);
         }
         if scope == Scope::All && node.is_some() && root != beat.root {
@@ -129,7 +131,7 @@
         ack: Ack,
         actions: &mut Vec<Action>,
     ) {
-        self.slots.ack(now, sender, ack.counter);
+        self.slots.ack(now, sender, (ack.counter, ack.attach));
         if ack.counter != 0 && ack.root != self.root() {
             self.compare(now, from, actions);
         }
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -5,7 +5,7 @@
 use crate::id::node;
 use crate::process::clock::Millis;
 use crate::process::spread::core::{Action, Core};
-use crate::process::spread::entry::{Class, Entry, Load, Pulse, Role, Vital};
+use crate::process::spread::entry::{Class, Entry, Load, Pulse, Role, Vital, short};
 use crate::process::spread::hot::Batch;
 use crate::process::spread::member::Status;
 use crate::process::spread::message::{Beat, Body, MAX_FIELDS, Part, Pull};
@@ -96,12 +96,12 @@
     fn second(&mut self, now: Millis, actions: &mut Vec<Action>) {
         let me = self.me.clone();
         if self.slots.review(now, &me, &self.state, &mut self.rng) {
-            let monitors = self.slots.ids();
-            self.announce(now, |me| me.monitors = monitors, actions);
+            self.attach.counter += 1;
+            self.attach.monitors = self.slots.monitors();
+            self.apply(now, Entry::Attach(self.attach), actions);
         }
         self.beat(now, actions);
-        let strict = self.me.role == Role::Balancer;
-        self.state.note_orphans(now, self.me.id, strict);
+        self.state.note_orphans(now, self.me.id);
         for id in self.state.expire(now, self.me.id) {
             let entry = self.status_entry(now, id);
             actions.extend(entry.map(Action::Changed));
@@ -115,14 +115,18 @@
         let mut load = self.next_load(now);
         for slot in self.slots.slots().to_vec() {
             let mut entries = Vec::new();
-            if slot.known != self.me.counter {
+            if slot.known.0 != self.me.counter {
                 entries.push(Entry::Node(self.me.clone()));
             }
+            if slot.known.1 != self.attach.counter {
+                entries.push(Entry::Attach(self.attach));
+            }
             // The first balancer passes loads on; more would only repeat them.
             entries.extend(load.take().map(Entry::Load));
             let beat = Beat {
                 beat: self.beat,
                 counter: self.me.counter,
+                attach: self.attach.counter,
                 ask: slot.asks(now),
                 root: self.root(),
                 entries,
@@ -178,13 +182,10 @@
 
     /// Asks the other balancers of a node whether they hear it.
     fn ask(&mut self, now: Millis, id: node::Id, beat: u64, actions: &mut Vec<Action>) {
-        let Some(node) = self.state.member(id).and_then(|m| m.node.clone()) else {
-            return;
-        };
-        let me = self.me.id;
-        for monitor in node.monitors.iter().filter(|monitor| **monitor != me) {
-            let other = self.state.member(*monitor).and_then(|m| m.node.as_ref());
-            if let Some(to) = other.map(|node| node.exchange) {
+        let Some(attach) = self.state.member(id).and_then(|m| m.attach) else { return };
+        let own = short(self.me.id);
+        for monitor in attach.monitors.into_iter().flatten().filter(|m| *m != own) {
+            if let Some(to) = self.state.monitor(monitor).map(|node| node.exchange) {
                 self.send(now, to, Body::Query { node: id, beat }, actions);
             }
         }
--- a/crates/lentilreach/src/process/spread/state.rs
+++ b/crates/lentilreach/src/process/spread/state.rs
@@ -5,9 +5,10 @@
 use crate::id::{domain, node};
 use crate::process::clock::Millis;
 use crate::process::name::Name;
-use crate::process::spread::digest::{Digest, Scope, falls, fold};
+use crate::process::spread::digest::{Area, Digest, Scope, falls, fold};
 use crate::process::spread::entry::{
-    Document, Entry, Key, Load, MAX_DOCUMENT, MONITORS, Node, Pulse, Stage, Vital,
+    Attach, Document, Entry, Key, Load, MAX_DOCUMENT, Node, Pulse, Role, Stage, Vital,
+    short,
 };
 use crate::process::spread::member::{KEEP_MS, Member, Status};
 
@@ -36,6 +37,7 @@
         match entry {
             Entry::Document(document) => self.apply_document(document),
             Entry::Node(node) => self.apply_node(node),
+            Entry::Attach(attach) => self.apply_attach(*attach),
             Entry::Pulse(pulse) => self.apply_pulse(now, *pulse),
             Entry::Load(load) => self.apply_load(now, *load),
         }
@@ -69,6 +71,7 @@
                 Some(Entry::Document(self.documents[index].clone()))
             }
             Key::Node(id) => self.member(*id)?.node.clone().map(Entry::Node),
+            Key::Attach(id) => self.member(*id)?.attach.map(Entry::Attach),
             Key::Pulse(id) => self.member(*id)?.aged(now).map(Entry::Pulse),
             Key::Load(id) => self.member(*id)?.load.map(Entry::Load),
         }
@@ -93,8 +96,10 @@
             let node = node.map(|n| (fold(n.fingerprint()), Entry::Node(n.clone())));
             let pulse = member.aged(now);
             let pulse = pulse.map(|p| (fold(p.fingerprint()), Entry::Pulse(p)));
-            // The pulse goes first: it decides whether the announcement is accepted.
-            pulse.into_iter().chain(node)
+            let attach = member.attach;
+            let attach = attach.map(|a| (fold(a.fingerprint()), Entry::Attach(a)));
+            // The pulse goes first: it decides whether the others are accepted.
+            pulse.into_iter().chain(node).chain(attach)
         });
         let all = documents.chain(members);
         all.filter(|(_, entry)| entry.area().is_some_and(|a| scope.covers(&a))).collect()
@@ -131,21 +136,32 @@
     /// Notes which members attach to silent balancers only.
     ///
     /// A balancer that is unknown here counts as alive: its announcement may be on its way.
-    /// `strict` also notes members that have not attached at all.
-    pub fn note_orphans(&mut self, now: Millis, me: node::Id, strict: bool) {
-        for index in 0..self.members.len() {
-            let member = &self.members[index];
-            let Some(node) = &member.node else { continue };
-            let hears = |id: &node::Id| {
-                *id == me || self.member(*id).is_none_or(|m| !m.is_silent(now))
-            };
-            let alone = !strict && node.monitors.is_empty();
-            let heard = member.id == me || alone || node.monitors.iter().any(hears);
-            let orphan = &mut self.members[index].orphan;
-            *orphan = if heard { None } else { Some(orphan.unwrap_or(now)) };
+    pub fn note_orphans(&mut self, now: Millis, me: node::Id) {
+        let is_balancer = |member: &&Member| {
+            let role = member.node.as_ref().map(|node| node.role);
+            role.or(member.pulse.map(|pulse| pulse.role)) == Some(Role::Balancer)
+        };
+        let silent = self.members.iter().filter(is_balancer).filter(|m| m.is_silent(now));
+        let mut silent: Vec<u32> = silent.map(|member| short(member.id)).collect();
+        silent.sort_unstable();
+        for member in &mut self.members {
+            let lost = |monitor: &u32| silent.binary_search(monitor).is_ok();
+            let all_lost = member.attach.is_some_and(|attach| {
+                let mut monitors = attach.monitors.iter().flatten().peekable();
+                monitors.peek().is_some() && monitors.all(lost)
+            });
+            let orphan = all_lost && member.id != me;
+            member.orphan = orphan.then(|| member.orphan.unwrap_or(now));
         }
     }
 
+    /// Finds a balancer by its shortened identifier.
+    pub fn monitor(&self, id: u32) -> Option<&Arc<Node>> {
+        let nodes = self.members.iter().filter_map(|member| member.node.as_ref());
+        let mut balancers = nodes.filter(|node| node.role == Role::Balancer);
+        balancers.find(|node| short(node.id) == id)
+    }
+
     /// Removes the entries of members that have been silent for long.
     pub fn expire(&mut self, now: Millis, me: node::Id) -> Vec<node::Id> {
         let over = self.members.iter().filter(|m| m.id != me && m.is_over(now));
@@ -183,9 +199,6 @@
 
     /// Takes in an announcement.
     fn apply_node(&mut self, node: &Arc<Node>) -> Outcome {
-        if node.monitors.len() > MONITORS {
-            return Outcome::Refused;
-        }
         let index = self.entry(node.id);
         let member = &self.members[index];
         if member.vital() == Vital::Dead {
@@ -201,11 +214,30 @@
         if let (Entry::Node(node), Some(area)) = (&entry, entry.area()) {
             self.digest.add(&area, node.id.0, node.fingerprint());
             self.members[index].node = Some(node.clone());
-            self.members[index].orphan = None;
         }
         Outcome::New
     }
 
+    /// Takes in an attachment.
+    fn apply_attach(&mut self, attach: Attach) -> Outcome {
+        let index = self.entry(attach.node);
+        let member = &self.members[index];
+        if member.vital() == Vital::Dead {
+            return Outcome::Refused;
+        }
+        if let Some(old) = member.attach
+            && attach.counter <= old.counter
+        {
+            return Outcome::stale(attach.counter == old.counter);
+        }
+        self.drop_attach(index);
+        let (place, fingerprint) = (attach.node.0, attach.fingerprint());
+        self.digest.add(&Area::Balancers, place, fingerprint);
+        self.members[index].attach = Some(attach);
+        self.members[index].orphan = None;
+        Outcome::New
+    }
+
     /// Takes in a pulse.
     fn apply_pulse(&mut self, now: Millis, pulse: Pulse) -> Outcome {
         if pulse.vital == Vital::Dead && pulse.age_ms >= KEEP_MS {
@@ -221,6 +253,7 @@
         self.drop_pulse(index);
         if pulse.vital == Vital::Dead {
             self.drop_node(index);
+            self.drop_attach(index);
             self.members[index].load = None;
         }
         self.members[index].pulse(now, pulse);
@@ -298,6 +331,14 @@
         }
     }
 
+    /// Drops an attachment.
+    fn drop_attach(&mut self, index: usize) {
+        if let Some(attach) = self.members[index].attach.take() {
+            let (place, fingerprint) = (attach.node.0, attach.fingerprint());
+            self.digest.remove(&Area::Balancers, place, fingerprint);
+        }
+    }
+
     /// Drops a pulse from the digest.
     fn drop_pulse(&mut self, index: usize) {
         if let Some(pulse) = self.members[index].pulse
@@ -311,6 +352,7 @@
     fn forget(&mut self, id: node::Id) {
         if let Ok(index) = self.find(id) {
             self.drop_node(index);
+            self.drop_attach(index);
             self.drop_pulse(index);
             self.members.remove(index);
         }
--- a/crates/lentilreach/src/process/spread/watch.rs
+++ b/crates/lentilreach/src/process/spread/watch.rs
@@ -189,5 +189,5 @@
 
 /// Whether a member attaches to the balancer.
 fn names(member: &Member, me: node::Id) -> bool {
-    member.node.as_ref().is_some_and(|node| node.monitors.contains(&me))
+    member.node.is_some() && member.attach.is_some_and(|attach| attach.names(me))
 }
--- a/crates/lentilreach/src/process/spread/wire.rs
+++ b/crates/lentilreach/src/process/spread/wire.rs
@@ -96,10 +96,10 @@
 /// Counterpart of [`Body`].
 #[derive(Serialize, Deserialize)]
 enum Wire<'a> {
-    /// Heartbeat: number, version of the announcement, question, root, entries.
-    Beat(u64, u64, bool, [u8; 4], #[serde(borrow)] Vec<Entry<'a>>),
-    /// Response: number, version of the announcement, root.
-    Ack(u64, u64, [u8; 4]),
+    /// Heartbeat: number, versions of announcement and attachment, question, root, entries.
+    Beat(u64, u64, u64, bool, [u8; 4], #[serde(borrow)] Vec<Entry<'a>>),
+    /// Response: number, versions of announcement and attachment, root.
+    Ack(u64, u64, u64, [u8; 4]),
     /// Entries.
     Push(#[serde(borrow)] Vec<Entry<'a>>),
     /// Part of a document: key, revision, index, count, bytes.
@@ -134,6 +134,8 @@
     Document(&'a str, u64, Option<&'a [u8]>),
     /// Announcement.
     Node(#[serde(borrow)] Node<'a>),
+    /// Attachment: node, version, balancers.
+    Attach([u8; 8], u64, [Option<[u8; 4]>; MONITORS]),
     /// Liveness: node, kind (role and state), heartbeat, age in milliseconds.
     Pulse([u8; 8], u8, u64, u64),
     /// Load: node, version, open, limit, busy, slots.
@@ -159,21 +161,16 @@
     set: &'a str,
     /// Its organisation.
     organisation: &'a str,
-    /// Balancers that it attaches to.
-    monitors: Vec<[u8; 8]>,
 }
 
 impl<'a> From<&'a Body> for Wire<'a> {
     fn from(body: &'a Body) -> Self {
         match body {
-            Body::Beat(b) => Self::Beat(
-                b.beat,
-                b.counter,
-                b.ask,
-                b.root.to_le_bytes(),
-                list(&b.entries),
-            ),
-            Body::Ack(a) => Self::Ack(a.beat, a.counter, a.root.to_le_bytes()),
+            Body::Beat(b) => {
+                let root = b.root.to_le_bytes();
+                Self::Beat(b.beat, b.counter, b.attach, b.ask, root, list(&b.entries))
+            }
+            Body::Ack(a) => Self::Ack(a.beat, a.counter, a.attach, a.root.to_le_bytes()),
             Body::Push(entries) => Self::Push(list(entries)),
             Body::Part(p) => Self::Part(&p.key, p.revision, p.index, p.count, &p.bytes),
             Body::Query { node, beat } => Self::Query(node.0.to_le_bytes(), *beat),
@@ -199,16 +196,13 @@
 
     fn try_from(wire: Wire<'_>) -> Result<Self, Fault> {
         Ok(match wire {
-            Wire::Beat(beat, counter, ask, root, entries) => Self::Beat(message::Beat {
-                beat,
-                counter,
-                ask,
-                root: u32::from_le_bytes(root),
-                entries: unlist(entries)?,
-            }),
-            Wire::Ack(beat, counter, root) => {
+            Wire::Beat(beat, counter, attach, ask, root, entries) => {
+                let (root, entries) = (u32::from_le_bytes(root), unlist(entries)?);
+                Self::Beat(message::Beat { beat, counter, attach, ask, root, entries })
+            }
+            Wire::Ack(beat, counter, attach, root) => {
                 let root = u32::from_le_bytes(root);
-                Self::Ack(message::Ack { beat, counter, root })
+                Self::Ack(message::Ack { beat, counter, attach, root })
             }
             Wire::Push(entries) => Self::Push(unlist(entries)?),
             Wire::Part(key, revision, index, count, bytes) => Self::Part(message::Part {
@@ -270,6 +264,10 @@
                 Self::Document(&d.key, d.revision, d.value.as_deref())
             }
             entry::Entry::Node(node) => Self::Node(node.as_ref().into()),
+            entry::Entry::Attach(a) => {
+                let monitors = a.monitors.map(|id| id.map(u32::to_le_bytes));
+                Self::Attach(a.node.0.to_le_bytes(), a.counter, monitors)
+            }
             entry::Entry::Pulse(p) => {
                 let kind = p.role as u8 * 4 + p.vital as u8;
                 Self::Pulse(p.node.0.to_le_bytes(), kind, p.beat, p.age_ms)
@@ -295,6 +293,10 @@
                 Self::document(name(key, MAX_KEY)?, revision, value)
             }
             Entry::Node(node) => Self::Node(Arc::new(node.try_into()?)),
+            Entry::Attach(id, counter, monitors) => {
+                let monitors = monitors.map(|id| id.map(u32::from_le_bytes));
+                Self::Attach(entry::Attach { node: id_of(id), counter, monitors })
+            }
             Entry::Pulse(id, kind, beat, age_ms) => Self::Pulse(entry::Pulse {
                 node: id_of(id),
                 role: role(kind / 4)?,
@@ -321,7 +323,6 @@
             domain: node.domain.0,
             set: &node.set,
             organisation: &node.organisation,
-            monitors: node.monitors.iter().map(|id| id.0.to_le_bytes()).collect(),
         }
     }
 }
@@ -330,9 +331,6 @@
     type Error = Fault;
 
     fn try_from(wire: Node<'_>) -> Result<Self, Fault> {
-        if wire.monitors.len() > MONITORS {
-            return Err(Fault::Size);
-        }
         let [envelope, exchange, admin] = wire.addresses;
         Ok(Self {
             id: id_of(wire.id),
@@ -346,7 +344,6 @@
             set: name(wire.set, MAX_NAME)?,
             organisation: name(wire.organisation, MAX_NAME)?,
             stage: stage(wire.kind.1)?,
-            monitors: wire.monitors.into_iter().map(id_of).collect(),
         })
     }
 }
--- a/crates/standin/examples/debug.rs
+++ b/crates/standin/examples/debug.rs
@@ -16,7 +16,6 @@
         set: "s".into(),
         organisation: "o".into(),
         stage: Stage::Active,
-        monitors: vec![],
     }
 }
 fn main() {
@@ -50,7 +49,7 @@
     for (n, m) in net.core(3).members().take(0) {
         println!(
             "{} {:?} {:?} {:?} orphan={:?} mon={:?}",
-            n.name, n.role, m.status, m.pulse, m.orphan, n.monitors
+            n.name, n.role, m.status, m.pulse, m.orphan, m.attach
         );
     }
     for l in net.log.iter().take(30) {
--- a/crates/standin/src/measure.rs
+++ b/crates/standin/src/measure.rs
@@ -9,13 +9,15 @@
 use lentilreach::Name;
 use lentilreach::id::{domain, node};
 use lentilreach::process::spread::core::Event;
-use lentilreach::process::spread::entry::{Entry, Load, Node, Role, Stage};
+use lentilreach::process::spread::entry::{
+    Attach, Entry, Key, Load, Node, Role, Stage, short,
+};
 use lentilreach::process::spread::member::Status;
 use serde::Serialize;
 
 use crate::network::{Faults, Network};
 
-/// Failure domains at the expected scale.
+/// Failure domains at the expected scale; fewer for small fleets.
 const DOMAINS: usize = 10;
 
 /// Organisations that share the fleet.
@@ -120,6 +122,13 @@
     pub cpu_share_per_node: f64,
 }
 
+impl Settings {
+    /// Number of failure domains, each with at least three balancers.
+    fn domains(&self) -> usize {
+        (self.nodes / 3).clamp(1, DOMAINS)
+    }
+}
+
 /// Runs the measurement.
 pub fn control(settings: &Settings) -> Report {
     let mut fleet = Fleet::new(settings);
@@ -202,11 +211,12 @@
         let all = self.balancers.iter().chain(&self.agents);
         let nodes: Vec<Node> =
             all.map(|index| self.network.core(*index).me().as_ref().clone()).collect();
+        let attached = self.attach(&nodes);
         let before = resident();
         for index in self.balancers.clone() {
             let entries = documents.iter().map(copy);
-            let entries: Vec<Entry> =
-                entries.chain(nodes.iter().map(|n| copy(&announce(n)))).collect();
+            let entries = entries.chain(nodes.iter().map(|n| copy(&announce(n))));
+            let entries: Vec<Entry> = entries.chain(attached.iter().cloned()).collect();
             let clock = self.network.clock(index);
             self.network.core_mut(index).preload(clock, &entries);
         }
@@ -223,12 +233,33 @@
                 _ => false,
             });
             let balancers = nodes[..self.settings.nodes].iter().map(announce);
-            let entries: Vec<Entry> = wanted.cloned().chain(balancers).collect();
+            let own = &self.network.core(index).me().id;
+            let own = attached.iter().filter(|entry| entry.key() == Key::Attach(*own));
+            let entries = wanted.chain(own).cloned();
+            let entries: Vec<Entry> = entries.chain(balancers).collect();
             let clock = self.network.clock(index);
             self.network.core_mut(index).preload(clock, &entries);
         }
     }
 
+    /// Attaches each node to three balancers, agents to those of their failure domain.
+    fn attach(&mut self, nodes: &[Node]) -> Vec<Entry> {
+        let balancers = &nodes[..self.settings.nodes];
+        let mut entries = Vec::new();
+        for node in nodes {
+            let fit = |b: &&Node| {
+                b.id != node.id
+                    && (node.role == Role::Balancer || b.domain == node.domain)
+            };
+            let mut candidates: Vec<u32> =
+                balancers.iter().filter(fit).map(|b| short(b.id)).collect();
+            self.rng.shuffle(&mut candidates);
+            let monitors = std::array::from_fn(|index| candidates.get(index).copied());
+            entries.push(Entry::Attach(Attach { node: node.id, counter: 1, monitors }));
+        }
+        entries
+    }
+
     /// Lets nodes attach, then starts to count.
     fn settle(&mut self) {
         for _ in 0..SETTLE_MS / 1_000 {
@@ -289,7 +320,7 @@
         self.changes.push((key, self.revision, self.network.now_ms()));
         let relays = match self.settings.plan {
             Plan::StoreAway => 1,
-            _ => 2 * DOMAINS,
+            _ => 2 * self.settings.domains(),
         };
         for index in self.balancers.iter().rev().take(relays).copied().collect::<Vec<_>>()
         {
@@ -317,7 +348,7 @@
     fn cut(&mut self, side: u8) {
         for index in self.balancers.iter().chain(&self.agents) {
             let domain = usize::from(self.network.core(*index).me().domain.0);
-            if domain < DOMAINS / 3 {
+            if domain < self.settings.domains().div_ceil(3) {
                 self.network.side(*index, side);
             }
         }
@@ -446,11 +477,10 @@
             envelope: address(10, index, 4_000),
             exchange: address(10, index, 4_001),
             admin: address(10, index, 4_002),
-            domain: domain::Id((index % DOMAINS) as u8),
+            domain: domain::Id((index % self.settings.domains()) as u8),
             set: "".into(),
             organisation: "".into(),
             stage: Stage::Active,
-            monitors: Vec::new(),
         }
     }
 
@@ -464,11 +494,10 @@
             envelope: address(11, index, 4_000),
             exchange: address(11, index, 4_001),
             admin: address(11, index, 4_002),
-            domain: domain::Id((index % DOMAINS) as u8),
+            domain: domain::Id((index % self.settings.domains()) as u8),
             set: format!("set-{}", index % 100).into(),
             organisation: self.organisations[index % ORGANISATIONS].clone(),
             stage: Stage::Active,
-            monitors: Vec::new(),
         }
     }
 }
