--- a/crates/lentilreach-cli/src/main.rs
+++ b/crates/lentilreach-cli/src/main.rs
@@ -17,23 +17,21 @@
 use std::process::ExitCode;
 
 use clap::ArgMatches;
+use env_logger::Env;
 
 use crate::context::Context;
 use crate::reply::Reply;
 
 fn main() -> ExitCode {
-    env_logger::init();
+    env_logger::Builder::from_env(Env::default().default_filter_or("error")).init();
     // clap itself ends the process with status 2 on wrong usage.
     let matches = command::build().get_matches();
-    let context = Context::from(&matches);
-    let reply = run(&context, &matches);
-    reply.print(context.report);
-    reply.status.into()
+    run(&Context::from(&matches), &matches)
 }
 
-/// Runs the subcommand.
-fn run(context: &Context, matches: &ArgMatches) -> Reply {
-    match matches.subcommand() {
+/// Runs the subcommand and prints its reply.
+fn run(context: &Context, matches: &ArgMatches) -> ExitCode {
+    let reply = match matches.subcommand() {
         Some((check::NAME, matches)) => check::run(context, matches),
         Some((submit::NAME, matches)) => submit::run(context, matches),
         Some((show::NAME, matches)) => show::run(context, matches),
@@ -41,5 +39,6 @@
         Some((completions::NAME, matches)) => completions::run(matches),
         // clap requires one of the subcommands above.
         _ => Reply::input("no subcommand"),
-    }
+    };
+    reply.print(context.report)
 }
--- a/crates/lentilreach-cli/src/reply.rs
+++ b/crates/lentilreach-cli/src/reply.rs
@@ -62,8 +62,9 @@
         self
     }
 
-    /// Prints the reply: results to standard output, errors to standard error.
-    pub fn print(&self, report: Report) {
+    /// Prints the reply: results to standard output, errors to standard error. Returns the
+    /// exit status of the process.
+    pub fn print(&self, report: Report) -> ExitCode {
         let line = match report {
             Report::Text => self.text.clone(),
             Report::Json => self.to_json().to_string(),
@@ -74,6 +75,7 @@
         } else {
             writeln!(io::stderr(), "{line}")
         };
+        self.status.into()
     }
 
     /// The reply as one JSON object.
