Steer by distance from the mean and stop refusals by draining candidates

Known draining members are now listed only if there is no other, and an agent declines for balance only with two candidates left. Cold members get at most their share of new flows and fill up to the mean.

--- a/crates/lentilreach/src/connection/open.rs
+++ b/crates/lentilreach/src/connection/open.rs
@@ -8,6 +8,13 @@
 /// Bounds the memory that opening packets with forged senders can take to about 1 MiB.
 const REMEMBERED: usize = 8_192;
 
+/// Candidates that a flow must still have for an agent to decline it for balance alone.
+///
+/// Some of them may be draining without the balancer's knowledge. With a reserve of one, a
+/// flow that all others declined for balance was refused by a draining last candidate; see
+/// `docs/decisions/steering.md`.
+const RESERVE: usize = 2;
+
 /// What a backend server may hold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -129,7 +136,7 @@
             _ => {}
         }
         match self.obstacle() {
-            None if remaining == 0 || !self.is_ahead() => self.admit(now, flow),
+            None if remaining < RESERVE || !self.is_ahead() => self.admit(now, flow),
             Some(why) if remaining == 0 => {
                 self.remember(now, flow, Decision::Refused(why));
                 Outcome::Refuse(why)
@@ -205,13 +212,10 @@
     }
 
     /// Whether there are more open flows than the mean of the service by 5% and one.
-    ///
-    /// In a cold start, the mean counts in proportion to the limit.
     fn is_ahead(&self) -> bool {
         let Some(mean) = self.mean else { return false };
-        let share = u64::from(self.limit()) * u64::from(mean);
-        let mean = share / u64::from(self.limits.flows.max(1));
-        u64::from(self.open()) * 10 > mean + mean / 20 + 10
+        let mean = u64::from(mean);
+        u64::from(self.open()) * 10 > mean + mean / 50 + 5
     }
 
     /// Gives a flow a place.
--- a/crates/lentilreach/src/request/route.rs
+++ b/crates/lentilreach/src/request/route.rs
@@ -8,6 +8,7 @@
 use crate::connection::token;
 use crate::id::service;
 use crate::request::packet::{Form, Packet};
+use crate::version::load;
 use crate::version::table::WIDTH;
 use crate::version::view::{Service, View};
 
@@ -121,6 +122,7 @@
     let draws = (hash >> 64) as u64;
     let mut ranked = [(f32::MAX, SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0)); WIDTH];
     let mut len = 0;
+    let mut takers = 0;
     for (place, (member, cost)) in service.candidates(hash as u64).enumerate() {
         if view.is_out(member.domain) {
             continue;
@@ -130,12 +132,16 @@
         ranked.copy_within(at..len, at + 1);
         ranked[at] = (score, member.agent);
         len += 1;
+        takers += usize::from(cost < load::LAST);
     }
     if len == 0 {
         return Verdict::Drop(Reason::NoMember);
     }
+    // Members that may get no new flow are listed only if there is no other: agents decline
+    // flows for balance as long as candidates remain, and these would refuse them.
+    let listed = if takers == 0 { len } else { takers };
     let mut candidates = Candidates::EMPTY;
-    for (_, agent) in &ranked[..len] {
+    for (_, agent) in &ranked[..listed] {
         candidates.push(*agent);
     }
     Verdict::Offer { service: service.id, candidates }
--- a/crates/lentilreach/src/version/load.rs
+++ b/crates/lentilreach/src/version/load.rs
@@ -33,17 +33,14 @@
 
 /// The cost of giving each member a flow: the inverse of its weight.
 ///
-/// The weight is the share of new flows that a member is to get. It grows with the member's
-/// limit and with its distance below the mean use of the service. Members that may get no new
-/// flow cost [`LAST`] more.
+/// The weight is the share of new flows that a member is to get. It grows with the distance
+/// below the mean of open flows. Members that may get no new flow cost [`LAST`] more.
 pub fn costs(members: &[Member]) -> Vec<f32> {
     let takers = || members.iter().filter(|member| is_taker(member));
     let open: u64 = takers().map(|member| u64::from(member.load.open)).sum();
-    let limit: u64 = takers().map(|member| u64::from(member.load.limit)).sum();
-    let largest = takers().map(|member| member.load.limit).max().unwrap_or(0);
-    let mean = open as f32 / limit.max(1) as f32;
+    let mean = open as f32 / takers().count().max(1) as f32;
     let cost = |member: &Member| {
-        let cost = 1.0 / weight(&member.load, mean, largest);
+        let cost = 1.0 / weight(member, mean);
         if is_taker(member) { cost } else { cost + LAST }
     };
     members.iter().map(cost).collect()
@@ -61,16 +58,19 @@
 
 /// Whether a member may be given new flows.
 fn is_taker(member: &Member) -> bool {
-    matches!(member.stage, Stage::Active | Stage::Cold)
+    let Load { open, limit, .. } = member.load;
+    matches!(member.stage, Stage::Active | Stage::Cold) && (limit == 0 || open < limit)
 }
 
-/// The weight of a member in a service with this mean use and largest limit.
-fn weight(load: &Load, mean: f32, largest: u32) -> f32 {
-    if load.limit == 0 || mean == 0.0 {
+/// The weight of a member in a service with this mean of open flows.
+///
+/// A cold member gets no more than its share of new flows: with its few slots, it could not
+/// serve the requests of all flows that it lacks.
+fn weight(member: &Member, mean: f32) -> f32 {
+    if mean == 0.0 {
         return 1.0;
     }
-    let limit = load.limit as f32;
-    let below = 1.0 - load.open as f32 / (limit * mean);
-    let share = limit / largest.max(1) as f32;
-    (share * (1.0 + GAIN * below)).max(MIN_WEIGHT)
+    let below = 1.0 - member.load.open as f32 / mean;
+    let most = if member.stage == Stage::Cold { 1.0 } else { f32::MAX };
+    (1.0 + GAIN * below).min(most).max(MIN_WEIGHT)
 }
--- a/crates/standin/examples/steering.rs
+++ b/crates/standin/examples/steering.rs
@@ -18,17 +18,21 @@
 
 fn main() {
     let seeds = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(5);
-    for rolling in [false, true] {
+    for (rolling, life_ms) in [(false, 20_000), (true, 20_000), (true, 60_000)] {
         for (members, flows) in
             [(3, 40), (4, 40), (7, 40), (40, 40), (3, 400), (4, 400), (7, 400), (40, 400)]
         {
-            println!("\n{members} members, {flows} flows each, rolling: {rolling}");
+            let plan = if rolling { "rolling" } else { "steady" };
+            println!(
+                "\n{plan}, {members} members, {flows} flows each, life {} s",
+                life_ms / 1_000
+            );
             println!("| policy | imbalance | p99 | hops | split | refused |");
             println!("| --- | --- | --- | --- | --- | --- |");
             for (name, policy) in POLICIES {
                 let figures = (1..=seeds).map(|seed| {
-                    let duration_ms = if rolling { 230_000 } else { 140_000 };
-                    let life_ms = 20_000;
+                    let duration_ms =
+                        3 * life_ms + if rolling { 150_000 } else { 80_000 };
                     let scenario =
                         Scenario { members, flows, life_ms, rolling, duration_ms, seed };
                     run(scenario, policy)
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -366,10 +366,11 @@
         let hash = flow::Key::new(caller, id).id;
         let Some(service) = balancer.view.services().first() else { return Vec::new() };
         let mut list: Vec<&Member> = service.candidates(hash).map(|(m, _)| m).collect();
-        list.sort_by_key(|member| member.stage == Stage::Leaving);
+        if list.iter().any(|member| member.stage != Stage::Leaving) {
+            list.retain(|member| member.stage != Stage::Leaving);
+        }
         let use_of = |m: &Member, extra: u32| {
-            let open = u64::from(m.load.open + extra) << 24;
-            (m.stage == Stage::Leaving, open / u64::from(m.load.limit))
+            (u64::from(m.load.open + extra) << 24) / u64::from(m.load.limit)
         };
         match self.policy.order {
             Order::Rendezvous => {}
