--- a/crates/lentilreach-cli/src/main.rs
+++ b/crates/lentilreach-cli/src/main.rs
@@ -24,7 +24,9 @@
 use crate::reply::Reply;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(Env::default().default_filter_or("error")).init();
+    env_logger::Builder::from_env(Env::default().default_filter_or("error"))
+        .format_timestamp_millis()
+        .init();
     // clap itself ends the process with status 2 on wrong usage.
     let matches = command::build().get_matches();
     run(&Context::from(&matches), &matches)
--- a/crates/lentilreach/src/process/endpoint.rs
+++ b/crates/lentilreach/src/process/endpoint.rs
@@ -205,6 +205,9 @@
         agent: shared.origin(),
         node: shared.node,
     };
+    // Balancers tell QUIC from other datagrams by the fixed bit, so callers must not be
+    // invited to grease it (RFC 9287). Half of their datagrams were dropped otherwise.
+    config.grease_quic_bit(false);
     config.cid_generator(move || Box::new(Generator::new(tables.clone(), origin)));
     Ok(config)
 }
