--- a/crates/lentilreach-cli/src/submit.rs
+++ b/crates/lentilreach-cli/src/submit.rs
@@ -1,10 +1,13 @@
 //! `lentilreach submit`: brings an operators' file into force.
 
+use std::sync::Arc;
+
 use clap::{ArgMatches, Command};
 use futures_lite::future;
 use lentilreach::process::clock::wall_ms;
 use lentilreach::process::submit::{self, Fault, Outcome, Plan, Target};
-use lentilreach::version::config::Change;
+use lentilreach::version::config::{Change, Service};
+use lentilreach::version::diff::{Changed, Diff};
 use serde_json::{Value, json};
 
 use crate::context::Context;
@@ -49,7 +52,7 @@
     let change = next_change();
     let mut planned = Value::Null;
     let confirm = |plan: &Plan| {
-        planned = plan.diff.to_string().lines().collect();
+        planned = difference(&plan.diff);
         confirm::ask(matches, plan)
     };
     let outcome = future::block_on(submit::submit(&store, target, &change, confirm));
@@ -108,6 +111,23 @@
     })
 }
 
+/// A difference as JSON.
+fn difference(diff: &Diff) -> Value {
+    let paths = |services: &[Arc<Service>]| -> Vec<String> {
+        services.iter().map(|service| service.path().to_string()).collect()
+    };
+    let changed = |changed: &Changed| {
+        let changes: Vec<_> = changed.changes.iter().map(ToString::to_string).collect();
+        json!({ "service": &*changed.new.path(), "changes": changes })
+    };
+    json!({
+        "added": paths(&diff.added),
+        "changed": diff.changed.iter().map(changed).collect::<Vec<_>>(),
+        "removed": paths(&diff.removed),
+        "domains": diff.domains.iter().map(ToString::to_string).collect::<Vec<_>>(),
+    })
+}
+
 /// The reply for a change that was refused.
 fn refused(fault: &Fault) -> Reply {
     match fault {
--- a/crates/lentilreach-cli/src/wait.rs
+++ b/crates/lentilreach-cli/src/wait.rs
@@ -107,9 +107,14 @@
 ) -> Vec<(SocketAddr, Look)> {
     let mut behind: Vec<_> = daemons.into_iter().map(|a| (a, Look::Silent)).collect();
     loop {
+        // All at once, so that one daemon that hangs does not delay the others.
+        let looks: Vec<_> = behind
+            .into_iter()
+            .map(|(address, _)| (address, smol::spawn(look(address))))
+            .collect();
         let mut still = Vec::new();
-        for (address, _) in behind {
-            match look(address).await {
+        for (address, task) in looks {
+            match task.await {
                 Look::At(at) if at >= revision => {}
                 look => still.push((address, look)),
             }
--- a/crates/lentilreach/tests/submit.rs
+++ b/crates/lentilreach/tests/submit.rs
@@ -157,7 +157,8 @@
     let store = store();
     store.script([Call::Pass, other(peakline(&[("rope", 3, 2)]), "op-peakline")]);
 
-    let outcome = submit(&store, &weilheim(&[("a", 1, 5), ("c", 3, 5)]), "op-c");
+    let outcome =
+        submit(&store, &weilheim(&[("a", 1, 5), ("b", 2, 5), ("c", 3, 5)]), "op-c");
 
     let Err(Fault::Document(errors)) = outcome else { panic!("{outcome:?}") };
     assert_snapshot!(errors.to_string());
