Connect the operators' command to the store client

Cause: submit and show were written against a trait of their own while the store client was being written. Change: they use process::store, and the command's tests run against the stand-in store over loopback.

--- /dev/null
+++ b/crates/lentilreach-cli/tests/store.rs
@@ -0,0 +1,177 @@
+//! The operators' command against the stand-in store over loopback.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::thread;
+
+use lentilreach::process::pool::Pool;
+use lentilreach::version::config::key;
+use lentilreach_standin::store::{Away, Builder, Server};
+use serde_json::Value;
+use tempfile::NamedTempFile;
+
+/// A store that listens on a free port, and the threads that serve it.
+fn store() -> (Server, Pool) {
+    let pool = Pool::new(1).expect("a thread");
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    (Builder::new().serve(address, &pool).expect("a free port"), pool)
+}
+
+/// Runs the command against a store; returns its exit status and its JSON report.
+fn run(store: &Server, arguments: &[&str]) -> (i32, Value) {
+    let output = Command::new(env!("CARGO_BIN_EXE_lentilreach"))
+        .args(["--report", "json", "--store", &store.address().to_string()])
+        .args(arguments)
+        .env("USER", "anna")
+        .env_remove("LENTILREACH_ADMIN")
+        .stdin(Stdio::null())
+        .output()
+        .expect("the command starts");
+    let report = serde_json::from_slice(&output.stdout).expect("JSON");
+    (output.status.code().expect("the command ends by itself"), report)
+}
+
+/// The path of an example.
+fn example(name: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    root.join("../../examples").join(name).display().to_string()
+}
+
+/// The example of weilheim with a text replaced.
+fn edited(from: &str, to: &str) -> NamedTempFile {
+    let text = std::fs::read_to_string(example("weilheim.jsonc")).expect("an example");
+    assert!(text.contains(from), "the example has no {from}");
+    let mut file = NamedTempFile::new().expect("a file");
+    file.write_all(text.replace(from, to).as_bytes()).expect("writable");
+    file
+}
+
+/// A daemon that reports a configuration revision to one look after the other.
+fn daemon(revisions: &'static [u64]) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    thread::spawn(move || {
+        for revision in revisions {
+            let Ok((mut stream, _)) = listener.accept() else { return };
+            let lines = BufReader::new(&stream).lines();
+            lines
+                .map_while(Result::ok)
+                .take_while(|line| !line.is_empty())
+                .for_each(drop);
+            let page =
+                format!("# TYPE x gauge\nlentilreach_config_revision {revision}\n");
+            let head =
+                format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", page.len());
+            let _ = stream.write_all(format!("{head}{page}").as_bytes());
+        }
+    });
+    address
+}
+
+/// Guards against a configuration that is shown otherwise than it was submitted.
+#[test]
+fn submit_then_show() {
+    let (store, _pool) = store();
+
+    let (submitted, outcome) =
+        run(&store, &["submit", "--yes", &example("weilheim.jsonc")]);
+    let (again, unchanged) =
+        run(&store, &["submit", "--yes", &example("weilheim.jsonc")]);
+    let (shown, report) = run(&store, &["show", "abo-kalender"]);
+    let (all, everything) = run(&store, &["show"]);
+    let (unknown, nearest) = run(&store, &["show", "weilheim/abo-kalendar"]);
+
+    assert_eq!((submitted, again, shown, all, unknown), (0, 0, 0, 0, 2));
+    assert_eq!(outcome["outcome"], "took-effect");
+    assert_eq!(unchanged["outcome"], "unchanged");
+    let service = &report["services"][0];
+    assert_eq!(service["operation"], outcome["operation"]);
+    assert!(outcome["operation"].as_str().is_some_and(|name| name.starts_with("anna-")));
+    assert_eq!(service["limits"]["connections"], 2000);
+    assert_eq!(everything["domains"].as_array().map(Vec::len), Some(3));
+    let hint = nearest["message"].as_str().expect("a text");
+    assert!(hint.contains("weilheim/abo-kalender"), "{hint}");
+}
+
+/// Guards against an address of another organisation that `check` accepts with a store.
+#[test]
+fn check_looks_at_what_is_in_force() {
+    let (store, _pool) = store();
+    run(&store, &["submit", "--yes", &example("peakline.jsonc")]);
+    let clash = edited("127.1.0.2:4433", "127.2.0.1:4433");
+
+    let (status, report) = run(&store, &["check", &clash.path().display().to_string()]);
+
+    assert_eq!(status, 2);
+    let message = report["errors"][0]["message"].as_str().expect("a text");
+    assert_eq!(message, "127.2.0.1:4433 already belongs to peakline/ropeledger");
+}
+
+/// Guards against a change that is written although nobody confirmed it.
+#[test]
+fn without_a_terminal_yes_is_needed() {
+    let (store, _pool) = store();
+
+    let (status, report) = run(&store, &["submit", &example("weilheim.jsonc")]);
+
+    assert_eq!((status, &report["outcome"]), (1, &"declined".into()));
+    assert_eq!(store.handle().get(key::DOMAINS), None);
+}
+
+/// Guards against a failure domain whose state the list does not show.
+#[test]
+fn domain_out_and_back() {
+    let (store, _pool) = store();
+    run(&store, &["submit", "--yes", &example("weilheim.jsonc")]);
+
+    let (out, outcome) = run(&store, &["domain", "out", "raum-sued", "--yes"]);
+    let (_, after_out) = run(&store, &["domain", "list"]);
+    let (back, _) = run(&store, &["domain", "back", "raum-sued", "--yes"]);
+    let (_, after_back) = run(&store, &["domain", "list"]);
+    let (unknown, _) = run(&store, &["domain", "out", "raum-west", "--yes"]);
+
+    assert_eq!((out, back, unknown), (0, 0, 2));
+    let entry = &after_out["domains"][1];
+    assert_eq!((&entry["name"], &entry["out"]), (&"raum-sued".into(), &true.into()));
+    assert_eq!(entry["operation"], outcome["operation"]);
+    assert_eq!(after_back["domains"][1]["out"], false);
+    assert_eq!(after_back["domains"][1]["id"], 1);
+}
+
+/// Guards against an outcome that is guessed when the store's answer is lost.
+#[test]
+fn lost_answers() {
+    let (store, _pool) = store();
+    run(&store, &["submit", "--yes", &example("weilheim.jsonc")]);
+    let file = edited("\"slots\": 5", "\"slots\": 6");
+
+    store.handle().lose();
+    let (status, outcome) =
+        run(&store, &["submit", "--yes", &file.path().display().to_string()]);
+    store.handle().away(Away::Refuse);
+    let (away, failed) = run(&store, &["submit", "--yes", &example("weilheim.jsonc")]);
+
+    assert_eq!((status, &outcome["outcome"]), (0, &"took-effect".into()));
+    assert!(outcome["message"].as_str().is_some_and(|text| text.contains("read back")));
+    assert_eq!((away, &failed["status"]), (1, &"failed".into()));
+}
+
+/// Guards against a wait that ends before every daemon has the change, or never.
+#[test]
+fn wait_watches_the_daemons() {
+    let (store, _pool) = store();
+    let weilheim = example("weilheim.jsonc");
+    let (behind, ahead) = (daemon(&[0, 0, 99]), daemon(&[99]));
+    let admin = format!("{behind},{ahead}");
+
+    let (status, report) =
+        run(&store, &["submit", "--yes", "--wait", "--admin", &admin, &weilheim]);
+
+    assert_eq!((status, &report["in_force"]), (0, &true.into()));
+    let stuck = daemon(&[0; 100]).to_string();
+    let out = ["domain", "out", "raum-nord", "--yes", "--wait", "--timeout", "1"];
+    let (status, report) = run(&store, &[&out[..], &["--admin", &stuck]].concat());
+    assert_eq!((status, &report["in_force"]), (3, &false.into()));
+}
--- a/crates/lentilreach/src/process/submit.rs
+++ b/crates/lentilreach/src/process/submit.rs
@@ -8,7 +8,6 @@
 pub mod conflict;
 pub mod force;
 pub mod plan;
-pub mod store;
 
 use std::fmt::{self, Display, Formatter};
 
@@ -17,8 +16,8 @@
 pub use plan::{Fault, Plan, Target};
 
 use crate::process::name::Name;
+use crate::process::store::{Error, Store, Written};
 use crate::process::submit::plan::Fate;
-use crate::process::submit::store::{Error, Store, Written};
 use crate::version::config::{Change, MAX_NAME, key};
 
 /// Repeated writes while the outcome of the first is unknown. Each comes after a read-back
--- a/crates/lentilreach/src/process/submit/conflict.rs
+++ b/crates/lentilreach/src/process/submit/conflict.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::process::name::Name;
-use crate::process::submit::store::Entry;
+use crate::process::store::Entry;
 use crate::version::config::key::{self, Kind};
 use crate::version::config::wire::Marks;
 use crate::version::config::{Domains, Service, Snapshot};
--- a/crates/lentilreach/src/process/submit/force.rs
+++ b/crates/lentilreach/src/process/submit/force.rs
@@ -1,7 +1,7 @@
 //! The configuration in force, with the revisions that a change is compared with.
 
 use crate::process::name::Name;
-use crate::process::submit::store::{Entry, Error, Range, Store};
+use crate::process::store::{Entry, Error, Range, Store};
 use crate::version::config::key;
 use crate::version::config::snapshot::{Refused, Snapshot};
 use crate::version::config::wire::Marks;
--- a/crates/lentilreach/src/process/submit/plan.rs
+++ b/crates/lentilreach/src/process/submit/plan.rs
@@ -5,9 +5,9 @@
 
 use crate::process::input::Errors;
 use crate::process::name::Name;
+use crate::process::store::{Entry, Error, Range, Txn};
 use crate::process::submit::conflict::{Conflict, What};
 use crate::process::submit::force::{self, Force};
-use crate::process::submit::store::{Entry, Error, Range, Txn};
 use crate::version::config::snapshot::Refused;
 use crate::version::config::wire::Marks;
 use crate::version::config::{
