End a watch at the store when it is dropped

Dropping the stream of answers does not reset an HTTP/2 stream whose request side is open, so the store kept the watch waiting; the test that counts waiting watches never ended. The watch now owns the request side and closes it.

--- a/crates/lentilreach/src/process/store/etcd.rs
+++ b/crates/lentilreach/src/process/store/etcd.rs
@@ -8,7 +8,7 @@
 
 use async_io::Timer;
 use futures_lite::future;
-use futures_util::stream::{self, StreamExt};
+use futures_util::stream;
 use http::Uri;
 use tonic::{Status, Streaming};
 
@@ -20,7 +20,7 @@
 use super::proto::etcdserverpb::watch_client::WatchClient;
 use super::proto::etcdserverpb::{
     LeaseGrantRequest, LeaseKeepAliveRequest, LeaseRevokeRequest, RangeRequest,
-    TxnRequest, WatchResponse,
+    TxnRequest, WatchRequest, WatchResponse,
 };
 use super::settings::Settings;
 use super::{Batch, Lease, RANK, Range, Store, Txn, Written};
@@ -236,11 +236,14 @@
             let mut client =
                 WatchClient::with_origin(link.channel.clone(), link.origin.clone())
                     .max_decoding_message_size(MAX_ANSWER);
-            // The store ends the watch when the stream of requests ends.
-            let requests = stream::iter([request]).chain(stream::pending());
+            // The request is the only one; a new channel has room for it.
+            let (hold, requests) = async_channel::bounded(1);
+            let _ = hold.try_send(request);
             let mut answers = client.watch(requests).await?.into_inner();
             let first = answers.message().await?;
-            Ok((first, Watch { answers, _link: link.clone(), peer: link.peer }))
+            let watch =
+                Watch { answers, _hold: hold, _link: link.clone(), peer: link.peer };
+            Ok((first, watch))
         });
         let (first, watch) = watch.await?;
         match first {
@@ -269,6 +272,9 @@
 pub struct Watch {
     /// The store's messages.
     answers: Streaming<WatchResponse>,
+    /// Keeps the stream of requests open. The store ends the watch when it is dropped;
+    /// dropping the answers alone does not reset the stream.
+    _hold: async_channel::Sender<WatchRequest>,
     /// Keeps the connection open.
     _link: Link,
     /// Address of the store.
