Leave a store connection whose peer is silent

A watch on a connection whose packets are swallowed would wait for ever, and a call that was given up would be made again on the same connection. The interval of HTTP/2 pings is a setting now, and tests cover both cases with a relay that stops carrying and an endpoint that never answers.

A closed connection is reported by the call instead of the readiness check, where the generated client loses the information that nothing was sent.

--- a/crates/lentilreach/src/process/store/budget.rs
+++ b/crates/lentilreach/src/process/store/budget.rs
@@ -4,8 +4,9 @@
 
 /// A token bucket that gives out places in time.
 ///
-/// Invariant: in any interval of `t` milliseconds at most `burst + rate * t / 1000` calls
-/// start, if each starts no earlier than its place.
+/// Invariant: in any interval of `t` milliseconds at most `burst + rate * (t + 1) / 1000`
+/// calls start, if each starts no earlier than its place. Places are whole milliseconds,
+/// hence the one added.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Budget {
     /// Time between calls at the full rate, in microseconds. At least 1.
--- a/crates/lentilreach/src/process/store/channel.rs
+++ b/crates/lentilreach/src/process/store/channel.rs
@@ -17,13 +17,6 @@
 
 use crate::process::pool::Pool;
 
-/// Time between pings while a watch or call is open. etcd closes connections that ping more
-/// often than every 5 s, or without an open stream.
-const PING_INTERVAL: Duration = Duration::from_secs(6);
-
-/// Time for the answer to a ping, after which the connection counts as lost.
-const PING_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Flow control window of a stream and of the connection, in bytes: one largest value with
 /// room for its neighbours.
 const WINDOW: u32 = 2 << 20;
@@ -38,14 +31,20 @@
 impl Channel {
     /// Connects and starts the connection's task on the pool.
     ///
-    /// The task ends when the last clone of the channel and the last stream are dropped.
-    pub(super) async fn connect(peer: SocketAddr, pool: &Pool) -> io::Result<Self> {
+    /// While a call or watch is open, the peer is pinged after each `ping`; without an answer
+    /// for one third of that time the connection counts as lost. The task ends when the last
+    /// clone of the channel and the last stream are dropped.
+    pub(super) async fn connect(
+        peer: SocketAddr,
+        ping: Duration,
+        pool: &Pool,
+    ) -> io::Result<Self> {
         let stream = Async::<TcpStream>::connect(peer).await?;
         stream.get_ref().set_nodelay(true)?;
         let (sender, connection) = http2::Builder::new(Spawn(pool.clone()))
             .timer(SmolTimer::new())
-            .keep_alive_interval(PING_INTERVAL)
-            .keep_alive_timeout(PING_TIMEOUT)
+            .keep_alive_interval(ping)
+            .keep_alive_timeout(ping / 3)
             .initial_stream_window_size(WINDOW)
             .initial_connection_window_size(WINDOW)
             .handshake(FuturesIo::new(stream))
@@ -71,8 +70,10 @@
     // Store calls are control traffic; the future of hyper has no name.
     type Future = BoxFuture<Self::Response, Fault>;
 
-    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Fault>> {
-        self.sender.poll_ready(context).map_err(Fault::NotSent)
+    /// Always ready: a closed connection is reported by the call, because the generated
+    /// clients drop the kind of an error that is reported here.
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Fault>> {
+        Poll::Ready(Ok(()))
     }
 
     fn call(&mut self, request: http::Request<Body>) -> Self::Future {
--- a/crates/lentilreach/src/process/store/convert.rs
+++ b/crates/lentilreach/src/process/store/convert.rs
@@ -18,7 +18,7 @@
 use crate::process::name::Name;
 
 /// The first key and the end of the range of keys with a prefix.
-pub(super) fn bounds(prefix: &str) -> (Bytes, Bytes) {
+pub fn bounds(prefix: &str) -> (Bytes, Bytes) {
     // The protocol writes "all keys" as two zero bytes.
     let whole = Bytes::from_static(b"\0");
     if prefix.is_empty() {
@@ -33,14 +33,14 @@
 }
 
 /// The request that opens a watch.
-pub(super) fn watch(prefix: &str, from: u64) -> rpc::WatchRequest {
+pub fn watch(prefix: &str, from: u64) -> rpc::WatchRequest {
     let (key, range_end) = bounds(prefix);
     let create = rpc::WatchCreateRequest { key, range_end, start_revision: signed(from) };
     rpc::WatchRequest { request_union: Some(RequestUnion::CreateRequest(create)) }
 }
 
 /// Whole seconds of a time to live, rounded up and at least 1.
-pub(super) fn seconds(ttl: Duration) -> i64 {
+pub fn seconds(ttl: Duration) -> i64 {
     let seconds = ttl.as_secs() + u64::from(ttl.subsec_nanos() > 0);
     i64::try_from(seconds.max(1)).unwrap_or(i64::MAX)
 }
@@ -51,7 +51,7 @@
 }
 
 /// The revision of an answer.
-pub(super) fn revision(header: Option<&rpc::ResponseHeader>) -> Result<u64, Malformed> {
+fn revision(header: Option<&rpc::ResponseHeader>) -> Result<u64, Malformed> {
     let header = header.ok_or(Malformed("answer without a header"))?;
     u64::try_from(header.revision).map_err(|_| Malformed("negative revision"))
 }
@@ -164,13 +164,13 @@
 
 /// An answer that cannot be understood, and why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Malformed(pub(super) &'static str);
+pub struct Malformed(pub &'static str);
 
 impl Malformed {
     /// The error of a call.
     ///
     /// The outcome of a change is unknown if its answer cannot be read.
-    pub(super) fn at(self, step: Step, peer: &Name) -> Error {
+    pub fn at(self, step: Step, peer: &Name) -> Error {
         let (peer, cause) = (peer.clone(), self.0.to_owned());
         match step.is_repeatable() {
             true => Error::Protocol { step, peer, cause },
@@ -183,7 +183,7 @@
 ///
 /// A change is reported as without effect only if the store says so, or if the request never
 /// left this process; any other end leaves its outcome unknown.
-pub(super) fn error(step: Step, peer: &Name, status: &Status) -> Error {
+pub fn error(step: Step, peer: &Name, status: &Status) -> Error {
     let peer = peer.clone();
     let cause = format!("{}: {}", status.code(), status.message());
     let fault = status.source().and_then(|source| source.downcast_ref::<Fault>());
--- a/crates/lentilreach/src/process/store/etcd.rs
+++ b/crates/lentilreach/src/process/store/etcd.rs
@@ -50,6 +50,8 @@
     name: Name,
     /// Time for opening a connection.
     connect: Duration,
+    /// Time between pings.
+    ping: Duration,
     /// Runs the connections.
     pool: Pool,
     /// The current connection.
@@ -93,6 +95,7 @@
             endpoints: settings.endpoints.clone(),
             name: names.join(",").into(),
             connect: Duration::from_millis(settings.connect_ms),
+            ping: Duration::from_millis(settings.ping_ms),
             pool,
             slot: Ranked::new(RANK, Slot::default()),
         };
@@ -153,7 +156,7 @@
             Timer::after(self.shared.connect).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let channel = Channel::connect(endpoint, &self.shared.pool);
+        let channel = Channel::connect(endpoint, self.shared.ping, &self.shared.pool);
         let channel = future::or(channel, late).await?;
         Ok(Link { channel, peer: peer.clone(), origin, serial })
     }
--- a/crates/lentilreach/src/process/store/mod.rs
+++ b/crates/lentilreach/src/process/store/mod.rs
@@ -19,7 +19,7 @@
 pub mod backoff;
 pub mod budget;
 mod channel;
-mod convert;
+pub mod convert;
 pub mod error;
 pub mod etcd;
 pub mod follow;
--- a/crates/lentilreach/src/process/store/settings.rs
+++ b/crates/lentilreach/src/process/store/settings.rs
@@ -19,6 +19,9 @@
     pub attempt_ms: u64,
     /// Time for a call with all its attempts, in milliseconds.
     pub call_ms: u64,
+    /// Time between pings while a call or watch is open, in milliseconds. A connection whose
+    /// ping is not answered within one third of that counts as lost.
+    pub ping_ms: u64,
     /// Longest first delay before another attempt, in milliseconds.
     pub backoff_ms: u64,
     /// Longest delay before another attempt, in milliseconds.
@@ -46,6 +49,8 @@
             attempt_ms: 2_000,
             // Below the 7 s in which an accepted configuration is in force.
             call_ms: 5_000,
+            // etcd closes connections that ping more often than every 5 s.
+            ping_ms: 6_000,
             backoff_ms: 50,
             backoff_cap_ms: 2_000,
         }
@@ -97,6 +102,13 @@
         self
     }
 
+    /// Time between pings while a call or watch is open, in milliseconds.
+    #[must_use]
+    pub fn ping_ms(mut self, ms: u64) -> Self {
+        self.settings.ping_ms = ms;
+        self
+    }
+
     /// Delays before another attempt, in milliseconds: the longest first one and the longest.
     #[must_use]
     pub fn backoff_ms(mut self, base: u64, cap: u64) -> Self {
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -1,12 +1,14 @@
 //! The store client against the stand-in store.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use async_io::Timer;
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use futures_lite::{future, io};
 use futures_util::future::join_all;
-use smol::block_on;
+use smol::{Task, block_on};
 
 use lentilreach::process::pool::Pool;
 use lentilreach::process::store::follow::{Follow, Update};
@@ -71,6 +73,40 @@
     (memory.handle().clone(), Retry::new(memory, patient(LOOPBACK)))
 }
 
+/// Carries one connection to the store until it is frozen, and keeps it open after that.
+struct Relay {
+    /// Where it listens.
+    address: SocketAddr,
+    /// Closing it stops the traffic.
+    freeze: Sender<()>,
+    /// Carries the connection.
+    _task: Task<()>,
+}
+
+impl Relay {
+    /// Listens for a connection to carry.
+    fn start(store: SocketAddr, pool: &Pool) -> Self {
+        let listener = Async::<TcpListener>::bind(LOOPBACK).expect("a free port");
+        let address = listener.get_ref().local_addr().expect("a bound socket");
+        let (freeze, frozen) = async_channel::bounded::<()>(1);
+        let task = pool.spawn(async move {
+            let (client, _) = listener.accept().await.expect("a connection");
+            let server = Async::<TcpStream>::connect(store).await.expect("a store");
+            let carry =
+                future::try_zip(io::copy(&client, &server), io::copy(&server, &client));
+            let carried = async { carry.await.map(drop) };
+            let stopped = async {
+                // An error means that the channel is closed, which is the signal.
+                let _ = frozen.recv().await;
+                Ok(())
+            };
+            future::or(carried, stopped).await.expect("an open connection");
+            std::future::pending().await
+        });
+        Self { address, freeze, _task: task }
+    }
+}
+
 /// Writes a key unconditionally, as another client.
 fn put(handle: &Handle, key: &str, value: &'static str) {
     handle.write(&Txn::new().put(key, value)).expect("a valid transaction");
@@ -418,6 +454,37 @@
     assert!(range.is_ok(), "{range:?}");
 }
 
+/// Guards against a client that stays with an endpoint that accepts connections and never
+/// answers, as behind a path that swallows packets.
+#[test]
+fn silent_endpoint_is_left() {
+    let pool = pool();
+    let up = server(&pool);
+    let silent = TcpListener::bind(LOOPBACK).expect("a free port");
+    let address = silent.local_addr().expect("a bound socket");
+    let settings = Settings::builder().endpoint(address).endpoint(up.address());
+    let settings = settings.attempt_ms(500).call_ms(60_000).build();
+    let client = store::connect(settings, pool.clone()).expect("valid settings");
+    let range = block_on(client.range("key"));
+    assert!(range.is_ok(), "{range:?}");
+}
+
+/// Guards against a watch that waits forever on a connection whose packets are swallowed.
+#[test]
+fn watch_leaves_a_silent_connection() {
+    let pool = pool();
+    let server = server(&pool);
+    let relay = Relay::start(server.address(), &pool);
+    let settings = Settings::builder().endpoint(relay.address).ping_ms(2_000).build();
+    let client = etcd::Client::new(&settings, pool.clone()).expect("valid settings");
+    block_on(async {
+        let mut watch = client.watch("key", 1).await.expect("an answer");
+        relay.freeze.close();
+        let lost = watch.next().await;
+        assert!(matches!(lost, Err(Error::Unavailable { .. })), "{lost:?}");
+    });
+}
+
 /// A largest value, and one that is a byte longer.
 async fn carry<S: Store>(client: S) {
     let largest = vec![7; MAX_VALUE];
