--- a/crates/lentilreach/src/process/store/channel.rs
+++ b/crates/lentilreach/src/process/store/channel.rs
@@ -41,7 +41,7 @@
     ) -> io::Result<Self> {
         let stream = Async::<TcpStream>::connect(peer).await?;
         stream.get_ref().set_nodelay(true)?;
-        let (sender, connection) = http2::Builder::new(Spawn(pool.clone()))
+        let (sender, connection) = http2::Builder::new(pool.clone())
             .timer(SmolTimer::new())
             .keep_alive_interval(ping)
             .keep_alive_timeout(ping / 3)
@@ -110,15 +110,12 @@
 impl std::error::Error for Fault {}
 
 /// Lets hyper start its tasks on the worker pool.
-#[derive(Debug, Clone)]
-struct Spawn(Pool);
-
-impl<F> hyper::rt::Executor<F> for Spawn
+impl<F> hyper::rt::Executor<F> for Pool
 where
     F: Future + Send + 'static,
     F::Output: Send + 'static,
 {
     fn execute(&self, future: F) {
-        self.0.spawn(future).detach();
+        self.spawn(future).detach();
     }
 }
--- a/crates/standin/src/store/memory.rs
+++ b/crates/standin/src/store/memory.rs
@@ -4,7 +4,7 @@
 
 use lentilreach::process::name::Name;
 use lentilreach::process::store::{
-    Batch, Error, Lease, Limit, Range, Step, Store, Txn, Watch, Written,
+    Batch, Error, Lease, Limit, Range, Step, Store, Txn, Watch, Written, convert,
 };
 
 use super::core::{Refusal, Span};
@@ -49,8 +49,7 @@
     }
 
     async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
-        let seconds = ttl.as_secs() + u64::from(ttl.subsec_nanos() > 0);
-        let seconds = i64::try_from(seconds.max(1)).unwrap_or(i64::MAX);
+        let seconds = convert::seconds(ttl);
         let answer = self.handle.call(Step::Grant, |core, now| core.grant(now, seconds));
         answer.await.map_err(|fault| error(Step::Grant, fault))
     }
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -102,10 +102,10 @@
         Memory::new(Handle::new(&self))
     }
 
-    /// A store that listens on `address`; port 0 takes a free port.
+    /// A store that listens on a loopback address; port 0 takes a free port.
     ///
     /// # Errors
-    /// If the address is in use or not on this machine.
+    /// If the address is in use or not a loopback address.
     pub fn serve(self, address: SocketAddr, pool: &Pool) -> io::Result<Server> {
         Server::start(Handle::new(&self), address, pool)
     }
--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -1,7 +1,6 @@
 //! The stand-in store over sockets.
 
 use std::convert::Infallible;
-use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 
@@ -48,6 +47,10 @@
         address: SocketAddr,
         pool: &Pool,
     ) -> io::Result<Self> {
+        if !address.ip().is_loopback() {
+            let message = "the store stand-in lets everyone in; give a loopback address";
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, message));
+        }
         // Holds the port while connections are refused, so that no other process gets it.
         let holder = bind(address)?;
         let address =
@@ -126,7 +129,7 @@
     let answer = service_fn(move |request| answer(service.clone(), request));
     let connection = async {
         // A client that goes away is no concern of the store.
-        let _ = http2::Builder::new(Spawn(pool))
+        let _ = http2::Builder::new(pool)
             .timer(SmolTimer::new())
             .initial_stream_window_size(WINDOW)
             .initial_connection_window_size(WINDOW)
@@ -170,17 +173,3 @@
     socket.listen(BACKLOG)?;
     Async::new(socket.into())
 }
-
-/// Lets hyper start its tasks on the worker pool.
-#[derive(Debug, Clone)]
-struct Spawn(Pool);
-
-impl<F> hyper::rt::Executor<F> for Spawn
-where
-    F: Future + Send + 'static,
-    F::Output: Send + 'static,
-{
-    fn execute(&self, future: F) {
-        self.0.spawn(future).detach();
-    }
-}
--- a/crates/standin/src/store/service.rs
+++ b/crates/standin/src/store/service.rs
@@ -43,11 +43,15 @@
         Self { handle, hangup }
     }
 
-    /// The status of a call without a regular answer.
+    /// The answer of a call, or the status that stands for its fault.
     ///
     /// If the answer is lost, the connection breaks instead.
-    async fn refuse(&self, fault: Fault) -> Status {
-        match fault {
+    async fn reply<T>(&self, answer: Result<T, Fault>) -> Result<T, Status> {
+        let fault = match answer {
+            Ok(answer) => return Ok(answer),
+            Err(fault) => fault,
+        };
+        Err(match fault {
             Fault::Away => Status::unavailable("the store is away"),
             Fault::Throttled => {
                 Status::resource_exhausted("etcdserver: too many requests")
@@ -64,7 +68,7 @@
                 let _ = self.hangup.try_send(());
                 future::pending().await
             }
-        }
+        })
     }
 
     /// Extends one lease; an ended one has a time to live of 0.
@@ -76,9 +80,21 @@
             };
             Ok(LeaseKeepAliveResponse { header: header(core), id, ttl })
         });
-        match answer.await {
-            Ok(answer) => Ok(answer),
-            Err(fault) => Err(self.refuse(fault).await),
+        self.reply(answer.await).await
+    }
+
+    /// Opens a watch; the inner error is the oldest revision that can be watched.
+    async fn open(
+        &self,
+        create: WatchCreateRequest,
+    ) -> Result<Result<Cursor, u64>, Status> {
+        let span = span(&create.key, &create.range_end)?;
+        let from = u64::try_from(create.start_revision)
+            .map_err(|_| Status::invalid_argument("negative revision"))?;
+        match self.handle.watch(span, from).await {
+            Ok(cursor) => Ok(Ok(cursor)),
+            Err(Fault::Refused(Refusal::Compacted { oldest })) => Ok(Err(oldest)),
+            Err(fault) => self.reply(Err(fault)).await,
         }
     }
 }
@@ -97,10 +113,7 @@
             let count = kvs.len() as i64;
             Ok(RangeResponse { header: header(core), kvs, more: false, count })
         });
-        match answer.await {
-            Ok(answer) => Ok(Response::new(answer)),
-            Err(fault) => Err(self.refuse(fault).await),
-        }
+        self.reply(answer.await).await.map(Response::new)
     }
 
     async fn txn(
@@ -112,10 +125,7 @@
             let written = core.write(&txn)?;
             Ok(wire::written(written, &reads, header(core)))
         });
-        match answer.await {
-            Ok(answer) => Ok(Response::new(answer)),
-            Err(fault) => Err(self.refuse(fault).await),
-        }
+        self.reply(answer.await).await.map(Response::new)
     }
 }
 
@@ -136,10 +146,7 @@
             let (header, error) = (header(core), String::new());
             Ok(LeaseGrantResponse { header, id, ttl: request.ttl, error })
         });
-        match answer.await {
-            Ok(answer) => Ok(Response::new(answer)),
-            Err(fault) => Err(self.refuse(fault).await),
-        }
+        self.reply(answer.await).await.map(Response::new)
     }
 
     async fn lease_revoke(
@@ -151,10 +158,7 @@
             core.revoke(lease)?;
             Ok(LeaseRevokeResponse { header: header(core) })
         });
-        match answer.await {
-            Ok(answer) => Ok(Response::new(answer)),
-            Err(fault) => Err(self.refuse(fault).await),
-        }
+        self.reply(answer.await).await.map(Response::new)
     }
 
     async fn lease_keep_alive(
@@ -205,23 +209,6 @@
     }
 }
 
-impl Service {
-    /// Opens a watch; the inner error is the oldest revision that can be watched.
-    async fn open(
-        &self,
-        create: WatchCreateRequest,
-    ) -> Result<Result<Cursor, u64>, Status> {
-        let span = span(&create.key, &create.range_end)?;
-        let from = u64::try_from(create.start_revision)
-            .map_err(|_| Status::invalid_argument("negative revision"))?;
-        match self.handle.watch(span, from).await {
-            Ok(cursor) => Ok(Ok(cursor)),
-            Err(Fault::Refused(Refusal::Compacted { oldest })) => Ok(Err(oldest)),
-            Err(fault) => Err(self.refuse(fault).await),
-        }
-    }
-}
-
 /// An open watch: the store's side, and the client's further requests.
 type Open = (Cursor, Streaming<WatchRequest>);
 
