--- /dev/null
+++ b/crates/standin/tests/store.rs
@@ -0,0 +1,216 @@
+//! The store client against the stand-in store.
+
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_util::future::join_all;
+use smol::block_on;
+
+use lentilreach::process::store::retry::Retry;
+use lentilreach::process::store::{
+    Change, Error, Limit, MAX_VALUE, Range, Settings, Step, Store, Txn, Watch, Written,
+};
+use lentilreach_standin::store::{Builder, Handle};
+
+use fixture::{client, memory, pairs, pool, server};
+
+#[path = "store/fault.rs"]
+mod fault;
+#[path = "store/fixture.rs"]
+mod fixture;
+
+/// Several writers create the same key.
+async fn race<S: Store>(clients: Vec<S>) {
+    let writes = clients.iter().enumerate().map(|(index, client)| async move {
+        let txn = Txn::new().compare("race", 0).put("race", index.to_string());
+        client.write(txn).await.expect("an answer")
+    });
+    let written = join_all(writes).await;
+    let range = clients[0].range("race").await.expect("an answer");
+    let is_done = |written: &&Written| matches!(written, Written::Done { .. });
+    let losers: Vec<_> = written
+        .iter()
+        .filter_map(|written| match written {
+            Written::Lost { current } => Some(current),
+            Written::Done { .. } => None,
+        })
+        .collect();
+    assert_eq!(written.iter().filter(is_done).count(), 1);
+    assert!(losers.iter().all(|current| **current == range.entries));
+}
+
+/// Guards against two winners of a compare-and-swap, and against losers that are not told
+/// what is there.
+#[test]
+fn compare_and_swap_has_one_winner() {
+    let pool = pool();
+    let server = server(&pool);
+    let (_, memory) = memory();
+    block_on(race((0..8).map(|_| client(&server, &pool)).collect()));
+    block_on(race(vec![memory; 8]));
+}
+
+/// A key on a lease that ends without its holder.
+async fn lapse<S: Store>(handle: &Handle, client: S) {
+    let lease = client.grant(Duration::from_millis(1_500)).await.expect("an answer");
+    let ttl = client.keep(lease).await;
+    let write = client.write(Txn::new().lease("slot", "mine", lease)).await;
+    let Ok(Written::Done { revision }) = write else { panic!("{write:?}") };
+    let mut watch = client.watch("slot", revision + 1).await.expect("an answer");
+    let had_lease = handle.lapse(lease);
+    let batch = watch.next().await.expect("the deletion");
+    let kept = client.keep(lease).await;
+    let written = client.write(Txn::new().lease("slot", "mine", lease)).await;
+    let revoked = client.revoke(lease).await;
+    let range = client.range("slot").await.expect("an answer");
+    assert_eq!(ttl, Ok(Duration::from_secs(2)));
+    assert!(had_lease);
+    assert_eq!(
+        batch.changes,
+        [Change::Delete { key: "slot".into(), revision: revision + 1 }]
+    );
+    assert!(matches!(kept, Err(Error::Lapsed { step: Step::Keep, .. })), "{kept:?}");
+    assert!(
+        matches!(written, Err(Error::Lapsed { step: Step::Write, .. })),
+        "{written:?}"
+    );
+    assert_eq!(revoked, Ok(()));
+    assert!(range.entries.is_empty());
+}
+
+/// Guards against a lapsed lease that its holder still believes in.
+#[test]
+fn lapsed_lease_is_reported_and_its_key_deleted() {
+    let pool = pool();
+    let server = server(&pool);
+    let (handle, memory) = memory();
+    block_on(lapse(server.handle(), client(&server, &pool)));
+    block_on(lapse(&handle, memory));
+}
+
+/// Guards against leases that outlive their time, and against keep-alives that do nothing.
+#[test]
+fn lease_ends_with_its_time() {
+    let memory = Builder::new().manual().memory();
+    let handle = memory.handle().clone();
+    block_on(async {
+        let lease = memory.grant(Duration::from_secs(2)).await.expect("an answer");
+        memory.write(Txn::new().lease("slot", "mine", lease)).await.expect("an answer");
+        handle.advance(1_999);
+        memory.keep(lease).await.expect("an answer");
+        handle.advance(1_999);
+        let before = handle.get("slot");
+        handle.advance(1);
+        let after = handle.get("slot");
+        assert!(before.is_some());
+        assert_eq!(after, None);
+    });
+}
+
+/// A largest value, and one that is a byte longer.
+async fn carry<S: Store>(client: S) {
+    let largest = vec![7; MAX_VALUE];
+    let mut watch = client.watch("large", 1).await.expect("an answer");
+    let written = client.write(Txn::new().put("large", largest.clone())).await;
+    let refused = client.write(Txn::new().put("large", vec![7; MAX_VALUE + 1])).await;
+    let range = client.range("large").await.expect("an answer");
+    let batch = watch.next().await.expect("the value");
+    assert!(matches!(written, Ok(Written::Done { .. })), "{written:?}");
+    assert!(matches!(refused, Err(Error::Protocol { .. })), "{refused:?}");
+    assert_eq!(pairs(&range), [("large", &largest[..])]);
+    assert_eq!(batch.changes, [Change::Put(range.entries[0].clone())]);
+}
+
+/// Guards against limits on messages below the largest value, and against a refused value
+/// that is reported as unknown.
+#[test]
+fn largest_value_is_carried() {
+    let pool = pool();
+    let server = server(&pool);
+    let (_, memory) = memory();
+    block_on(carry(client(&server, &pool)));
+    block_on(carry(memory));
+}
+
+/// Guards against calls past the budget, retries included.
+#[test]
+fn budget_is_kept() {
+    let memory = Builder::new().memory();
+    let handle = memory.handle().clone();
+    let settings = Settings::builder().budget(1, 5).call_ms(0).build();
+    let client = Retry::new(memory, settings);
+    let start = Instant::now();
+    let answers: Vec<_> = (0..100).map(|_| block_on(client.range("key"))).collect();
+    // Each second refills one call, however long the calls took.
+    let allowed = 5 + start.elapsed().as_secs() + 1;
+    let answered = answers.iter().filter(|answer| answer.is_ok()).count() as u64;
+    let is_refused = |answer: &&Result<Range, Error>| {
+        matches!(answer, Err(Error::Throttled { limit: Limit::Budget, .. }))
+    };
+    let refused = answers.iter().filter(is_refused).count() as u64;
+    assert!(answered <= allowed, "{answered} calls, {allowed} allowed");
+    assert_eq!(answered + refused, 100);
+    assert_eq!(handle.counts().calls(), answered);
+}
+
+/// Waits until no watch is counted as waiting.
+async fn until_none_waits(handle: &Handle) {
+    while handle.counts().waiting > 0 {
+        Timer::after(Duration::from_millis(1)).await;
+    }
+}
+
+/// Guards against calls that are not counted, and watches that are counted after their end.
+#[test]
+fn calls_and_waiting_watches_are_counted() {
+    let pool = pool();
+    let server = server(&pool);
+    let (client, handle) = (client(&server, &pool), server.handle());
+    block_on(async {
+        let lease = client.grant(Duration::from_secs(60)).await.expect("an answer");
+        client.keep(lease).await.expect("an answer");
+        client.write(Txn::new().put("key", "1")).await.expect("an answer");
+        client.range("key").await.expect("an answer");
+        client.revoke(lease).await.expect("an answer");
+        let watch = client.watch("key", 1).await.expect("an answer");
+        let open = handle.counts();
+        drop(watch);
+        until_none_waits(handle).await;
+        let _watch = client.watch("key", 1).await.expect("an answer");
+        handle.cut();
+        until_none_waits(handle).await;
+        let kinds =
+            [open.range, open.write, open.grant, open.keep, open.revoke, open.watch];
+        assert_eq!(kinds, [1; 6]);
+        assert_eq!((open.calls(), open.waiting, open.load()), (6, 1, 7));
+    });
+}
+
+/// Guards against a stand-in that takes more than the platform's store does.
+#[test]
+fn default_limits_are_those_of_the_platform() {
+    let memory = Builder::new().manual().memory();
+    block_on(async {
+        for _ in 0..500 {
+            memory.write(Txn::new().put("key", "1")).await.expect("an answer");
+        }
+        for _ in 0..2_000 {
+            memory.range("key").await.expect("an answer");
+        }
+        let write = memory.write(Txn::new().put("key", "1")).await;
+        let range = memory.range("key").await;
+        assert!(matches!(write, Err(Error::Throttled { .. })), "{write:?}");
+        assert!(matches!(range, Err(Error::Throttled { .. })), "{range:?}");
+    });
+}
+
+/// Guards against a transaction that is applied in part.
+#[test]
+fn refused_transaction_changes_nothing() {
+    let memory = Builder::new().memory();
+    let twice = Txn::new().put("a", "1").put("b", "1").delete("b");
+    let refused = block_on(memory.write(twice));
+    let range = block_on(memory.range("")).expect("an answer");
+    assert!(matches!(refused, Err(Error::Protocol { .. })), "{refused:?}");
+    assert_eq!(range, Range { revision: 1, entries: Vec::new() });
+}
