--- a/crates/lentilreach/src/process/spread/attach.rs
+++ b/crates/lentilreach/src/process/spread/attach.rs
@@ -10,8 +10,8 @@
 use crate::process::spread::member::Status;
 use crate::process::spread::state::State;
 
-/// Age of the last response in milliseconds at which another is asked for.
-const ASK_MS: u64 = 3_000;
+/// Age of the last response in milliseconds at which every heartbeat asks for one.
+const ASK_MS: u64 = 3_500;
 
 /// Age of the last response in milliseconds at which the balancer is replaced.
 ///
@@ -171,9 +171,12 @@
         Self { id, address, domain, acked: now, known: (0, 0) }
     }
 
-    /// Whether the next heartbeat asks for a response.
-    pub fn asks(&self, now: Millis) -> bool {
-        self.known.0 == 0 || now.since(self.acked) >= ASK_MS
+    /// Whether a heartbeat asks for a response; `turn` is its number plus the slot's index.
+    ///
+    /// One balancer is asked each second, so that a digest that differs is noticed soon.
+    pub fn asks(&self, now: Millis, turn: u64) -> bool {
+        let overdue = now.since(self.acked) >= ASK_MS;
+        self.known.0 == 0 || overdue || turn.is_multiple_of(MONITORS as u64)
     }
 }
 
--- a/crates/lentilreach/src/process/spread/budget.rs
+++ b/crates/lentilreach/src/process/spread/budget.rs
@@ -109,7 +109,7 @@
 const REPAIR: u32 = 9_500;
 
 /// Ceiling of loads in bytes per second, both directions.
-const LOAD: u32 = 8_000;
+const LOAD: u32 = 7_000;
 
 /// Bytes in all slots.
 fn sum(slots: &[u32; SLOTS]) -> u32 {
--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -109,6 +109,8 @@
     pub(super) peers: Vec<SocketAddr>,
     /// The same in the order in which they are pushed to; refilled when used up.
     pub(super) order: Vec<SocketAddr>,
+    /// The state's count of changes when `peers` was listed.
+    pub(super) listed: u64,
     /// When any node was last heard.
     pub(super) heard: Millis,
     /// The load now, if it was ever given.
@@ -146,6 +148,7 @@
             seeds: Vec::new(),
             peers: Vec::new(),
             order: Vec::new(),
+            listed: 0,
             heard: Millis(0),
             load: None,
             reported: None,
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -113,7 +113,7 @@
     fn beat(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.beat += 1;
         let mut load = self.next_load(now);
-        for slot in self.slots.slots().to_vec() {
+        for (index, slot) in self.slots.slots().to_vec().into_iter().enumerate() {
             let mut entries = Vec::new();
             if slot.known.0 != self.me.counter {
                 entries.push(Entry::Node(self.me.clone()));
@@ -127,7 +127,7 @@
                 beat: self.beat,
                 counter: self.me.counter,
                 attach: self.attach.counter,
-                ask: slot.asks(now),
+                ask: slot.asks(now, self.beat + index as u64),
                 root: self.root(),
                 entries,
             };
@@ -259,6 +259,10 @@
 
     /// Lists the balancers that are alive.
     fn refresh_peers(&mut self) {
+        if self.listed == self.state.changes() {
+            return;
+        }
+        self.listed = self.state.changes();
         let me = self.me.id;
         let alive = self
             .state
--- a/crates/lentilreach/src/process/spread/state.rs
+++ b/crates/lentilreach/src/process/spread/state.rs
@@ -27,20 +27,31 @@
     members: Vec<Member>,
     /// Failure domains that are treated as unreachable, sorted.
     unreachable: Vec<domain::Id>,
-    /// Sums over documents, announcements and pulses.
+    /// Sums over documents, announcements, attachments and pulses.
     digest: Digest,
+    /// Whether the status of a member may change before the next entry.
+    unsettled: bool,
+    /// Counts changes of announcements and statuses.
+    changes: u64,
 }
 
 impl State {
     /// Takes in an entry unless a version as high is known.
     pub fn apply(&mut self, now: Millis, entry: &Entry) -> Outcome {
-        match entry {
+        let outcome = match entry {
             Entry::Document(document) => self.apply_document(document),
             Entry::Node(node) => self.apply_node(node),
             Entry::Attach(attach) => self.apply_attach(*attach),
             Entry::Pulse(pulse) => self.apply_pulse(now, *pulse),
             Entry::Load(load) => self.apply_load(now, *load),
+        };
+        if outcome == Outcome::New
+            && !matches!(entry, Entry::Document(_) | Entry::Load(_))
+        {
+            self.unsettled = true;
+            self.changes += 1;
         }
+        outcome
     }
 
     /// The documents, sorted by key, with deletions.
@@ -58,6 +69,11 @@
         self.find(id).ok().map(|index| &self.members[index])
     }
 
+    /// Counts changes of announcements and statuses; equal if neither changed.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// The sums over all entries.
     pub fn digest(&self) -> &Digest {
         &self.digest
@@ -112,12 +128,17 @@
 
     /// Brings the status of all members up to date; returns those that changed.
     pub fn review(&mut self, now: Millis, me: node::Id) -> Vec<node::Id> {
+        if !self.unsettled {
+            return Vec::new();
+        }
         self.mark_domains(now);
+        self.unsettled = !self.unreachable.is_empty();
         let mut changed = Vec::new();
         for member in &mut self.members {
             let Some(node) = member.node.as_ref().filter(|_| member.id != me) else {
                 continue;
             };
+            self.unsettled |= member.vital() != Vital::Alive || member.orphan.is_some();
             let status = match member.is_silent(now) {
                 false => Status::Alive,
                 true if self.unreachable.binary_search(&node.domain).is_ok() => {
@@ -127,6 +148,7 @@
             };
             if member.status != status {
                 member.status = status;
+                self.changes += 1;
                 changed.push(member.id);
             }
         }
@@ -151,6 +173,7 @@
                 monitors.peek().is_some() && monitors.all(lost)
             });
             let orphan = all_lost && member.id != me;
+            self.unsettled |= orphan != member.orphan.is_some();
             member.orphan = orphan.then(|| member.orphan.unwrap_or(now));
         }
     }
@@ -167,7 +190,7 @@
         let over = self.members.iter().filter(|m| m.id != me && m.is_over(now));
         let over: Vec<Pulse> = over.filter_map(dead).collect();
         for pulse in &over {
-            self.apply_pulse(now, *pulse);
+            self.apply(now, &Entry::Pulse(*pulse));
         }
         let forgotten = self.members.iter().filter(|m| m.is_forgotten(now));
         let forgotten: Vec<node::Id> = forgotten.map(|member| member.id).collect();
--- a/crates/standin/src/measure.rs
+++ b/crates/standin/src/measure.rs
@@ -81,10 +81,15 @@
     pub seed: u64,
     /// The plan.
     pub plan: &'static str,
-    /// The most bytes that a balancer sent and received in one second.
+    /// The most bytes that a balancer sent in one second. What is sent is what the budget
+    /// limits; each byte sent is received once, so the fleet's total is counted once.
     pub bytes_per_s_per_node_max: u64,
-    /// Bytes that a balancer sent and received in a second, on average.
+    /// Bytes that a balancer sent in a second, on average.
     pub bytes_per_s_per_node_mean: f64,
+    /// The most bytes that a balancer sent and received in one second.
+    pub both_ways_bytes_per_s_max: u64,
+    /// Bytes that a balancer sent and received in a second, on average.
+    pub both_ways_bytes_per_s_mean: f64,
     /// The most bytes that an agent sent and received in one second.
     pub agent_bytes_per_s_max: u64,
     /// Bytes that an agent sent and received in a second, on average.
@@ -117,6 +122,8 @@
     /// Resident memory of a balancer's state in bytes, without that of the program.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub resident_bytes_per_node: Option<u64>,
+    /// Bytes that a balancer sent in a second, on average, by kind of message.
+    pub sent_by_kind: Vec<(&'static str, f64)>,
     /// Share of a core that a balancer's decisions, codec and seal take. Without the
     /// system's part of sending and receiving.
     pub cpu_share_per_node: f64,
@@ -402,8 +409,10 @@
             seconds: settings.seconds,
             seed: settings.seed,
             plan: settings.plan.as_str(),
-            bytes_per_s_per_node_max: balancers.most,
-            bytes_per_s_per_node_mean: balancers.bytes,
+            bytes_per_s_per_node_max: balancers.most_sent,
+            bytes_per_s_per_node_mean: balancers.sent,
+            both_ways_bytes_per_s_max: balancers.most,
+            both_ways_bytes_per_s_mean: balancers.bytes,
             agent_bytes_per_s_max: agents.most,
             agent_bytes_per_s_mean: agents.bytes,
             datagrams_per_s_per_node: balancers.datagrams,
@@ -416,6 +425,7 @@
             healed_ms: self.healed,
             not_alive_at_end: self.not_alive(),
             resident_bytes_per_node: self.base,
+            sent_by_kind: self.kinds(),
             cpu_share_per_node: balancers.cpu,
         }
     }
@@ -439,11 +449,29 @@
         (times, missing)
     }
 
+    /// Bytes that a balancer sent in a second by kind of message.
+    fn kinds(&self) -> Vec<(&'static str, f64)> {
+        let mut kinds: Vec<(&'static str, f64)> = Vec::new();
+        let per = self.balancers.len() as f64 * self.settings.seconds as f64;
+        for index in &self.balancers {
+            for (kind, bytes, _) in &self.network.traffic(*index).kinds {
+                let share = *bytes as f64 / per;
+                match kinds.binary_search_by_key(kind, |(kind, _)| *kind) {
+                    Ok(found) => kinds[found].1 += share,
+                    Err(found) => kinds.insert(found, (*kind, share)),
+                }
+            }
+        }
+        kinds
+    }
+
     /// Sums over nodes of one kind.
     fn sum(&self, nodes: &[usize]) -> Sum {
         let traffic = nodes.iter().map(|index| self.network.traffic(*index));
         let per = nodes.len().max(1) as f64 * self.settings.seconds as f64;
         Sum {
+            most_sent: traffic.clone().map(|t| t.most_sent).max().unwrap_or(0),
+            sent: traffic.clone().map(|t| t.sent).sum::<u64>() as f64 / per,
             most: traffic.clone().map(|t| t.most).max().unwrap_or(0),
             bytes: traffic.clone().map(|t| t.bytes).sum::<u64>() as f64 / per,
             datagrams: traffic.clone().map(|t| t.datagrams).sum::<u64>() as f64 / per,
@@ -520,9 +548,13 @@
 
 /// Sums over nodes of one kind, per node and second but for the maximum.
 struct Sum {
-    /// The most bytes in one second at one node.
+    /// The most bytes sent in one second at one node.
+    most_sent: u64,
+    /// Bytes sent.
+    sent: f64,
+    /// The most bytes in one second at one node, both ways.
     most: u64,
-    /// Bytes.
+    /// Bytes, both ways.
     bytes: f64,
     /// Datagrams.
     datagrams: f64,
--- a/crates/standin/src/network.rs
+++ b/crates/standin/src/network.rs
@@ -220,7 +220,7 @@
             node.waiting.push((from, bytes));
             return;
         }
-        node.traffic.count(second, bytes.len());
+        node.traffic.count(second, bytes.len(), false);
         let start = Instant::now();
         let Ok(opened) = node.sealer.open(&mut bytes) else {
             node.traffic.refused += 1;
@@ -288,7 +288,7 @@
             sealed.len(),
             message.body
         );
-        node.traffic.count(self.now_us / 1_000_000, sealed.len());
+        node.traffic.count(self.now_us / 1_000_000, sealed.len(), true);
         node.traffic.count_kind(message.body.as_str(), sealed.len());
         Some((to, sealed))
     }
@@ -331,10 +331,14 @@
     pub bytes: u64,
     /// Datagrams sent and received.
     pub datagrams: u64,
-    /// The most bytes in one second of the clock.
+    /// Bytes sent, with IP and UDP headers.
+    pub sent: u64,
+    /// The most bytes sent in one second of the clock.
+    pub most_sent: u64,
+    /// The most bytes sent and received in one second of the clock.
     pub most: u64,
-    /// The current second and its bytes.
-    second: (u64, u64),
+    /// The current second, its bytes in both directions, and its bytes sent.
+    second: (u64, u64, u64),
     /// Processor time of decisions, codec and seal.
     pub busy: Duration,
     /// Datagrams that were not accepted.
@@ -345,12 +349,17 @@
 
 impl Traffic {
     /// Counts a datagram.
-    fn count(&mut self, second: u64, length: usize) {
+    fn count(&mut self, second: u64, length: usize, is_sent: bool) {
         let bytes = (length + HEADERS) as u64;
         self.bytes += bytes;
         self.datagrams += 1;
         if self.second.0 != second {
-            self.second = (second, 0);
+            self.second = (second, 0, 0);
+        }
+        if is_sent {
+            self.sent += bytes;
+            self.second.2 += bytes;
+            self.most_sent = self.most_sent.max(self.second.2);
         }
         self.second.1 += bytes;
         self.most = self.most.max(self.second.1);
