--- a/crates/lentilreach/src/process/spread/budget.rs
+++ b/crates/lentilreach/src/process/spread/budget.rs
@@ -63,9 +63,13 @@
     }
 
     /// Bytes that may be asked for now.
-    pub fn pullable(&mut self, now: Millis) -> usize {
+    ///
+    /// A node that is `joining` does not serve yet and may receive more, once; those that
+    /// answer keep to their own budgets.
+    pub fn pullable(&mut self, now: Millis, joining: bool) -> usize {
         self.turn(now);
-        ceiling(REPAIR, self.both()) as usize
+        let limit = if joining { JOIN } else { BYTES_PER_S };
+        ceiling(limit, self.both()) as usize
     }
 
     /// Room of a class in the current window.
@@ -109,7 +113,10 @@
 const REPAIR: u32 = 9_500;
 
 /// Ceiling of loads in bytes per second, both directions.
-const LOAD: u32 = 7_000;
+const LOAD: u32 = 6_000;
+
+/// Ceiling of a joining node in bytes per second, both directions.
+const JOIN: u32 = 44_000;
 
 /// Bytes in all slots.
 fn sum(slots: &[u32; SLOTS]) -> u32 {
--- a/crates/lentilreach/src/process/spread/entry.rs
+++ b/crates/lentilreach/src/process/spread/entry.rs
@@ -290,9 +290,8 @@
     /// The target for imbalance is 1.05, so that a change of 2% of the open flows matters.
     pub fn differs(&self, last: &Self) -> bool {
         let step = (last.open / 50).max(1);
-        let busy = (self.slots / 4).max(1);
+        // Running requests come and go within milliseconds and do not trigger a report.
         self.open.abs_diff(last.open) >= step
-            || self.busy.abs_diff(last.busy) >= busy
             || self.limit != last.limit
             || self.slots != last.slots
     }
--- a/crates/lentilreach/src/process/spread/hot.rs
+++ b/crates/lentilreach/src/process/spread/hot.rs
@@ -47,28 +47,30 @@
         self.loads.len()
     }
 
-    /// Takes a batch for one peer: at most `space` bytes of entries, the most urgent and the
-    /// least often sent first, then loads up to `load_space` bytes in total.
-    pub fn batch(
-        &mut self,
-        now: Millis,
-        state: &State,
-        space: usize,
-        load_space: usize,
-    ) -> Batch {
+    /// Takes a batch for one peer, the most urgent and the least often sent entries first.
+    ///
+    /// `space` is the size in bytes up to which entries of each class are added.
+    pub fn batch(&mut self, now: Millis, state: &State, space: [usize; 4]) -> Batch {
         let mut batch = Batch::default();
         let mut order: Vec<(Class, u8, usize)> =
             self.urgent.iter().enumerate().map(|(i, h)| (h.class, h.sent, i)).collect();
         order.sort_unstable();
         for (_, _, index) in order {
-            if !batch.take(now, state, &mut self.urgent[index], space) {
+            let hot = &mut self.urgent[index];
+            let space = space[hot.class as usize];
+            if !batch.take(now, state, hot, space) {
                 break;
             }
         }
         self.urgent.retain(|hot| hot.left > 0);
         for _ in 0..self.loads.len() {
             self.turn = (self.turn + 1) % self.loads.len();
-            if !batch.take(now, state, &mut self.loads[self.turn], load_space) {
+            if !batch.take(
+                now,
+                state,
+                &mut self.loads[self.turn],
+                space[Class::Load as usize],
+            ) {
                 break;
             }
         }
--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -54,6 +54,9 @@
             Body::Fill { index, turn, ready, last, entries } => {
                 self.take_all(now, entries, actions);
                 self.repair.filled(now, index, turn, ready, last);
+                if ready {
+                    self.repair.helped(from);
+                }
                 self.check_covered(now, actions);
                 self.pull(now, actions);
             }
@@ -181,7 +184,10 @@
         if *scope != self.scope {
             return;
         }
-        self.repair.compare(from, &self.state, scope, ready, sums);
+        self.repair.compare(from, &self.state, scope, ready, sums, !self.ready);
+        if ready {
+            self.repair.helped(from);
+        }
         self.check_covered(now, actions);
         self.pull(now, actions);
     }
--- a/crates/lentilreach/src/process/spread/repair.rs
+++ b/crates/lentilreach/src/process/spread/repair.rs
@@ -11,6 +11,12 @@
 /// Parts that are asked for at the same time.
 const WINDOW: usize = 4;
 
+/// The same for a joining node, which asks many peers.
+const JOIN_WINDOW: usize = 16;
+
+/// Ready nodes that a joining node remembers.
+const HELPERS: usize = 16;
+
 /// Time in milliseconds after which a response is no longer expected.
 const TIMEOUT_MS: u64 = 1_000;
 
@@ -36,6 +42,8 @@
     open: Vec<Open>,
     /// Places at which the state once contained that of a ready node.
     covered: Box<[bool; WIDTH]>,
+    /// Ready nodes that responded, at most [`HELPERS`].
+    helpers: Vec<SocketAddr>,
     /// When a comparison was last asked for.
     asked: Millis,
     /// When the own state last changed.
@@ -51,6 +59,7 @@
             pending: Vec::new(),
             open: Vec::new(),
             covered: Box::new([false; WIDTH]),
+            helpers: Vec::new(),
             asked: Millis(0),
             news: Millis(0),
         }
@@ -78,7 +87,8 @@
         self.asked = now;
     }
 
-    /// Takes the sums of a peer.
+    /// Takes the sums of a peer. A node that is `joining` asks for what it has not covered;
+    /// what changed since is repaired later.
     pub fn compare(
         &mut self,
         from: SocketAddr,
@@ -86,6 +96,7 @@
         scope: &Scope,
         ready: bool,
         sums: &[u32],
+        joining: bool,
     ) {
         let width = if sums.is_empty() { WIDTH } else { sums.len() };
         let own = if sums.is_empty() {
@@ -100,10 +111,12 @@
         for place in 0..WIDTH {
             if !differs(place) {
                 self.covered[place] |= ready;
-            } else if place < width {
-                self.pending.push(place as u16);
             }
         }
+        let covered = |part: usize| (part..WIDTH).step_by(width).all(|p| self.covered[p]);
+        let parts = (0..width).filter(|part| differs(*part));
+        let wanted = parts.filter(|part| !(joining && covered(*part)));
+        self.pending.extend(wanted.map(|part| part as u16));
     }
 
     /// Whether each part of the state once contained that of a ready node.
@@ -111,16 +124,47 @@
         self.covered.iter().all(|covered| *covered)
     }
 
+    /// Notes that a ready node responded.
+    pub fn helped(&mut self, by: SocketAddr) {
+        if self.helpers.len() < HELPERS && !self.helpers.contains(&by) {
+            self.helpers.push(by);
+        }
+    }
+
+    /// A ready node for a joining node to ask: one that responded before, or now and then
+    /// `other`, so that more are found.
+    pub fn helper(&self, other: Option<SocketAddr>, rng: &mut Rng) -> Option<SocketAddr> {
+        let known = rng.choice(&self.helpers).copied();
+        let explore = self.helpers.len() < HELPERS && rng.u8(..4) == 0;
+        if explore { other.or(known) } else { known.or(other) }
+    }
+
     /// Takes the next part to ask for: the peer, the number of parts, the part.
-    pub fn next(&mut self, now: Millis, rng: &mut Rng) -> Option<(SocketAddr, u16, u16)> {
-        self.open.retain(|open| now.since(open.at) < TIMEOUT_MS);
-        let peer = self.peer?;
-        if self.open.len() >= WINDOW || self.pending.is_empty() {
+    ///
+    /// `peer` is asked if it is given, otherwise the one that sent the sums.
+    pub fn next(
+        &mut self,
+        now: Millis,
+        joining: bool,
+        peer: Option<SocketAddr>,
+        rng: &mut Rng,
+    ) -> Option<(SocketAddr, u16, u16)> {
+        let helpers = &mut self.helpers;
+        self.open.retain(|open| {
+            let late = now.since(open.at) >= TIMEOUT_MS;
+            if late {
+                helpers.retain(|helper| *helper != open.peer);
+            }
+            !late
+        });
+        let peer = peer.or(self.peer)?;
+        let window = if joining { JOIN_WINDOW } else { WINDOW };
+        if self.open.len() >= window || self.pending.is_empty() {
             return None;
         }
         // At random, so that nodes that join together do not ask for the same parts.
         let part = self.pending.swap_remove(rng.usize(..self.pending.len()));
-        self.open.push(Open { part, at: now, turn: 0, whole: true });
+        self.open.push(Open { part, peer, at: now, seen: 0, end: None });
         Some((peer, self.width as u16, part))
     }
 
@@ -133,12 +177,14 @@
         };
         let open = &mut self.open[index];
         open.at = now;
-        open.whole &= ready && open.turn == turn;
-        open.turn = turn.saturating_add(1);
-        if !last {
-            return;
+        open.seen |= 1_u32.checked_shl(turn.into()).unwrap_or(0);
+        open.end = if last { Some(turn) } else { open.end };
+        // Messages of a response may overtake each other.
+        let whole = open.end.is_some_and(|end| open.seen.count_ones() > end.into());
+        if whole {
+            self.open.swap_remove(index);
         }
-        if self.open.swap_remove(index).whole {
+        if whole && ready {
             let places = (usize::from(part)..WIDTH).step_by(self.width);
             places.for_each(|place| self.covered[place] = true);
         }
@@ -161,10 +207,12 @@
 struct Open {
     /// The part.
     part: u16,
+    /// Who was asked.
+    peer: SocketAddr,
     /// When it was asked for, or a message of the response last arrived.
     at: Millis,
-    /// Position of the next message.
-    turn: u8,
-    /// Whether no message is missing.
-    whole: bool,
+    /// Bit `n` is set if message `n` of the response has arrived.
+    seen: u32,
+    /// Position of the last message, once that has arrived.
+    end: Option<u8>,
 }
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -8,7 +8,7 @@
 use crate::process::spread::entry::{Class, Entry, Load, Pulse, Role, Vital, short};
 use crate::process::spread::hot::Batch;
 use crate::process::spread::member::Status;
-use crate::process::spread::message::{Beat, Body, MAX_FIELDS, Part, Pull};
+use crate::process::spread::message::{Beat, Body, MAX_FIELDS, OVERHEAD, Part, Pull};
 use crate::process::spread::watch::Verdict;
 
 /// Time between heartbeats in milliseconds.
@@ -35,8 +35,8 @@
 /// Ticks between attempts to reach peers from the settings.
 const SEED_TICKS: u64 = 100;
 
-/// Bytes that a pull may bring.
-const PULL_BYTES: usize = 2_500;
+/// Bytes that a pull typically brings.
+const PULL_BYTES: usize = 1_500;
 
 impl Core {
     /// Does what is due.
@@ -46,6 +46,7 @@
         if !self.ready {
             self.join(now, actions);
             self.pull(now, actions);
+            self.review(now, actions);
             return;
         }
         if now >= self.next_beat {
@@ -58,6 +59,11 @@
             self.push_to_leaves(now, actions);
             self.push(now, actions);
         }
+        self.review(now, actions);
+    }
+
+    /// Brings the status of all members up to date.
+    fn review(&mut self, now: Millis, actions: &mut Vec<Action>) {
         for id in self.state.review(now, self.me.id) {
             let status = self.status_entry(now, id);
             actions.extend(status.map(Action::Changed));
@@ -66,17 +72,18 @@
 
     /// Asks for the next parts of a digest exchange.
     pub(super) fn pull(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        while self.budget.pullable(now) >= PULL_BYTES {
-            let next = self.repair.next(now, &mut self.rng);
+        while self.budget.pullable(now, !self.ready) >= PULL_BYTES {
+            // A joining node spreads its questions, so that no peer carries the whole load.
+            let joining = !self.ready;
+            let other = if joining { self.any_helper() } else { None };
+            let next = self.repair.next(now, joining, other, &mut self.rng);
             let Some((peer, width, index)) = next else { return };
-            // A new node spreads its questions, so that no peer carries the whole load.
-            let other = if self.ready { None } else { self.any_peer() };
             let scope = self.scope.clone();
             let part = self.state.part(now, &scope, index.into(), width.into());
             let mut have: Vec<u32> = part.into_iter().map(|(hash, _)| hash).collect();
             have.truncate(MAX_FIELDS / 4 - 64);
             let pull = Pull { scope, width, index, back: self.ready, have };
-            self.send(now, other.unwrap_or(peer), Body::Pull(pull), actions);
+            self.send(now, peer, Body::Pull(pull), actions);
         }
     }
 
@@ -85,7 +92,7 @@
         if self.repair.is_due_to_join(now) {
             self.repair.asked(now);
             let seed = self.any_seed();
-            if let Some(to) = self.any_peer().or(seed) {
+            if let Some(to) = self.any_helper().or(seed) {
                 let body = Body::Compare { scope: self.scope.clone(), root: self.root() };
                 self.send(now, to, body, actions);
             }
@@ -234,13 +241,22 @@
                 return;
             }
             let Some(to) = self.next_peer() else { return };
-            let space = self.budget.left(now, Class::Liveness).min(MAX_FIELDS - 2);
-            let load_space = self.budget.left(now, Class::Load).min(MAX_FIELDS - 2);
-            let batch = self.hot.batch(now, &self.state, space, load_space);
+            let space = self.spaces(now, loads);
+            let batch = self.hot.batch(now, &self.state, space);
             self.send_batch(now, to, batch, actions);
         }
     }
 
+    /// Bytes of entries of each class that a push may carry now.
+    fn spaces(&mut self, now: Millis, loads: bool) -> [usize; 4] {
+        let classes = [Class::Configuration, Class::Liveness, Class::Repair, Class::Load];
+        classes.map(|class| {
+            let left = self.budget.left(now, class).saturating_sub(OVERHEAD + 2);
+            let is_due = class != Class::Load || loads;
+            if is_due { left.min(MAX_FIELDS - 2) } else { 0 }
+        })
+    }
+
     /// Sends a batch of entries.
     fn send_batch(
         &mut self,
@@ -295,6 +311,12 @@
         pick(&self.peers, &mut self.rng)
     }
 
+    /// A balancer for a joining node to ask.
+    fn any_helper(&mut self) -> Option<SocketAddr> {
+        let other = self.any_peer();
+        self.repair.helper(other, &mut self.rng)
+    }
+
     /// A random peer from the settings.
     fn any_seed(&mut self) -> Option<SocketAddr> {
         pick(&self.seeds, &mut self.rng)
