--- a/crates/lentilreach/src/process/spread/attach.rs
+++ b/crates/lentilreach/src/process/spread/attach.rs
@@ -10,13 +10,13 @@
 use crate::process::spread::member::Status;
 use crate::process::spread::state::State;
 
-/// Age of the last response in milliseconds at which every heartbeat asks for one.
-const ASK_MS: u64 = 3_500;
+/// Time without a response in milliseconds after which a question is repeated.
+const RETRY_MS: u64 = 450;
 
-/// Age of the last response in milliseconds at which the balancer is replaced.
+/// Time without a response in milliseconds after which the balancer is replaced.
 ///
 /// Leaves four questions, so that 1% loss alone replaces hardly ever.
-const LOST_MS: u64 = 7_500;
+const LOST_MS: u64 = 2_000;
 
 /// Time in milliseconds for which a replaced balancer is not chosen again.
 const AVOID_MS: u64 = 30_000;
@@ -52,7 +52,7 @@
 
     /// Attaches to the given balancers; for measurements.
     pub fn preset(&mut self, now: Millis, nodes: &[&Node], known: (u64, u64)) {
-        self.slots = nodes.iter().map(|node| Slot::new(now, node)).collect();
+        self.slots = nodes.iter().map(|node| Slot::new(node)).collect();
         self.slots.iter_mut().for_each(|slot| slot.known = known);
         self.bettered = now;
     }
@@ -63,13 +63,20 @@
     }
 
     /// Notes a response and the versions of announcement and attachment that it confirms.
-    pub fn ack(&mut self, now: Millis, id: node::Id, known: (u64, u64)) {
+    pub fn ack(&mut self, id: node::Id, known: (u64, u64)) {
         if let Some(slot) = self.slots.iter_mut().find(|slot| slot.id == id) {
-            slot.acked = now;
+            slot.asked = None;
             slot.known = known;
         }
     }
 
+    /// Notes that a balancer was asked for a response.
+    pub fn ask(&mut self, now: Millis, id: node::Id) {
+        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.id == id) {
+            slot.asked = slot.asked.or(Some(now));
+        }
+    }
+
     /// Replaces balancers that are lost or leaving; returns whether the list changed.
     pub fn review(
         &mut self,
@@ -81,25 +88,23 @@
         let before = self.ids();
         self.avoid.retain(|(_, since)| now.since(*since) < AVOID_MS);
         for slot in &self.slots {
-            if now.since(slot.acked) >= LOST_MS {
+            if slot.is_lost(now) {
                 self.avoid.push((slot.id, now));
             }
         }
-        self.slots.retain(|slot| {
-            now.since(slot.acked) < LOST_MS && is_fit(state, slot.id, me.id)
-        });
-        self.fill(now, me, state, rng);
+        self.slots.retain(|slot| !slot.is_lost(now) && is_fit(state, slot.id, me.id));
+        self.fill(me, state, rng);
         self.better(now, me, state, rng);
         before != self.ids()
     }
 
     /// Chooses balancers for the free slots.
-    fn fill(&mut self, now: Millis, me: &Node, state: &State, rng: &mut Rng) {
+    fn fill(&mut self, me: &Node, state: &State, rng: &mut Rng) {
         let mut tries = MONITORS;
         while self.slots.len() < MONITORS && tries > 0 {
             tries -= 1;
             // A full scan for each slot is affordable: choices are rare.
-            if let Some(slot) = self.choose(now, me, state, rng, |_| true) {
+            if let Some(slot) = self.choose(me, state, rng, |_| true) {
                 self.slots.push(slot);
             }
         }
@@ -113,7 +118,7 @@
             return;
         }
         self.bettered = now;
-        if let Some(slot) = self.choose(now, me, state, rng, |d| d == me.domain) {
+        if let Some(slot) = self.choose(me, state, rng, |d| d == me.domain) {
             self.slots[index] = slot;
         }
     }
@@ -124,7 +129,6 @@
     /// domains. Balancers draw from all, so that a cut domain is noticed from outside.
     fn choose(
         &self,
-        now: Millis,
         me: &Node,
         state: &State,
         rng: &mut Rng,
@@ -145,7 +149,7 @@
                 best = Some((rank.0, rank.1, node));
             }
         }
-        best.map(|(_, _, node)| Slot::new(now, node))
+        best.map(|(_, _, node)| Slot::new(node))
     }
 }
 
@@ -158,25 +162,34 @@
     pub address: SocketAddr,
     /// Its failure domain.
     domain: domain::Id,
-    /// When it last responded, or was chosen.
-    acked: Millis,
+    /// When it was first asked for the response that is missing; `None` if none is.
+    asked: Option<Millis>,
     /// Versions of announcement and attachment that it has confirmed.
     pub known: (u64, u64),
 }
 
 impl Slot {
     /// Attaches to a balancer.
-    fn new(now: Millis, node: &Node) -> Self {
+    fn new(node: &Node) -> Self {
         let (id, address, domain) = (node.id, node.exchange, node.domain);
-        Self { id, address, domain, acked: now, known: (0, 0) }
+        Self { id, address, domain, asked: None, known: (0, 0) }
     }
 
     /// Whether a heartbeat asks for a response; `turn` is its number plus the slot's index.
     ///
     /// One balancer is asked each second, so that a digest that differs is noticed soon.
-    pub fn asks(&self, now: Millis, turn: u64) -> bool {
-        let overdue = now.since(self.acked) >= ASK_MS;
-        self.known.0 == 0 || overdue || turn.is_multiple_of(MONITORS as u64)
+    pub fn asks(&self, turn: u64) -> bool {
+        self.known.0 == 0 || self.asked.is_some() || turn.is_multiple_of(MONITORS as u64)
+    }
+
+    /// Whether the question is to be repeated before the next heartbeat.
+    pub fn is_overdue(&self, now: Millis) -> bool {
+        self.asked.is_some_and(|asked| now.since(asked) >= RETRY_MS)
+    }
+
+    /// Whether the balancer is to be replaced.
+    fn is_lost(&self, now: Millis) -> bool {
+        self.asked.is_some_and(|asked| now.since(asked) >= LOST_MS)
     }
 }
 
--- a/crates/lentilreach/src/process/spread/budget.rs
+++ b/crates/lentilreach/src/process/spread/budget.rs
@@ -107,10 +107,10 @@
 }
 
 /// Ceiling of announcements and liveness in bytes per second.
-const LIVENESS: u32 = 10_500;
+const LIVENESS: u32 = 10_000;
 
 /// Ceiling of digests and what they repair in bytes per second.
-const REPAIR: u32 = 9_500;
+const REPAIR: u32 = 8_000;
 
 /// Ceiling of loads in bytes per second, both directions.
 const LOAD: u32 = 6_000;
--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -284,7 +284,20 @@
         body: Body,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let fits = self.budget.take(now, body.class(), body.size());
+        let class = body.class();
+        self.send_as(now, to, class, body, actions)
+    }
+
+    /// Sends a message as one of the given class.
+    pub(super) fn send_as(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        class: Class,
+        body: Body,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let fits = self.budget.take(now, class, body.size());
         if fits {
             actions
                 .push(Action::Send { to, message: Message { sender: self.me.id, body } });
--- a/crates/lentilreach/src/process/spread/digest.rs
+++ b/crates/lentilreach/src/process/spread/digest.rs
@@ -1,5 +1,6 @@
 //! Anti-entropy: sums of fingerprints by which two nodes find what they do not share.
 
+use crate::id::node;
 use crate::process::name::Name;
 
 /// Sums that a digest is kept in.
@@ -138,6 +139,28 @@
     }
 }
 
+/// Part of the places that hold documents: every fourth one.
+///
+/// Documents have parts of their own, so that they are repaired first.
+const DOCUMENTS: u64 = 4;
+
+/// The place of a document with the given hash.
+pub fn document_place(hash: u64) -> u64 {
+    hash % (WIDTH as u64 / DOCUMENTS) * DOCUMENTS
+}
+
+/// The place of the entries of a node. Identifiers are random.
+pub fn node_place(id: node::Id) -> u64 {
+    let others = DOCUMENTS - 1;
+    let place = id.0 % (WIDTH as u64 / DOCUMENTS * others);
+    place / others * DOCUMENTS + 1 + place % others
+}
+
+/// Whether a part of a digest holds documents.
+pub fn holds_documents(part: u16) -> bool {
+    u64::from(part).is_multiple_of(DOCUMENTS)
+}
+
 /// Whether a place falls into part `index` of a digest of the given width.
 pub fn falls(place: u64, index: usize, width: usize) -> bool {
     place as usize % WIDTH % width.max(1) == index
--- a/crates/lentilreach/src/process/spread/entry.rs
+++ b/crates/lentilreach/src/process/spread/entry.rs
@@ -8,7 +8,7 @@
 
 use crate::id::{domain, node};
 use crate::process::name::Name;
-use crate::process::spread::digest::Area;
+use crate::process::spread::digest::{Area, document_place};
 
 /// Longest document in bytes.
 pub const MAX_DOCUMENT: usize = 64 << 10;
@@ -128,9 +128,9 @@
         }
     }
 
-    /// Hash of the key, which places the document in a digest.
+    /// Its place in a digest.
     pub fn place(&self) -> u64 {
-        xxh3_64(self.key.as_bytes())
+        document_place(xxh3_64(self.key.as_bytes()))
     }
 
     /// Hash of key and version.
--- a/crates/lentilreach/src/process/spread/message.rs
+++ b/crates/lentilreach/src/process/spread/message.rs
@@ -60,6 +60,8 @@
         scope: Scope,
         /// Root of the sender's digest.
         root: u32,
+        /// Whether the sender has the full state.
+        ready: bool,
     },
     /// Response to a comparison.
     Hashes {
@@ -104,7 +106,7 @@
                 Self::Query { beat, .. } | Self::Evidence { beat, .. } => {
                     8 + varint(*beat)
                 }
-                Self::Compare { scope, .. } => scope_size(scope) + 4,
+                Self::Compare { scope, .. } => scope_size(scope) + 5,
                 Self::Hashes { scope, sums, .. } => {
                     scope_size(scope) + 3 + 4 * sums.len()
                 }
@@ -138,10 +140,8 @@
             }
             Self::Part(_) => Class::Configuration,
             Self::Query { .. } | Self::Evidence { .. } => Class::Liveness,
-            Self::Compare { .. }
-            | Self::Hashes { .. }
-            | Self::Pull(_)
-            | Self::Fill { .. } => Class::Repair,
+            Self::Compare { .. } | Self::Pull(_) => Class::Liveness,
+            Self::Hashes { .. } | Self::Fill { .. } => Class::Repair,
         }
     }
 }
--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -5,8 +5,8 @@
 use crate::id::node;
 use crate::process::clock::Millis;
 use crate::process::spread::core::{Action, Core};
-use crate::process::spread::digest::Scope;
-use crate::process::spread::entry::{Entry, Pulse, Role, Vital};
+use crate::process::spread::digest::{Scope, holds_documents};
+use crate::process::spread::entry::{Class, Entry, Pulse, Role, Vital};
 use crate::process::spread::hot::Batch;
 use crate::process::spread::message::{Ack, Beat, Body, MAX_FIELDS, Message, Part, Pull};
 
@@ -44,8 +44,10 @@
                 }
             }
             Body::Evidence { node, beat } => self.watches.confirm(now, node, beat),
-            Body::Compare { scope, root } => {
-                self.answer_compare(now, from, scope, root, actions);
+            Body::Compare { scope, root, ready } => {
+                // A node that serves may lack configuration; one that joins can wait.
+                let class = if ready { Class::Liveness } else { Class::Repair };
+                self.answer_compare(now, from, class, scope, root, actions);
             }
             Body::Hashes { scope, ready, sums } => {
                 self.receive_hashes(now, from, &scope, ready, &sums, actions);
@@ -134,7 +136,7 @@
         ack: Ack,
         actions: &mut Vec<Action>,
     ) {
-        self.slots.ack(now, sender, (ack.counter, ack.attach));
+        self.slots.ack(sender, (ack.counter, ack.attach));
         if ack.counter != 0 && ack.root != self.root() {
             self.compare(now, from, actions);
         }
@@ -147,8 +149,9 @@
         to: SocketAddr,
         actions: &mut Vec<Action>,
     ) {
-        if self.repair.is_due(now) {
-            let body = Body::Compare { scope: self.scope.clone(), root: self.root() };
+        let leaf = self.me.role == Role::Agent;
+        if self.repair.is_due(now, leaf) {
+            let body = self.comparison();
             if self.send(now, to, body, actions) {
                 self.repair.asked(now);
             }
@@ -160,6 +163,7 @@
         &mut self,
         now: Millis,
         to: SocketAddr,
+        class: Class,
         scope: Scope,
         root: u32,
         actions: &mut Vec<Action>,
@@ -168,7 +172,7 @@
         let same = digest.root(&scope) == root;
         let sums = if same { Vec::new() } else { digest.hashes(&scope) };
         let ready = self.ready;
-        self.send(now, to, Body::Hashes { scope, ready, sums }, actions);
+        self.send_as(now, to, class, Body::Hashes { scope, ready, sums }, actions);
     }
 
     /// Takes the sums of a peer.
@@ -213,7 +217,14 @@
         let ask_back = pull.back && pull.have.iter().any(lacks);
         let own: Vec<u32> = part.iter().map(|(hash, _)| *hash).collect();
         let missing = part.into_iter().filter(|(hash, _)| !pull.have.contains(hash));
-        self.fill(now, to, pull.index, missing.map(|(_, entry)| entry), actions);
+        // A node that joins can wait; one that serves must not lack configuration.
+        let class = if pull.back && holds_documents(pull.index) {
+            Class::Configuration
+        } else {
+            Class::Repair
+        };
+        let missing = missing.map(|(_, entry)| entry);
+        self.fill(now, to, class, pull.index, missing, actions);
         if ask_back && self.ready {
             let body = Body::Pull(Pull { back: false, have: own, ..pull });
             self.send(now, to, body, actions);
@@ -225,6 +236,7 @@
         &mut self,
         now: Millis,
         to: SocketAddr,
+        class: Class,
         index: u16,
         entries: impl Iterator<Item = Entry>,
         actions: &mut Vec<Action>,
@@ -239,14 +251,14 @@
                 drop(entry);
             }
             for part in batch.long.iter().filter_map(Part::split).flatten() {
-                self.send(now, to, Body::Part(part), actions);
+                self.send_as(now, to, class, Body::Part(part), actions);
             }
             let last = entries.peek().is_none();
             let long = !batch.long.is_empty();
             // Parts may be lost unnoticed, so a long document does not count as received.
             let ready = ready && !long;
             let body = Body::Fill { index, turn, ready, last, entries: batch.entries };
-            if !self.send(now, to, body, actions) || last {
+            if !self.send_as(now, to, class, body, actions) || last {
                 return;
             }
         }
--- a/crates/lentilreach/src/process/spread/repair.rs
+++ b/crates/lentilreach/src/process/spread/repair.rs
@@ -5,14 +5,14 @@
 use fastrand::Rng;
 
 use crate::process::clock::Millis;
-use crate::process::spread::digest::{Scope, WIDTH};
+use crate::process::spread::digest::{Scope, WIDTH, holds_documents};
 use crate::process::spread::state::State;
 
 /// Parts that are asked for at the same time.
 const WINDOW: usize = 4;
 
 /// The same for a joining node, which asks many peers.
-const JOIN_WINDOW: usize = 16;
+const JOIN_WINDOW: usize = 8;
 
 /// Ready nodes that a joining node remembers.
 const HELPERS: usize = 16;
@@ -24,7 +24,7 @@
 const PACE_MS: u64 = 1_000;
 
 /// The same while the own state changes: pushes are likely to bring what is missing.
-const BUSY_MS: u64 = 3_000;
+const BUSY_MS: u64 = 2_000;
 
 /// Time without news in milliseconds after which the own state counts as settled.
 const SETTLED_MS: u64 = 700;
@@ -71,8 +71,9 @@
     }
 
     /// Whether a comparison is due, given that a peer's digest differs or is unknown.
-    pub fn is_due(&self, now: Millis) -> bool {
-        let settled = now.since(self.news) >= SETTLED_MS;
+    /// An agent has few entries and compares them with few others.
+    pub fn is_due(&self, now: Millis, leaf: bool) -> bool {
+        let settled = leaf || now.since(self.news) >= SETTLED_MS;
         let pace = if settled { PACE_MS } else { BUSY_MS };
         self.is_idle() && now.since(self.asked) >= pace
     }
@@ -139,6 +140,11 @@
         if explore { other.or(known) } else { known.or(other) }
     }
 
+    /// Whether the next part to ask for holds documents.
+    pub fn is_document_next(&self) -> bool {
+        self.pending.iter().any(|part| holds_documents(*part))
+    }
+
     /// Takes the next part to ask for: the peer, the number of parts, the part.
     ///
     /// `peer` is asked if it is given, otherwise the one that sent the sums.
@@ -149,11 +155,12 @@
         peer: Option<SocketAddr>,
         rng: &mut Rng,
     ) -> Option<(SocketAddr, u16, u16)> {
-        let helpers = &mut self.helpers;
+        let (helpers, pending) = (&mut self.helpers, &mut self.pending);
         self.open.retain(|open| {
             let late = now.since(open.at) >= TIMEOUT_MS;
-            if late {
+            if late && joining {
                 helpers.retain(|helper| *helper != open.peer);
+                pending.push(open.part);
             }
             !late
         });
@@ -162,8 +169,11 @@
         if self.open.len() >= window || self.pending.is_empty() {
             return None;
         }
-        // At random, so that nodes that join together do not ask for the same parts.
-        let part = self.pending.swap_remove(rng.usize(..self.pending.len()));
+        // Documents first; among the others at random, so that nodes that join together do
+        // not ask for the same parts.
+        let document = self.pending.iter().position(|part| holds_documents(*part));
+        let index = document.unwrap_or_else(|| rng.usize(..self.pending.len()));
+        let part = self.pending.swap_remove(index);
         self.open.push(Open { part, peer, at: now, seen: 0, end: None });
         Some((peer, self.width as u16, part))
     }
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -4,6 +4,7 @@
 
 use crate::id::node;
 use crate::process::clock::Millis;
+use crate::process::spread::attach::Slot;
 use crate::process::spread::core::{Action, Core};
 use crate::process::spread::entry::{Class, Entry, Load, Pulse, Role, Vital, short};
 use crate::process::spread::hot::Batch;
@@ -32,6 +33,9 @@
 /// Time in milliseconds until a node that seems cut off judges others nevertheless.
 const JUDGE_MS: u64 = 5_000;
 
+/// Ticks between repetitions of heartbeats that were not responded to.
+const REPEAT_TICKS: u64 = 5;
+
 /// Ticks between attempts to reach peers from the settings.
 const SEED_TICKS: u64 = 100;
 
@@ -52,6 +56,8 @@
         if now >= self.next_beat {
             self.next_beat = now.after(BEAT_MS);
             self.second(now, actions);
+        } else if self.ticks.is_multiple_of(REPEAT_TICKS) {
+            self.repeat(now, actions);
         }
         self.judge(now, actions);
         self.pull(now, actions);
@@ -72,7 +78,10 @@
 
     /// Asks for the next parts of a digest exchange.
     pub(super) fn pull(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        while self.budget.pullable(now, !self.ready) >= PULL_BYTES {
+        // What a node lacks of the configuration does not wait for the budget of others' news.
+        while self.repair.is_document_next()
+            || self.budget.pullable(now, !self.ready) >= PULL_BYTES
+        {
             // A joining node spreads its questions, so that no peer carries the whole load.
             let joining = !self.ready;
             let other = if joining { self.any_helper() } else { None };
@@ -87,13 +96,19 @@
         }
     }
 
+    /// Asks for the sums of a peer.
+    pub(super) fn comparison(&self) -> Body {
+        let (scope, root) = (self.scope.clone(), self.root());
+        Body::Compare { scope, root, ready: self.ready }
+    }
+
     /// Asks a peer for the full state.
     fn join(&mut self, now: Millis, actions: &mut Vec<Action>) {
         if self.repair.is_due_to_join(now) {
             self.repair.asked(now);
             let seed = self.any_seed();
             if let Some(to) = self.any_helper().or(seed) {
-                let body = Body::Compare { scope: self.scope.clone(), root: self.root() };
+                let body = self.comparison();
                 self.send(now, to, body, actions);
             }
         }
@@ -121,27 +136,52 @@
         self.beat += 1;
         let mut load = self.next_load(now);
         for (index, slot) in self.slots.slots().to_vec().into_iter().enumerate() {
-            let mut entries = Vec::new();
-            if slot.known.0 != self.me.counter {
-                entries.push(Entry::Node(self.me.clone()));
-            }
-            if slot.known.1 != self.attach.counter {
-                entries.push(Entry::Attach(self.attach));
-            }
             // The first balancer passes loads on; more would only repeat them.
-            entries.extend(load.take().map(Entry::Load));
-            let beat = Beat {
-                beat: self.beat,
-                counter: self.me.counter,
-                attach: self.attach.counter,
-                ask: slot.asks(now, self.beat + index as u64),
-                root: self.root(),
-                entries,
-            };
-            self.send(now, slot.address, Body::Beat(beat), actions);
+            let ask = slot.asks(self.beat + index as u64);
+            self.beat_to(now, slot, ask, load.take(), actions);
+        }
+    }
+
+    /// Repeats heartbeats that were not responded to.
+    fn repeat(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for slot in self.slots.slots().to_vec() {
+            if slot.is_overdue(now) {
+                self.beat_to(now, slot, true, None, actions);
+            }
         }
     }
 
+    /// Sends a heartbeat to one balancer.
+    fn beat_to(
+        &mut self,
+        now: Millis,
+        slot: Slot,
+        ask: bool,
+        load: Option<Load>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut entries = Vec::new();
+        if slot.known.0 != self.me.counter {
+            entries.push(Entry::Node(self.me.clone()));
+        }
+        if slot.known.1 != self.attach.counter {
+            entries.push(Entry::Attach(self.attach));
+        }
+        entries.extend(load.map(Entry::Load));
+        if ask {
+            self.slots.ask(now, slot.id);
+        }
+        let beat = Beat {
+            beat: self.beat,
+            counter: self.me.counter,
+            attach: self.attach.counter,
+            ask,
+            root: self.root(),
+            entries,
+        };
+        self.send(now, slot.address, Body::Beat(beat), actions);
+    }
+
     /// The load report that is due, if any.
     fn next_load(&mut self, now: Millis) -> Option<Load> {
         let load = self.load?;
@@ -159,7 +199,7 @@
 
     /// Tries to reach nodes that may be cut off, and peers from the settings.
     fn reach_out(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let compare = Body::Compare { scope: self.scope.clone(), root: self.root() };
+        let compare = self.comparison();
         if self.me.role == Role::Balancer
             && let Some(to) = self.any_silent()
         {
--- a/crates/lentilreach/src/process/spread/state.rs
+++ b/crates/lentilreach/src/process/spread/state.rs
@@ -5,7 +5,7 @@
 use crate::id::{domain, node};
 use crate::process::clock::Millis;
 use crate::process::name::Name;
-use crate::process::spread::digest::{Area, Digest, Scope, falls, fold};
+use crate::process::spread::digest::{Area, Digest, Scope, falls, fold, node_place};
 use crate::process::spread::entry::{
     Attach, Document, Entry, Key, Load, MAX_DOCUMENT, Node, Pulse, Role, Stage, Vital,
     short,
@@ -106,7 +106,8 @@
             .iter()
             .filter(|d| falls(d.place(), index, width))
             .map(|d| (fold(d.fingerprint()), Entry::Document(d.clone())));
-        let members = self.members.iter().filter(|m| falls(m.id.0, index, width));
+        let members =
+            self.members.iter().filter(|m| falls(node_place(m.id), index, width));
         let members = members.flat_map(|member| {
             let node = member.node.as_ref();
             let node = node.map(|n| (fold(n.fingerprint()), Entry::Node(n.clone())));
@@ -235,7 +236,7 @@
         let entry = Entry::Node(self.share(node));
         self.drop_node(index);
         if let (Entry::Node(node), Some(area)) = (&entry, entry.area()) {
-            self.digest.add(&area, node.id.0, node.fingerprint());
+            self.digest.add(&area, node_place(node.id), node.fingerprint());
             self.members[index].node = Some(node.clone());
         }
         Outcome::New
@@ -254,7 +255,7 @@
             return Outcome::stale(attach.counter == old.counter);
         }
         self.drop_attach(index);
-        let (place, fingerprint) = (attach.node.0, attach.fingerprint());
+        let (place, fingerprint) = (node_place(attach.node), attach.fingerprint());
         self.digest.add(&Area::Balancers, place, fingerprint);
         self.members[index].attach = Some(attach);
         self.members[index].orphan = None;
@@ -281,7 +282,7 @@
         }
         self.members[index].pulse(now, pulse);
         if let Some(area) = Entry::Pulse(pulse).area() {
-            self.digest.add(&area, pulse.node.0, pulse.fingerprint());
+            self.digest.add(&area, node_place(pulse.node), pulse.fingerprint());
         }
         Outcome::New
     }
@@ -349,7 +350,7 @@
         if let Some(node) = self.members[index].node.take() {
             let fingerprint = node.fingerprint();
             if let Some(area) = Entry::Node(node.clone()).area() {
-                self.digest.remove(&area, node.id.0, fingerprint);
+                self.digest.remove(&area, node_place(node.id), fingerprint);
             }
         }
     }
@@ -357,7 +358,7 @@
     /// Drops an attachment.
     fn drop_attach(&mut self, index: usize) {
         if let Some(attach) = self.members[index].attach.take() {
-            let (place, fingerprint) = (attach.node.0, attach.fingerprint());
+            let (place, fingerprint) = (node_place(attach.node), attach.fingerprint());
             self.digest.remove(&Area::Balancers, place, fingerprint);
         }
     }
@@ -367,7 +368,7 @@
         if let Some(pulse) = self.members[index].pulse
             && let Some(area) = Entry::Pulse(pulse).area()
         {
-            self.digest.remove(&area, pulse.node.0, pulse.fingerprint());
+            self.digest.remove(&area, node_place(pulse.node), pulse.fingerprint());
         }
     }
 
--- a/crates/lentilreach/src/process/spread/wire.rs
+++ b/crates/lentilreach/src/process/spread/wire.rs
@@ -108,8 +108,8 @@
     Query([u8; 8], u64),
     /// A heartbeat: node, number.
     Evidence([u8; 8], u64),
-    /// Question for sums: scope, root.
-    Compare(#[serde(borrow)] Area<'a>, [u8; 4]),
+    /// Question for sums: scope, root, ready.
+    Compare(#[serde(borrow)] Area<'a>, [u8; 4], bool),
     /// Sums: scope, ready, sums.
     Hashes(#[serde(borrow)] Area<'a>, bool, Vec<[u8; 4]>),
     /// Question for entries: scope, width, index, back, fingerprints.
@@ -175,8 +175,8 @@
             Body::Part(p) => Self::Part(&p.key, p.revision, p.index, p.count, &p.bytes),
             Body::Query { node, beat } => Self::Query(node.0.to_le_bytes(), *beat),
             Body::Evidence { node, beat } => Self::Evidence(node.0.to_le_bytes(), *beat),
-            Body::Compare { scope, root } => {
-                Self::Compare(scope.into(), root.to_le_bytes())
+            Body::Compare { scope, root, ready } => {
+                Self::Compare(scope.into(), root.to_le_bytes(), *ready)
             }
             Body::Hashes { scope, ready, sums } => {
                 Self::Hashes(scope.into(), *ready, words(sums))
@@ -214,8 +214,9 @@
             }),
             Wire::Query(id, beat) => Self::Query { node: id_of(id), beat },
             Wire::Evidence(id, beat) => Self::Evidence { node: id_of(id), beat },
-            Wire::Compare(scope, root) => {
-                Self::Compare { scope: scope.try_into()?, root: u32::from_le_bytes(root) }
+            Wire::Compare(scope, root, ready) => {
+                let (scope, root) = (scope.try_into()?, u32::from_le_bytes(root));
+                Self::Compare { scope, root, ready }
             }
             Wire::Hashes(scope, ready, sums) => {
                 // Parts fold onto each other only if their number is a power of two.
--- a/crates/standin/src/measure.rs
+++ b/crates/standin/src/measure.rs
@@ -466,7 +466,19 @@
                 matches!(entry, Entry::Document(d) if is_it(d))
                     && change.nodes.binary_search(node).is_ok()
             });
-            times.extend(arrived.map(|(at, _, _)| at - change.at_ms));
+            times.extend(arrived.map(|(at, _n, _)| {
+                if std::env::var("DBG").is_ok() && at - change.at_ms > 4000 {
+                    println!(
+                        "LATE {} {} {} {} {:?}",
+                        change.at_ms,
+                        at - change.at_ms,
+                        _n,
+                        self.network.core(*_n).me().name,
+                        self.network.ready_ms(*_n)
+                    );
+                }
+                at - change.at_ms
+            }));
         }
         let expected: usize = self.changes.iter().map(|change| change.nodes.len()).sum();
         let missing = expected.saturating_sub(times.len());
