--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -347,7 +347,10 @@
 
     /// Answers a pulse that is known to be wrong; returns whether it was.
     fn refute(&mut self, now: Millis, pulse: &Pulse, actions: &mut Vec<Action>) -> bool {
-        if pulse.vital == Vital::Alive {
+        let known = self.state.member(pulse.node).and_then(|member| member.pulse);
+        // A pulse that is outdated anyway must not cause a new one.
+        let outdated = known.is_some_and(|known| known.version() >= pulse.version());
+        if pulse.vital == Vital::Alive || outdated {
             return false;
         }
         let beat = if pulse.node == self.me.id {
--- a/crates/standin/src/measure.rs
+++ b/crates/standin/src/measure.rs
@@ -318,6 +318,10 @@
             self.network.event(*index, Event::Load(*load));
         }
         self.network.run(1_000);
+        if std::env::var("DBG").is_ok() {
+            println!("T {} alive={} roots={} {:?}", self.network.now_ms(), self.not_alive(), { let mut r: Vec<u32> = self.balancers.iter().map(|i| self.network.core(*i).root()).collect(); r.sort(); r.dedup(); r.len() }, self.kinds().iter().map(|(k, b)| format!("{k}={:.0}", b * self.settings.seconds as f64)).collect::<Vec<_>>());
+            self.network.reset_traffic();
+        }
     }
 
     /// Changes a document in the store and tells the relays.
