--- a/crates/lentilreach/src/process/spread/attach.rs
+++ b/crates/lentilreach/src/process/spread/attach.rs
@@ -24,6 +24,9 @@
 /// Time in milliseconds between replacements that only improve the choice.
 const BETTER_MS: u64 = 10_000;
 
+/// Balancers of its own failure domain that an agent prefers to attach to.
+const NEAR: usize = 2;
+
 /// The balancers that a node attaches to, at most [`MONITORS`].
 #[derive(Debug, Default)]
 pub struct List {
@@ -113,7 +116,7 @@
     /// Replaces a balancer of another failure domain once one of the own is available.
     fn better(&mut self, now: Millis, me: &Node, state: &State, rng: &mut Rng) {
         let other = self.slots.iter().rposition(|slot| slot.domain != me.domain);
-        let Some(index) = other.filter(|_| me.role == Role::Agent) else { return };
+        let Some(index) = other.filter(|_| self.lacks_near(me)) else { return };
         if now.since(self.bettered) < BETTER_MS {
             return;
         }
@@ -123,10 +126,16 @@
         }
     }
 
-    /// Draws a balancer.
+    /// Whether another balancer of the own failure domain is preferred.
     ///
-    /// Agents prefer their own failure domain, which keeps heartbeats off the links between
-    /// domains. Balancers draw from all, so that a cut domain is noticed from outside.
+    /// Two keep most heartbeats of an agent off the links between domains. The third is
+    /// elsewhere, so that the failure of the domain is noticed from outside.
+    fn lacks_near(&self, me: &Node) -> bool {
+        let near = self.slots.iter().filter(|slot| slot.domain == me.domain).count();
+        me.role == Role::Agent && near < NEAR
+    }
+
+    /// Draws a balancer. Balancers draw from all failure domains alike.
     fn choose(
         &self,
         me: &Node,
@@ -141,11 +150,13 @@
                 && self.slots.iter().all(|slot| slot.id != n.id)
                 && self.avoid.iter().all(|(id, _)| *id != n.id)
         });
+        let lacks_near = self.lacks_near(me);
         let mut best: Option<(bool, u32, &Node)> = None;
         for node in nodes {
-            let near = me.role == Role::Agent && node.domain == me.domain;
-            let rank = (near, rng.u32(..));
-            if best.is_none_or(|(near, draw, _)| rank > (near, draw)) {
+            let near = node.domain == me.domain;
+            let preferred = me.role == Role::Agent && near == lacks_near;
+            let rank = (preferred, rng.u32(..));
+            if best.is_none_or(|(preferred, draw, _)| rank > (preferred, draw)) {
                 best = Some((rank.0, rank.1, node));
             }
         }
--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -313,15 +313,23 @@
             return;
         }
         let key = entry.key();
+        let class = self.class(&entry);
         match self.state.apply(now, &entry) {
-            Outcome::New => self.accept(now, key, entry, actions),
+            Outcome::New => self.accept(now, key, class, entry, actions),
             Outcome::Same => self.hot.known(&key),
             Outcome::Old | Outcome::Refused => {}
         }
     }
 
     /// Follows up on a new entry.
-    fn accept(&mut self, now: Millis, key: Key, entry: Entry, actions: &mut Vec<Action>) {
+    fn accept(
+        &mut self,
+        now: Millis,
+        key: Key,
+        class: Class,
+        entry: Entry,
+        actions: &mut Vec<Action>,
+    ) {
         if entry.area().is_some() {
             self.repair.changed(now);
         }
@@ -338,13 +346,24 @@
             _ => {}
         }
         if self.me.role == Role::Balancer && self.ready {
-            let rounds = self.rounds(&entry);
-            self.hot.add(key.clone(), entry.class(), rounds);
+            let rounds = self.rounds(class);
+            self.hot.add(key.clone(), class, rounds);
             self.queue_for_leaves(&key, &entry);
         }
         actions.push(Action::Changed(entry));
     }
 
+    /// How urgent an entry is here.
+    ///
+    /// The attachment of a node that would otherwise be taken for silent is urgent.
+    fn class(&self, entry: &Entry) -> Class {
+        let is_orphan = |id| self.state.member(id).is_some_and(|m| m.orphan.is_some());
+        match entry {
+            Entry::Attach(attach) if is_orphan(attach.node) => Class::Liveness,
+            other => other.class(),
+        }
+    }
+
     /// Answers a pulse that is known to be wrong; returns whether it was.
     fn refute(&mut self, now: Millis, pulse: &Pulse, actions: &mut Vec<Action>) -> bool {
         let known = self.state.member(pulse.node).and_then(|member| member.pulse);
@@ -365,9 +384,9 @@
         self.apply(now, Entry::Pulse(alive), actions);
         if node == self.me.id {
             // Those that had removed this node need its announcement again.
-            let rounds = self.rounds(&Entry::Node(self.me.clone()));
+            let rounds = self.rounds(Class::Liveness);
             self.hot.add(Key::Node(node), Class::Liveness, rounds);
-            self.hot.add(Key::Attach(node), Class::Repair, rounds);
+            self.hot.add(Key::Attach(node), Class::Liveness, rounds);
         }
         true
     }
@@ -376,11 +395,12 @@
     ///
     /// Each node passes an entry on, so the share that remains without it falls by a factor
     /// of e with each push. The digest reaches the rest.
-    fn rounds(&self, entry: &Entry) -> u8 {
+    fn rounds(&self, class: Class) -> u8 {
         let nodes = self.peers.len() as u32 + 2;
         let log = (u32::BITS - nodes.leading_zeros()) as u8;
-        match entry.class() {
+        match class {
             Class::Configuration => log + 1,
+            Class::Repair => log.div_ceil(2) + 1,
             Class::Load => log.div_ceil(4).max(2),
             _ => log,
         }
--- a/crates/lentilreach/src/process/spread/entry.rs
+++ b/crates/lentilreach/src/process/spread/entry.rs
@@ -54,8 +54,8 @@
             Self::Document(_) => Class::Configuration,
             Self::Node(node) if node.stage == Stage::Leaving => Class::Configuration,
             Self::Node(_) | Self::Pulse(_) => Class::Liveness,
-            // Those that it concerns learn it from heartbeats; the others need it only if
-            // all of them fail.
+            // Those that an attachment concerns learn it from heartbeats; the others need it
+            // only if all of them fail.
             Self::Attach(_) => Class::Repair,
             Self::Load(_) => Class::Load,
         }
@@ -99,7 +99,7 @@
     Configuration,
     /// Announcements and liveness.
     Liveness,
-    /// Digests and what they repair.
+    /// Attachments, digests and what they repair.
     Repair,
     /// Load reports.
     Load,
--- a/crates/lentilreach/src/process/spread/hot.rs
+++ b/crates/lentilreach/src/process/spread/hot.rs
@@ -8,7 +8,7 @@
 /// Entries that are still to be pushed.
 #[derive(Debug, Default)]
 pub struct Queue {
-    /// All classes but loads, sorted by key.
+    /// All classes but the last, sorted by key.
     urgent: Vec<Hot>,
     /// Loads, sorted by key.
     loads: Vec<Hot>,
@@ -19,7 +19,7 @@
 impl Queue {
     /// Puts an entry in for `rounds` pushes, or starts its pushes anew.
     pub fn add(&mut self, key: Key, class: Class, rounds: u8) {
-        let list = self.list(&key);
+        let list = if class == Class::Load { &mut self.loads } else { &mut self.urgent };
         match list.binary_search_by(|hot| hot.key.cmp(&key)) {
             Ok(index) => list[index] = Hot { key, class, left: rounds, sent: 0 },
             Err(index) => list.insert(index, Hot { key, class, left: rounds, sent: 0 }),
@@ -28,11 +28,12 @@
 
     /// Notes that a peer already had the entry, which makes further pushes less useful.
     pub fn known(&mut self, key: &Key) {
-        let list = self.list(key);
-        if let Ok(index) = list.binary_search_by(|hot| hot.key.cmp(key)) {
-            list[index].left = list[index].left.saturating_sub(1);
-            if list[index].left == 0 {
-                list.remove(index);
+        for list in [&mut self.urgent, &mut self.loads] {
+            if let Ok(index) = list.binary_search_by(|hot| hot.key.cmp(key)) {
+                list[index].left = list[index].left.saturating_sub(1);
+                if list[index].left == 0 {
+                    list.remove(index);
+                }
             }
         }
     }
@@ -77,14 +78,6 @@
         self.loads.retain(|hot| hot.left > 0);
         batch
     }
-
-    /// The list that a key belongs to.
-    fn list(&mut self, key: &Key) -> &mut Vec<Hot> {
-        match key {
-            Key::Load(_) => &mut self.loads,
-            _ => &mut self.urgent,
-        }
-    }
 }
 
 /// Entries for one peer.
--- a/crates/lentilreach/src/process/spread/member.rs
+++ b/crates/lentilreach/src/process/spread/member.rs
@@ -14,8 +14,8 @@
 pub const SUSPECT_MS: u64 = 400;
 
 /// Time in milliseconds that a node whose balancers are all silent may take to attach to
-/// others.
-const ORPHAN_MS: u64 = 1_000;
+/// others, and the news of it to spread.
+const ORPHAN_MS: u64 = 5_000;
 
 /// Silence in milliseconds after which a node's entries are removed.
 const DEAD_MS: u64 = 120_000;
--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -44,6 +44,8 @@
                 }
             }
             Body::Evidence { node, beat } => self.watches.confirm(now, node, beat),
+            // What a joining node could answer is of no use.
+            Body::Compare { .. } | Body::Pull(_) if !self.ready => {}
             Body::Compare { scope, root, ready } => {
                 // A node that serves may lack configuration; one that joins can wait.
                 let class = if ready { Class::Liveness } else { Class::Repair };
--- a/crates/lentilreach/src/process/spread/repair.rs
+++ b/crates/lentilreach/src/process/spread/repair.rs
@@ -11,8 +11,8 @@
 /// Parts that are asked for at the same time.
 const WINDOW: usize = 4;
 
-/// The same for a joining node, which asks many peers.
-const JOIN_WINDOW: usize = 8;
+/// The same for a joining node, which asks many peers, two parts each.
+const JOIN_WINDOW: usize = 16;
 
 /// Ready nodes that a joining node remembers.
 const HELPERS: usize = 16;
@@ -165,13 +165,15 @@
             !late
         });
         let peer = peer.or(self.peer)?;
-        let window = if joining { JOIN_WINDOW } else { WINDOW };
+        let helpers = 2 * self.helpers.len();
+        let window = if joining { helpers.clamp(2, JOIN_WINDOW) } else { WINDOW };
         if self.open.len() >= window || self.pending.is_empty() {
             return None;
         }
-        // Documents first; among the others at random, so that nodes that join together do
-        // not ask for the same parts.
+        // Documents first. At random for joining nodes, so that those that join together do
+        // not ask for the same parts and soon know more peers to ask.
         let document = self.pending.iter().position(|part| holds_documents(*part));
+        let document = document.filter(|_| !joining);
         let index = document.unwrap_or_else(|| rng.usize(..self.pending.len()));
         let part = self.pending.swap_remove(index);
         self.open.push(Open { part, peer, at: now, seen: 0, end: None });
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -79,7 +79,7 @@
     /// Asks for the next parts of a digest exchange.
     pub(super) fn pull(&mut self, now: Millis, actions: &mut Vec<Action>) {
         // What a node lacks of the configuration does not wait for the budget of others' news.
-        while self.repair.is_document_next()
+        while (self.ready && self.repair.is_document_next())
             || self.budget.pullable(now, !self.ready) >= PULL_BYTES
         {
             // A joining node spreads its questions, so that no peer carries the whole load.
--- a/crates/lentilreach/src/process/spread/state.rs
+++ b/crates/lentilreach/src/process/spread/state.rs
@@ -15,7 +15,7 @@
 /// Silences of a failure domain within this time, in milliseconds, count as one event.
 ///
 /// One silence period plus the time that the news takes and the time until orphans count.
-const TOGETHER_MS: u64 = 6_000;
+const TOGETHER_MS: u64 = 10_000;
 
 /// The highest version of each entry.
 #[derive(Debug, Default)]
--- a/crates/standin/src/measure.rs
+++ b/crates/standin/src/measure.rs
@@ -10,7 +10,7 @@
 use lentilreach::id::{domain, node};
 use lentilreach::process::spread::core::Event;
 use lentilreach::process::spread::entry::{
-    Attach, Document, Entry, Key, Load, Node, Role, Stage, short,
+    Attach, Document, Entry, Key, Load, MONITORS, Node, Role, Stage, short,
 };
 use lentilreach::process::spread::member::Status;
 use serde::Serialize;
@@ -252,7 +252,8 @@
         }
     }
 
-    /// Attaches each node to three balancers, agents to those of their failure domain.
+    /// Attaches each node to three balancers, two of its own failure domain if it is an
+    /// agent.
     fn attach(&mut self, nodes: &[Node]) -> Vec<Entry> {
         let balancers = &nodes[..self.settings.nodes];
         let mut entries = Vec::new();
@@ -264,6 +265,12 @@
             let mut candidates: Vec<u32> =
                 balancers.iter().filter(fit).map(|b| short(b.id)).collect();
             self.rng.shuffle(&mut candidates);
+            // An agent's third balancer is in another failure domain.
+            let far = balancers.iter().filter(|b| b.domain != node.domain);
+            let far: Vec<u32> = far.map(|b| short(b.id)).collect();
+            let third = self.rng.choice(&far).copied();
+            candidates.truncate(MONITORS - 1);
+            candidates.extend(third.filter(|id| !candidates.contains(id)));
             let monitors = std::array::from_fn(|index| candidates.get(index).copied());
             entries.push(Entry::Attach(Attach { node: node.id, counter: 1, monitors }));
         }
@@ -319,7 +326,25 @@
         }
         self.network.run(1_000);
         if std::env::var("DBG").is_ok() {
-            println!("T {} alive={} roots={} {:?}", self.network.now_ms(), self.not_alive(), { let mut r: Vec<u32> = self.balancers.iter().map(|i| self.network.core(*i).root()).collect(); r.sort(); r.dedup(); r.len() }, self.kinds().iter().map(|(k, b)| format!("{k}={:.0}", b * self.settings.seconds as f64)).collect::<Vec<_>>());
+            println!(
+                "T {} alive={} roots={} {:?}",
+                self.network.now_ms(),
+                self.not_alive(),
+                {
+                    let mut r: Vec<u32> = self
+                        .balancers
+                        .iter()
+                        .map(|i| self.network.core(*i).root())
+                        .collect();
+                    r.sort();
+                    r.dedup();
+                    r.len()
+                },
+                self.kinds()
+                    .iter()
+                    .map(|(k, b)| format!("{k}={:.0}", b * self.settings.seconds as f64))
+                    .collect::<Vec<_>>()
+            );
             self.network.reset_traffic();
         }
     }
