--- a/crates/lentilreach/src/process/spread/attach.rs
+++ b/crates/lentilreach/src/process/spread/attach.rs
@@ -10,13 +10,13 @@
 use crate::process::spread::member::Status;
 use crate::process::spread::state::State;
 
-/// Age of the last response in milliseconds at which another is asked for.
-const ASK_MS: u64 = 3_000;
+/// Time without a response in milliseconds after which a question is repeated.
+const RETRY_MS: u64 = 450;
 
-/// Age of the last response in milliseconds at which the balancer is replaced.
+/// Time without a response in milliseconds after which the balancer is replaced.
 ///
 /// Leaves four questions, so that 1% loss alone replaces hardly ever.
-const LOST_MS: u64 = 7_500;
+const LOST_MS: u64 = 2_000;
 
 /// Time in milliseconds for which a replaced balancer is not chosen again.
 const AVOID_MS: u64 = 30_000;
@@ -24,6 +24,9 @@
 /// Time in milliseconds between replacements that only improve the choice.
 const BETTER_MS: u64 = 10_000;
 
+/// Balancers of its own failure domain that an agent prefers to attach to.
+const NEAR: usize = 2;
+
 /// The balancers that a node attaches to, at most [`MONITORS`].
 #[derive(Debug, Default)]
 pub struct List {
@@ -52,7 +55,7 @@
 
     /// Attaches to the given balancers; for measurements.
     pub fn preset(&mut self, now: Millis, nodes: &[&Node], known: (u64, u64)) {
-        self.slots = nodes.iter().map(|node| Slot::new(now, node)).collect();
+        self.slots = nodes.iter().map(|node| Slot::new(node)).collect();
         self.slots.iter_mut().for_each(|slot| slot.known = known);
         self.bettered = now;
     }
@@ -63,13 +66,20 @@
     }
 
     /// Notes a response and the versions of announcement and attachment that it confirms.
-    pub fn ack(&mut self, now: Millis, id: node::Id, known: (u64, u64)) {
+    pub fn ack(&mut self, id: node::Id, known: (u64, u64)) {
         if let Some(slot) = self.slots.iter_mut().find(|slot| slot.id == id) {
-            slot.acked = now;
+            slot.asked = None;
             slot.known = known;
         }
     }
 
+    /// Notes that a balancer was asked for a response.
+    pub fn ask(&mut self, now: Millis, id: node::Id) {
+        if let Some(slot) = self.slots.iter_mut().find(|slot| slot.id == id) {
+            slot.asked = slot.asked.or(Some(now));
+        }
+    }
+
     /// Replaces balancers that are lost or leaving; returns whether the list changed.
     pub fn review(
         &mut self,
@@ -81,25 +91,23 @@
         let before = self.ids();
         self.avoid.retain(|(_, since)| now.since(*since) < AVOID_MS);
         for slot in &self.slots {
-            if now.since(slot.acked) >= LOST_MS {
+            if slot.is_lost(now) {
                 self.avoid.push((slot.id, now));
             }
         }
-        self.slots.retain(|slot| {
-            now.since(slot.acked) < LOST_MS && is_fit(state, slot.id, me.id)
-        });
-        self.fill(now, me, state, rng);
+        self.slots.retain(|slot| !slot.is_lost(now) && is_fit(state, slot.id, me.id));
+        self.fill(me, state, rng);
         self.better(now, me, state, rng);
         before != self.ids()
     }
 
     /// Chooses balancers for the free slots.
-    fn fill(&mut self, now: Millis, me: &Node, state: &State, rng: &mut Rng) {
+    fn fill(&mut self, me: &Node, state: &State, rng: &mut Rng) {
         let mut tries = MONITORS;
         while self.slots.len() < MONITORS && tries > 0 {
             tries -= 1;
             // A full scan for each slot is affordable: choices are rare.
-            if let Some(slot) = self.choose(now, me, state, rng, |_| true) {
+            if let Some(slot) = self.choose(me, state, rng, |_| true) {
                 self.slots.push(slot);
             }
         }
@@ -108,23 +116,28 @@
     /// Replaces a balancer of another failure domain once one of the own is available.
     fn better(&mut self, now: Millis, me: &Node, state: &State, rng: &mut Rng) {
         let other = self.slots.iter().rposition(|slot| slot.domain != me.domain);
-        let Some(index) = other.filter(|_| me.role == Role::Agent) else { return };
+        let Some(index) = other.filter(|_| self.lacks_near(me)) else { return };
         if now.since(self.bettered) < BETTER_MS {
             return;
         }
         self.bettered = now;
-        if let Some(slot) = self.choose(now, me, state, rng, |d| d == me.domain) {
+        if let Some(slot) = self.choose(me, state, rng, |d| d == me.domain) {
             self.slots[index] = slot;
         }
     }
 
-    /// Draws a balancer.
+    /// Whether another balancer of the own failure domain is preferred.
     ///
-    /// Agents prefer their own failure domain, which keeps heartbeats off the links between
-    /// domains. Balancers draw from all, so that a cut domain is noticed from outside.
+    /// Two keep most heartbeats of an agent off the links between domains. The third is
+    /// elsewhere, so that the failure of the domain is noticed from outside.
+    fn lacks_near(&self, me: &Node) -> bool {
+        let near = self.slots.iter().filter(|slot| slot.domain == me.domain).count();
+        me.role == Role::Agent && near < NEAR
+    }
+
+    /// Draws a balancer. Balancers draw from all failure domains alike.
     fn choose(
         &self,
-        now: Millis,
         me: &Node,
         state: &State,
         rng: &mut Rng,
@@ -137,15 +150,17 @@
                 && self.slots.iter().all(|slot| slot.id != n.id)
                 && self.avoid.iter().all(|(id, _)| *id != n.id)
         });
+        let lacks_near = self.lacks_near(me);
         let mut best: Option<(bool, u32, &Node)> = None;
         for node in nodes {
-            let near = me.role == Role::Agent && node.domain == me.domain;
-            let rank = (near, rng.u32(..));
-            if best.is_none_or(|(near, draw, _)| rank > (near, draw)) {
+            let near = node.domain == me.domain;
+            let preferred = me.role == Role::Agent && near == lacks_near;
+            let rank = (preferred, rng.u32(..));
+            if best.is_none_or(|(preferred, draw, _)| rank > (preferred, draw)) {
                 best = Some((rank.0, rank.1, node));
             }
         }
-        best.map(|(_, _, node)| Slot::new(now, node))
+        best.map(|(_, _, node)| Slot::new(node))
     }
 }
 
@@ -158,22 +173,34 @@
     pub address: SocketAddr,
     /// Its failure domain.
     domain: domain::Id,
-    /// When it last responded, or was chosen.
-    acked: Millis,
+    /// When it was first asked for the response that is missing; `None` if none is.
+    asked: Option<Millis>,
     /// Versions of announcement and attachment that it has confirmed.
     pub known: (u64, u64),
 }
 
 impl Slot {
     /// Attaches to a balancer.
-    fn new(now: Millis, node: &Node) -> Self {
+    fn new(node: &Node) -> Self {
         let (id, address, domain) = (node.id, node.exchange, node.domain);
-        Self { id, address, domain, acked: now, known: (0, 0) }
+        Self { id, address, domain, asked: None, known: (0, 0) }
+    }
+
+    /// Whether a heartbeat asks for a response; `turn` is its number plus the slot's index.
+    ///
+    /// One balancer is asked each second, so that a digest that differs is noticed soon.
+    pub fn asks(&self, turn: u64) -> bool {
+        self.known.0 == 0 || self.asked.is_some() || turn.is_multiple_of(MONITORS as u64)
+    }
+
+    /// Whether the question is to be repeated before the next heartbeat.
+    pub fn is_overdue(&self, now: Millis) -> bool {
+        self.asked.is_some_and(|asked| now.since(asked) >= RETRY_MS)
     }
 
-    /// Whether the next heartbeat asks for a response.
-    pub fn asks(&self, now: Millis) -> bool {
-        self.known.0 == 0 || now.since(self.acked) >= ASK_MS
+    /// Whether the balancer is to be replaced.
+    fn is_lost(&self, now: Millis) -> bool {
+        self.asked.is_some_and(|asked| now.since(asked) >= LOST_MS)
     }
 }
 
--- a/crates/lentilreach/src/process/spread/entry.rs
+++ b/crates/lentilreach/src/process/spread/entry.rs
@@ -8,7 +8,7 @@
 
 use crate::id::{domain, node};
 use crate::process::name::Name;
-use crate::process::spread::digest::Area;
+use crate::process::spread::digest::{Area, document_place};
 
 /// Longest document in bytes.
 pub const MAX_DOCUMENT: usize = 64 << 10;
@@ -54,8 +54,8 @@
             Self::Document(_) => Class::Configuration,
             Self::Node(node) if node.stage == Stage::Leaving => Class::Configuration,
             Self::Node(_) | Self::Pulse(_) => Class::Liveness,
-            // Those that it concerns learn it from heartbeats; the others need it only if
-            // all of them fail.
+            // Those that an attachment concerns learn it from heartbeats; the others need it
+            // only if all of them fail.
             Self::Attach(_) => Class::Repair,
             Self::Load(_) => Class::Load,
         }
@@ -99,7 +99,7 @@
     Configuration,
     /// Announcements and liveness.
     Liveness,
-    /// Digests and what they repair.
+    /// Attachments, digests and what they repair.
     Repair,
     /// Load reports.
     Load,
@@ -128,9 +128,9 @@
         }
     }
 
-    /// Hash of the key, which places the document in a digest.
+    /// Its place in a digest.
     pub fn place(&self) -> u64 {
-        xxh3_64(self.key.as_bytes())
+        document_place(xxh3_64(self.key.as_bytes()))
     }
 
     /// Hash of key and version.
@@ -290,9 +290,8 @@
     /// The target for imbalance is 1.05, so that a change of 2% of the open flows matters.
     pub fn differs(&self, last: &Self) -> bool {
         let step = (last.open / 50).max(1);
-        let busy = (self.slots / 4).max(1);
+        // Running requests come and go within milliseconds and do not trigger a report.
         self.open.abs_diff(last.open) >= step
-            || self.busy.abs_diff(last.busy) >= busy
             || self.limit != last.limit
             || self.slots != last.slots
     }
--- a/crates/lentilreach/src/process/spread/hot.rs
+++ b/crates/lentilreach/src/process/spread/hot.rs
@@ -8,7 +8,7 @@
 /// Entries that are still to be pushed.
 #[derive(Debug, Default)]
 pub struct Queue {
-    /// All classes but loads, sorted by key.
+    /// All classes but the last, sorted by key.
     urgent: Vec<Hot>,
     /// Loads, sorted by key.
     loads: Vec<Hot>,
@@ -19,7 +19,7 @@
 impl Queue {
     /// Puts an entry in for `rounds` pushes, or starts its pushes anew.
     pub fn add(&mut self, key: Key, class: Class, rounds: u8) {
-        let list = self.list(&key);
+        let list = if class == Class::Load { &mut self.loads } else { &mut self.urgent };
         match list.binary_search_by(|hot| hot.key.cmp(&key)) {
             Ok(index) => list[index] = Hot { key, class, left: rounds, sent: 0 },
             Err(index) => list.insert(index, Hot { key, class, left: rounds, sent: 0 }),
@@ -28,11 +28,12 @@
 
     /// Notes that a peer already had the entry, which makes further pushes less useful.
     pub fn known(&mut self, key: &Key) {
-        let list = self.list(key);
-        if let Ok(index) = list.binary_search_by(|hot| hot.key.cmp(key)) {
-            list[index].left = list[index].left.saturating_sub(1);
-            if list[index].left == 0 {
-                list.remove(index);
+        for list in [&mut self.urgent, &mut self.loads] {
+            if let Ok(index) = list.binary_search_by(|hot| hot.key.cmp(key)) {
+                list[index].left = list[index].left.saturating_sub(1);
+                if list[index].left == 0 {
+                    list.remove(index);
+                }
             }
         }
     }
@@ -47,42 +48,36 @@
         self.loads.len()
     }
 
-    /// Takes a batch for one peer: at most `space` bytes of entries, the most urgent and the
-    /// least often sent first, then loads up to `load_space` bytes in total.
-    pub fn batch(
-        &mut self,
-        now: Millis,
-        state: &State,
-        space: usize,
-        load_space: usize,
-    ) -> Batch {
+    /// Takes a batch for one peer, the most urgent and the least often sent entries first.
+    ///
+    /// `space` is the size in bytes up to which entries of each class are added.
+    pub fn batch(&mut self, now: Millis, state: &State, space: [usize; 4]) -> Batch {
         let mut batch = Batch::default();
         let mut order: Vec<(Class, u8, usize)> =
             self.urgent.iter().enumerate().map(|(i, h)| (h.class, h.sent, i)).collect();
         order.sort_unstable();
         for (_, _, index) in order {
-            if !batch.take(now, state, &mut self.urgent[index], space) {
+            let hot = &mut self.urgent[index];
+            let space = space[hot.class as usize];
+            if !batch.take(now, state, hot, space) {
                 break;
             }
         }
         self.urgent.retain(|hot| hot.left > 0);
         for _ in 0..self.loads.len() {
             self.turn = (self.turn + 1) % self.loads.len();
-            if !batch.take(now, state, &mut self.loads[self.turn], load_space) {
+            if !batch.take(
+                now,
+                state,
+                &mut self.loads[self.turn],
+                space[Class::Load as usize],
+            ) {
                 break;
             }
         }
         self.loads.retain(|hot| hot.left > 0);
         batch
     }
-
-    /// The list that a key belongs to.
-    fn list(&mut self, key: &Key) -> &mut Vec<Hot> {
-        match key {
-            Key::Load(_) => &mut self.loads,
-            _ => &mut self.urgent,
-        }
-    }
 }
 
 /// Entries for one peer.
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -4,11 +4,12 @@
 
 use crate::id::node;
 use crate::process::clock::Millis;
+use crate::process::spread::attach::Slot;
 use crate::process::spread::core::{Action, Core};
 use crate::process::spread::entry::{Class, Entry, Load, Pulse, Role, Vital, short};
 use crate::process::spread::hot::Batch;
 use crate::process::spread::member::Status;
-use crate::process::spread::message::{Beat, Body, MAX_FIELDS, Part, Pull};
+use crate::process::spread::message::{Beat, Body, MAX_FIELDS, OVERHEAD, Part, Pull};
 use crate::process::spread::watch::Verdict;
 
 /// Time between heartbeats in milliseconds.
@@ -32,11 +33,14 @@
 /// Time in milliseconds until a node that seems cut off judges others nevertheless.
 const JUDGE_MS: u64 = 5_000;
 
+/// Ticks between repetitions of heartbeats that were not responded to.
+const REPEAT_TICKS: u64 = 5;
+
 /// Ticks between attempts to reach peers from the settings.
 const SEED_TICKS: u64 = 100;
 
-/// Bytes that a pull may bring.
-const PULL_BYTES: usize = 2_500;
+/// Bytes that a pull typically brings.
+const PULL_BYTES: usize = 1_500;
 
 impl Core {
     /// Does what is due.
@@ -46,11 +50,14 @@
         if !self.ready {
             self.join(now, actions);
             self.pull(now, actions);
+            self.review(now, actions);
             return;
         }
         if now >= self.next_beat {
             self.next_beat = now.after(BEAT_MS);
             self.second(now, actions);
+        } else if self.ticks.is_multiple_of(REPEAT_TICKS) {
+            self.repeat(now, actions);
         }
         self.judge(now, actions);
         self.pull(now, actions);
@@ -58,6 +65,11 @@
             self.push_to_leaves(now, actions);
             self.push(now, actions);
         }
+        self.review(now, actions);
+    }
+
+    /// Brings the status of all members up to date.
+    fn review(&mut self, now: Millis, actions: &mut Vec<Action>) {
         for id in self.state.review(now, self.me.id) {
             let status = self.status_entry(now, id);
             actions.extend(status.map(Action::Changed));
@@ -66,27 +78,37 @@
 
     /// Asks for the next parts of a digest exchange.
     pub(super) fn pull(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        while self.budget.pullable(now) >= PULL_BYTES {
-            let next = self.repair.next(now, &mut self.rng);
+        // What a node lacks of the configuration does not wait for the budget of others' news.
+        while (self.ready && self.repair.is_document_next())
+            || self.budget.pullable(now, !self.ready) >= PULL_BYTES
+        {
+            // A joining node spreads its questions, so that no peer carries the whole load.
+            let joining = !self.ready;
+            let other = if joining { self.any_helper() } else { None };
+            let next = self.repair.next(now, joining, other, &mut self.rng);
             let Some((peer, width, index)) = next else { return };
-            // A new node spreads its questions, so that no peer carries the whole load.
-            let other = if self.ready { None } else { self.any_peer() };
             let scope = self.scope.clone();
             let part = self.state.part(now, &scope, index.into(), width.into());
             let mut have: Vec<u32> = part.into_iter().map(|(hash, _)| hash).collect();
             have.truncate(MAX_FIELDS / 4 - 64);
             let pull = Pull { scope, width, index, back: self.ready, have };
-            self.send(now, other.unwrap_or(peer), Body::Pull(pull), actions);
+            self.send(now, peer, Body::Pull(pull), actions);
         }
     }
 
+    /// Asks for the sums of a peer.
+    pub(super) fn comparison(&self) -> Body {
+        let (scope, root) = (self.scope.clone(), self.root());
+        Body::Compare { scope, root, ready: self.ready }
+    }
+
     /// Asks a peer for the full state.
     fn join(&mut self, now: Millis, actions: &mut Vec<Action>) {
         if self.repair.is_due_to_join(now) {
             self.repair.asked(now);
             let seed = self.any_seed();
-            if let Some(to) = self.any_peer().or(seed) {
-                let body = Body::Compare { scope: self.scope.clone(), root: self.root() };
+            if let Some(to) = self.any_helper().or(seed) {
+                let body = self.comparison();
                 self.send(now, to, body, actions);
             }
         }
@@ -113,28 +135,53 @@
     fn beat(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.beat += 1;
         let mut load = self.next_load(now);
+        for (index, slot) in self.slots.slots().to_vec().into_iter().enumerate() {
+            // The first balancer passes loads on; more would only repeat them.
+            let ask = slot.asks(self.beat + index as u64);
+            self.beat_to(now, slot, ask, load.take(), actions);
+        }
+    }
+
+    /// Repeats heartbeats that were not responded to.
+    fn repeat(&mut self, now: Millis, actions: &mut Vec<Action>) {
         for slot in self.slots.slots().to_vec() {
-            let mut entries = Vec::new();
-            if slot.known.0 != self.me.counter {
-                entries.push(Entry::Node(self.me.clone()));
-            }
-            if slot.known.1 != self.attach.counter {
-                entries.push(Entry::Attach(self.attach));
+            if slot.is_overdue(now) {
+                self.beat_to(now, slot, true, None, actions);
             }
-            // The first balancer passes loads on; more would only repeat them.
-            entries.extend(load.take().map(Entry::Load));
-            let beat = Beat {
-                beat: self.beat,
-                counter: self.me.counter,
-                attach: self.attach.counter,
-                ask: slot.asks(now),
-                root: self.root(),
-                entries,
-            };
-            self.send(now, slot.address, Body::Beat(beat), actions);
         }
     }
 
+    /// Sends a heartbeat to one balancer.
+    fn beat_to(
+        &mut self,
+        now: Millis,
+        slot: Slot,
+        ask: bool,
+        load: Option<Load>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut entries = Vec::new();
+        if slot.known.0 != self.me.counter {
+            entries.push(Entry::Node(self.me.clone()));
+        }
+        if slot.known.1 != self.attach.counter {
+            entries.push(Entry::Attach(self.attach));
+        }
+        entries.extend(load.map(Entry::Load));
+        if ask {
+            self.slots.ask(now, slot.id);
+        }
+        let beat = Beat {
+            beat: self.beat,
+            counter: self.me.counter,
+            attach: self.attach.counter,
+            ask,
+            root: self.root(),
+            entries,
+        };
+        self.send(now, slot.address, Body::Beat(beat), actions);
+    }
+
     /// The load report that is due, if any.
     fn next_load(&mut self, now: Millis) -> Option<Load> {
         let load = self.load?;
@@ -152,7 +199,7 @@
 
     /// Tries to reach nodes that may be cut off, and peers from the settings.
     fn reach_out(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let compare = Body::Compare { scope: self.scope.clone(), root: self.root() };
+        let compare = self.comparison();
         if self.me.role == Role::Balancer
             && let Some(to) = self.any_silent()
         {
@@ -234,13 +281,22 @@
                 return;
             }
             let Some(to) = self.next_peer() else { return };
-            let space = self.budget.left(now, Class::Liveness).min(MAX_FIELDS - 2);
-            let load_space = self.budget.left(now, Class::Load).min(MAX_FIELDS - 2);
-            let batch = self.hot.batch(now, &self.state, space, load_space);
+            let space = self.spaces(now, loads);
+            let batch = self.hot.batch(now, &self.state, space);
             self.send_batch(now, to, batch, actions);
         }
     }
 
+    /// Bytes of entries of each class that a push may carry now.
+    fn spaces(&mut self, now: Millis, loads: bool) -> [usize; 4] {
+        let classes = [Class::Configuration, Class::Liveness, Class::Repair, Class::Load];
+        classes.map(|class| {
+            let left = self.budget.left(now, class).saturating_sub(OVERHEAD + 2);
+            let is_due = class != Class::Load || loads;
+            if is_due { left.min(MAX_FIELDS - 2) } else { 0 }
+        })
+    }
+
     /// Sends a batch of entries.
     fn send_batch(
         &mut self,
@@ -259,6 +315,10 @@
 
     /// Lists the balancers that are alive.
     fn refresh_peers(&mut self) {
+        if self.listed == self.state.changes() {
+            return;
+        }
+        self.listed = self.state.changes();
         let me = self.me.id;
         let alive = self
             .state
@@ -291,6 +351,12 @@
         pick(&self.peers, &mut self.rng)
     }
 
+    /// A balancer for a joining node to ask.
+    fn any_helper(&mut self) -> Option<SocketAddr> {
+        let other = self.any_peer();
+        self.repair.helper(other, &mut self.rng)
+    }
+
     /// A random peer from the settings.
     fn any_seed(&mut self) -> Option<SocketAddr> {
         pick(&self.seeds, &mut self.rng)
--- a/crates/lentilreach/src/process/spread/state.rs
+++ b/crates/lentilreach/src/process/spread/state.rs
@@ -5,7 +5,7 @@
 use crate::id::{domain, node};
 use crate::process::clock::Millis;
 use crate::process::name::Name;
-use crate::process::spread::digest::{Area, Digest, Scope, falls, fold};
+use crate::process::spread::digest::{Area, Digest, Scope, falls, fold, node_place};
 use crate::process::spread::entry::{
     Attach, Document, Entry, Key, Load, MAX_DOCUMENT, Node, Pulse, Role, Stage, Vital,
     short,
@@ -15,7 +15,7 @@
 /// Silences of a failure domain within this time, in milliseconds, count as one event.
 ///
 /// One silence period plus the time that the news takes and the time until orphans count.
-const TOGETHER_MS: u64 = 6_000;
+const TOGETHER_MS: u64 = 10_000;
 
 /// The highest version of each entry.
 #[derive(Debug, Default)]
@@ -27,20 +27,31 @@
     members: Vec<Member>,
     /// Failure domains that are treated as unreachable, sorted.
     unreachable: Vec<domain::Id>,
-    /// Sums over documents, announcements and pulses.
+    /// Sums over documents, announcements, attachments and pulses.
     digest: Digest,
+    /// Whether the status of a member may change before the next entry.
+    unsettled: bool,
+    /// Counts changes of announcements and statuses.
+    changes: u64,
 }
 
 impl State {
     /// Takes in an entry unless a version as high is known.
     pub fn apply(&mut self, now: Millis, entry: &Entry) -> Outcome {
-        match entry {
+        let outcome = match entry {
             Entry::Document(document) => self.apply_document(document),
             Entry::Node(node) => self.apply_node(node),
             Entry::Attach(attach) => self.apply_attach(*attach),
             Entry::Pulse(pulse) => self.apply_pulse(now, *pulse),
             Entry::Load(load) => self.apply_load(now, *load),
+        };
+        if outcome == Outcome::New
+            && !matches!(entry, Entry::Document(_) | Entry::Load(_))
+        {
+            self.unsettled = true;
+            self.changes += 1;
         }
+        outcome
     }
 
     /// The documents, sorted by key, with deletions.
@@ -58,6 +69,11 @@
         self.find(id).ok().map(|index| &self.members[index])
     }
 
+    /// Counts changes of announcements and statuses; equal if neither changed.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// The sums over all entries.
     pub fn digest(&self) -> &Digest {
         &self.digest
@@ -90,7 +106,8 @@
             .iter()
             .filter(|d| falls(d.place(), index, width))
             .map(|d| (fold(d.fingerprint()), Entry::Document(d.clone())));
-        let members = self.members.iter().filter(|m| falls(m.id.0, index, width));
+        let members =
+            self.members.iter().filter(|m| falls(node_place(m.id), index, width));
         let members = members.flat_map(|member| {
             let node = member.node.as_ref();
             let node = node.map(|n| (fold(n.fingerprint()), Entry::Node(n.clone())));
@@ -112,12 +129,17 @@
 
     /// Brings the status of all members up to date; returns those that changed.
     pub fn review(&mut self, now: Millis, me: node::Id) -> Vec<node::Id> {
+        if !self.unsettled {
+            return Vec::new();
+        }
         self.mark_domains(now);
+        self.unsettled = !self.unreachable.is_empty();
         let mut changed = Vec::new();
         for member in &mut self.members {
             let Some(node) = member.node.as_ref().filter(|_| member.id != me) else {
                 continue;
             };
+            self.unsettled |= member.vital() != Vital::Alive || member.orphan.is_some();
             let status = match member.is_silent(now) {
                 false => Status::Alive,
                 true if self.unreachable.binary_search(&node.domain).is_ok() => {
@@ -127,6 +149,7 @@
             };
             if member.status != status {
                 member.status = status;
+                self.changes += 1;
                 changed.push(member.id);
             }
         }
@@ -151,6 +174,7 @@
                 monitors.peek().is_some() && monitors.all(lost)
             });
             let orphan = all_lost && member.id != me;
+            self.unsettled |= orphan != member.orphan.is_some();
             member.orphan = orphan.then(|| member.orphan.unwrap_or(now));
         }
     }
@@ -167,7 +191,7 @@
         let over = self.members.iter().filter(|m| m.id != me && m.is_over(now));
         let over: Vec<Pulse> = over.filter_map(dead).collect();
         for pulse in &over {
-            self.apply_pulse(now, *pulse);
+            self.apply(now, &Entry::Pulse(*pulse));
         }
         let forgotten = self.members.iter().filter(|m| m.is_forgotten(now));
         let forgotten: Vec<node::Id> = forgotten.map(|member| member.id).collect();
@@ -212,7 +236,7 @@
         let entry = Entry::Node(self.share(node));
         self.drop_node(index);
         if let (Entry::Node(node), Some(area)) = (&entry, entry.area()) {
-            self.digest.add(&area, node.id.0, node.fingerprint());
+            self.digest.add(&area, node_place(node.id), node.fingerprint());
             self.members[index].node = Some(node.clone());
         }
         Outcome::New
@@ -231,7 +255,7 @@
             return Outcome::stale(attach.counter == old.counter);
         }
         self.drop_attach(index);
-        let (place, fingerprint) = (attach.node.0, attach.fingerprint());
+        let (place, fingerprint) = (node_place(attach.node), attach.fingerprint());
         self.digest.add(&Area::Balancers, place, fingerprint);
         self.members[index].attach = Some(attach);
         self.members[index].orphan = None;
@@ -258,7 +282,7 @@
         }
         self.members[index].pulse(now, pulse);
         if let Some(area) = Entry::Pulse(pulse).area() {
-            self.digest.add(&area, pulse.node.0, pulse.fingerprint());
+            self.digest.add(&area, node_place(pulse.node), pulse.fingerprint());
         }
         Outcome::New
     }
@@ -326,7 +350,7 @@
         if let Some(node) = self.members[index].node.take() {
             let fingerprint = node.fingerprint();
             if let Some(area) = Entry::Node(node.clone()).area() {
-                self.digest.remove(&area, node.id.0, fingerprint);
+                self.digest.remove(&area, node_place(node.id), fingerprint);
             }
         }
     }
@@ -334,7 +358,7 @@
     /// Drops an attachment.
     fn drop_attach(&mut self, index: usize) {
         if let Some(attach) = self.members[index].attach.take() {
-            let (place, fingerprint) = (attach.node.0, attach.fingerprint());
+            let (place, fingerprint) = (node_place(attach.node), attach.fingerprint());
             self.digest.remove(&Area::Balancers, place, fingerprint);
         }
     }
@@ -344,7 +368,7 @@
         if let Some(pulse) = self.members[index].pulse
             && let Some(area) = Entry::Pulse(pulse).area()
         {
-            self.digest.remove(&area, pulse.node.0, pulse.fingerprint());
+            self.digest.remove(&area, node_place(pulse.node), pulse.fingerprint());
         }
     }
 
--- a/crates/standin/src/measure.rs
+++ b/crates/standin/src/measure.rs
@@ -10,7 +10,7 @@
 use lentilreach::id::{domain, node};
 use lentilreach::process::spread::core::Event;
 use lentilreach::process::spread::entry::{
-    Attach, Entry, Key, Load, Node, Role, Stage, short,
+    Attach, Document, Entry, Key, Load, MONITORS, Node, Role, Stage, short,
 };
 use lentilreach::process::spread::member::Status;
 use serde::Serialize;
@@ -81,10 +81,15 @@
     pub seed: u64,
     /// The plan.
     pub plan: &'static str,
-    /// The most bytes that a balancer sent and received in one second.
+    /// The most bytes that a balancer sent in one second. What is sent is what the budget
+    /// limits; each byte sent is received once, so the fleet's total is counted once.
     pub bytes_per_s_per_node_max: u64,
-    /// Bytes that a balancer sent and received in a second, on average.
+    /// Bytes that a balancer sent in a second, on average.
     pub bytes_per_s_per_node_mean: f64,
+    /// The most bytes that a balancer sent and received in one second.
+    pub both_ways_bytes_per_s_max: u64,
+    /// Bytes that a balancer sent and received in a second, on average.
+    pub both_ways_bytes_per_s_mean: f64,
     /// The most bytes that an agent sent and received in one second.
     pub agent_bytes_per_s_max: u64,
     /// Bytes that an agent sent and received in a second, on average.
@@ -117,6 +122,8 @@
     /// Resident memory of a balancer's state in bytes, without that of the program.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub resident_bytes_per_node: Option<u64>,
+    /// Bytes that a balancer sent in a second, on average, by kind of message.
+    pub sent_by_kind: Vec<(&'static str, f64)>,
     /// Share of a core that a balancer's decisions, codec and seal take. Without the
     /// system's part of sending and receiving.
     pub cpu_share_per_node: f64,
@@ -153,8 +160,10 @@
     rng: Rng,
     /// Organisations' names.
     organisations: Vec<Name>,
-    /// Changes: key, revision, time.
-    changes: Vec<(Name, u64, u64)>,
+    /// Changes of documents.
+    changes: Vec<Change>,
+    /// Whether nodes are cut off.
+    is_cut: bool,
     /// The revision of the store.
     revision: u64,
     /// Resident bytes for each balancer after it was filled.
@@ -186,6 +195,7 @@
             rng: Rng::with_seed(settings.seed ^ 0x5eed),
             organisations: organisations.collect(),
             changes: Vec::new(),
+            is_cut: false,
             revision: FIRST,
             base: None,
             restarted: Vec::new(),
@@ -242,7 +252,8 @@
         }
     }
 
-    /// Attaches each node to three balancers, agents to those of their failure domain.
+    /// Attaches each node to three balancers, two of its own failure domain if it is an
+    /// agent.
     fn attach(&mut self, nodes: &[Node]) -> Vec<Entry> {
         let balancers = &nodes[..self.settings.nodes];
         let mut entries = Vec::new();
@@ -254,6 +265,12 @@
             let mut candidates: Vec<u32> =
                 balancers.iter().filter(fit).map(|b| short(b.id)).collect();
             self.rng.shuffle(&mut candidates);
+            // An agent's third balancer is in another failure domain.
+            let far = balancers.iter().filter(|b| b.domain != node.domain);
+            let far: Vec<u32> = far.map(|b| short(b.id)).collect();
+            let third = self.rng.choice(&far).copied();
+            candidates.truncate(MONITORS - 1);
+            candidates.extend(third.filter(|id| !candidates.contains(id)));
             let monitors = std::array::from_fn(|index| candidates.get(index).copied());
             entries.push(Entry::Attach(Attach { node: node.id, counter: 1, monitors }));
         }
@@ -308,6 +325,28 @@
             self.network.event(*index, Event::Load(*load));
         }
         self.network.run(1_000);
+        if std::env::var("DBG").is_ok() {
+            println!(
+                "T {} alive={} roots={} {:?}",
+                self.network.now_ms(),
+                self.not_alive(),
+                {
+                    let mut r: Vec<u32> = self
+                        .balancers
+                        .iter()
+                        .map(|i| self.network.core(*i).root())
+                        .collect();
+                    r.sort();
+                    r.dedup();
+                    r.len()
+                },
+                self.kinds()
+                    .iter()
+                    .map(|(k, b)| format!("{k}={:.0}", b * self.settings.seconds as f64))
+                    .collect::<Vec<_>>()
+            );
+            self.network.reset_traffic();
+        }
     }
 
     /// Changes a document in the store and tells the relays.
@@ -317,17 +356,40 @@
         let key: Name = format!("lentilreach/service/{organisation}/service-0000").into();
         let value = Some(document(self.revision));
         let entry = Entry::document(key.clone(), self.revision, value);
-        self.changes.push((key, self.revision, self.network.now_ms()));
+        let nodes = self.affected(&key);
+        let (revision, at_ms) = (self.revision, self.network.now_ms());
+        self.changes.push(Change { revision, at_ms, nodes });
         let relays = match self.settings.plan {
             Plan::StoreAway => 1,
             _ => 2 * self.settings.domains(),
         };
-        for index in self.balancers.iter().rev().take(relays).copied().collect::<Vec<_>>()
-        {
+        let reach = self.balancers.iter().rev().filter(|index| !self.is_away(**index));
+        for index in reach.take(relays).copied().collect::<Vec<_>>() {
             self.network.event(index, Event::Local(entry.clone()));
         }
     }
 
+    /// The nodes that are to have a change soon: those that are ready, need it, and are on
+    /// the store's side of a cut. Sorted.
+    fn affected(&self, key: &Name) -> Vec<usize> {
+        let agents = self.agents.iter().filter(|index| {
+            let organisation = &self.network.core(**index).me().organisation;
+            key.contains(&format!("/{organisation}/"))
+        });
+        let all = self.balancers.iter().chain(agents).copied();
+        let mut nodes: Vec<usize> = all
+            .filter(|index| self.network.core(*index).is_ready() && !self.is_away(*index))
+            .collect();
+        nodes.sort_unstable();
+        nodes
+    }
+
+    /// Whether a node is cut off from the store.
+    fn is_away(&self, index: usize) -> bool {
+        let domain = usize::from(self.network.core(index).me().domain.0);
+        self.is_cut && domain < self.settings.domains().div_ceil(3)
+    }
+
     /// Restarts the first third of the balancers. Each knows the address of one peer.
     fn restart(&mut self) {
         let third = self.balancers.len() / 3;
@@ -346,6 +408,7 @@
 
     /// Puts the nodes of the first third of the failure domains on a side.
     fn cut(&mut self, side: u8) {
+        self.is_cut = side != 0;
         for index in self.balancers.iter().chain(&self.agents) {
             let domain = usize::from(self.network.core(*index).me().domain.0);
             if domain < self.settings.domains().div_ceil(3) {
@@ -402,8 +465,10 @@
             seconds: settings.seconds,
             seed: settings.seed,
             plan: settings.plan.as_str(),
-            bytes_per_s_per_node_max: balancers.most,
-            bytes_per_s_per_node_mean: balancers.bytes,
+            bytes_per_s_per_node_max: balancers.most_sent,
+            bytes_per_s_per_node_mean: balancers.sent,
+            both_ways_bytes_per_s_max: balancers.most,
+            both_ways_bytes_per_s_mean: balancers.bytes,
             agent_bytes_per_s_max: agents.most,
             agent_bytes_per_s_mean: agents.bytes,
             datagrams_per_s_per_node: balancers.datagrams,
@@ -416,6 +481,7 @@
             healed_ms: self.healed,
             not_alive_at_end: self.not_alive(),
             resident_bytes_per_node: self.base,
+            sent_by_kind: self.kinds(),
             cpu_share_per_node: balancers.cpu,
         }
     }
@@ -423,27 +489,54 @@
     /// Times until changes were in force, and how many nodes lack them.
     fn in_force(&self) -> (Vec<u64>, usize) {
         let mut times = Vec::new();
-        let mut expected = 0;
-        for (key, revision, since) in &self.changes {
-            let arrived = self.network.log.iter().filter(|(_, _, entry)| {
-                matches!(entry, Entry::Document(d) if d.revision == *revision)
+        for change in &self.changes {
+            let arrived = self.network.log.iter().filter(|(_, node, entry)| {
+                let is_it = |d: &Document| d.revision == change.revision;
+                matches!(entry, Entry::Document(d) if is_it(d))
+                    && change.nodes.binary_search(node).is_ok()
             });
-            times.extend(arrived.map(|(at, _, _)| at - since));
-            let agents = self.agents.iter().filter(|index| {
-                let organisation = &self.network.core(**index).me().organisation;
-                key.contains(&format!("/{organisation}/"))
-            });
-            expected += self.balancers.len() + agents.count();
+            times.extend(arrived.map(|(at, _n, _)| {
+                if std::env::var("DBG").is_ok() && at - change.at_ms > 4000 {
+                    println!(
+                        "LATE {} {} {} {} {:?}",
+                        change.at_ms,
+                        at - change.at_ms,
+                        _n,
+                        self.network.core(*_n).me().name,
+                        self.network.ready_ms(*_n)
+                    );
+                }
+                at - change.at_ms
+            }));
         }
+        let expected: usize = self.changes.iter().map(|change| change.nodes.len()).sum();
         let missing = expected.saturating_sub(times.len());
         (times, missing)
     }
 
+    /// Bytes that a balancer sent in a second by kind of message.
+    fn kinds(&self) -> Vec<(&'static str, f64)> {
+        let mut kinds: Vec<(&'static str, f64)> = Vec::new();
+        let per = self.balancers.len() as f64 * self.settings.seconds as f64;
+        for index in &self.balancers {
+            for (kind, bytes, _) in &self.network.traffic(*index).kinds {
+                let share = *bytes as f64 / per;
+                match kinds.binary_search_by_key(kind, |(kind, _)| *kind) {
+                    Ok(found) => kinds[found].1 += share,
+                    Err(found) => kinds.insert(found, (*kind, share)),
+                }
+            }
+        }
+        kinds
+    }
+
     /// Sums over nodes of one kind.
     fn sum(&self, nodes: &[usize]) -> Sum {
         let traffic = nodes.iter().map(|index| self.network.traffic(*index));
         let per = nodes.len().max(1) as f64 * self.settings.seconds as f64;
         Sum {
+            most_sent: traffic.clone().map(|t| t.most_sent).max().unwrap_or(0),
+            sent: traffic.clone().map(|t| t.sent).sum::<u64>() as f64 / per,
             most: traffic.clone().map(|t| t.most).max().unwrap_or(0),
             bytes: traffic.clone().map(|t| t.bytes).sum::<u64>() as f64 / per,
             datagrams: traffic.clone().map(|t| t.datagrams).sum::<u64>() as f64 / per,
@@ -518,11 +611,25 @@
     }
 }
 
+/// A change of a document.
+struct Change {
+    /// Its revision.
+    revision: u64,
+    /// When it was accepted, in milliseconds.
+    at_ms: u64,
+    /// The nodes that are to have it soon, sorted.
+    nodes: Vec<usize>,
+}
+
 /// Sums over nodes of one kind, per node and second but for the maximum.
 struct Sum {
-    /// The most bytes in one second at one node.
+    /// The most bytes sent in one second at one node.
+    most_sent: u64,
+    /// Bytes sent.
+    sent: f64,
+    /// The most bytes in one second at one node, both ways.
     most: u64,
-    /// Bytes.
+    /// Bytes, both ways.
     bytes: f64,
     /// Datagrams.
     datagrams: f64,
