--- a/crates/lentilreach/src/request/route.rs
+++ b/crates/lentilreach/src/request/route.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
 
-use xxhash_rust::xxh3::xxh3_128_with_seed;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::connection::token;
 use crate::id::service;
@@ -118,12 +118,12 @@
 /// flows to the member that looked idle in the last report.
 fn offer(view: &View, service: &Service, packet: &Packet<'_>, salt: u64) -> Verdict {
     let hash = hash(packet, salt);
-    let draws = ((hash >> 64) as u64).to_le_bytes();
+    let draws = mix(hash).to_le_bytes();
     let mut agents = [SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0); WIDTH];
     // The score above the place. Positive floats are in the same order as their bits.
     let mut ranks = [u64::MAX; WIDTH];
     let (mut len, mut takers) = (0, 0);
-    for (place, choice) in service.choices(hash as u64).enumerate().take(WIDTH) {
+    for (place, choice) in service.choices(hash).enumerate().take(WIDTH) {
         agents[place] = choice.agent;
         if view.is_out(choice.domain) {
             continue;
@@ -145,49 +145,43 @@
 }
 
 /// Sorts by the network of Batcher, which has no branch that depends on the values.
+///
+/// Written out, since the compiler keeps the values in registers only if all indices are
+/// constants.
 fn sort(ranks: &mut [u64; WIDTH]) {
-    for (low, high) in NETWORK {
-        let (a, b) = (ranks[low], ranks[high]);
-        ranks[low] = a.min(b);
-        ranks[high] = a.max(b);
-    }
+    let [mut a, mut b, mut c, mut d, mut e, mut f, mut g, mut h] = *ranks;
+    order([&mut a, &mut c, &mut e, &mut g], [&mut b, &mut d, &mut f, &mut h]);
+    order([&mut a, &mut b, &mut e, &mut f], [&mut c, &mut d, &mut g, &mut h]);
+    order([&mut b, &mut f], [&mut c, &mut g]);
+    order([&mut a, &mut b, &mut c, &mut d], [&mut e, &mut f, &mut g, &mut h]);
+    order([&mut c, &mut d], [&mut e, &mut f]);
+    order([&mut b, &mut d, &mut f], [&mut c, &mut e, &mut g]);
+    *ranks = [a, b, c, d, e, f, g, h];
 }
 
-/// Comparators of the odd-even merge sort of eight values.
-const NETWORK: [(usize, usize); 19] = [
-    (0, 1),
-    (2, 3),
-    (4, 5),
-    (6, 7),
-    (0, 2),
-    (1, 3),
-    (4, 6),
-    (5, 7),
-    (1, 2),
-    (5, 6),
-    (0, 4),
-    (1, 5),
-    (2, 6),
-    (3, 7),
-    (2, 4),
-    (3, 5),
-    (1, 2),
-    (3, 4),
-    (5, 6),
-];
+/// Puts the lesser of each pair first.
+#[inline(always)]
+fn order<const N: usize>(low: [&mut u64; N], high: [&mut u64; N]) {
+    for (low, high) in low.into_iter().zip(high) {
+        (*low, *high) = ((*low).min(*high), (*low).max(*high));
+    }
+}
 
 /// Hashes what identifies a flow: the caller and the connection ID that it chose.
-fn hash(packet: &Packet<'_>, salt: u64) -> u128 {
-    let mut input = [0; 20 + 18];
-    let id = packet.destination;
-    let len = id.len().min(20);
-    input[..len].copy_from_slice(&id[..len]);
-    match packet.caller.ip() {
-        IpAddr::V4(ip) => input[20..24].copy_from_slice(&ip.octets()),
-        IpAddr::V6(ip) => input[20..36].copy_from_slice(&ip.octets()),
-    }
-    input[36..].copy_from_slice(&packet.caller.port().to_be_bytes());
-    xxh3_128_with_seed(&input, salt)
+fn hash(packet: &Packet<'_>, salt: u64) -> u64 {
+    let port = u64::from(packet.caller.port());
+    let caller = match packet.caller.ip() {
+        IpAddr::V4(ip) => u64::from(u32::from(ip)) << 16 | port,
+        IpAddr::V6(ip) => xxh3_64_with_seed(&ip.octets(), port),
+    };
+    xxh3_64_with_seed(packet.destination, salt ^ mix(caller))
+}
+
+/// A bijection whose result looks independent of its argument (Stafford's variant 13).
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ x >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ x >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ x >> 31
 }
 
 /// Exponentially distributed draws for all bytes.
