--- a/crates/lentilreach/src/connection/open.rs
+++ b/crates/lentilreach/src/connection/open.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// Number of decisions that are remembered for duplicates.
+    pub fn remembered(&self) -> usize {
+        self.memory.young.len() + self.memory.old.len()
+    }
+
     /// What stands against another flow, however many candidates remain.
     fn obstacle(&self) -> Option<Why> {
         if self.leaving {
@@ -211,7 +216,9 @@
         }
     }
 
-    /// Whether there are more open flows than the mean of the service by 5% and one.
+    /// Whether there are more open flows than the mean of the service by 2% and a half.
+    ///
+    /// The tighter the bound, the more flows are handed on; see `docs/decisions/steering.md`.
     fn is_ahead(&self) -> bool {
         let Some(mean) = self.mean else { return false };
         let mean = u64::from(mean);
--- /dev/null
+++ b/crates/lentilreach/tests/table.rs
@@ -0,0 +1,128 @@
+//! Candidate lists and the order of candidates.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use lentilreach::connection::token;
+use lentilreach::id::{domain, node, service};
+use lentilreach::request::packet::{Form, Packet};
+use lentilreach::request::route::{Verdict, route};
+use lentilreach::version::load;
+use lentilreach::version::table::{Table, WIDTH};
+use lentilreach::version::view::{Load, Member, Service, Stage, View};
+
+fn member(index: u64, open: u32) -> Member {
+    Member {
+        node: node::Id(index),
+        agent: SocketAddrV4::new(Ipv4Addr::from(index as u32), 1),
+        domain: domain::Id(0),
+        stage: Stage::Active,
+        load: Load { open, limit: 2_000, ..Load::default() },
+    }
+}
+
+fn members(count: u64) -> Vec<Member> {
+    (0..count).map(|index| member(index, 100)).collect()
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 1, 0, 1], 4433))
+}
+
+/// The first candidate of each of 2,000 flows.
+fn firsts(members: Vec<Member>) -> Vec<SocketAddrV4> {
+    let service = Service::new(address(), service::Id(1), "org/svc".into(), members);
+    let view = View::new(1, vec![service], Vec::new());
+    let first = |flow: u64| {
+        let id = flow.to_be_bytes();
+        let caller = SocketAddr::from(([10, 0, 0, 1], 1_000));
+        let form = Form::Initial;
+        let packet = Packet { caller, service: address(), form, destination: &id };
+        match route(&view, &token::Keys::default(), &packet, 3) {
+            Verdict::Offer { candidates, .. } => candidates.as_slice()[0],
+            verdict => panic!("an opening packet is offered, not {verdict:?}"),
+        }
+    };
+    (0..2_000).map(first).collect()
+}
+
+fn counts(firsts: &[SocketAddrV4]) -> BTreeMap<SocketAddrV4, usize> {
+    firsts.iter().fold(BTreeMap::new(), |mut counts, agent| {
+        *counts.entry(*agent).or_default() += 1;
+        counts
+    })
+}
+
+/// Guards against a table that a change of one member rearranges for flows of others.
+#[test]
+fn a_change_moves_only_its_share() {
+    let before = members(40);
+    let mut after = before.clone();
+    after.remove(17);
+    let (old, new) = (Table::build(&before), Table::build(&after));
+    let names = |table: &Table, members: &[Member], row| -> Vec<u64> {
+        table.candidates(row).iter().map(|i| members[usize::from(*i)].node.0).collect()
+    };
+
+    for row in 0..512 {
+        let mut kept = names(&old, &before, row);
+        kept.retain(|node| *node != 17);
+
+        assert_eq!(names(&new, &after, row)[..kept.len()], kept, "row {row}");
+    }
+}
+
+/// Guards against a table that lists a member twice or leaves one out of a small service.
+#[test]
+fn rows_are_whole() {
+    for count in [0, 1, 7, 8, 400] {
+        let table = Table::build(&members(count));
+        for row in 0..64 {
+            let mut row = table.candidates(row).to_vec();
+            row.sort_unstable();
+            row.dedup();
+
+            assert_eq!(row.len(), WIDTH.min(count as usize));
+        }
+    }
+}
+
+/// Guards against herding: a member that looked idle gets more new flows, but not all.
+#[test]
+fn a_lighter_member_gets_more_but_not_all() {
+    let mut uneven = members(7);
+    uneven[0].load.open = 90;
+
+    let even = counts(&firsts(members(7)))[&uneven[0].agent];
+    let more = counts(&firsts(uneven.clone()))[&uneven[0].agent];
+
+    assert!(more > even * 3 / 2, "{more} after {even}");
+    assert!(more < 1_000, "{more} of 2,000");
+}
+
+/// Guards against copies of an opening packet that go to different agents through balancers
+/// whose load reports differ a little.
+#[test]
+fn views_that_differ_a_little_mostly_agree() {
+    let other = (0..7).map(|index| member(index, 99 + index as u32 % 3)).collect();
+
+    let pairs = firsts(members(7)).into_iter().zip(firsts(other));
+    let differ = pairs.filter(|(a, b)| a != b).count();
+
+    assert!(differ < 200, "{differ} of 2,000");
+}
+
+/// Guards against reports of a full or a cold member that make others wait or drown it.
+#[test]
+fn full_members_come_last_and_cold_ones_get_their_share() {
+    let mut members = members(4);
+    members[0].load = Load { open: 400, limit: 400, ..Load::default() };
+    members[1].stage = Stage::Cold;
+    members[1].load.open = 0;
+
+    let choices = load::choices(&members);
+
+    assert!(choices[0].cost >= load::LAST);
+    assert_eq!(choices[1].cost, 1.0, "the share of a member at the mean");
+    assert_eq!(load::mean(&members), Some(2_000), "cold ones do not count");
+}
