--- /dev/null
+++ b/crates/lentilreach/tests/fleet/balancer.rs
@@ -0,0 +1,128 @@
+//! A fake balancer around the real routing.
+
+use std::net::SocketAddr;
+
+use lentilreach::process::clock::Millis;
+use lentilreach::request::envelope::Forward;
+use lentilreach::request::packet::Packet;
+use lentilreach::request::route::{Verdict, route};
+use lentilreach::version::view::{Domain, Member, Service, Stage, View};
+
+use super::{Body, Config, Message, Place, World, address, agent_at, id};
+
+/// A member that is not heard from for this long gets no new flow, in milliseconds.
+const SILENT_MS: u64 = 3_000;
+
+/// Secret that all balancers share.
+const SALT: u64 = 77;
+
+/// What a balancer knows.
+#[derive(Default)]
+pub struct Balancer {
+    pub dead: bool,
+    pub config: Config,
+    /// By agent: service, counter and time of the last announcement, and its content.
+    members: Vec<Option<(usize, u64, Millis, Member)>>,
+    view: View,
+}
+
+impl World {
+    pub(super) fn at_balancer(&mut self, at: usize, message: Message) {
+        if self.balancers[at].dead {
+            return;
+        }
+        match message {
+            Message::Datagram(caller, service, datagram, body) => {
+                self.forward(at, caller, service, datagram, body);
+            }
+            Message::Return(caller, _) => {
+                self.send(Place::Caller(usize::from(caller.port()) % 100), message);
+            }
+            Message::Member(count, agent, member) => self.learn(at, count, agent, member),
+            Message::Config(config) => {
+                let balancer = &mut self.balancers[at];
+                self.tally.reverted += u32::from(adopt(&mut balancer.config, config));
+                self.rebuild(at);
+            }
+            _ => {}
+        }
+    }
+
+    /// Routes a datagram with the real decision.
+    fn forward(
+        &mut self,
+        at: usize,
+        caller: SocketAddr,
+        service: SocketAddr,
+        datagram: Vec<u8>,
+        body: Body,
+    ) {
+        let Ok(packet) = Packet::parse(caller, service, &datagram) else { return };
+        let (id, to, candidates) =
+            match route(&self.balancers[at].view, &self.keys, &packet, SALT) {
+                Verdict::Forward { service, agent } => (service, agent, Vec::new()),
+                Verdict::Offer { service, candidates } => {
+                    let list = candidates.as_slice().to_vec();
+                    (service, list[0], list)
+                }
+                Verdict::Drop(_) => return,
+            };
+        let balancer = SocketAddr::from(([127, 3, 0, at as u8], 1));
+        let forward = Forward {
+            service: id,
+            address: service,
+            caller,
+            balancer,
+            position: 0,
+            candidates,
+        };
+        self.send(agent_at(to), Message::Forward(forward, datagram, body));
+    }
+
+    /// Takes an announcement unless a newer one is known.
+    fn learn(&mut self, at: usize, count: u64, agent: usize, member: Member) {
+        let service = self.agents[agent].service;
+        let now = self.now;
+        let members = &mut self.balancers[at].members;
+        members.resize(members.len().max(agent + 1), None);
+        if members[agent].is_none_or(|(_, known, ..)| known < count) {
+            members[agent] = Some((service, count, now, member));
+        }
+        self.rebuild(at);
+    }
+
+    /// Builds the view from what is known.
+    fn rebuild(&mut self, at: usize) {
+        let now = self.now;
+        let Balancer { members, view, config, .. } = &mut self.balancers[at];
+        let services = (0..2).map(|service| {
+            let of = members.iter().flatten().filter(|(other, ..)| *other == service);
+            let list = of.map(|(_, _, heard, member)| {
+                let silent = now.since(*heard) > SILENT_MS;
+                let stage = if silent { Stage::Silent } else { member.stage };
+                Member { stage, ..*member }
+            });
+            let list: Vec<_> = list.collect();
+            let old = view.service(address(service));
+            let same = old.and_then(|old| old.refresh(list.clone()));
+            let new =
+                || Service::new(address(service), id(service), "s".into(), list.clone());
+            same.unwrap_or_else(new)
+        });
+        let domains = (0..).zip(config.out).map(|(id, out)| Domain {
+            id: lentilreach::id::domain::Id(id),
+            name: "d".into(),
+            out,
+        });
+        *view = View::new(config.revision, services.collect(), domains.collect());
+    }
+}
+
+/// Adopts a newer revision; returns whether the revision in force became older.
+pub fn adopt(mine: &mut Config, new: Config) -> bool {
+    let before = mine.revision;
+    if new.revision > mine.revision {
+        *mine = new;
+    }
+    mine.revision < before
+}
--- /dev/null
+++ b/crates/lentilreach/tests/fleet/caller.rs
@@ -0,0 +1,261 @@
+//! A fake caller: one flow at a time, a stream of operations, retransmission and retries.
+
+use std::net::SocketAddr;
+
+use lentilreach::connection::token;
+use lentilreach::id::node;
+use lentilreach::process::clock::Millis;
+use lentilreach::process::ledger;
+
+use super::{Body, Message, Reply, Request, Work, World, address};
+
+/// Interval of new operations, in milliseconds.
+const OPERATION_MS: u64 = 200;
+
+/// Interval of retransmissions, in milliseconds.
+const RESEND_MS: u64 = 150;
+
+/// Time after which an opening flow is given up, in milliseconds.
+const OPEN_MS: u64 = 1_500;
+
+/// Time without a sign of the agent after which a flow is lost, in milliseconds.
+const IDLE_MS: u64 = 4_000;
+
+/// A caller of one service.
+pub struct Caller {
+    pub service: usize,
+    /// When an operation was last answered.
+    pub answered: Millis,
+    flow: Option<Flow>,
+    operations: Vec<Operation>,
+    /// No flow is opened before this time.
+    open_after: Millis,
+}
+
+/// A flow as its caller sees it.
+#[derive(Clone, Copy)]
+struct Flow {
+    address: SocketAddr,
+    first: [u8; 8],
+    opened: Millis,
+    sent: Millis,
+    heard: Millis,
+    /// Token, agent and binding once it is open.
+    open: Option<([u8; token::LENGTH], usize, (node::Id, Millis))>,
+    /// Whether a reply on a stream has arrived.
+    established: bool,
+}
+
+/// What a caller wants done.
+struct Operation {
+    work: Work,
+    idempotent: bool,
+    key: Option<ledger::Key>,
+    /// The stream on the present flow and when it was last sent.
+    stream: Option<(u64, Millis)>,
+    not_before: Millis,
+}
+
+impl Caller {
+    /// A caller that opens its first flow at once.
+    pub fn new(service: usize) -> Self {
+        Self {
+            service,
+            answered: Millis(0),
+            flow: None,
+            operations: Vec::new(),
+            open_after: Millis(0),
+        }
+    }
+
+    /// Forgets its flow; what was on it is tried again on the next.
+    pub fn reopen(&mut self) {
+        self.flow = None;
+        for operation in &mut self.operations {
+            if operation.stream.take().is_some() && operation.idempotent {
+                operation.work.attempt += 1;
+            }
+        }
+    }
+}
+
+impl World {
+    /// Gives a caller an operation.
+    pub fn want(&mut self, caller: usize, idempotent: bool) {
+        let work = Work { operation: self.unique(), attempt: 0 };
+        let not_before = self.now;
+        let operation =
+            Operation { work, idempotent, key: None, stream: None, not_before };
+        self.callers[caller].operations.push(operation);
+    }
+
+    /// Whether the caller's flow may end: its agent died, drains, or was taken out.
+    fn may_end(&self, flow: &Flow) -> bool {
+        let Some((_, agent, _)) = flow.open else { return true };
+        let agent = &self.agents[agent];
+        !flow.established || !agent.alive || agent.excused || agent.draining.is_some()
+    }
+
+    /// Ends a flow without the caller's wish.
+    fn lose(&mut self, at: usize) {
+        if let Some(flow) = self.callers[at].flow {
+            self.tally.broken += u32::from(!self.may_end(&flow));
+        }
+        self.callers[at].reopen();
+    }
+
+    pub(super) fn tick_caller(&mut self, at: usize) {
+        let now = self.now;
+        if (now.0 + 40 * at as u64).is_multiple_of(OPERATION_MS) {
+            self.want(at, now.0.is_multiple_of(2 * OPERATION_MS));
+        }
+        let Some(flow) = self.callers[at].flow else { return self.connect(at) };
+        if flow.open.is_none() {
+            if now.since(flow.opened) > OPEN_MS {
+                self.callers[at].reopen();
+            } else if now.since(flow.sent) >= RESEND_MS {
+                self.initial(at, flow);
+            }
+        } else if now.since(flow.heard) > IDLE_MS {
+            self.lose(at);
+        } else {
+            self.request_all(at, flow);
+        }
+    }
+
+    pub(super) fn at_caller(&mut self, at: usize, message: Message) {
+        let Message::Return(address, reply) = message else { return };
+        let now = self.now;
+        let caller = &mut self.callers[at];
+        let Some(flow) = caller.flow.as_mut().filter(|flow| flow.address == address)
+        else {
+            return;
+        };
+        flow.heard = now;
+        match reply {
+            Reply::Accept(token, agent, binding) if flow.open.is_none() => {
+                flow.open = Some((token, agent, binding));
+                let flow = *flow;
+                self.short(at, &flow, Body::Finish);
+            }
+            Reply::Refuse if flow.open.is_none() => {
+                caller.reopen();
+                caller.open_after = now.after(100);
+            }
+            Reply::Reset if flow.open.is_some() => self.lose(at),
+            Reply::Answer(stream, operation) => {
+                flow.established = true;
+                if let Some(mine) = caller.take(stream) {
+                    caller.answered = now;
+                    self.tally.answered += 1;
+                    self.tally.mismatched += u32::from(mine.work.operation != operation);
+                }
+            }
+            Reply::NotRun(stream, elsewhere) => {
+                flow.established = true;
+                if let Some(mut mine) = caller.take(stream) {
+                    self.tally.not_run.insert(mine.work);
+                    mine.work.attempt += 1;
+                    (mine.key, mine.stream) = (None, None);
+                    mine.not_before = now.after(100);
+                    caller.operations.push(mine);
+                    if elsewhere {
+                        caller.reopen();
+                    }
+                }
+            }
+            Reply::Unknown(stream) => {
+                flow.established = true;
+                // The outcome of an idempotent request does not matter: it is tried again.
+                if let Some(mine) = caller.take(stream).filter(|mine| mine.idempotent) {
+                    let work = Work { attempt: mine.work.attempt + 1, ..mine.work };
+                    let not_before = now.after(100);
+                    let again = Operation { work, stream: None, not_before, ..mine };
+                    caller.operations.push(again);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Opens a flow from a new address.
+    fn connect(&mut self, at: usize) {
+        if self.now < self.callers[at].open_after {
+            return;
+        }
+        let [.., high, low] = self.unique().to_be_bytes();
+        let (first, now) = (self.rng.u64(..).to_be_bytes(), self.now);
+        let flow = Flow {
+            address: SocketAddr::from((
+                [10, self.rng.u8(..), high, low],
+                1_000 + at as u16,
+            )),
+            first,
+            opened: now,
+            sent: now,
+            heard: now,
+            open: None,
+            established: false,
+        };
+        self.callers[at].flow = Some(flow);
+        self.initial(at, flow);
+    }
+
+    /// Sends an opening packet.
+    fn initial(&mut self, at: usize, flow: Flow) {
+        let mut datagram = vec![0xc0, 0, 0, 0, 1, 8];
+        datagram.extend(flow.first);
+        datagram.resize(1_200, 0);
+        let service = address(self.callers[at].service);
+        self.callers[at].flow = Some(Flow { sent: self.now, ..flow });
+        self.spray(Message::Datagram(flow.address, service, datagram, Body::Open));
+    }
+
+    /// Sends a packet on an open flow.
+    fn short(&mut self, at: usize, flow: &Flow, body: Body) {
+        let Some((token, ..)) = flow.open else { return };
+        let mut datagram = vec![0x40];
+        datagram.extend(token);
+        let service = address(self.callers[at].service);
+        // A caller may also present its token to another service.
+        if self.rng.u8(..16) == 0 {
+            let foreign = address(1 - self.callers[at].service);
+            self.spray(Message::Datagram(flow.address, foreign, datagram.clone(), body));
+        }
+        self.spray(Message::Datagram(flow.address, service, datagram, body));
+    }
+
+    /// Sends all requests that are due, again if there was no reply.
+    fn request_all(&mut self, at: usize, flow: Flow) {
+        let Some((_, _, (owner, expiry))) = flow.open else { return };
+        let (now, service) = (self.now, self.callers[at].service);
+        for index in 0..self.callers[at].operations.len() {
+            let fresh = self.unique();
+            let operation = &mut self.callers[at].operations[index];
+            let due =
+                operation.stream.is_none_or(|(_, sent)| now.since(sent) >= RESEND_MS);
+            if !due || now < operation.not_before {
+                continue;
+            }
+            let stream = operation.stream.map_or(fresh, |(stream, _)| stream);
+            operation.stream = Some((stream, now));
+            if !operation.idempotent && operation.key.is_none() {
+                let nonce = fresh.to_be_bytes();
+                operation.key = Some(ledger::Key::new(owner, expiry, &nonce));
+            }
+            let (work, key) = (operation.work, operation.key);
+            let request = Request { stream, work, service, key };
+            self.short(at, &flow, Body::Request(request));
+        }
+    }
+}
+
+impl Caller {
+    /// Takes out the operation on a stream.
+    fn take(&mut self, stream: u64) -> Option<Operation> {
+        let on =
+            |operation: &Operation| operation.stream.is_some_and(|(id, _)| id == stream);
+        let at = self.operations.iter().position(on)?;
+        Some(self.operations.remove(at))
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/tests/fleet/mod.rs
@@ -0,0 +1,349 @@
+//! A small fleet in one process: the real decisions over fake callers, agents, backend servers
+//! and a fake network, driven by events in simulated time.
+
+pub mod agent;
+pub mod balancer;
+pub mod caller;
+pub mod tally;
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+use fastrand::Rng;
+use lentilreach::connection::token;
+use lentilreach::id::{domain, node, service};
+use lentilreach::process::clock::Millis;
+use lentilreach::process::ledger;
+use lentilreach::request::admit::Ticket;
+use lentilreach::request::envelope::Forward;
+use lentilreach::version::view::Member;
+
+use agent::Agent;
+use balancer::Balancer;
+use caller::Caller;
+use tally::Tally;
+
+/// Agents of the first and of the second service.
+const AGENTS: [usize; 2] = [4, 3];
+
+/// Number of failure domains; agents are spread over them in turn.
+pub const DOMAINS: usize = 3;
+
+/// Number of balancers.
+const BALANCERS: usize = 3;
+
+/// Callers of each service.
+const CALLERS: usize = 5;
+
+/// Interval of agents' announcements and of repeated configuration, in milliseconds.
+const ANNOUNCE_MS: u64 = 500;
+
+/// Interval at which gates and callers act, in milliseconds.
+const TICK_MS: u64 = 10;
+
+/// A participant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    Balancer(usize),
+    Agent(usize),
+    Caller(usize),
+}
+
+/// What travels.
+#[derive(Debug, Clone)]
+pub enum Message {
+    /// A caller's datagram: who sent it, its bytes, and what it says once decrypted.
+    Datagram(SocketAddr, SocketAddr, Vec<u8>, Body),
+    /// The same on its way to an agent.
+    Forward(Forward, Vec<u8>, Body),
+    /// An agent's reply to a flow.
+    Return(SocketAddr, Reply),
+    /// Asks the owner to seal a key: the asking agent and its pending stream.
+    Seal(ledger::Key, usize, (SocketAddr, u64)),
+    /// The owner's word.
+    Sealed(ledger::Sealing, (SocketAddr, u64)),
+    /// An agent's announcement with its counter.
+    Member(u64, usize, Member),
+    /// A revision of the configuration.
+    Config(Config),
+}
+
+/// What a caller says.
+#[derive(Debug, Clone, Copy)]
+pub enum Body {
+    Open,
+    Finish,
+    Request(Request),
+}
+
+/// A request on a stream.
+#[derive(Debug, Clone, Copy)]
+pub struct Request {
+    /// Unique over all flows.
+    pub stream: u64,
+    /// What the caller wants done, and under which try.
+    pub work: Work,
+    /// The service that the caller means.
+    pub service: usize,
+    /// Set if the request is not idempotent.
+    pub key: Option<ledger::Key>,
+}
+
+/// One try of one operation of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Work {
+    pub operation: u64,
+    pub attempt: u64,
+}
+
+/// What an agent tells a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// The flow is open: its token, the agent, and a binding.
+    Accept([u8; token::LENGTH], usize, (node::Id, Millis)),
+    /// The flow is refused.
+    Refuse,
+    /// The agent does not know the flow.
+    Reset,
+    /// The answer to a stream: the operation it is for.
+    Answer(u64, u64),
+    /// The stream's request did not run; whether to go elsewhere.
+    NotRun(u64, bool),
+    /// It is not known whether the stream's request ran.
+    Unknown(u64),
+}
+
+/// A revision of the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Config {
+    pub revision: u64,
+    pub out: [bool; DOMAINS],
+}
+
+/// What happens to messages, and to whom, for a while.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Trouble {
+    pub lost: bool,
+    pub doubled: bool,
+    pub late: bool,
+    pub reordered: bool,
+    /// Hears nothing of members and configuration.
+    pub stale: Option<usize>,
+    /// Announces that it is idle.
+    pub liar: Option<usize>,
+}
+
+/// Something that is due.
+enum Event {
+    Deliver(Place, Box<Message>),
+    /// A backend server has finished: agent, its life, ticket.
+    Worked(usize, u64, Ticket),
+}
+
+/// The whole fleet.
+pub struct World {
+    pub now: Millis,
+    pub rng: Rng,
+    pub keys: token::Keys,
+    pub config: Config,
+    /// When each failure domain was last taken out.
+    pub out_since: [Millis; DOMAINS],
+    pub balancers: Vec<Balancer>,
+    pub agents: Vec<Agent>,
+    pub callers: Vec<Caller>,
+    pub trouble: Trouble,
+    pub tally: Tally,
+    /// Until when a place is paused.
+    paused: Vec<(Place, Millis)>,
+    events: BTreeMap<(Millis, u64), Event>,
+    serial: u64,
+}
+
+impl World {
+    /// A fleet whose processes all start now.
+    pub fn new(seed: u64) -> Self {
+        let mut world = Self {
+            now: Millis(0),
+            rng: Rng::with_seed(seed),
+            keys: token::Keys::new(vec![token::Key::new(1, &[1; 32])], 1),
+            config: Config { revision: 1, ..Config::default() },
+            out_since: [Millis(u64::MAX); DOMAINS],
+            balancers: (0..BALANCERS).map(|_| Balancer::default()).collect(),
+            agents: Vec::new(),
+            callers: Vec::new(),
+            trouble: Trouble::default(),
+            tally: Tally::default(),
+            paused: Vec::new(),
+            events: BTreeMap::new(),
+            serial: 0,
+        };
+        for (service, count) in AGENTS.into_iter().enumerate() {
+            (0..count).for_each(|_| world.join(service));
+            (0..CALLERS).for_each(|_| world.callers.push(Caller::new(service)));
+        }
+        world
+    }
+
+    /// Starts another agent of a service.
+    pub fn join(&mut self, service: usize) {
+        self.agents.push(Agent::new(self.agents.len(), service, self.now));
+    }
+
+    /// Runs until a time.
+    pub fn run(&mut self, until: Millis) {
+        while self.now < until {
+            self.now = self.now.after(1);
+            while let Some(entry) = self.events.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let event = entry.remove();
+                self.handle(event);
+            }
+            if self.now.0.is_multiple_of(ANNOUNCE_MS) {
+                self.announce();
+            }
+            if self.now.0.is_multiple_of(TICK_MS) {
+                (0..self.agents.len()).for_each(|agent| self.tick_agent(agent));
+                (0..self.callers.len()).for_each(|caller| self.tick_caller(caller));
+            }
+        }
+    }
+
+    /// Holds a process up; what arrives waits.
+    pub fn pause(&mut self, place: Place, ms: u64) {
+        self.paused.push((place, self.now.after(ms)));
+    }
+
+    /// Whether a process is held up, and until when.
+    pub fn paused(&self, place: Place) -> Option<Millis> {
+        let held =
+            self.paused.iter().filter(|(other, at)| *other == place && *at > self.now);
+        held.map(|(_, at)| *at).max()
+    }
+
+    /// Takes a failure domain out or back and publishes the new revision.
+    pub fn set_out(&mut self, domain: usize, out: bool) {
+        self.config.revision += 1;
+        self.config.out[domain] = out;
+        self.out_since[domain] = if out { self.now } else { Millis(u64::MAX) };
+        self.publish();
+    }
+
+    /// Sends a message over the fake network.
+    pub fn send(&mut self, to: Place, message: Message) {
+        let control = matches!(message, Message::Member(..) | Message::Config(_));
+        if control && matches!(to, Place::Balancer(at) if self.trouble.stale == Some(at))
+        {
+            return;
+        }
+        if self.trouble.lost && self.rng.u8(..5) == 0 {
+            return;
+        }
+        let copies = 1 + u8::from(self.trouble.doubled && self.rng.bool());
+        for _ in 0..copies {
+            let mut delay = self.rng.u64(1..3);
+            if self.trouble.reordered {
+                delay += self.rng.u64(..20);
+            }
+            if self.trouble.late && self.rng.u8(..4) == 0 {
+                delay += self.rng.u64(100..700);
+            }
+            self.schedule(
+                self.now.after(delay),
+                Event::Deliver(to, Box::new(message.clone())),
+            );
+        }
+    }
+
+    /// Sends a message through any balancer, dead ones included: the fabric may not know.
+    pub fn spray(&mut self, message: Message) {
+        let balancer = self.rng.usize(..self.balancers.len());
+        self.send(Place::Balancer(balancer), message);
+    }
+
+    /// Lets a backend server finish a request later.
+    pub fn work(&mut self, agent: usize, life: u64, ticket: Ticket, ms: u64) {
+        self.schedule(self.now.after(ms), Event::Worked(agent, life, ticket));
+    }
+
+    /// A number that was not given out before.
+    pub fn unique(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+
+    fn schedule(&mut self, at: Millis, event: Event) {
+        let serial = self.unique();
+        self.events.insert((at, serial), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let place = match &event {
+            Event::Deliver(place, _) => *place,
+            Event::Worked(agent, ..) => Place::Agent(*agent),
+        };
+        if let Some(until) = self.paused(place) {
+            return self.schedule(until, event);
+        }
+        match event {
+            Event::Worked(agent, life, ticket) => self.worked(agent, life, ticket),
+            Event::Deliver(Place::Balancer(at), message) => {
+                self.at_balancer(at, *message)
+            }
+            Event::Deliver(Place::Agent(at), message) => self.at_agent(at, *message),
+            Event::Deliver(Place::Caller(at), message) => self.at_caller(at, *message),
+        }
+    }
+
+    /// Lets agents announce themselves and repeats the configuration.
+    fn announce(&mut self) {
+        for at in 0..self.agents.len() {
+            if !self.agents[at].alive || self.paused(Place::Agent(at)).is_some() {
+                continue;
+            }
+            let lies = self.trouble.liar == Some(at);
+            let (count, member) = self.agents[at].announcement(self.now, lies);
+            for balancer in 0..self.balancers.len() {
+                self.send(Place::Balancer(balancer), Message::Member(count, at, member));
+            }
+        }
+        self.publish();
+    }
+
+    /// Sends the configuration to all.
+    fn publish(&mut self) {
+        let config = self.config;
+        let balancers = (0..self.balancers.len()).map(Place::Balancer);
+        let all: Vec<_> =
+            balancers.chain((0..self.agents.len()).map(Place::Agent)).collect();
+        for place in all {
+            self.send(place, Message::Config(config));
+        }
+    }
+}
+
+/// The address of a service.
+pub fn address(service: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, 0, service as u8], 4433))
+}
+
+/// The identifier of a service.
+pub fn id(service: usize) -> service::Id {
+    service::Id(service as u32 + 1)
+}
+
+/// The failure domain of an agent.
+pub fn domain_of(agent: usize) -> domain::Id {
+    domain::Id((agent % DOMAINS) as u8)
+}
+
+/// The address of an agent.
+pub fn agent_address(agent: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(127, 2, 0, agent as u8), 7_000)
+}
+
+/// The agent behind an address.
+pub fn agent_at(address: SocketAddrV4) -> Place {
+    Place::Agent(usize::from(address.ip().octets()[3]))
+}
