--- a/crates/lentilreach/src/request/route.rs
+++ b/crates/lentilreach/src/request/route.rs
@@ -1,9 +1,8 @@
 //! The decision for one datagram at a balancer.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddrV4};
-use std::sync::LazyLock;
 
-use xxhash_rust::xxh3::xxh3_128_with_seed;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::connection::token;
 use crate::id::service;
@@ -119,54 +118,104 @@
 /// flows to the member that looked idle in the last report.
 fn offer(view: &View, service: &Service, packet: &Packet<'_>, salt: u64) -> Verdict {
     let hash = hash(packet, salt);
-    let draws = (hash >> 64) as u64;
-    let mut ranked = [(f32::MAX, SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0)); WIDTH];
-    let mut len = 0;
-    let mut takers = 0;
-    for (place, (member, cost)) in service.candidates(hash as u64).enumerate() {
-        if view.is_out(member.domain) {
+    let draws = mix(hash).to_le_bytes();
+    let mut agents = [SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0); WIDTH];
+    // The score above the place. Positive floats are in the same order as their bits.
+    let mut ranks = [u64::MAX; WIDTH];
+    let (mut len, mut takers) = (0, 0);
+    for (place, choice) in service.choices(hash).enumerate().take(WIDTH) {
+        agents[place] = choice.agent;
+        if view.is_out(choice.domain) {
             continue;
         }
-        let score = cost * draw((draws >> (8 * place)) as u8);
-        let at = ranked[..len].partition_point(|(other, _)| *other <= score);
-        ranked.copy_within(at..len, at + 1);
-        ranked[at] = (score, member.agent);
+        let score = choice.cost * DRAWS[usize::from(draws[place])];
+        ranks[place] = u64::from(score.to_bits()) << 8 | place as u64;
         len += 1;
-        takers += usize::from(cost < load::LAST);
+        takers += u8::from(choice.cost < load::LAST);
     }
     if len == 0 {
         return Verdict::Drop(Reason::NoMember);
     }
+    sort(&mut ranks);
     // Members that may get no new flow are listed only if there is no other: agents decline
     // flows for balance as long as candidates remain, and these would refuse them.
-    let listed = if takers == 0 { len } else { takers };
-    let mut candidates = Candidates::EMPTY;
-    for (_, agent) in &ranked[..listed] {
-        candidates.push(*agent);
+    let len = if takers == 0 { len } else { takers };
+    let list = ranks.map(|rank| agents[rank as usize % WIDTH]);
+    Verdict::Offer { service: service.id, candidates: Candidates { list, len } }
+}
+
+/// Sorts by the network of Batcher, which has no branch that depends on the values.
+///
+/// Written out, since the compiler keeps the values in registers only if all indices are
+/// constants.
+fn sort(ranks: &mut [u64; WIDTH]) {
+    let [mut a, mut b, mut c, mut d, mut e, mut f, mut g, mut h] = *ranks;
+    order([&mut a, &mut c, &mut e, &mut g], [&mut b, &mut d, &mut f, &mut h]);
+    order([&mut a, &mut b, &mut e, &mut f], [&mut c, &mut d, &mut g, &mut h]);
+    order([&mut b, &mut f], [&mut c, &mut g]);
+    order([&mut a, &mut b, &mut c, &mut d], [&mut e, &mut f, &mut g, &mut h]);
+    order([&mut c, &mut d], [&mut e, &mut f]);
+    order([&mut b, &mut d, &mut f], [&mut c, &mut e, &mut g]);
+    *ranks = [a, b, c, d, e, f, g, h];
+}
+
+/// Puts the lesser of each pair first.
+#[inline(always)]
+fn order<const N: usize>(low: [&mut u64; N], high: [&mut u64; N]) {
+    for (low, high) in low.into_iter().zip(high) {
+        (*low, *high) = ((*low).min(*high), (*low).max(*high));
     }
-    Verdict::Offer { service: service.id, candidates }
 }
 
 /// Hashes what identifies a flow: the caller and the connection ID that it chose.
-fn hash(packet: &Packet<'_>, salt: u64) -> u128 {
-    let mut input = [0; 20 + 18];
-    let id = packet.destination;
-    let len = id.len().min(20);
-    input[..len].copy_from_slice(&id[..len]);
-    match packet.caller.ip() {
-        IpAddr::V4(ip) => input[20..24].copy_from_slice(&ip.octets()),
-        IpAddr::V6(ip) => input[20..36].copy_from_slice(&ip.octets()),
-    }
-    input[36..].copy_from_slice(&packet.caller.port().to_be_bytes());
-    xxh3_128_with_seed(&input, salt)
+fn hash(packet: &Packet<'_>, salt: u64) -> u64 {
+    let port = u64::from(packet.caller.port());
+    let caller = match packet.caller.ip() {
+        IpAddr::V4(ip) => u64::from(u32::from(ip)) << 16 | port,
+        IpAddr::V6(ip) => xxh3_64_with_seed(&ip.octets(), port),
+    };
+    xxh3_64_with_seed(packet.destination, salt ^ mix(caller))
 }
 
-/// An exponentially distributed draw from a uniform byte.
+/// A bijection whose result looks independent of its argument (Stafford's variant 13).
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ x >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ x >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ x >> 31
+}
+
+/// Exponentially distributed draws for all bytes.
 ///
 /// The member with the least product of cost and draw is chosen in proportion to its weight.
-fn draw(byte: u8) -> f32 {
-    /// The draws for all bytes.
-    static DRAWS: LazyLock<[f32; 256]> =
-        LazyLock::new(|| std::array::from_fn(|i| -((i as f32 + 0.5) / 256.0).ln()));
-    DRAWS[usize::from(byte)]
+static DRAWS: [f32; 256] = draws();
+
+/// Computes `-ln((i + 0.5) / 256)` for all bytes `i`.
+const fn draws() -> [f32; 256] {
+    let mut draws = [0.0; 256];
+    let mut i = 0;
+    while i < draws.len() {
+        draws[i] = -ln((i as f64 + 0.5) / 256.0) as f32;
+        i += 1;
+    }
+    draws
+}
+
+/// The natural logarithm of a number in (0, 1), which the standard library lacks as a constant
+/// function: powers of two are split off, and the rest is the series of the inverse hyperbolic
+/// tangent.
+const fn ln(mut x: f64) -> f64 {
+    let mut result = 0.0;
+    while x < 0.5 {
+        x *= 2.0;
+        result -= std::f64::consts::LN_2;
+    }
+    let ratio = (x - 1.0) / (x + 1.0);
+    let mut power = ratio;
+    let mut divisor = 1.0;
+    while divisor < 40.0 {
+        result += 2.0 * power / divisor;
+        power *= ratio * ratio;
+        divisor += 2.0;
+    }
+    result
 }
