--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -21,6 +21,7 @@
 pub mod metric;
 pub mod name;
 pub mod pool;
+pub mod relay;
 pub mod seal;
 pub mod settings;
 pub mod signal;
--- /dev/null
+++ b/crates/lentilreach/src/process/relay/core.rs
@@ -0,0 +1,294 @@
+//! The decisions of the registration: events and the time in, the next call out.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::process::event::Kind;
+use crate::process::name::Name;
+use crate::process::relay::SLOTS;
+use crate::process::store::backoff::Backoff;
+use crate::process::store::{Error, Lease, Range, Txn, Written};
+use crate::version::config::key;
+
+/// Life of a lease without a keep-alive. Leaves room for two failed keep-alives.
+pub const TTL: Duration = Duration::from_secs(9);
+
+/// Shortest time between two keep-alives, in milliseconds.
+const KEEP_MS: u64 = 3_000;
+
+/// Longest random addition to [`KEEP_MS`], in milliseconds.
+const KEEP_JITTER_MS: u64 = 500;
+
+/// Mean time between looks of a whole failure domain for a free slot, in milliseconds.
+///
+/// The other slot relays meanwhile, so a lost one need not be replaced at once.
+pub const LOOK_MS: u64 = 5_000;
+
+/// Longest delay of the first look, in milliseconds. Balancers that start together would
+/// otherwise all see the slots free and apply for them.
+const START_MS: u64 = 200;
+
+/// First and longest delay after a failed call, in milliseconds.
+const FAILED_MS: (u64, u64) = (200, 10_000);
+
+/// First and longest delay between looks of a balancer that lacks the full state, in
+/// milliseconds. It needs the address of a peer, which the slots hold.
+const UNREADY_MS: (u64, u64) = (2_000, 60_000);
+
+/// What the registration is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// The process starts, or the wait is over.
+    Due,
+    /// The slots of all failure domains were read.
+    Looked(Range),
+    /// There is a new lease.
+    Granted(Lease),
+    /// The transaction was answered.
+    Taken(Written),
+    /// The lease was extended.
+    Kept,
+    /// The lease was ended.
+    Revoked,
+    /// A call failed.
+    Failed(Error),
+}
+
+/// What the registration does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// Wait for so many milliseconds.
+    Wait(u64),
+    /// Read the slots of all failure domains.
+    Look,
+    /// Create a lease of [`TTL`].
+    Grant,
+    /// Write this.
+    Take(Txn),
+    /// Extend the lease.
+    Keep(Lease),
+    /// End the lease.
+    Revoke(Lease),
+}
+
+/// What the exchange knows of the balancers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fleet {
+    /// Balancers alive in the own failure domain, with this one.
+    pub balancers: usize,
+    /// Whether this process has the full state.
+    pub ready: bool,
+}
+
+/// The registration of one balancer.
+#[derive(Debug)]
+pub struct Core {
+    /// The failure domain.
+    domain: Name,
+    /// What the slot holds. Unique to the process.
+    value: Bytes,
+    /// How far the registration is.
+    state: State,
+    /// Whether the store did not respond to the last call.
+    away: bool,
+    /// Delays after failed calls.
+    failed: Backoff,
+    /// Delays between looks without the full state.
+    unready: Backoff,
+}
+
+/// How far a registration is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// The process has just started.
+    New,
+    /// No slot, no lease.
+    Idle,
+    /// This slot looked free.
+    Applying(u8),
+    /// The slot was written with this lease, the outcome is open.
+    Writing(u8, Lease),
+    /// The slot is held with this lease.
+    Holding(u8, Lease),
+}
+
+impl Core {
+    /// A registration that has not begun. `value` must be unique to the process.
+    pub fn new(domain: Name, value: Bytes) -> Self {
+        Self {
+            domain,
+            value,
+            state: State::New,
+            away: false,
+            failed: Backoff::new(FAILED_MS.0, FAILED_MS.1),
+            unready: Backoff::new(UNREADY_MS.0, UNREADY_MS.1),
+        }
+    }
+
+    /// The slot that is held.
+    pub fn slot(&self) -> Option<u8> {
+        match self.state {
+            State::Holding(slot, _) => Some(slot),
+            _ => None,
+        }
+    }
+
+    /// The lease to end when the process stops.
+    pub fn lease(&self) -> Option<Lease> {
+        match self.state {
+            State::Holding(_, lease) | State::Writing(_, lease) => Some(lease),
+            _ => None,
+        }
+    }
+
+    /// Takes an event and decides on the next call; `notes` gets what is to be recorded.
+    pub fn handle(
+        &mut self,
+        event: Event,
+        fleet: Fleet,
+        random: u64,
+        notes: &mut Vec<Kind>,
+    ) -> Next {
+        self.note_store(&event, notes);
+        match event {
+            Event::Due => self.due(random),
+            Event::Looked(range) => self.look(&range, fleet, random, notes),
+            Event::Granted(lease) => self.apply(lease),
+            Event::Taken(Written::Done { .. }) => self.hold(random, notes),
+            Event::Taken(Written::Lost { .. }) => self.give_up(fleet, random),
+            Event::Kept => Next::Wait(KEEP_MS + random % KEEP_JITTER_MS),
+            Event::Revoked => self.rest(fleet, random),
+            Event::Failed(error) => self.fail(&error, random, notes),
+        }
+    }
+
+    /// Records once that the store does not respond, and once that it does again.
+    fn note_store(&mut self, event: &Event, notes: &mut Vec<Kind>) {
+        let away = match event {
+            Event::Due => return,
+            Event::Failed(Error::Lapsed { .. } | Error::Protocol { .. }) => false,
+            // Refused calls say nothing of whether the store responds.
+            Event::Failed(Error::Throttled { .. }) => return,
+            Event::Failed(_) => true,
+            _ => false,
+        };
+        if away != self.away {
+            notes.push(if away { Kind::StoreAway } else { Kind::StoreBack });
+            self.away = away;
+        }
+        if !matches!(event, Event::Failed(_)) {
+            self.failed.reset();
+        }
+    }
+
+    /// The wait is over.
+    fn due(&mut self, random: u64) -> Next {
+        match self.state {
+            State::New => {
+                self.state = State::Idle;
+                Next::Wait(random % START_MS)
+            }
+            State::Holding(_, lease) => Next::Keep(lease),
+            State::Idle | State::Applying(_) | State::Writing(..) => Next::Look,
+        }
+    }
+
+    /// The slots were read: settles an open write, or applies for a free slot.
+    fn look(
+        &mut self,
+        range: &Range,
+        fleet: Fleet,
+        random: u64,
+        notes: &mut Vec<Kind>,
+    ) -> Next {
+        if let State::Writing(slot, _) = self.state {
+            let entry = range.get(&key::relay(&self.domain, slot));
+            if entry.is_some_and(|entry| entry.value == self.value) {
+                return self.hold(random, notes);
+            }
+            return self.give_up(fleet, random);
+        }
+        let free: Vec<u8> = (0..SLOTS)
+            .filter(|slot| range.get(&key::relay(&self.domain, *slot)).is_none())
+            .collect();
+        if free.is_empty() {
+            return self.rest(fleet, random);
+        }
+        self.state = State::Applying(free[random as usize % free.len()]);
+        Next::Grant
+    }
+
+    /// There is a lease: writes the slot if it is still free.
+    fn apply(&mut self, lease: Lease) -> Next {
+        let State::Applying(slot) = self.state else { return Next::Revoke(lease) };
+        self.state = State::Writing(slot, lease);
+        let key = key::relay(&self.domain, slot);
+        let txn = Txn::new().compare(key.clone(), 0);
+        Next::Take(txn.lease(key, self.value.clone(), lease))
+    }
+
+    /// The slot is this process's.
+    fn hold(&mut self, random: u64, notes: &mut Vec<Kind>) -> Next {
+        if let State::Writing(slot, lease) = self.state {
+            self.state = State::Holding(slot, lease);
+            notes.push(Kind::RelayGained { slot });
+        }
+        Next::Wait(KEEP_MS + random % KEEP_JITTER_MS)
+    }
+
+    /// Another process was faster.
+    fn give_up(&mut self, fleet: Fleet, random: u64) -> Next {
+        match std::mem::replace(&mut self.state, State::Idle) {
+            State::Writing(_, lease) => Next::Revoke(lease),
+            _ => self.rest(fleet, random),
+        }
+    }
+
+    /// Waits for the next look.
+    ///
+    /// The wait grows with the number of balancers, so that the looks of a failure domain
+    /// together stay the same.
+    fn rest(&mut self, fleet: Fleet, random: u64) -> Next {
+        self.state = State::Idle;
+        if !fleet.ready {
+            return Next::Wait(self.unready.next(random));
+        }
+        self.unready.reset();
+        let mean_ms = LOOK_MS * fleet.balancers.max(1) as u64;
+        Next::Wait(mean_ms / 2 + random % mean_ms)
+    }
+
+    /// A call failed.
+    fn fail(&mut self, error: &Error, random: u64, notes: &mut Vec<Kind>) -> Next {
+        match (self.state, error) {
+            (State::Holding(slot, _), Error::Lapsed { .. }) => {
+                self.state = State::Idle;
+                notes.push(Kind::RelayLost { slot });
+                Next::Look
+            }
+            (State::Writing(..), Error::Lapsed { .. }) => {
+                self.state = State::Idle;
+                Next::Wait(self.failed.next(random))
+            }
+            (State::Applying(_), _) => {
+                self.state = State::Idle;
+                Next::Wait(self.failed.next(random))
+            }
+            // A holder goes on relaying: it cannot tell whether its lease has ended, and a
+            // second relay does no harm.
+            _ => Next::Wait(self.failed.next(random)),
+        }
+    }
+}
+
+/// What a slot holds: the process, and where it receives the exchange.
+pub fn value(node: crate::id::node::Id, exchange: SocketAddr) -> Bytes {
+    Bytes::from(format!("{node} {exchange}"))
+}
+
+/// The exchange address in the value of a slot.
+pub fn address(value: &[u8]) -> Option<SocketAddr> {
+    std::str::from_utf8(value).ok()?.split(' ').nth(1)?.parse().ok()
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/relay/driver.rs
@@ -0,0 +1,215 @@
+//! Makes the calls of the registration and relays while a slot is held.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+use smol::Task;
+
+use crate::id::node;
+use crate::process::clock::wall_ms;
+use crate::process::event::{Kind, Recorder};
+use crate::process::link::Link;
+use crate::process::name::Name;
+use crate::process::pool::Pool;
+use crate::process::relay::core::{self, Core, Event, Fleet, Next};
+use crate::process::relay::update::News;
+use crate::process::spread::driver::Exchange;
+use crate::process::spread::entry::{MAX_DOCUMENT, Role};
+use crate::process::spread::member::Status;
+use crate::process::store::backoff::Backoff;
+use crate::process::store::follow::Follow;
+use crate::process::store::{Error, Store};
+use crate::version::config::key;
+
+/// First and longest delay after the store failed to report changes, in milliseconds. The
+/// watch itself opens again with its own delays.
+const FOLLOW_MS: (u64, u64) = (100, 2_000);
+
+/// Who registers.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The process.
+    pub node: node::Id,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where it receives the exchange.
+    pub exchange: SocketAddr,
+}
+
+/// The registration of a balancer. Stops without giving up its slot when dropped.
+#[derive(Debug)]
+pub struct Relay {
+    /// Closed to end the registration.
+    stop: async_channel::Sender<()>,
+    /// Makes the calls.
+    task: Task<()>,
+}
+
+impl Relay {
+    /// Starts to register. The store must open its watches again after an error, as
+    /// [`Retry`](crate::process::store::retry::Retry) does.
+    pub fn start<S: Store, L: Link>(
+        pool: &Pool,
+        store: S,
+        exchange: Exchange<L>,
+        recorder: Recorder,
+        settings: Settings,
+    ) -> Self {
+        let (stop, stopped) = async_channel::bounded(1);
+        let value = core::value(settings.node, settings.exchange);
+        let core = Core::new(settings.domain.clone(), value);
+        let worker = Worker { pool: pool.clone(), store, exchange, recorder, settings };
+        let task = pool.spawn(worker.run(core, stopped));
+        Self { stop, task }
+    }
+
+    /// Ends the registration and gives the slot to others.
+    pub async fn release(self) {
+        self.stop.close();
+        self.task.await;
+    }
+}
+
+/// What the tasks of a registration work with.
+#[derive(Debug)]
+struct Worker<S, L> {
+    /// Runs tasks.
+    pool: Pool,
+    /// Holds slots and documents.
+    store: S,
+    /// Gets the documents.
+    exchange: Exchange<L>,
+    /// Records events.
+    recorder: Recorder,
+    /// Who registers.
+    settings: Settings,
+}
+
+impl<S: Store, L: Link> Worker<S, L> {
+    /// Carries out one call after another until the stop.
+    async fn run(self, mut core: Core, stopped: async_channel::Receiver<()>) {
+        let mut event = Event::Due;
+        let mut relaying: Option<Task<()>> = None;
+        loop {
+            let mut notes = Vec::new();
+            let next = core.handle(event, self.fleet(), fastrand::u64(..), &mut notes);
+            notes.into_iter().for_each(|kind| self.record(kind));
+            match core.slot() {
+                Some(_) if relaying.is_none() => relaying = Some(self.relay()),
+                None => relaying = None,
+                Some(_) => {}
+            }
+            let stop = async {
+                // An error means that the channel is closed, which is the signal to stop.
+                let _ = stopped.recv().await;
+                None
+            };
+            let call = async { Some(self.call(next).await) };
+            let Some(answer) = future::or(call, stop).await else { break };
+            event = answer;
+        }
+        if let Some(lease) = core.lease() {
+            // The lease ends by itself if this fails.
+            let _ = self.store.revoke(lease).await;
+        }
+    }
+
+    /// Makes one call.
+    async fn call(&self, next: Next) -> Event {
+        let answer = match next {
+            Next::Wait(ms) => {
+                Timer::after(Duration::from_millis(ms)).await;
+                Ok(Event::Due)
+            }
+            Next::Look => self.look().await,
+            Next::Grant => self.store.grant(core::TTL).await.map(Event::Granted),
+            Next::Take(txn) => self.store.write(txn).await.map(Event::Taken),
+            Next::Keep(lease) => self.store.keep(lease).await.map(|_| Event::Kept),
+            Next::Revoke(lease) => {
+                self.store.revoke(lease).await.map(|()| Event::Revoked)
+            }
+        };
+        answer.unwrap_or_else(|error| {
+            log::debug!("relay of {}: {error}", self.settings.domain);
+            Event::Failed(error)
+        })
+    }
+
+    /// Reads the slots and joins their holders, who may be the only peers that are known.
+    async fn look(&self) -> Result<Event, Error> {
+        let range = self.store.range(key::RELAYS).await?;
+        let holders = range.entries.iter();
+        self.join(holders.filter_map(|entry| core::address(&entry.value)));
+        Ok(Event::Looked(range))
+    }
+
+    /// Adds peers to the exchange.
+    fn join(&self, peers: impl Iterator<Item = SocketAddr>) {
+        let others = peers.filter(|peer| *peer != self.settings.exchange);
+        others.for_each(|peer| self.exchange.join(peer));
+    }
+
+    /// What the exchange knows of the balancers.
+    fn fleet(&self) -> Fleet {
+        self.exchange.read(|core| {
+            let here = core.members().filter(|(node, member)| {
+                node.role == Role::Balancer
+                    && node.domain == core.me().domain
+                    && member.status == Status::Alive
+            });
+            Fleet { balancers: here.count(), ready: core.is_ready() }
+        })
+    }
+
+    /// Starts to relay documents; ends when the task is dropped.
+    fn relay(&self) -> Task<()> {
+        let relay = Worker {
+            pool: self.pool.clone(),
+            store: self.store.clone(),
+            exchange: self.exchange.clone(),
+            recorder: self.recorder.clone(),
+            settings: self.settings.clone(),
+        };
+        self.pool.spawn(relay.follow())
+    }
+
+    /// Follows the store and gives its documents to the exchange.
+    async fn follow(self) {
+        let mut follow = Follow::new(self.store.clone(), key::PREFIX);
+        let mut backoff = Backoff::new(FOLLOW_MS.0, FOLLOW_MS.1);
+        loop {
+            match follow.next().await {
+                Ok(update) => {
+                    backoff.reset();
+                    let news = self.exchange.read(|c| News::read(&update, c.documents()));
+                    self.publish(news);
+                }
+                Err(error) => {
+                    log::debug!("relay of {}: {error}", self.settings.domain);
+                    let delay = backoff.next(fastrand::u64(..));
+                    Timer::after(Duration::from_millis(delay)).await;
+                }
+            }
+        }
+    }
+
+    /// Gives news to the exchange.
+    fn publish(&self, news: News) {
+        self.join(news.peers.into_iter());
+        news.documents.into_iter().for_each(|entry| self.exchange.submit(entry));
+        for key in news.oversized {
+            let reason = format!("longer than {MAX_DOCUMENT} bytes").into();
+            self.record(Kind::ConfigRejected { entry: key, reason });
+        }
+        if news.complete {
+            self.exchange.complete();
+        }
+    }
+
+    /// Records an event.
+    fn record(&self, kind: Kind) {
+        self.recorder.record(wall_ms(), kind);
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/relay/update.rs
@@ -0,0 +1,81 @@
+//! What the store reports, as entries of the exchange.
+
+use std::net::SocketAddr;
+
+use crate::process::name::Name;
+use crate::process::relay::core::address;
+use crate::process::spread::entry::{Document, Entry, MAX_DOCUMENT};
+use crate::process::store::follow::Update;
+use crate::process::store::{self, Change};
+use crate::version::config::key::Kind;
+
+/// What is to be done after an update from the store.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct News {
+    /// Documents for the exchange.
+    pub documents: Vec<Entry>,
+    /// Exchange addresses of slot holders.
+    pub peers: Vec<SocketAddr>,
+    /// Keys whose value is too long for the exchange.
+    pub oversized: Vec<Name>,
+    /// Whether the whole configuration was read.
+    pub complete: bool,
+}
+
+impl News {
+    /// Reads an update; `known` are the documents of the exchange.
+    ///
+    /// A snapshot also reports the deletion of known documents that it lacks: they were
+    /// deleted while nobody watched.
+    pub fn read(update: &Update, known: &[Document]) -> Self {
+        let mut news = Self::default();
+        match update {
+            Update::Snapshot(range) => {
+                range.entries.iter().for_each(|entry| news.put(entry));
+                let gone = known.iter().filter(|document| {
+                    document.value.is_some()
+                        && document.revision < range.revision
+                        && is_document(&document.key)
+                        && range.get(&document.key).is_none()
+                });
+                let delete = |document: &Document| {
+                    Entry::document(document.key.clone(), range.revision, None)
+                };
+                news.documents.extend(gone.map(delete));
+                news.complete = true;
+            }
+            Update::Changes(batch) => {
+                batch.changes.iter().for_each(|change| news.change(change));
+            }
+        }
+        news
+    }
+
+    /// Adds a change.
+    fn change(&mut self, change: &Change) {
+        match change {
+            Change::Put(entry) => self.put(entry),
+            Change::Delete { key, revision } if is_document(key) => {
+                self.documents.push(Entry::document(key.clone(), *revision, None));
+            }
+            Change::Delete { .. } => {}
+        }
+    }
+
+    /// Adds a key with its value.
+    fn put(&mut self, entry: &store::Entry) {
+        if let Some(Kind::Relay { .. }) = Kind::parse(&entry.key) {
+            self.peers.extend(address(&entry.value));
+        } else if entry.value.len() > MAX_DOCUMENT {
+            self.oversized.push(entry.key.clone());
+        } else if is_document(&entry.key) {
+            let (key, value) = (entry.key.clone(), entry.value.clone());
+            self.documents.push(Entry::document(key, entry.modified, Some(value)));
+        }
+    }
+}
+
+/// Whether a key holds a document that all nodes need.
+fn is_document(key: &str) -> bool {
+    !matches!(Kind::parse(key), None | Some(Kind::Relay { .. }))
+}
--- a/crates/lentilreach/src/version/load.rs
+++ b/crates/lentilreach/src/version/load.rs
@@ -56,6 +56,15 @@
     (open * 10).checked_div(count).map(|tenths| tenths as u32)
 }
 
+/// The same over all members that may be given new flows, cold ones included.
+pub fn mean_serving(members: &[Member]) -> Option<u32> {
+    let serving =
+        || members.iter().filter(|m| matches!(m.stage, Stage::Active | Stage::Cold));
+    let open: u64 = serving().map(|member| u64::from(member.load.open)).sum();
+    let tenths = (open * 10).checked_div(serving().count() as u64);
+    tenths.map(|tenths| tenths as u32)
+}
+
 /// Whether a member may be given new flows.
 fn is_taker(member: &Member) -> bool {
     let Load { open, limit, .. } = member.load;
--- a/crates/lentilreach/src/version/view.rs
+++ b/crates/lentilreach/src/version/view.rs
@@ -80,6 +80,8 @@
     table: Arc<Table>,
     /// For each member, what it costs to give it a flow.
     costs: Arc<[f32]>,
+    /// See [`load::mean_serving`].
+    mean: Option<u32>,
 }
 
 impl Service {
@@ -94,7 +96,8 @@
         members.dedup_by_key(|member| member.node);
         let table = Arc::new(Table::build(&members));
         let costs = load::costs(&members).into();
-        Self { address, id, name, members: members.into(), table, costs }
+        let mean = load::mean_serving(&members);
+        Self { address, id, name, members: members.into(), table, costs, mean }
     }
 
     /// The same service with new load and stage of members, if the set is unchanged.
@@ -105,7 +108,13 @@
         let same = members.len() == self.members.len()
             && members.iter().zip(self.members.iter()).all(|(a, b)| a.node == b.node);
         let costs = load::costs(&members).into();
-        same.then(|| Self { members: members.into(), costs, ..self.clone() })
+        let mean = load::mean_serving(&members);
+        same.then(|| Self { members: members.into(), costs, mean, ..self.clone() })
+    }
+
+    /// The mean of the reported open flows of its members, in tenths of a flow.
+    pub fn mean(&self) -> Option<u32> {
+        self.mean
     }
 
     /// The members, sorted by node identifier.
