Use the metric handles on the request path and add the key document

counter.rs duplicated the handles of process/metric under other names. The mean of open flows travels in the offer, because agents do not hear of each other. A ring that replaces another goes on with its nonces: both share keys, and a repeated nonce breaks AES-GCM. Balancers share the routing salt, derived from the fleet secret.

--- a/crates/lentilreach/src/process/agent.rs
+++ b/crates/lentilreach/src/process/agent.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use async_io::Timer;
@@ -13,12 +14,14 @@
 use crate::id::{domain, node, service};
 use crate::process::balancer::is_passing;
 use crate::process::clock::Clock;
-use crate::process::counter::Agent as Metrics;
 use crate::process::endpoint::{Endpoint, Identity};
+use crate::process::event::Refusal;
 use crate::process::heard::Heard;
 use crate::process::leave::Leave;
 use crate::process::link::{Link, MAX_DATAGRAM};
 use crate::process::lock::Ranked;
+use crate::process::metric::handle::Drop as Dropping;
+use crate::process::metric::{Dropped, Envelope};
 use crate::process::name::Name;
 use crate::process::pool::Pool;
 use crate::process::seal::Seals;
@@ -27,7 +30,7 @@
 use crate::process::tables::{CONFIG, CONNECTIONS, MEMBERS, Tables};
 use crate::process::upstream::Http;
 use crate::request::admit;
-use crate::request::envelope::{Forward, Header, Sealer};
+use crate::request::envelope::{Fault, Forward, Header, Sealer};
 use crate::request::packet::{Form, Packet};
 
 /// Tasks that receive envelopes.
@@ -89,8 +92,8 @@
 pub struct Shared<L: Link> {
     /// The process.
     pub node: node::Id,
-    /// Its failure domain.
-    pub domain: domain::Id,
+    /// Its failure domain, as new tokens name it.
+    domain: AtomicU8,
     /// Receives envelopes and sends them.
     pub link: L,
     /// View and keys.
@@ -111,8 +114,10 @@
     endpoints: Ranked<Vec<Endpoint<L>>>,
     /// Certificate and key for callers.
     pub identity: Identity,
-    /// Counters.
-    pub metrics: Metrics,
+    /// Counts datagrams that are dropped.
+    dropped: Dropped,
+    /// Counts envelopes that were not accepted.
+    envelopes: Envelope,
 }
 
 impl<L: Link> Agent<L> {
@@ -150,7 +155,7 @@
         );
         let shared = Arc::new(Shared {
             node: settings.node,
-            domain: settings.domain,
+            domain: AtomicU8::new(settings.domain.0),
             link,
             tables,
             clock,
@@ -161,7 +166,8 @@
             seals,
             endpoints: Ranked::new(CONFIG, Vec::new()),
             identity: settings.identity,
-            metrics: Metrics::new(),
+            dropped: Dropped::new(),
+            envelopes: Envelope::new(),
         });
         let mut tasks: Vec<_> =
             (0..TASKS).map(|_| pool.spawn(shared.clone().receive_all())).collect();
@@ -193,6 +199,30 @@
         result
     }
 
+    /// Sets the failure domain that new tokens name. Of use before services are served.
+    pub fn place(&self, domain: domain::Id) {
+        self.shared.domain.store(domain.0, Ordering::Relaxed);
+    }
+
+    /// Replaces the limits of the backend server. Open flows and running requests stay.
+    pub fn limit(&self, limits: Limits) {
+        self.shared.flows.write().set_limits(limits.flows);
+        self.shared.site.slots().set_limits(limits.requests);
+        self.shared.site.set_times(limits.deadline_ms, limits.leave_ms);
+    }
+
+    /// Sets the gauges of flows and requests.
+    pub fn measure(&self) {
+        let slots = self.shared.site.slots();
+        let (busy, waiting) = (slots.busy(), slots.waiting());
+        for endpoint in self.shared.endpoints.read().iter() {
+            let metrics = endpoint.metrics();
+            metrics.set_open(endpoint.open());
+            metrics.set_busy(busy);
+            metrics.set_queue(waiting.into());
+        }
+    }
+
     /// Begins the drain: no new flow, no new request, callers are told to leave.
     pub fn leave(&self) {
         self.shared.flows.write().set_leaving(true);
@@ -245,15 +275,15 @@
     fn receive(&self, envelope: &[u8], out: &mut Vec<u8>) {
         if Sealer::is_secret(envelope) {
             if !self.seals.receive(envelope, |key| self.site.seal(key)) {
-                self.metrics.rejected("secret");
+                self.dropped.discard(Dropping::Secret);
             }
             return;
         }
         let keys = self.tables.keys();
         match keys.sealer.open(envelope) {
             Ok((Header::Forward(forward), datagram)) => self.take(forward, datagram, out),
-            Ok(_) => self.metrics.rejected("kind"),
-            Err(fault) => self.metrics.rejected(fault.as_str()),
+            Ok(_) => self.envelopes.reject(Fault::Header),
+            Err(fault) => self.envelopes.reject(fault),
         }
     }
 
@@ -264,17 +294,17 @@
             match self.offer(&forward, datagram) {
                 Some(Outcome::HandOn) => return self.hand_on(&forward, datagram, out),
                 Some(_) => {}
-                None => return self.metrics.rejected("opening"),
+                None => return self.dropped.discard(Dropping::Opening),
             }
         }
         let endpoints = self.endpoints.read();
         let Ok(at) = endpoints.binary_search_by_key(&forward.service, |e| e.served().id)
         else {
             // Another service's packet: a stale view or a reused address.
-            return self.metrics.foreign.increment(1);
+            return self.dropped.discard(Dropping::Foreign);
         };
         if !endpoints[at].push(forward.caller, datagram) {
-            self.metrics.overflow.increment(1);
+            self.dropped.discard(Dropping::Overflow);
         }
     }
 
@@ -284,23 +314,29 @@
         if packet.form != Form::Initial {
             return None;
         }
-        let serves = {
+        let metrics = {
             let endpoints = self.endpoints.read();
-            endpoints.binary_search_by_key(&forward.service, |e| e.served().id).is_ok()
+            let found =
+                endpoints.binary_search_by_key(&forward.service, |e| e.served().id);
+            found.map(|at| endpoints[at].metrics().clone())
         };
-        if !serves {
-            return Some(Outcome::HandOn);
-        }
+        let Ok(metrics) = metrics else { return Some(Outcome::HandOn) };
         let flow = flow::Key::new(forward.caller, packet.destination);
         let cold = self.site.slots().is_cold();
         let mut flows = self.flows.write();
         flows.set_cold(cold);
+        flows.set_mean(forward.mean);
         let outcome = flows.offer(self.clock.now(), flow, forward.remaining());
         drop(flows);
         match outcome {
-            Outcome::Admit => self.metrics.admitted.increment(1),
-            Outcome::Refuse(_) => self.metrics.refused.increment(1),
-            Outcome::Known | Outcome::HandOn => {}
+            Outcome::Admit => metrics.admit(),
+            Outcome::HandOn => metrics.hand_on(),
+            Outcome::Refuse(why) => {
+                if let Some(why) = refusal(why) {
+                    metrics.refuse(why);
+                }
+            }
+            Outcome::Known => {}
         }
         Some(outcome)
     }
@@ -308,7 +344,6 @@
     /// Hands an opening packet to the next candidate.
     fn hand_on(&self, forward: &Forward, datagram: &[u8], out: &mut Vec<u8>) {
         let Some((agent, next)) = forward.next() else { return };
-        self.metrics.handed_on.increment(1);
         if self.tables.keys().sealer.seal(&Header::Forward(next), datagram, out) {
             // A lost packet is sent again by the caller.
             let _ = self.link.send(SocketAddr::V4(agent), out);
@@ -332,6 +367,11 @@
         }
     }
 
+    /// The failure domain, as new tokens name it.
+    pub fn domain(&self) -> domain::Id {
+        domain::Id(self.domain.load(Ordering::Relaxed))
+    }
+
     /// Where the agent receives envelopes, as tokens name it.
     pub fn origin(&self) -> SocketAddrV4 {
         match self.link.local() {
@@ -340,3 +380,13 @@
         }
     }
 }
+
+/// The reason as it is counted; none for a late duplicate of a closed flow's packet.
+fn refusal(why: open::Why) -> Option<Refusal> {
+    match why {
+        open::Why::Leaving => Some(Refusal::Leaving),
+        open::Why::Cold => Some(Refusal::Cold),
+        open::Why::Full => Some(Refusal::Full),
+        open::Why::Closed => None,
+    }
+}
--- a/crates/lentilreach/src/process/balancer.rs
+++ b/crates/lentilreach/src/process/balancer.rs
@@ -6,14 +6,15 @@
 
 use smol::Task;
 
-use crate::process::counter::Balancer as Metrics;
 use crate::process::entry::{Arrival, Entry};
 use crate::process::link::{Link, MAX_DATAGRAM};
+use crate::process::metric::{Balancer as Metrics, Envelope};
 use crate::process::pool::Pool;
 use crate::process::tables::Tables;
-use crate::request::envelope::{Forward, Header};
+use crate::request::envelope::{Fault, Forward, Header};
 use crate::request::packet::{self, Packet};
 use crate::request::route::{Reason, Verdict, route};
+use crate::version::view::Service;
 
 /// Tasks for each direction. More than one keeps a second worker busy while the first
 /// sends; beyond two they only contend for the socket.
@@ -36,7 +37,8 @@
         entry: E,
         link: L,
     ) -> Self {
-        let worker = Worker { tables, entry, link, metrics: Metrics::new() };
+        let (metrics, envelopes) = (Metrics::new(), Envelope::new());
+        let worker = Worker { tables, entry, link, metrics, envelopes };
         let mut tasks = Vec::new();
         for _ in 0..TASKS {
             tasks.push(pool.spawn(worker.clone().forward_all()));
@@ -55,8 +57,10 @@
     entry: E,
     /// The side of agents.
     link: L,
-    /// Counters.
+    /// Counts datagrams.
     metrics: Metrics,
+    /// Counts envelopes that were not accepted.
+    envelopes: Envelope,
 }
 
 impl<E: Entry, L: Link> Worker<E, L> {
@@ -67,7 +71,7 @@
         loop {
             match self.entry.receive(&mut buffer).await {
                 Ok(Some(arrival)) => self.forward(&buffer, arrival, &mut out),
-                Ok(None) => self.metrics.dropped(Reason::NotQuic),
+                Ok(None) => self.metrics.discard(Reason::NotQuic),
                 Err(error) if is_passing(&error) => {}
                 Err(error) => return log::error!("step=receive peer=fabric {error}"),
             }
@@ -76,35 +80,42 @@
 
     /// Routes one datagram and sends it on.
     fn forward(&self, buffer: &[u8], arrival: Arrival, out: &mut Vec<u8>) {
-        self.metrics.received();
+        self.metrics.receive();
         let datagram = &buffer[arrival.start..arrival.end];
         let packet = match Packet::parse(arrival.caller, arrival.service, datagram) {
             Ok(packet) => packet,
-            Err(packet::Fault::Short) => return self.metrics.dropped(Reason::Short),
-            Err(packet::Fault::NotQuic) => return self.metrics.dropped(Reason::NotQuic),
+            Err(packet::Fault::Short) => return self.metrics.discard(Reason::Short),
+            Err(packet::Fault::NotQuic) => return self.metrics.discard(Reason::NotQuic),
         };
         let keys = self.tables.keys();
-        let verdict =
-            route(&self.tables.view(), &keys.tokens, &packet, fastrand::u64(..));
-        let (service, agent, candidates) = match verdict {
-            Verdict::Forward { service, agent } => (service, agent, Vec::new()),
+        let view = self.tables.view();
+        let verdict = route(&view, &keys.tokens, &packet, keys.salt());
+        let (service, agent, candidates, mean) = match verdict {
+            Verdict::Forward { service, agent } => (service, agent, Vec::new(), None),
             Verdict::Offer { service, candidates } => {
-                (service, candidates.as_slice()[0], Vec::from(&candidates))
+                let mean = view.service(arrival.service).and_then(Service::mean);
+                (service, candidates.as_slice()[0], Vec::from(&candidates), mean)
             }
-            Verdict::Drop(reason) => return self.metrics.dropped(reason),
+            Verdict::Drop(reason) => return self.metrics.discard(reason),
         };
+        let opening = !candidates.is_empty();
         let header = Header::Forward(Forward {
             service,
             address: arrival.service,
             caller: arrival.caller,
             balancer: self.link.local(),
+            mean,
             position: 0,
             candidates,
         });
-        if keys.sealer.seal(&header, datagram, out)
-            && self.link.send(SocketAddr::V4(agent), out).is_ok()
+        if !keys.sealer.seal(&header, datagram, out)
+            || self.link.send(SocketAddr::V4(agent), out).is_err()
         {
-            self.metrics.forwarded();
+            self.metrics.discard_unsent();
+        } else if opening {
+            self.metrics.offer();
+        } else {
+            self.metrics.forward();
         }
     }
 
@@ -125,11 +136,11 @@
         match self.tables.keys().sealer.open(envelope) {
             Ok((Header::Return(to), datagram)) => {
                 if self.entry.send(to.address, to.caller, datagram).is_ok() {
-                    self.metrics.returned();
+                    self.metrics.deliver();
                 }
             }
-            Ok(_) => self.metrics.rejected("kind"),
-            Err(fault) => self.metrics.rejected(fault.as_str()),
+            Ok(_) => self.envelopes.reject(Fault::Header),
+            Err(fault) => self.envelopes.reject(fault),
         }
     }
 }
--- a/crates/lentilreach/src/process/endpoint.rs
+++ b/crates/lentilreach/src/process/endpoint.rs
@@ -20,9 +20,11 @@
 use crate::connection::{flow, open};
 use crate::process::agent::{Served, Shared};
 use crate::process::clock::Clock;
+use crate::process::event::Close;
 use crate::process::heard::Heard;
 use crate::process::link::{Link, MAX_DATAGRAM};
 use crate::process::lock::Ranked;
+use crate::process::metric;
 use crate::process::pool::Pool;
 use crate::process::tables::Tables;
 use crate::request::envelope::{Header, Return};
@@ -53,6 +55,8 @@
 pub struct Endpoint<L: Link> {
     /// The service.
     served: Served,
+    /// Counts flows and requests.
+    metrics: Arc<metric::Agent>,
     /// Takes in callers' datagrams.
     socket: Arc<Socket<Way<L>>>,
     /// Ends QUIC.
@@ -80,8 +84,10 @@
             socket.clone(),
             Arc::new(Workers(shared.pool.clone())),
         )?;
-        let task = shared.pool.spawn(accept(shared.clone(), quic.clone()));
-        Ok(Self { served, socket, quic, _task: task })
+        let metrics = Arc::new(metric::Agent::new(&served.name));
+        let accept = accept(shared.clone(), quic.clone(), metrics.clone());
+        let task = shared.pool.spawn(accept);
+        Ok(Self { served, metrics, socket, quic, _task: task })
     }
 
     /// The service.
@@ -89,6 +95,16 @@
         &self.served
     }
 
+    /// Counts flows and requests.
+    pub fn metrics(&self) -> &Arc<metric::Agent> {
+        &self.metrics
+    }
+
+    /// Open connections.
+    pub fn open(&self) -> u32 {
+        self.quic.open_connections() as u32
+    }
+
     /// Takes in a caller's datagram; returns whether there was room.
     pub fn push(&self, caller: SocketAddr, datagram: &[u8]) -> bool {
         self.socket.push(caller, datagram)
@@ -129,7 +145,11 @@
 }
 
 /// Accepts connections until the endpoint closes.
-async fn accept<L: Link>(shared: Arc<Shared<L>>, endpoint: quinn::Endpoint) {
+async fn accept<L: Link>(
+    shared: Arc<Shared<L>>,
+    endpoint: quinn::Endpoint,
+    metrics: Arc<metric::Agent>,
+) {
     while let Some(incoming) = endpoint.accept().await {
         let flow = flow::Key::new(incoming.remote_address(), &incoming.orig_dst_cid());
         let outcome = shared.flows.write().offer(shared.clock.now(), flow, 0);
@@ -137,7 +157,8 @@
             incoming.refuse();
             continue;
         }
-        shared.pool.spawn(handle(shared.clone(), incoming, flow)).detach();
+        let handle = handle(shared.clone(), incoming, flow, metrics.clone());
+        shared.pool.spawn(handle).detach();
     }
 }
 
@@ -146,6 +167,7 @@
     shared: Arc<Shared<L>>,
     incoming: quinn::Incoming,
     flow: flow::Key,
+    metrics: Arc<metric::Agent>,
 ) {
     let _open = Open { flows: &shared.flows, flow, clock: shared.clock };
     let Ok(connecting) = incoming.accept() else { return };
@@ -154,7 +176,11 @@
         connection.close(refused(), b"no place");
         return;
     }
-    session::run(&shared.pool, shared.site.clone(), connection).await;
+    let end = session::run(&shared.pool, shared.site.clone(), connection).await;
+    metrics.close(match end {
+        session::End::Caller => Close::Caller,
+        session::End::Drained => Close::Drained,
+    });
 }
 
 /// Notes that a handshake is complete; returns whether the flow has a place.
@@ -201,7 +227,7 @@
     let tables = shared.tables.clone();
     let origin = Origin {
         service: served.id,
-        domain: shared.domain,
+        domain: shared.domain(),
         agent: shared.origin(),
         node: shared.node,
     };
--- a/crates/lentilreach/src/process/key.rs
+++ b/crates/lentilreach/src/process/key.rs
@@ -1,11 +1,15 @@
 //! The key ring: what every process of the fleet derives from the shared secrets.
 
+pub mod document;
+pub mod rotate;
+
 use std::fmt::{self, Debug, Formatter};
 
 use ring::hmac;
 
 use crate::connection::token;
 use crate::id::node;
+use crate::process::spread;
 use crate::request::envelope::{self, Sealer};
 
 /// One secret of the fleet. Never printed.
@@ -24,6 +28,30 @@
 }
 
 impl Secret {
+    /// The identifier of the fleet secret, which every process has from its settings.
+    pub const FLEET: u8 = 0;
+
+    /// The fleet secret from the bytes in the file that the settings name.
+    pub fn fleet(file: &[u8]) -> Self {
+        let key = hmac::Key::new(hmac::HMAC_SHA256, b"lentilreach fleet secret");
+        let tag = hmac::sign(&key, file);
+        let mut bytes = [0; 32];
+        bytes.copy_from_slice(tag.as_ref());
+        Self { id: Self::FLEET, bytes }
+    }
+
+    /// The key of the gossip exchange.
+    pub fn exchange(&self) -> spread::seal::Key {
+        spread::seal::Key::new(self.id, &self.short("exchange"))
+    }
+
+    /// Derives 16 bytes for one purpose.
+    fn short(&self, purpose: &str) -> [u8; 16] {
+        let mut key = [0; 16];
+        key.copy_from_slice(&self.derive(purpose)[..16]);
+        key
+    }
+
     /// Derives 32 bytes for one purpose.
     fn derive(&self, purpose: &str) -> [u8; 32] {
         let key = hmac::Key::new(hmac::HMAC_SHA256, &self.bytes);
@@ -43,6 +71,8 @@
     pub sealer: Sealer,
     /// Signs bindings and stateless resets, by key identifier.
     signers: Vec<Signer>,
+    /// Orders the candidates of a flow; the same at all balancers, unknown to callers.
+    salt: u64,
     /// The identifier of the key for new tokens, envelopes and bindings.
     current: u8,
 }
@@ -63,11 +93,7 @@
     /// stay valid for what was made with them.
     pub fn new(node: node::Id, secrets: &[Secret], current: u8) -> Self {
         let token = |s: &Secret| token::Key::new(s.id, &s.derive("token"));
-        let seal = |s: &Secret| {
-            let mut key = [0; 16];
-            key.copy_from_slice(&s.derive("envelope")[..16]);
-            envelope::Key::new(s.id, &key)
-        };
+        let seal = |s: &Secret| envelope::Key::new(s.id, &s.short("envelope"));
         let sign = |s: &Secret| Signer {
             id: s.id,
             binding: hmac::Key::new(hmac::HMAC_SHA256, &s.derive("binding")),
@@ -75,14 +101,25 @@
         };
         let mut signers: Vec<Signer> = secrets.iter().map(sign).collect();
         signers.sort_by_key(|signer| signer.id);
+        // Of the oldest secret, so that a rotation does not change the order at once.
+        let salt = secrets.iter().min_by_key(|secret| secret.id).map_or(0, |secret| {
+            let bytes = secret.derive("salt");
+            bytes[..8].iter().fold(0, |salt, byte| salt << 8 | u64::from(*byte))
+        });
         Self {
             tokens: token::Keys::new(secrets.iter().map(token).collect(), current),
             sealer: Sealer::new(node, secrets.iter().map(seal).collect(), current),
             signers,
+            salt,
             current,
         }
     }
 
+    /// Orders the candidates of a flow; see [`route`](crate::request::route::route).
+    pub fn salt(&self) -> u64 {
+        self.salt
+    }
+
     /// Signs a binding with the current key; `None` without keys.
     pub fn sign(&self, text: &[u8]) -> Option<(u8, hmac::Tag)> {
         let signer = self.signer(self.current)?;
--- a/crates/lentilreach/src/process/metric.rs
+++ b/crates/lentilreach/src/process/metric.rs
@@ -14,7 +14,7 @@
 
 use crate::process::event;
 
-pub use handle::{Agent, Balancer, Envelope, Exchange, Store};
+pub use handle::{Agent, Balancer, Dropped, Envelope, Exchange, Store};
 pub use name::*;
 
 /// A metric: what it is called and what it means.
--- a/crates/lentilreach/src/process/metric/handle.rs
+++ b/crates/lentilreach/src/process/metric/handle.rs
@@ -91,6 +91,46 @@
     }
 }
 
+labels! {
+    /// Why an agent dropped a datagram of an accepted envelope.
+    Drop {
+        /// The agent does not serve the service.
+        Foreign = "foreign",
+        /// The queue of the service's QUIC endpoint was full.
+        Overflow = "overflow",
+        /// Offered as the opening of a flow, which it is not.
+        Opening = "opening",
+        /// A message between agents that cannot be read.
+        Secret = "secret",
+    }
+}
+
+/// Counts datagrams that an agent dropped.
+#[derive(Debug, Clone)]
+pub struct Dropped {
+    /// See [`metric::AGENT_DROPPED`], in the order of [`Drop::ALL`].
+    dropped: Vec<Counter>,
+}
+
+impl Dropped {
+    /// Resolves the counters.
+    pub fn new() -> Self {
+        let counter = |why: &Drop| tagged(&metric::AGENT_DROPPED, &[why.as_str()]);
+        Self { dropped: Drop::ALL.iter().map(counter).collect() }
+    }
+
+    /// A datagram was dropped.
+    pub fn discard(&self, why: Drop) {
+        self.dropped[why as usize].increment(1);
+    }
+}
+
+impl Default for Dropped {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// Counts rejected envelopes.
 #[derive(Debug, Clone)]
 pub struct Envelope {
--- a/crates/lentilreach/src/process/metric/name.rs
+++ b/crates/lentilreach/src/process/metric/name.rs
@@ -22,6 +22,7 @@
     &REQUESTS_UNKNOWN,
     &QUEUE_LENGTH,
     &SLOTS_BUSY,
+    &AGENT_DROPPED,
     &EXCHANGE_SENT,
     &EXCHANGE_RECEIVED,
     &STORE_CALLS,
@@ -157,6 +158,13 @@
     "Slots of the backend server that are in use.",
 );
 
+/// Counts datagrams that an agent dropped.
+pub const AGENT_DROPPED: Metric = count(
+    "lentilreach_agent_datagrams_dropped_total",
+    &["reason"],
+    "Datagrams from balancers that the agent dropped.",
+);
+
 /// Counts bytes sent in the gossip exchange.
 pub const EXCHANGE_SENT: Metric = Metric {
     unit: Unit::Bytes,
--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -5,7 +5,6 @@
 pub mod balancer;
 pub mod binding;
 pub mod clock;
-pub mod counter;
 pub mod endpoint;
 pub mod entry;
 pub mod event;
--- a/crates/lentilreach/src/process/site.rs
+++ b/crates/lentilreach/src/process/site.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -30,6 +31,10 @@
 pub struct Site<U, L> {
     /// Settings that hold for the site's life.
     settings: Settings,
+    /// Longest time for one request, in milliseconds.
+    deadline_ms: AtomicU64,
+    /// Longest time for the drain of a connection, in milliseconds.
+    leave_ms: AtomicU64,
     /// View and keys.
     tables: Arc<Tables>,
     /// The gate to the backend server.
@@ -53,9 +58,9 @@
     pub agent: std::net::SocketAddrV4,
     /// The agent's time.
     pub clock: Clock,
-    /// Longest time for one request, in milliseconds.
+    /// Longest time for one request at the start, in milliseconds.
     pub deadline_ms: u64,
-    /// Longest time for the drain of a connection, in milliseconds.
+    /// Longest time for the drain of a connection at the start, in milliseconds.
     pub leave_ms: u64,
 }
 
@@ -82,7 +87,19 @@
     ) -> Self {
         let ledger = Ledger::new(settings.node, RECORDS, LIFE_MS);
         let ledger = Ranked::new(LEDGER, ledger);
-        Self { settings, tables, slots, ledger, upstream, seals, leave }
+        let deadline_ms = AtomicU64::new(settings.deadline_ms);
+        let leave_ms = AtomicU64::new(settings.leave_ms);
+        Self {
+            settings,
+            deadline_ms,
+            leave_ms,
+            tables,
+            slots,
+            ledger,
+            upstream,
+            seals,
+            leave,
+        }
     }
 
     /// The agent's time.
@@ -92,12 +109,19 @@
 
     /// Longest time for one request, in milliseconds.
     pub fn deadline_ms(&self) -> u64 {
-        self.settings.deadline_ms
+        self.deadline_ms.load(Ordering::Relaxed)
     }
 
     /// Longest time for the drain of a connection.
     pub fn leave_limit(&self) -> Duration {
-        Duration::from_millis(self.settings.leave_ms)
+        Duration::from_millis(self.leave_ms.load(Ordering::Relaxed))
+    }
+
+    /// Replaces the longest times for a request and for the drain of a connection, for
+    /// those that begin from now on.
+    pub fn set_times(&self, deadline_ms: u64, leave_ms: u64) {
+        self.deadline_ms.store(deadline_ms, Ordering::Relaxed);
+        self.leave_ms.store(leave_ms, Ordering::Relaxed);
     }
 
     /// The gate to the backend server.
--- a/crates/lentilreach/src/process/slot.rs
+++ b/crates/lentilreach/src/process/slot.rs
@@ -100,6 +100,11 @@
         self.update(|gate, now| gate.closed(now));
     }
 
+    /// Replaces the limits. Running requests stay.
+    pub fn set_limits(&self, limits: Limits) {
+        self.shared.line.write().gate.set_limits(limits);
+    }
+
     /// Refuses all new requests from now on, or admits them again.
     pub fn set_draining(&self, draining: bool) {
         self.shared.line.write().gate.set_draining(draining);
@@ -110,6 +115,11 @@
         self.shared.line.read().gate.busy()
     }
 
+    /// Requests that wait for a slot at present.
+    pub fn waiting(&self) -> u16 {
+        self.shared.line.read().gate.waiting()
+    }
+
     /// Requests that may run at present.
     pub fn limit(&self) -> u16 {
         self.shared.line.read().gate.limit(self.now())
--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use fastrand::Rng;
 
-use crate::id::node;
+use crate::id::{domain, node};
 use crate::process::clock::Millis;
 use crate::process::name::Name;
 use crate::process::spread::attach;
@@ -43,6 +43,8 @@
     Join(SocketAddr),
     /// The full configuration was read from the store, so no peer is needed for it.
     Complete,
+    /// The node learned the identifier of its failure domain.
+    Place(domain::Id),
     /// The node's stage changed.
     Stage(Stage),
     /// The node's load changed. `node` and `counter` are ignored.
@@ -171,6 +173,8 @@
                 }
             }
             Event::Complete => self.complete(now, actions),
+            Event::Place(domain) if self.me.domain == domain => {}
+            Event::Place(domain) => self.announce(now, |me| me.domain = domain, actions),
             Event::Stage(stage) => self.enter(now, stage, actions),
             Event::Load(load) => self.load = Some(load),
         }
--- a/crates/lentilreach/src/process/spread/driver.rs
+++ b/crates/lentilreach/src/process/spread/driver.rs
@@ -10,8 +10,9 @@
 use futures_lite::StreamExt;
 use smol::Task;
 
-use crate::id::node;
-use crate::process::clock::{Clock, Hybrid, wall_ms};
+use crate::id::{domain, node};
+use crate::process::clock::{Clock, wall_ms};
+use crate::process::event::Recorder;
 use crate::process::link::{self, Link};
 use crate::process::lock::Ranked;
 use crate::process::pool::Pool;
@@ -42,20 +43,20 @@
 impl<L: Link> Exchange<L> {
     /// Starts the exchange over a link.
     ///
-    /// `hybrid` is the process's logical clock, shared with its timeline.
+    /// `recorder` stamps messages, so that the timeline orders causes before effects.
     pub fn start(
         pool: &Pool,
         link: L,
         core: Core,
         sealer: Sealer,
-        hybrid: Arc<Ranked<Hybrid>>,
+        recorder: Recorder,
     ) -> Self {
         let shared = Arc::new(Shared {
             link,
             clock: Clock::new(),
             core: Ranked::new(MEMBERS, core),
             keys: Ranked::new(KEYS, Keys { sealer, others: Vec::new() }),
-            hybrid,
+            recorder,
             notice: Notice::default(),
         });
         let (ticks, datagrams) = (shared.clone(), shared.clone());
@@ -81,6 +82,11 @@
         self.shared.handle(Event::Join(address));
     }
 
+    /// Publishes the failure domain of this node, once the configuration names it.
+    pub fn place(&self, domain: domain::Id) {
+        self.shared.handle(Event::Place(domain));
+    }
+
     /// Publishes a new stage of this node.
     pub fn stage(&self, stage: Stage) {
         self.shared.handle(Event::Stage(stage));
@@ -165,8 +171,8 @@
     core: Ranked<Core>,
     /// The keys.
     keys: Ranked<Keys>,
-    /// The logical clock.
-    hybrid: Arc<Ranked<Hybrid>>,
+    /// Stamps messages.
+    recorder: Recorder,
     /// Tells of changes.
     notice: Notice,
 }
@@ -208,7 +214,7 @@
             Ok(decoded) => decoded,
             Err(fault) => return drop_datagram(fault.as_str()),
         };
-        if !self.hybrid.write().observe(stamp, wall_ms()) {
+        if !self.recorder.observe(stamp, wall_ms()) {
             metrics::counter!("lentilreach_exchange_clock_ahead").increment(1);
         }
         self.handle(Event::Received { from, message: Message { sender, body } });
@@ -238,7 +244,7 @@
         plain: &mut Vec<u8>,
         sealed: &mut Vec<u8>,
     ) {
-        let stamp = self.hybrid.write().stamp(wall_ms());
+        let stamp = self.recorder.stamp(wall_ms());
         if let Err(fault) = wire::encode(stamp, &message.body, plain) {
             return drop_datagram(fault.as_str());
         }
--- a/crates/lentilreach/src/process/tables.rs
+++ b/crates/lentilreach/src/process/tables.rs
@@ -76,8 +76,10 @@
         self.keys.read().clone()
     }
 
-    /// Puts a key ring in force.
-    pub fn set_keys(&self, ring: Ring) {
-        *self.keys.write() = Arc::new(ring);
+    /// Puts a key ring in force. It must be of the same process as the one before.
+    pub fn set_keys(&self, mut ring: Ring) {
+        let mut keys = self.keys.write();
+        ring.sealer.replace(&keys.sealer);
+        *keys = Arc::new(ring);
     }
 }
--- a/crates/lentilreach/src/request/envelope.rs
+++ b/crates/lentilreach/src/request/envelope.rs
@@ -5,6 +5,7 @@
 //! encrypted, so it is authenticated only.
 
 use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use ring::aead::{AES_128_GCM, Aad, LessSafeKey, Nonce, Tag, UnboundKey};
@@ -47,6 +48,9 @@
     pub caller: SocketAddr,
     /// The balancer that received it.
     pub balancer: SocketAddr,
+    /// The reported mean of open flows of the service's members, in tenths; only in a
+    /// datagram that opens a flow. Agents do not hear of each other in the exchange.
+    pub mean: Option<u32>,
     /// Index of the receiving agent in `candidates`.
     pub position: u8,
     /// Empty unless the datagram opens a flow.
@@ -147,7 +151,7 @@
     node: [u8; 4],
     /// Last eight bytes of the next nonce. Starts at the process's identifier, so that two
     /// incarnations do not repeat a nonce under one key.
-    counter: AtomicU64,
+    counter: Arc<AtomicU64>,
 }
 
 impl Sealer {
@@ -157,7 +161,16 @@
         keys.dedup_by_key(|key| key.id);
         let current = keys.iter().position(|key| key.id == current).unwrap_or(0);
         let prefix = ((node.0 >> 32) as u32).to_be_bytes();
-        Self { keys, current, node: prefix, counter: AtomicU64::new(node.0 << 32) }
+        let counter = Arc::new(AtomicU64::new(node.0 << 32));
+        Self { keys, current, node: prefix, counter }
+    }
+
+    /// Takes over the nonces of the sealer that this one replaces.
+    ///
+    /// Both may be in use for a moment and have keys in common. AES-GCM is broken if a nonce
+    /// is used twice under one key.
+    pub fn replace(&mut self, old: &Self) {
+        self.counter = old.counter.clone();
     }
 
     /// Writes an envelope into `out`, replacing what it held.
