Apply the exchange to the process by one control task per role

control::Builder starts a balancer or an agent from its settings, links, fleet secret and recorder. Balancers rebuild their view, agents serve, limit, announce and report; key documents are opened, and keys come into force by time.

--- /dev/null
+++ b/crates/lentilreach/src/process/control/agent.rs
@@ -0,0 +1,249 @@
+//! Keeps an agent's services, limits and announcement current.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+use smol::Task;
+
+use crate::process::clock::wall_ms;
+use crate::process::control::keys::Keys;
+use crate::process::control::{Board, journal};
+use crate::process::event::{Drain, DrainEnd, Kind, Recorder};
+use crate::process::link::Link;
+use crate::process::name::Name;
+use crate::process::spread::driver::Exchange;
+use crate::process::spread::entry::{Load, Stage};
+use crate::process::{agent, metric};
+use crate::version::assembly::{self, Config, Peer};
+use crate::version::config::key;
+use crate::version::view::{self, View};
+
+/// Time between looks at the load. Reports are made on change only.
+const REPORT: Duration = Duration::from_millis(250);
+
+/// A running agent with its part in the exchange. Stops without a drain when dropped.
+#[derive(Debug)]
+pub struct Agent<L: Link, X> {
+    /// Its part in the exchange.
+    pub(super) exchange: Exchange<X>,
+    /// For the admin endpoint.
+    pub(super) board: Board,
+    /// Records events.
+    pub(super) recorder: Recorder,
+    /// Ends callers' connections.
+    pub(super) body: Arc<agent::Agent<L>>,
+    /// Applies changes. Dropped before the body.
+    pub(super) _task: Task<()>,
+}
+
+impl<L: Link, X: Link> Agent<L, X> {
+    /// Its part in the exchange.
+    pub fn exchange(&self) -> &Exchange<X> {
+        &self.exchange
+    }
+
+    /// For the admin endpoint.
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+
+    /// What ends callers' connections.
+    pub fn body(&self) -> &agent::Agent<L> {
+        &self.body
+    }
+
+    /// Begins the drain and announces it at once.
+    pub fn leave(&self, cause: Drain) {
+        self.recorder.record(wall_ms(), Kind::DrainStarted { cause });
+        self.board.stop();
+        // Wakes the task, which announces the drain. Only the task announces stages, so that
+        // none that it has just computed can follow.
+        self.body.leave();
+    }
+
+    /// Waits until all flows are closed or the template's limit has passed.
+    pub async fn drained(&self) {
+        self.body.drained().await;
+        let open = self.body.shared().flows.read().open();
+        let end = if open == 0 { DrainEnd::Complete } else { DrainEnd::Limit };
+        self.recorder.record(wall_ms(), Kind::DrainFinished { end });
+    }
+}
+
+/// Applies changes of the exchange at an agent, and reports its load.
+#[derive(Debug)]
+pub(super) struct Worker<L: Link, X> {
+    /// The exchange.
+    pub exchange: Exchange<X>,
+    /// Ends callers' connections.
+    pub body: Arc<agent::Agent<L>>,
+    /// For the admin endpoint.
+    pub board: Board,
+    /// Records events.
+    pub recorder: Recorder,
+    /// The secrets.
+    pub keys: Keys,
+    /// The documents in force.
+    pub config: Config,
+    /// The failure domain.
+    pub domain: Name,
+    /// The organisation.
+    pub organisation: Name,
+    /// The set of backend servers.
+    pub set: Name,
+    /// The load last given to the exchange.
+    pub load: Option<Load>,
+    /// The stage last given to the exchange.
+    pub stage: Option<Stage>,
+}
+
+impl<L: Link, X: Link> Worker<L, X> {
+    /// Applies changes and reports until the task is dropped.
+    pub async fn run(mut self) {
+        loop {
+            let tick = async {
+                Timer::after(REPORT).await;
+                None
+            };
+            let drain = async {
+                if self.stage == Some(Stage::Leaving) {
+                    return future::pending().await;
+                }
+                self.body.shared().site.leave().wait().await;
+                None
+            };
+            let changed = async { Some(self.exchange.changed().await) };
+            let changes = future::or(changed, future::or(drain, tick)).await;
+            if changes.is_some_and(|changes| changes.documents || changes.ready) {
+                self.apply();
+            }
+            self.turn_keys();
+            self.report();
+        }
+    }
+
+    /// Puts what the exchange holds in force.
+    fn apply(&mut self) {
+        let (config, keys) = (&mut self.config, &mut self.keys);
+        let old = config.snapshot().clone();
+        let read = self.exchange.read(|core| {
+            core.is_ready().then(|| {
+                let refused = config.take(core.documents());
+                (refused, keys.read(core.document(&key::ring())))
+            })
+        });
+        let Some((refused, ring)) = read else { return };
+        for refused in &refused {
+            self.recorder.record(wall_ms(), journal::refused(refused));
+        }
+        if let Err(fault) = ring {
+            log::warn!("{}: {fault}", key::RING);
+            let reason = fault.to_string().into();
+            self.record(Kind::ConfigRejected { entry: key::ring(), reason });
+        }
+        let snapshot = self.config.snapshot();
+        for kind in journal::domains(&old.domains, &snapshot.domains) {
+            self.record(kind);
+        }
+        if !assembly::is_out(snapshot, &self.domain)
+            && assembly::is_out(&old, &self.domain)
+        {
+            // Operators bring a failure domain back as a cold start of its backend servers.
+            self.body.shared().site.slots().closed();
+        }
+        let fault = self.serve();
+        self.show(fault);
+        let revision = self.config.snapshot().revision;
+        if revision > old.revision {
+            metric::revision(revision);
+            self.recorder.record(wall_ms(), Kind::ConfigInForce.under(revision));
+        }
+    }
+
+    /// Serves what the configuration says; returns why the agent may not be given traffic.
+    fn serve(&self) -> Option<String> {
+        let snapshot = self.config.snapshot();
+        let Some(domain) = snapshot.domains.find(&self.domain) else {
+            return Some(format!(
+                "the configuration does not name the failure domain {}",
+                self.domain
+            ));
+        };
+        self.body.place(domain.id);
+        self.exchange.place(domain.id);
+        if let Some(limits) = assembly::limits(snapshot, &self.organisation, &self.set) {
+            self.body.limit(limits);
+        }
+        let served = if domain.out {
+            Vec::new()
+        } else {
+            assembly::served(snapshot, &self.organisation, &self.set)
+        };
+        if let Err(error) = self.body.serve(&served) {
+            log::error!("step=serve peer={} {error}", self.organisation);
+            return Some(format!("a service cannot be served: {error}"));
+        }
+        if domain.out {
+            return Some(format!("the failure domain {} is out of service", self.domain));
+        }
+        let (organisation, set) = (&self.organisation, &self.set);
+        served
+            .is_empty()
+            .then(|| format!("no service of {organisation} uses the set {set}"))
+    }
+
+    /// Shows the own services at the admin endpoint.
+    fn show(&self, fault: Option<String>) {
+        let node = self.exchange.read(|core| core.me().clone());
+        let own = vec![Peer { node, silent: false, load: view::Load::default() }];
+        let view = assembly::view(self.config.snapshot(), &own, &View::default());
+        let served = view.services().iter().filter(|s| !s.members().is_empty());
+        let view =
+            View::new(view.revision, served.cloned().collect(), view.domains().to_vec());
+        self.board.set(Arc::new(view), own, fault);
+    }
+
+    /// Gives stage and load to the exchange if they changed.
+    fn report(&mut self) {
+        self.body.measure();
+        let shared = self.body.shared();
+        let slots = shared.site.slots();
+        let stage = if shared.site.leave().has_begun() {
+            Stage::Leaving
+        } else if slots.is_cold() {
+            Stage::Cold
+        } else {
+            Stage::Active
+        };
+        if self.stage != Some(stage) {
+            self.stage = Some(stage);
+            self.exchange.stage(stage);
+        }
+        let (busy, limit) = (slots.busy(), slots.limit());
+        let flows = shared.flows.read();
+        let (open, most) = (flows.open(), flows.limit());
+        drop(flows);
+        let (node, counter) = (shared.node, 0);
+        let load = Load { node, counter, open, limit: most, busy, slots: limit };
+        if self.load != Some(load) {
+            self.load = Some(load);
+            self.exchange.load(load);
+        }
+    }
+
+    /// Puts keys in force that are due.
+    fn turn_keys(&mut self) {
+        if let Some(change) = self.keys.turn(wall_ms()) {
+            self.body.shared().tables.set_keys(change.ring);
+            self.exchange.rotate(change.exchange, change.current);
+            self.record(Kind::KeysRotated { key: change.current });
+        }
+    }
+
+    /// Records an event.
+    fn record(&self, kind: Kind) {
+        self.recorder.record(wall_ms(), kind);
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/control/balancer.rs
@@ -0,0 +1,200 @@
+//! Keeps the view of a balancer current.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+use smol::Task;
+
+use crate::process::clock::wall_ms;
+use crate::process::control::keys::Keys;
+use crate::process::control::{Board, journal, source};
+use crate::process::event::{Kind, Recorder};
+use crate::process::link::Link;
+use crate::process::name::Name;
+use crate::process::relay::Relay;
+use crate::process::spread::driver::{Changes, Exchange};
+use crate::process::spread::entry::Stage;
+use crate::process::tables::Tables;
+use crate::process::{balancer, metric};
+use crate::version::assembly::{self, Config, Peer};
+use crate::version::config::key;
+
+/// Time between looks at the time of key changes.
+const KEYS: Duration = Duration::from_secs(1);
+
+/// Time between two views, so that a burst of changes makes one.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The same if only loads changed. Loads arrive every 500 ms from each peer.
+const LOAD_PAUSE: Duration = Duration::from_millis(250);
+
+/// A running balancer with its part in the exchange. Stops when dropped.
+#[derive(Debug)]
+pub struct Balancer<X> {
+    /// Its part in the exchange.
+    pub(super) exchange: Exchange<X>,
+    /// View and keys.
+    pub(super) tables: Arc<Tables>,
+    /// For the admin endpoint.
+    pub(super) board: Board,
+    /// Its registration in the store.
+    pub(super) relay: Relay,
+    /// Moves datagrams.
+    pub(super) _body: balancer::Balancer,
+    /// Applies changes.
+    pub(super) _task: Task<()>,
+}
+
+impl<X: Link> Balancer<X> {
+    /// Its part in the exchange.
+    pub fn exchange(&self) -> &Exchange<X> {
+        &self.exchange
+    }
+
+    /// View and keys.
+    pub fn tables(&self) -> &Arc<Tables> {
+        &self.tables
+    }
+
+    /// For the admin endpoint.
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+
+    /// Tells peers and the admin endpoint that it stops. It goes on forwarding until it is
+    /// dropped.
+    pub fn leave(&self) {
+        self.board.stop();
+        self.exchange.stage(Stage::Leaving);
+    }
+
+    /// Goes on forwarding for `grace`, then gives its relay slot to others and stops.
+    pub async fn finish(self, grace: Duration) {
+        Timer::after(grace).await;
+        // Without the store the slot becomes free when its lease ends.
+        let timeout = async {
+            Timer::after(KEYS).await;
+        };
+        future::or(self.relay.release(), timeout).await;
+    }
+}
+
+/// Applies changes of the exchange at a balancer.
+#[derive(Debug)]
+pub(super) struct Worker<X> {
+    /// The exchange.
+    pub exchange: Exchange<X>,
+    /// View and keys.
+    pub tables: Arc<Tables>,
+    /// For the admin endpoint.
+    pub board: Board,
+    /// Records events.
+    pub recorder: Recorder,
+    /// The secrets.
+    pub keys: Keys,
+    /// The failure domain.
+    pub domain: Name,
+    /// The documents in force.
+    pub config: Config,
+    /// The agents of the last view.
+    pub peers: Vec<Peer>,
+    /// Whether there was a view.
+    pub begun: bool,
+}
+
+impl<X: Link> Worker<X> {
+    /// Applies changes until the task is dropped.
+    pub async fn run(mut self) {
+        loop {
+            let tick = async {
+                Timer::after(KEYS).await;
+                None
+            };
+            let changed = async { Some(self.exchange.changed().await) };
+            let changes = future::or(changed, tick).await;
+            self.turn_keys();
+            let Some(changes) = changes else { continue };
+            self.apply(changes);
+            let others = changes.documents || changes.members || changes.ready;
+            Timer::after(if others { PAUSE } else { LOAD_PAUSE }).await;
+        }
+    }
+
+    /// Puts what the exchange holds in force.
+    fn apply(&mut self, changes: Changes) {
+        let (config, keys) = (&mut self.config, &mut self.keys);
+        let old = config.snapshot().clone();
+        let read = self.exchange.read(|core| {
+            if !core.is_ready() {
+                return None;
+            }
+            if !changes.documents && !changes.ready {
+                return Some((Vec::new(), Ok(()), source::agents(core)));
+            }
+            let refused = config.take(core.documents());
+            let ring = keys.read(core.document(&key::ring()));
+            Some((refused, ring, source::agents(core)))
+        });
+        let Some((refused, ring, peers)) = read else { return };
+        for refused in &refused {
+            self.recorder.record(wall_ms(), journal::refused(refused));
+        }
+        if let Err(fault) = ring {
+            self.reject_keys(&fault.to_string());
+        }
+        self.turn_keys();
+        let domains = journal::domains(&old.domains, &self.config.snapshot().domains);
+        domains.into_iter().for_each(|kind| self.record(kind));
+        if let Some(domain) = self.config.snapshot().domains.find(&self.domain) {
+            self.exchange.place(domain.id);
+        }
+        self.set_view(peers);
+    }
+
+    /// Puts a view in force.
+    fn set_view(&mut self, peers: Vec<Peer>) {
+        let previous = self.tables.view();
+        let view = assembly::view(self.config.snapshot(), &peers, &previous);
+        let revision = view.revision;
+        if !self.tables.set_view(view) {
+            return;
+        }
+        if revision > previous.revision {
+            metric::revision(revision);
+            self.recorder.record(wall_ms(), Kind::ConfigInForce.under(revision));
+        }
+        // At the start all agents are new, which would fill the timeline.
+        if self.begun {
+            let events = journal::members(&self.peers, &peers);
+            events.into_iter().for_each(|kind| self.record(kind));
+        }
+        self.begun = true;
+        self.peers = peers.clone();
+        let empty = revision == 0;
+        let fault = empty.then(|| "no configuration was submitted yet".to_owned());
+        self.board.set(self.tables.view(), peers, fault);
+    }
+
+    /// Puts keys in force that are due.
+    fn turn_keys(&mut self) {
+        if let Some(change) = self.keys.turn(wall_ms()) {
+            self.tables.set_keys(change.ring);
+            self.exchange.rotate(change.exchange, change.current);
+            self.record(Kind::KeysRotated { key: change.current });
+        }
+    }
+
+    /// Records that the key document was refused.
+    fn reject_keys(&self, reason: &str) {
+        log::warn!("{}: {reason}", key::RING);
+        let entry = key::ring();
+        self.record(Kind::ConfigRejected { entry, reason: reason.into() });
+    }
+
+    /// Records an event.
+    fn record(&self, kind: Kind) {
+        self.recorder.record(wall_ms(), kind);
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/control/builder.rs
@@ -0,0 +1,214 @@
+//! Starts a balancer or an agent with its part in the exchange.
+
+use std::io;
+use std::sync::Arc;
+
+use crate::id::{domain, node};
+use crate::process::control::agent::Worker as AgentWorker;
+use crate::process::control::balancer::Worker as BalancerWorker;
+use crate::process::control::keys::Keys;
+use crate::process::control::{Agent, Balancer, Board};
+use crate::process::endpoint::Identity;
+use crate::process::entry::Entry;
+use crate::process::event::{self, Kind, Recorder};
+use crate::process::key::Secret;
+use crate::process::link::Link;
+use crate::process::name::Name;
+use crate::process::pool::Pool;
+use crate::process::relay::{self, Relay};
+use crate::process::spread::core::Core;
+use crate::process::spread::driver::Exchange;
+use crate::process::spread::entry::{Node, Role, Stage};
+use crate::process::spread::seal::Sealer;
+use crate::process::store::Store;
+use crate::process::tables::Tables;
+use crate::process::{agent, balancer, clock, settings};
+use crate::version::assembly::Config;
+use crate::version::config;
+
+/// Stands for the failure domain until the configuration names it. Agents that announce it
+/// get no flows.
+const UNPLACED: domain::Id = domain::Id(u8::MAX);
+
+/// What a process is started with.
+#[derive(Debug, Clone)]
+pub struct Builder {
+    /// Runs tasks.
+    pool: Pool,
+    /// Name, failure domain, peers. The links stand for the addresses to listen at.
+    settings: settings::Node,
+    /// The fleet secret.
+    secret: Secret,
+    /// Records events.
+    recorder: Recorder,
+    /// The incarnation.
+    node: node::Id,
+    /// Sets the random choices of the exchange.
+    seed: u64,
+}
+
+impl Builder {
+    /// Starts from the settings; incarnation and seed are drawn at random.
+    pub fn new(
+        pool: &Pool,
+        settings: &settings::Node,
+        secret: Secret,
+        recorder: Recorder,
+    ) -> Self {
+        let settings = settings.clone();
+        let (node, seed) = (node::Id(fastrand::u64(..)), fastrand::u64(..));
+        Self { pool: pool.clone(), settings, secret, recorder, node, seed }
+    }
+
+    /// Sets the incarnation.
+    #[must_use]
+    pub fn node(mut self, node: node::Id) -> Self {
+        self.node = node;
+        self
+    }
+
+    /// Sets the seed of the exchange's random choices.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Starts a balancer. `envelopes` and `messages` are the links for envelopes and for the
+    /// exchange.
+    pub fn balancer<E: Entry, L: Link, X: Link, S: Store>(
+        self,
+        entry: E,
+        envelopes: L,
+        messages: X,
+        store: S,
+    ) -> Balancer<X> {
+        let keys = Keys::new(self.node, self.secret.clone());
+        let tables = Arc::new(Tables::new(keys.ring()));
+        let board = self.board(event::Role::Balancer);
+        let announced =
+            self.announce(Role::Balancer, Name::from(""), &envelopes, &messages);
+        let address = messages.local();
+        let exchange = self.exchange(announced, messages);
+        let settings = relay::Settings {
+            node: self.node,
+            domain: self.settings.domain.clone(),
+            exchange: address,
+        };
+        let relay = Relay::start(
+            &self.pool,
+            store,
+            exchange.clone(),
+            self.recorder.clone(),
+            settings,
+        );
+        let worker = BalancerWorker {
+            exchange: exchange.clone(),
+            tables: tables.clone(),
+            board: board.clone(),
+            recorder: self.recorder.clone(),
+            keys,
+            domain: self.settings.domain.clone(),
+            config: Config::default(),
+            peers: Vec::new(),
+            begun: false,
+        };
+        let body =
+            balancer::Balancer::start(&self.pool, tables.clone(), entry, envelopes);
+        let task = self.pool.spawn(worker.run());
+        Balancer { exchange, tables, board, relay, _body: body, _task: task }
+    }
+
+    /// Starts an agent. `envelopes` and `messages` are the links for envelopes and for the
+    /// exchange.
+    ///
+    /// # Errors
+    /// If `envelopes` is not at an IPv4 address, which tokens need.
+    pub fn agent<L: Link, X: Link>(
+        self,
+        settings: &settings::Agent,
+        identity: Identity,
+        envelopes: L,
+        messages: X,
+    ) -> io::Result<Agent<L, X>> {
+        let keys = Keys::new(self.node, self.secret.clone());
+        let tables = Arc::new(Tables::new(keys.ring()));
+        let board = self.board(event::Role::Agent);
+        let announced =
+            self.announce(Role::Agent, settings.set.clone(), &envelopes, &messages);
+        let start = agent::Settings {
+            node: self.node,
+            domain: UNPLACED,
+            backend: settings.server,
+            limits: config::Limits::lowest().into(),
+            identity,
+        };
+        let body = Arc::new(agent::Agent::start(&self.pool, tables, envelopes, start)?);
+        let exchange = self.exchange(announced, messages);
+        let worker = AgentWorker {
+            exchange: exchange.clone(),
+            body: body.clone(),
+            board: board.clone(),
+            recorder: self.recorder.clone(),
+            keys,
+            config: Config::default(),
+            domain: self.settings.domain.clone(),
+            organisation: self.settings.organisation.clone(),
+            set: settings.set.clone(),
+            load: None,
+            stage: None,
+        };
+        let task = self.pool.spawn(worker.run());
+        let recorder = self.recorder;
+        Ok(Agent { exchange, board, recorder, body, _task: task })
+    }
+
+    /// Shows the process at the admin endpoint, and records its start.
+    fn board(&self, role: event::Role) -> Board {
+        self.recorder
+            .record(clock::wall_ms(), Kind::ProcessStarted { role, node: self.node });
+        let (name, domain) = (self.settings.name.clone(), self.settings.domain.clone());
+        Board::new(name, role, self.node, domain)
+    }
+
+    /// The process's announcement.
+    fn announce<L: Link, X: Link>(
+        &self,
+        role: Role,
+        set: Name,
+        envelopes: &L,
+        messages: &X,
+    ) -> Node {
+        let organisation = match role {
+            Role::Balancer => Name::from(""),
+            Role::Agent => self.settings.organisation.clone(),
+        };
+        Node {
+            id: self.node,
+            counter: 1,
+            name: self.settings.name.clone(),
+            role,
+            envelope: envelopes.local(),
+            exchange: messages.local(),
+            admin: self.settings.admin,
+            domain: UNPLACED,
+            set,
+            organisation,
+            stage: match role {
+                Role::Balancer => Stage::Active,
+                Role::Agent => Stage::Cold,
+            },
+        }
+    }
+
+    /// Starts the process's part in the exchange.
+    fn exchange<X: Link>(&self, node: Node, messages: X) -> Exchange<X> {
+        let core = Core::new(node, self.seed);
+        let key = self.secret.exchange();
+        let sealer = Sealer::new(self.node, vec![key], self.secret.id);
+        let exchange =
+            Exchange::start(&self.pool, messages, core, sealer, self.recorder.clone());
+        self.settings.peers.iter().for_each(|peer| exchange.join(*peer));
+        exchange
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/control/keys.rs
@@ -0,0 +1,78 @@
+//! Which secrets are in force in this process.
+
+use bytes::Bytes;
+
+use crate::id::node;
+use crate::process::key::document::{self, Fault};
+use crate::process::key::rotate::Book;
+use crate::process::key::{Ring, Secret};
+use crate::process::spread::seal;
+
+/// The secrets in force, from the settings and the key document.
+#[derive(Debug)]
+pub struct Keys {
+    /// The process.
+    node: node::Id,
+    /// From the settings. Always valid: a new process has no other secret.
+    fleet: Secret,
+    /// The key document that was last looked at.
+    document: Option<Bytes>,
+    /// The last good content of it.
+    book: Book,
+    /// Identifiers of the secrets in force; the current one last.
+    force: Vec<u8>,
+}
+
+/// A change of the keys.
+#[derive(Debug)]
+pub struct Change {
+    /// For tokens, envelopes and bindings.
+    pub ring: Ring,
+    /// For the exchange.
+    pub exchange: Vec<seal::Key>,
+    /// The identifier of the key for new uses.
+    pub current: u8,
+}
+
+impl Keys {
+    /// The keys derived from the fleet secret alone.
+    pub fn new(node: node::Id, fleet: Secret) -> Self {
+        let force = vec![fleet.id, fleet.id];
+        Self { node, fleet, document: None, book: Book::default(), force }
+    }
+
+    /// The ring of the secrets in force.
+    pub fn ring(&self) -> Ring {
+        Ring::new(self.node, std::slice::from_ref(&self.fleet), self.fleet.id)
+    }
+
+    /// Looks at the key document. If it was deleted, the last one stays in force.
+    ///
+    /// # Errors
+    /// If it is not valid; the last good one stays in force.
+    pub fn read(&mut self, document: Option<&Bytes>) -> Result<(), Fault> {
+        let Some(document) = document.filter(|new| self.document.as_ref() != Some(new))
+        else {
+            return Ok(());
+        };
+        self.document = Some(document.clone());
+        self.book = document::open(document, &self.fleet)?;
+        Ok(())
+    }
+
+    /// The keys at this wall-clock time, if they changed since the last call.
+    pub fn turn(&mut self, wall_ms: u64) -> Option<Change> {
+        let current = self.book.current(wall_ms);
+        let own = std::iter::once(&self.fleet);
+        let secrets: Vec<Secret> = own.chain(self.book.valid(wall_ms)).cloned().collect();
+        let ids = secrets.iter().map(|secret| secret.id);
+        let force: Vec<u8> = ids.chain([current]).collect();
+        if force == self.force {
+            return None;
+        }
+        self.force = force;
+        let ring = Ring::new(self.node, &secrets, current);
+        let exchange = secrets.iter().map(Secret::exchange).collect();
+        Some(Change { ring, exchange, current })
+    }
+}
--- /dev/null
+++ b/crates/lentilreach/src/process/control/source.rs
@@ -0,0 +1,31 @@
+//! Reads the exchange as values for the decisions.
+
+use std::sync::Arc;
+
+use crate::process::spread::core::Core;
+use crate::process::spread::entry::{Node, Role};
+use crate::process::spread::member::{Member, Status};
+use crate::version::assembly::Peer;
+use crate::version::view::Load;
+
+/// The agents that the exchange knows, sorted by node identifier.
+pub fn agents(core: &Core) -> Vec<Peer> {
+    let agents = core.members().filter(|(node, _)| node.role == Role::Agent);
+    agents.map(|(node, member)| peer(node, member)).collect()
+}
+
+/// One agent.
+fn peer(node: &Arc<Node>, member: &Member) -> Peer {
+    let report = member.load.map(|load| Load {
+        open: load.open,
+        limit: load.limit,
+        busy: load.busy,
+        slots: load.slots,
+        at: member.load_at,
+    });
+    Peer {
+        node: node.clone(),
+        silent: member.status != Status::Alive,
+        load: report.unwrap_or_default(),
+    }
+}
--- a/crates/lentilreach/src/process/key/rotate.rs
+++ b/crates/lentilreach/src/process/key/rotate.rs
@@ -31,7 +31,7 @@
 
 impl Dated {
     /// When it comes into use.
-    fn from_ms(&self) -> u64 {
+    fn active_ms(&self) -> u64 {
         self.added_ms.saturating_add(SPREAD_MS)
     }
 }
@@ -60,7 +60,7 @@
     /// The identifier of the secret for new uses at this wall-clock time: the latest that had
     /// time to spread, or else the fleet secret.
     pub fn current(&self, wall_ms: u64) -> u8 {
-        let mut spread = self.secrets.iter().filter(|dated| dated.from_ms() <= wall_ms);
+        let mut spread = self.secrets.iter().filter(|dated| dated.active_ms() <= wall_ms);
         spread.next_back().map_or(Secret::FLEET, |dated| dated.secret.id)
     }
 
@@ -68,9 +68,9 @@
     ///
     /// Those that are not in use yet are among them: another process may use them first.
     pub fn valid(&self, wall_ms: u64) -> impl Iterator<Item = &Secret> {
-        let over = |at: usize| {
+        let over = move |at: usize| {
             let next = self.secrets.get(at + 1);
-            next.is_some_and(|next| next.from_ms().saturating_add(KEEP_MS) <= wall_ms)
+            next.is_some_and(|next| next.active_ms().saturating_add(KEEP_MS) <= wall_ms)
         };
         let all = self.secrets.iter().enumerate();
         all.filter(move |(at, _)| !over(*at)).map(|(_, dated)| &dated.secret)
@@ -85,8 +85,8 @@
 /// If the last rotation has not come into use yet, or all identifiers are in use.
 pub fn rotate(book: &Book, wall_ms: u64, bytes: [u8; 32]) -> Result<Book, Fault> {
     let last = book.secrets.last();
-    if let Some(last) = last.filter(|last| last.from_ms() > wall_ms) {
-        return Err(Fault::Early { wait_ms: last.from_ms() - wall_ms });
+    if let Some(last) = last.filter(|last| last.active_ms() > wall_ms) {
+        return Err(Fault::Early { wait_ms: last.active_ms() - wall_ms });
     }
     let valid: Vec<u8> = book.valid(wall_ms).map(|secret| secret.id).collect();
     let mut secrets = book.secrets.clone();
--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod balancer;
 pub mod binding;
 pub mod clock;
+pub mod control;
 pub mod endpoint;
 pub mod entry;
 pub mod event;
--- a/crates/lentilreach/src/version/view.rs
+++ b/crates/lentilreach/src/version/view.rs
@@ -45,12 +45,22 @@
         &self.services
     }
 
+    /// All failure domains, sorted by identifier.
+    pub fn domains(&self) -> &[Domain] {
+        &self.domains
+    }
+
+    /// Finds a failure domain.
+    pub fn domain(&self, id: domain::Id) -> Option<&Domain> {
+        let found = self.domains.binary_search_by_key(&id, |domain| domain.id);
+        found.ok().map(|i| &self.domains[i])
+    }
+
     /// Whether operators have taken the failure domain out.
     ///
     /// An unknown failure domain is in: a view older than the domain must not drop its flows.
     pub fn is_out(&self, id: domain::Id) -> bool {
-        let found = self.domains.binary_search_by_key(&id, |domain| domain.id);
-        found.is_ok_and(|i| self.domains[i].out)
+        self.domain(id).is_some_and(|domain| domain.out)
     }
 }
 
