--- /dev/null
+++ b/crates/standin/tests/control.rs
@@ -0,0 +1,183 @@
+//! Balancers and agents take their configuration from the store over the exchange.
+
+#[path = "control/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, any, count, until};
+use lentilreach::process::admin::Source as _;
+use lentilreach::process::event::Kind;
+use lentilreach::process::spread::entry::Entry;
+use lentilreach::version::config::key;
+use lentilreach_standin::store::Away;
+
+/// Guards against a document that some process does not get, and against processes that need
+/// a list of balancers to find each other.
+#[test]
+fn submitted_service_is_in_force_everywhere() {
+    let fleet = Fleet::start(5, 3);
+
+    let revision = fleet.submit(4434);
+
+    fleet.wait_for(revision);
+    fleet.wait_for_members(4434, 3);
+    until("agents are ready under the revision", || {
+        let boards = fleet.backs.iter().map(|back| back.agent.board());
+        boards.into_iter().all(|board| {
+            board.ready().is_ok() && board.status().revision == Some(revision)
+        })
+    });
+    for front in &fleet.fronts {
+        assert_eq!(front.members(4433), None, "the former address has no service");
+        assert!(front.balancer.board().ready().is_ok());
+    }
+}
+
+/// Guards against an accepted document that is lost with the store, and against a holder
+/// that gives up its configuration or fills the timeline during an outage.
+#[test]
+fn accepted_document_spreads_without_the_store() {
+    let mut fleet = Fleet::start(3, 1);
+    fleet.wait_for_members(4433, 1);
+    let revision = fleet.submit(4434);
+    until("a holder has read the document", || {
+        let views = fleet.fronts.iter().map(|front| front.balancer.tables().view());
+        views.into_iter().any(|view| view.revision >= revision)
+    });
+
+    fleet.handle().away(Away::Refuse);
+
+    fleet.wait_for(revision);
+    until("a holder noticed the outage", || {
+        fleet.fronts.iter().any(|front| front.count(|k| *k == Kind::StoreAway) == 1)
+    });
+    fleet.add_agent(any());
+    fleet.wait_for_members(4434, 2);
+    fleet.handle().back();
+    until("holders noticed the end of the outage", || {
+        fleet.fronts.iter().all(|front| {
+            let away = front.count(|kind| *kind == Kind::StoreAway);
+            away == front.count(|kind| *kind == Kind::StoreBack)
+        })
+    });
+    let revision = fleet.submit(4435);
+    fleet.wait_for(revision);
+    for front in &fleet.fronts {
+        assert!(front.count(|kind| *kind == Kind::StoreAway) <= 1, "recorded once");
+    }
+}
+
+/// Guards against a configuration that reverts when a process that was paused past its lease
+/// publishes what it had read before.
+#[test]
+fn relay_paused_past_its_lease_reverts_nothing() {
+    let fleet = Fleet::start(3, 1);
+    fleet.wait_for_members(4433, 1);
+    let key = key::service("weilheim", "abo");
+    let old = fleet.handle().get(&key).expect("submitted");
+    let slots =
+        || (0..2).filter_map(|slot| fleet.handle().lease(&key::relay("nord", slot)));
+    until("two balancers hold the slots", || slots().count() == 2);
+    let revision = fleet.submit(4434);
+    fleet.wait_for(revision);
+
+    slots().collect::<Vec<_>>().into_iter().for_each(|lease| {
+        fleet.handle().lapse(lease);
+    });
+    for front in &fleet.fronts {
+        let entry = Entry::document(key.clone(), old.modified, Some(old.value.clone()));
+        front.balancer.exchange().submit(entry);
+    }
+
+    until("the slots are held again", || slots().count() == 2);
+    let later = fleet.write("lentilreach/template/t", "{}");
+    fleet.wait_for(later);
+    for front in &fleet.fronts {
+        assert_eq!(front.members(4434), Some(1));
+        assert_eq!(front.members(4433), None, "the former version came back");
+    }
+    let lost = fleet
+        .fronts
+        .iter()
+        .map(|front| front.count(|kind| matches!(kind, Kind::RelayLost { .. })));
+    assert_eq!(lost.sum::<usize>(), 2, "each holder noticed that its lease had ended");
+}
+
+/// Guards against agents that go on serving in a failure domain that is out of service, and
+/// against a return without a cold start.
+#[test]
+fn failure_domain_goes_out_and_comes_back() {
+    let fleet = Fleet::start(2, 2);
+    fleet.wait_for_members(4433, 2);
+    let (away, other) = (&fleet.backs[0].agent, &fleet.backs[1].agent);
+    until("agents are ready", || {
+        away.board().ready().is_ok() && other.board().ready().is_ok()
+    });
+
+    fleet.set_out("nord", true);
+
+    until("the agent has stopped", || away.board().ready().is_err());
+    until("balancers know", || {
+        fleet.fronts.iter().all(|front| {
+            let is_out = |kind: &Kind| matches!(kind, Kind::DomainOut { .. });
+            let view = front.balancer.tables().view();
+            front.count(is_out) == 1 && view.domains().iter().any(|domain| domain.out)
+        })
+    });
+    assert!(other.board().ready().is_ok(), "the other failure domain goes on");
+
+    fleet.set_out("nord", false);
+
+    until("the agent serves again", || away.board().ready().is_ok());
+    assert!(away.body().shared().site.slots().is_cold(), "it starts cold");
+    let back = |kind: &Kind| matches!(kind, Kind::DomainBack { .. });
+    until("the return is recorded", || count(&fleet.backs[0].recorder, back) == 1);
+}
+
+/// Guards against two members for one address, which would give an agent two shares of the
+/// new flows, or keep it out with its former incarnation.
+#[test]
+fn second_incarnation_replaces_the_first() {
+    let mut fleet = Fleet::start(2, 1);
+    fleet.wait_for_members(4433, 1);
+    let first = fleet.backs.remove(0);
+    let address = first.agent.body().address();
+
+    drop(first);
+    fleet.add_agent(address);
+
+    let second = fleet.backs[0].node;
+    until("all balancers see the second incarnation alone", || {
+        fleet.fronts.iter().all(|front| {
+            let view = front.balancer.tables().view();
+            let service = view.service(fleet::address(4433));
+            let nodes = service.map(|service| {
+                service.members().iter().map(|member| member.node).collect::<Vec<_>>()
+            });
+            nodes == Some(vec![second])
+        })
+    });
+}
+
+/// Guards against a mistake in one document that takes down what was in force, and against
+/// one that nobody is told of.
+#[test]
+fn document_that_does_not_parse_leaves_the_last_good_one() {
+    let fleet = Fleet::start(2, 1);
+    fleet.wait_for_members(4433, 1);
+    let key = key::service("weilheim", "abo");
+
+    fleet.write(&key, r#"{ "organisation": "weilheim" "#);
+
+    let rejected =
+        |kind: &Kind| matches!(kind, Kind::ConfigRejected { entry, .. } if *entry == key);
+    until("everyone has recorded it", || {
+        fleet.fronts.iter().all(|front| front.count(rejected) == 1)
+            && fleet.backs.iter().all(|back| count(&back.recorder, rejected) == 1)
+    });
+    for front in &fleet.fronts {
+        assert_eq!(front.members(4433), Some(1), "the last good version is in force");
+    }
+    let revision = fleet.submit(4434);
+    fleet.wait_for(revision);
+    fleet.wait_for_members(4434, 1);
+}
