--- a/crates/lentilreach/src/process/control/agent.rs
+++ b/crates/lentilreach/src/process/control/agent.rs
@@ -23,6 +23,10 @@
 /// Time between looks at the load. Reports are made on change only.
 const REPORT: Duration = Duration::from_millis(250);
 
+/// Shortest drain. Draining state is known everywhere within 3 s; most balancers hear of it
+/// within one.
+const LINGER: Duration = Duration::from_secs(3);
+
 /// A running agent with its part in the exchange. Stops without a drain when dropped.
 #[derive(Debug)]
 pub struct Agent<L: Link, X> {
@@ -64,8 +68,13 @@
     }
 
     /// Waits until all flows are closed or the template's limit has passed.
+    ///
+    /// Lasts at least [`LINGER`], so that offers from balancers that have not heard of the
+    /// drain are handed on.
     pub async fn drained(&self) {
+        let linger = Timer::after(LINGER);
         self.body.drained().await;
+        linger.await;
         let open = self.body.shared().flows.read().open();
         let end = if open == 0 { DrainEnd::Complete } else { DrainEnd::Limit };
         self.recorder.record(wall_ms(), Kind::DrainFinished { end });
--- a/crates/lentilreach/src/process/entry.rs
+++ b/crates/lentilreach/src/process/entry.rs
@@ -1,5 +1,9 @@
 //! How datagrams of callers reach a balancer and leave it again.
 
+pub mod direct;
+
+pub use direct::Direct;
+
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/lentilreach/src/process/entry/direct.rs
@@ -0,0 +1,153 @@
+//! A fabric that delivers callers' datagrams unchanged, at the service addresses.
+
+use std::io::{self, IoSliceMut};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+
+use async_io::Async;
+use parking_lot::Mutex;
+use quinn_udp::{RecvMeta, Transmit, UdpSocketState};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::process::entry::{Arrival, Entry};
+
+/// Bytes for the datagrams of one system call: the most that the system combines.
+const BATCH: usize = 65_536;
+
+/// Socket buffers in bytes. Room for about 3,000 full datagrams while a worker is busy.
+const BUFFER: usize = 4 << 20;
+
+/// Receives at the service addresses themselves, and answers from them.
+///
+/// All services have the port of the socket. With an unspecified IP address it receives for
+/// every address that the VM has; the system tells which one a datagram was sent to.
+#[derive(Debug, Clone)]
+pub struct Direct {
+    /// Shared by all clones.
+    shared: Arc<Shared>,
+}
+
+/// State of a [`Direct`].
+#[derive(Debug)]
+struct Shared {
+    /// The socket.
+    socket: Async<UdpSocket>,
+    /// What the system can do with it.
+    state: UdpSocketState,
+    /// The bound address.
+    local: SocketAddr,
+    /// Datagrams that were received together. No other lock is taken while it is held.
+    batch: Mutex<Batch>,
+}
+
+impl Direct {
+    /// Binds the socket. Port 0 takes a free port.
+    ///
+    /// # Errors
+    /// If the address is in use or not on this machine.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let domain = Domain::for_address(address);
+        let socket = Socket::new(domain, Type::DGRAM, Some(Protocol::UDP))?;
+        // The system caps both sizes at its own limit without an error.
+        socket.set_recv_buffer_size(BUFFER)?;
+        socket.set_send_buffer_size(BUFFER)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        let state = UdpSocketState::new((&socket).into())?;
+        let socket = UdpSocket::from(socket);
+        let local = socket.local_addr()?;
+        let socket = Async::new_nonblocking(socket)?;
+        let batch = Mutex::new(Batch::new());
+        Ok(Self { shared: Arc::new(Shared { socket, state, local, batch }) })
+    }
+
+    /// The bound address.
+    pub fn local(&self) -> SocketAddr {
+        self.shared.local
+    }
+}
+
+impl Entry for Direct {
+    async fn receive(&self, buffer: &mut [u8]) -> io::Result<Option<Arrival>> {
+        let shared = &self.shared;
+        shared.socket.read_with(|socket| shared.take(socket, buffer)).await
+    }
+
+    fn send(
+        &self,
+        service: SocketAddr,
+        caller: SocketAddr,
+        datagram: &[u8],
+    ) -> io::Result<()> {
+        let transmit = Transmit {
+            destination: caller,
+            ecn: None,
+            contents: datagram,
+            segment_size: None,
+            src_ip: Some(service.ip()),
+        };
+        self.shared.state.try_send(self.shared.socket.get_ref().into(), &transmit)
+    }
+}
+
+impl Shared {
+    /// Takes the next datagram of the batch, or receives another batch.
+    fn take(&self, socket: &UdpSocket, buffer: &mut [u8]) -> io::Result<Option<Arrival>> {
+        let mut batch = self.batch.lock();
+        if batch.is_empty() {
+            batch.receive(&self.state, socket)?;
+        }
+        let meta = batch.meta;
+        let datagram = batch.next();
+        let Some(place) = buffer.get_mut(..datagram.len()) else { return Ok(None) };
+        place.copy_from_slice(datagram);
+        let ip = match meta.dst_ip {
+            Some(ip) => ip,
+            None if !self.local.ip().is_unspecified() => self.local.ip(),
+            None => return Ok(None),
+        };
+        let service = SocketAddr::new(ip, self.local.port());
+        Ok(Some(Arrival { caller: meta.addr, service, start: 0, end: datagram.len() }))
+    }
+}
+
+/// Datagrams that the system combined: same sender, same destination, same length but for
+/// the last.
+#[derive(Debug)]
+struct Batch {
+    /// Their bytes.
+    bytes: Vec<u8>,
+    /// Index of the first byte that was not taken yet.
+    at: usize,
+    /// What the system told of them.
+    meta: RecvMeta,
+}
+
+impl Batch {
+    /// An empty batch.
+    fn new() -> Self {
+        let meta = RecvMeta { len: 0, stride: 0, ..RecvMeta::default() };
+        Self { bytes: vec![0; BATCH], at: 0, meta }
+    }
+
+    /// Whether all datagrams were taken.
+    fn is_empty(&self) -> bool {
+        self.at >= self.meta.len
+    }
+
+    /// Receives without waiting.
+    fn receive(&mut self, state: &UdpSocketState, socket: &UdpSocket) -> io::Result<()> {
+        let mut metas = [RecvMeta::default()];
+        let mut slices = [IoSliceMut::new(&mut self.bytes)];
+        state.recv(socket.into(), &mut slices, &mut metas)?;
+        (self.at, self.meta) = (0, metas[0]);
+        Ok(())
+    }
+
+    /// Takes the next datagram.
+    fn next(&mut self) -> &[u8] {
+        let end = (self.at + self.meta.stride.max(1)).min(self.meta.len);
+        let start = std::mem::replace(&mut self.at, end);
+        &self.bytes[start..end.max(start)]
+    }
+}
--- a/crates/lentilreach/src/process/mod.rs
+++ b/crates/lentilreach/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod binding;
 pub mod clock;
 pub mod control;
+pub mod daemon;
 pub mod endpoint;
 pub mod entry;
 pub mod event;
--- a/crates/lentilreach/src/process/settings.rs
+++ b/crates/lentilreach/src/process/settings.rs
@@ -43,6 +43,9 @@
     pub node: Node,
     /// Where the fabric delivers the callers' packets, over UDP.
     pub service: SocketAddr,
+    /// Where the fabric takes encapsulated packets for callers. Without it packets come and
+    /// go as they are, and all services have the port of `service`.
+    pub fabric: Option<SocketAddr>,
 }
 
 /// The settings of an agent.
--- a/crates/lentilreach/src/process/settings/builder.rs
+++ b/crates/lentilreach/src/process/settings/builder.rs
@@ -84,7 +84,7 @@
 
     /// The settings of a balancer that receives callers' packets at `service`.
     pub fn balancer(self, service: SocketAddr) -> Balancer {
-        Balancer { node: self.node, service }
+        Balancer { node: self.node, service, fabric: None }
     }
 
     /// The settings of an agent.
--- a/crates/lentilreach/src/process/settings/parse.rs
+++ b/crates/lentilreach/src/process/settings/parse.rs
@@ -21,6 +21,9 @@
     "fleet_secret",
 ];
 
+/// Keys of a balancer besides.
+const BALANCER: [&str; 1] = ["fabric"];
+
 /// Keys of an agent besides.
 const AGENT: [&str; 4] = ["set", "server", "certificate", "certificate_key"];
 
@@ -36,10 +39,12 @@
     let mut reader = Reader::new(file, text);
     let settings = reader.root().and_then(|root| {
         let mut parser = Parser { reader: &mut reader, root: &root, exists };
-        parser.reader.keys(parser.root, "the settings of a balancer", &COMMON);
+        let keys = [&COMMON[..], &BALANCER[..]].concat();
+        parser.reader.keys(parser.root, "the settings of a balancer", &keys);
         let listen = parser.listen(true);
         let node = parser.node(&listen, Needs { store: true, peers: false });
-        Some(Balancer { node: node?, service: listen.service? })
+        let fabric = parser.fabric();
+        Some(Balancer { node: node?, service: listen.service?, fabric: fabric? })
     });
     reader.finish(settings)
 }
@@ -204,6 +209,12 @@
         addresses.into_iter().collect()
     }
 
+    /// Reads the fabric's address; it may be absent.
+    fn fabric(&mut self) -> Option<Option<SocketAddr>> {
+        let Some(property) = self.root.get("fabric") else { return Some(None) };
+        self.reader.address(&property.value, "fabric").map(Some)
+    }
+
     /// Reads the number of worker threads.
     fn threads(&mut self) -> Option<usize> {
         let Some(property) = self.root.get("threads") else {
--- a/crates/standin/tests/control/fleet.rs
+++ b/crates/standin/tests/control/fleet.rs
@@ -8,7 +8,7 @@
 use lentilreach::process::entry::Encapsulated;
 use lentilreach::process::event::{Event, Kind, Recorder};
 use lentilreach::process::key::Secret;
-use lentilreach::process::link::{Link as _, Udp};
+use lentilreach::process::link::Udp;
 use lentilreach::process::pool::Pool;
 use lentilreach::process::settings::Node;
 use lentilreach::process::store::retry::Retry;
