--- /dev/null
+++ b/crates/lentilreach/tests/assembly.rs
@@ -0,0 +1,201 @@
+//! Views and the agents' part of the configuration from what the exchange holds.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use lentilreach::id::{domain, node};
+use lentilreach::process::clock::Millis;
+use lentilreach::process::spread::entry::{self, Node, Role};
+use lentilreach::version::assembly::{self, Config, Peer};
+use lentilreach::version::config::{Change, Domains, Service};
+use lentilreach::version::view::{Load, Stage, View};
+
+/// A service of weilheim with 5 slots.
+fn service(name: &str, set: &str, port: u16) -> Service {
+    let mut limits = lentilreach::version::config::Limits::lowest();
+    (limits.slots, limits.connections, limits.leave_ms) = (5, 2_000, 10_000);
+    Service {
+        organisation: "weilheim".into(),
+        name: name.into(),
+        address: ([127, 1, 0, 1], port).into(),
+        set: set.into(),
+        limits,
+        operation: None,
+    }
+}
+
+/// A document of the exchange.
+fn document(key: &str, revision: u64, value: impl Into<Bytes>) -> entry::Document {
+    entry::Document { key: key.into(), revision, value: Some(value.into()) }
+}
+
+/// The document of a service.
+fn of(service: &Service, revision: u64) -> entry::Document {
+    document(&service.key(), revision, service.encode())
+}
+
+/// The domain document with `nord`, out or in.
+fn domains(revision: u64, out: bool) -> entry::Document {
+    let domains = Domains::default().with(&["nord".into()], None).expect("a name");
+    let change = Change { operation: "op".into(), wall_ms: 0 };
+    let domains = domains.set("nord", out, &change).expect("known");
+    document("lentilreach/domain", revision, domains.encode())
+}
+
+/// A configuration with `abo` at port 1, revision 3.
+fn config() -> Config {
+    let mut config = Config::default();
+    let refused = config.take(&[domains(2, false), of(&service("abo", "abo", 1), 3)]);
+    assert_eq!(refused, []);
+    config
+}
+
+/// An active agent of `abo` with open flows.
+fn peer(id: u64, port: u16, open: u32) -> Peer {
+    let at = |port| ([127, 0, 0, 1], port).into();
+    let node = Node {
+        id: node::Id(id),
+        counter: 1,
+        name: format!("agent-{id}").into(),
+        role: Role::Agent,
+        envelope: at(port),
+        exchange: at(1),
+        admin: at(2),
+        domain: domain::Id(0),
+        set: "abo".into(),
+        organisation: "weilheim".into(),
+        stage: entry::Stage::Active,
+    };
+    let load = Load { open, limit: 2_000, busy: 0, slots: 5, at: Millis(7) };
+    Peer { node: Arc::new(node), silent: false, load }
+}
+
+/// The same agent with a change.
+fn with(mut peer: Peer, change: impl FnOnce(&mut Node)) -> Peer {
+    change(Arc::make_mut(&mut peer.node));
+    peer
+}
+
+/// The members of `abo`, as node identifier and stage.
+fn members(config: &Config, peers: &[Peer]) -> Vec<(u64, Stage)> {
+    let view = assembly::view(config.snapshot(), peers, &View::default());
+    let service = view.service(([127, 1, 0, 1], 1).into()).expect("configured");
+    service.members().iter().map(|member| (member.node.0, member.stage)).collect()
+}
+
+/// Guards against members of another set or organisation, which would get packets of a
+/// service that they do not serve.
+#[test]
+fn members_are_those_of_set_and_organisation() {
+    let peers = [
+        peer(1, 11, 0),
+        with(peer(2, 12, 0), |node| node.set = "beleg".into()),
+        with(peer(3, 13, 0), |node| node.organisation = "peakline".into()),
+        with(peer(4, 14, 0), |node| node.domain = domain::Id(9)),
+    ];
+
+    assert_eq!(members(&config(), &peers), [(1, Stage::Active)]);
+}
+
+/// Guards against new flows for agents that drain, are cold or silent.
+#[test]
+fn stages_are_mapped() {
+    let silent = Peer { silent: true, ..peer(3, 13, 0) };
+    let leaving = with(silent.clone(), |node| {
+        (node.id, node.envelope) = (node::Id(4), ([127, 0, 0, 1], 14).into());
+        node.stage = entry::Stage::Leaving;
+    });
+    let cold = with(peer(2, 12, 0), |node| node.stage = entry::Stage::Cold);
+
+    let members = members(&config(), &[peer(1, 11, 0), cold, silent, leaving]);
+
+    let expected =
+        [(1, Stage::Active), (2, Stage::Cold), (3, Stage::Silent), (4, Stage::Leaving)];
+    assert_eq!(members, expected);
+}
+
+/// Guards against two members for one address after a restart of an agent.
+#[test]
+fn later_incarnation_takes_the_address() {
+    let old = Peer { silent: true, ..peer(9, 11, 4) };
+
+    assert_eq!(members(&config(), &[peer(1, 11, 0), old]), [(1, Stage::Active)]);
+}
+
+/// Guards against a mean that counts agents without new flows, or leaves out cold ones.
+#[test]
+fn mean_is_over_serving_members() {
+    let cold = with(peer(2, 12, 0), |node| node.stage = entry::Stage::Cold);
+    let silent = Peer { silent: true, ..peer(3, 13, 900) };
+    let peers = [peer(1, 11, 25), cold, silent];
+
+    let view = assembly::view(config().snapshot(), &peers, &View::default());
+
+    assert_eq!(view.services()[0].mean(), Some(125));
+}
+
+/// Guards against a revert by an older document, and against a deletion that is missed.
+#[test]
+fn older_documents_change_nothing() {
+    let mut config = config();
+    config.take(&[of(&service("abo", "abo", 2), 8)]);
+
+    config.take(&[of(&service("abo", "abo", 1), 5)]);
+
+    let found = config.snapshot().find("weilheim", "abo").expect("in force");
+    assert_eq!((found.address.port(), config.snapshot().revision), (2, 8));
+    let gone = entry::Document { value: None, ..of(&service("abo", "abo", 1), 9) };
+    config.take(&[gone]);
+    assert_eq!((config.snapshot().services().len(), config.snapshot().revision), (0, 9));
+}
+
+/// Guards against a mistake that takes down the last good version or is reported as in
+/// force, and against one that is reported again and again.
+#[test]
+fn mistake_leaves_the_last_good_version() {
+    let mut config = config();
+    let mistake = [document("lentilreach/service/weilheim/abo", 8, "{")];
+
+    let refused = config.take(&mistake);
+    let again = config.take(&mistake);
+
+    assert_eq!(refused.len(), 1);
+    assert_eq!(again, []);
+    assert_eq!(members(&config, &[peer(1, 11, 0)]).len(), 1);
+    assert_eq!(config.snapshot().revision, 3);
+}
+
+/// Guards against an agent that serves services of other sets, or with limits above those
+/// of one of its services.
+#[test]
+fn agent_gets_its_services_and_the_lowest_limits() {
+    let mut config = config();
+    let mut second = service("termine", "abo", 5);
+    (second.limits.slots, second.limits.leave_ms) = (3, 20_000);
+    config.take(&[of(&second, 4), of(&service("beleg", "beleg", 6), 5)]);
+
+    let served = assembly::served(config.snapshot(), "weilheim", "abo");
+    let limits = assembly::limits(config.snapshot(), "weilheim", "abo").expect("served");
+
+    let names: Vec<&str> = served.iter().map(|served| &*served.name).collect();
+    assert!(served.is_sorted_by_key(|served| served.id));
+    assert_eq!(names.len(), 2);
+    assert!(names.contains(&"weilheim/abo") && names.contains(&"weilheim/termine"));
+    assert_eq!((limits.requests.slots, limits.leave_ms), (3, 20_000));
+    assert_eq!(limits.flows.flows, 2_000);
+    assert!(assembly::limits(config.snapshot(), "weilheim", "other").is_none());
+}
+
+/// Guards against a failure domain that stays in, or comes back by an older document.
+#[test]
+fn failure_domain_goes_out() {
+    let mut config = config();
+
+    config.take(&[domains(6, true)]);
+    config.take(&[domains(5, false)]);
+
+    assert!(assembly::is_out(config.snapshot(), "nord"));
+    assert!(!assembly::is_out(config.snapshot(), "sued"));
+    let view = assembly::view(config.snapshot(), &[], &View::default());
+    assert!(view.is_out(domain::Id(0)));
+}
--- /dev/null
+++ b/crates/lentilreach/tests/key.rs
@@ -0,0 +1,133 @@
+//! The key document and the rotation of keys.
+
+use bytes::Bytes;
+use lentilreach::id::node;
+use lentilreach::process::control::keys::Keys;
+use lentilreach::process::key::document::{self, Fault};
+use lentilreach::process::key::rotate::{self, Book, KEEP_MS, SPREAD_MS, rotate};
+use lentilreach::process::key::{Ring, Secret};
+use lentilreach::process::tables::Tables;
+use lentilreach::request::envelope::{Header, Return};
+
+/// A time of the wall clock, in milliseconds.
+const NOW: u64 = 1_796_000_000_000;
+
+/// The fleet secret.
+fn fleet() -> Secret {
+    Secret::fleet(b"the secret of the fixture")
+}
+
+/// Secrets after so many rotations, each an hour after the one before, and the time of the
+/// last.
+fn rotated(times: u64) -> (Book, u64) {
+    let mut book = Book::default();
+    let mut now = NOW;
+    for time in 0..times {
+        now = NOW + time * 3_600_000;
+        book = rotate(&book, now, [time as u8; 32]).expect("in time");
+    }
+    (book, now)
+}
+
+/// Identifiers of the valid secrets.
+fn valid(book: &Book, wall_ms: u64) -> Vec<u8> {
+    book.valid(wall_ms).map(|secret| secret.id).collect()
+}
+
+/// Guards against a key that is used before everyone has it.
+#[test]
+fn new_secret_is_used_after_it_had_time_to_spread() {
+    let (book, now) = rotated(1);
+
+    assert_eq!(book.current(now + SPREAD_MS - 1), Secret::FLEET);
+    assert_eq!(book.current(now + SPREAD_MS), 1);
+    assert_eq!(valid(&book, now), [1], "accepted from the start");
+}
+
+/// Guards against keys that are dropped while flows still use them, and against keys that
+/// are never dropped.
+#[test]
+fn old_secrets_stay_for_the_longest_flow() {
+    let (book, now) = rotated(2);
+    let replaced = now + SPREAD_MS;
+
+    assert_eq!(valid(&book, replaced + KEEP_MS - 1), [1, 2]);
+    assert_eq!(valid(&book, replaced + KEEP_MS), [2]);
+    let next = rotate(&book, replaced + KEEP_MS, [9; 32]).expect("in time");
+    let ids: Vec<u8> = next.secrets().iter().map(|dated| dated.secret.id).collect();
+    assert_eq!(ids, [2, 3], "dropped from the document too");
+}
+
+/// Guards against an identifier that is used for two valid secrets, or for the fleet secret.
+#[test]
+fn identifiers_are_reused_only_when_free() {
+    let mut book = Book::default();
+    let mut now = NOW;
+    for _ in 0..600 {
+        now += KEEP_MS;
+        book = rotate(&book, now, [1; 32]).expect("in time");
+    }
+
+    assert!(book.secrets().len() <= 3);
+    assert!(book.secrets().iter().all(|dated| dated.secret.id != Secret::FLEET));
+    let early = rotate(&book, now + 1, [1; 32]);
+    assert_eq!(early, Err(rotate::Fault::Early { wait_ms: SPREAD_MS - 1 }));
+}
+
+/// Guards against a document that another fleet can read or change, and against secrets in
+/// what is printed.
+#[test]
+fn document_opens_with_the_fleet_secret_only() {
+    let (book, _) = rotated(2);
+    let sealed = document::seal(&book, &fleet(), [3; 12]);
+
+    assert_eq!(document::open(&sealed, &fleet()), Ok(book.clone()));
+    let other = Secret::fleet(b"another secret of a fleet");
+    assert_eq!(document::open(&sealed, &other), Err(Fault::Seal));
+    let mut damaged = sealed.to_vec();
+    damaged[20] ^= 1;
+    assert_eq!(document::open(&damaged, &fleet()), Err(Fault::Seal));
+    assert_eq!(document::open(b"short", &fleet()), Err(Fault::Short));
+    let printed = format!("{book:?} {:?}", fleet());
+    assert!(!printed.contains("bytes"), "{printed}");
+}
+
+/// Guards against a process that drops its keys because of a damaged or deleted document.
+#[test]
+fn damaged_document_leaves_the_keys() {
+    let (book, now) = rotated(1);
+    let sealed = document::seal(&book, &fleet(), [3; 12]);
+    let mut keys = Keys::new(node::Id(1), fleet());
+    assert!(keys.turn(now).is_none(), "the fleet secret is in force from the start");
+    keys.read(Some(&sealed)).expect("valid");
+    let added = keys.turn(now).expect("one more secret");
+    assert_eq!((added.current, added.exchange.len()), (Secret::FLEET, 2));
+
+    let damaged = keys.read(Some(&Bytes::from_static(b"damaged document")));
+    keys.read(None).expect("a deletion is no mistake");
+
+    assert!(damaged.is_err());
+    let used = keys.turn(now + SPREAD_MS).expect("the secret comes into use");
+    assert_eq!(used.current, 1);
+}
+
+/// Guards against a nonce that is used twice under one key when the ring is replaced.
+#[test]
+fn replaced_ring_goes_on_with_its_nonces() {
+    let ring = || Ring::new(node::Id(5), &[fleet()], Secret::FLEET);
+    let address = ([127, 0, 0, 1], 1).into();
+    let header = Header::Return(Return { address, caller: address });
+    let seal = |ring: &Ring| {
+        let mut envelope = Vec::new();
+        assert!(ring.sealer.seal(&header, b"datagram", &mut envelope));
+        envelope[2..14].to_vec()
+    };
+    let tables = Tables::new(ring());
+    let old = tables.keys();
+    let first = seal(&old);
+
+    tables.set_keys(ring());
+
+    let (second, third) = (seal(&tables.keys()), seal(&old));
+    assert!(first != second && second != third && first != third);
+}
