--- a/crates/standin/tests/control.rs
+++ b/crates/standin/tests/control.rs
@@ -3,12 +3,14 @@
 #[path = "control/fleet.rs"]
 mod fleet;
 
-use fleet::{Fleet, any, count, until};
+use fleet::{Back, Fleet, any, count, until};
 use lentilreach::process::admin::Source as _;
 use lentilreach::process::event::Kind;
 use lentilreach::process::spread::entry::Entry;
+use lentilreach::request::admit::End;
 use lentilreach::version::config::key;
 use lentilreach_standin::store::Away;
+use lentilreach_standin::tls;
 
 /// Guards against a document that some process does not get, and against processes that need
 /// a list of balancers to find each other.
@@ -112,6 +114,10 @@
     until("agents are ready", || {
         away.board().ready().is_ok() && other.board().ready().is_ok()
     });
+    until("the backend server is warm", || {
+        run_request(&fleet.backs[0]);
+        !is_cold(&fleet.backs[0])
+    });
 
     fleet.set_out("nord", true);
 
@@ -128,7 +134,7 @@
     fleet.set_out("nord", false);
 
     until("the agent serves again", || away.board().ready().is_ok());
-    assert!(away.body().shared().site.slots().is_cold(), "it starts cold");
+    assert!(is_cold(&fleet.backs[0]), "it starts cold");
     let back = |kind: &Kind| matches!(kind, Kind::DomainBack { .. });
     until("the return is recorded", || count(&fleet.backs[0].recorder, back) == 1);
 }
@@ -181,3 +187,39 @@
     fleet.wait_for(revision);
     fleet.wait_for_members(4434, 1);
 }
+
+/// Guards against answers from another address than the caller asked, which it drops.
+#[test]
+fn direct_entry_answers_from_the_service_address() {
+    let mut fleet = Fleet::start(1, 1);
+    let port = fleet.add_direct();
+    fleet.submit(port);
+    fleet.wait_for_members(port, 1);
+    let board = fleet.backs[0].agent.board().clone();
+    until("the agent serves", || board.ready().is_ok());
+    let mut caller = quinn::Endpoint::client(any()).expect("a free port");
+    caller.set_default_client_config(tls::client(&fleet.identity).expect("certificate"));
+
+    let connection = smol::block_on(async {
+        let connecting = caller.connect(fleet::address(port), tls::NAME);
+        connecting.expect("a valid address").await
+    });
+
+    assert_eq!(connection.expect("a handshake").remote_address(), fleet::address(port));
+    assert_eq!(fleet.backs[0].agent.body().shared().flows.read().open(), 1);
+}
+
+/// Whether the backend server of an agent is taken to be cold.
+fn is_cold(back: &Back) -> bool {
+    back.agent.body().shared().site.slots().is_cold()
+}
+
+/// Lets an agent see a fast answer of its backend server.
+fn run_request(back: &Back) {
+    let shared = back.agent.body().shared();
+    let deadline = shared.clock.now().after(1_000);
+    let permit = smol::block_on(shared.site.slots().enter(deadline));
+    if let Ok(permit) = permit {
+        permit.finish(End::Answered { took_ms: 1 });
+    }
+}
--- a/crates/standin/tests/control/fleet.rs
+++ b/crates/standin/tests/control/fleet.rs
@@ -5,7 +5,8 @@
 
 use lentilreach::id::node;
 use lentilreach::process::control::{Agent, Balancer, Builder};
-use lentilreach::process::entry::Encapsulated;
+use lentilreach::process::endpoint::Identity;
+use lentilreach::process::entry::{Direct, Encapsulated, Entry};
 use lentilreach::process::event::{Event, Kind, Recorder};
 use lentilreach::process::key::Secret;
 use lentilreach::process::link::Udp;
@@ -51,6 +52,8 @@
     pub fronts: Vec<Front>,
     /// Agents, in failure domains by turns.
     pub backs: Vec<Back>,
+    /// Certificate that callers trust.
+    pub identity: Identity,
 }
 
 impl Fleet {
@@ -58,7 +61,9 @@
     pub fn start(balancers: usize, agents: usize) -> Self {
         let pool = Pool::new(3).expect("threads");
         let store = store::Builder::new().memory();
-        let mut fleet = Self { pool, store, fronts: Vec::new(), backs: Vec::new() };
+        let identity = tls::identity().expect("certificate");
+        let (fronts, backs) = (Vec::new(), Vec::new());
+        let mut fleet = Self { pool, store, fronts, backs, identity };
         let domains = Domains::default().with(&DOMAINS.map(Into::into), None);
         fleet.write("lentilreach/domain", domains.expect("two names").encode());
         fleet.submit(4433);
@@ -67,14 +72,26 @@
         fleet
     }
 
-    /// Starts a balancer. It has no peers in its settings.
+    /// Starts a balancer that callers cannot reach. It has no peers in its settings.
     pub fn add_balancer(&mut self) {
+        self.add_front(Encapsulated::new(link(any()), any()));
+    }
+
+    /// Starts a balancer at all addresses of the machine; returns its port.
+    pub fn add_direct(&mut self) -> u16 {
+        let entry = Direct::bind(([0, 0, 0, 0], 0).into()).expect("a free port");
+        let port = entry.local().port();
+        self.add_front(entry);
+        port
+    }
+
+    /// Starts a balancer.
+    fn add_front(&mut self, entry: impl Entry) {
         let at = self.fronts.len();
         let settings = self.settings("balancer", at).balancer(any()).node;
         let recorder = Recorder::new(settings.name.clone(), settings.domain.clone());
         let store = Settings::builder().attempt_ms(500).call_ms(1_000).build();
         let store = Retry::new(self.store.clone(), store);
-        let entry = Encapsulated::new(link(any()), any());
         let balancer = Builder::new(&self.pool, &settings, secret(), recorder.clone())
             .seed(at as u64)
             .balancer(entry, link(any()), link(any()), store);
@@ -97,12 +114,7 @@
         let agent = Builder::new(&self.pool, common, secret(), recorder.clone())
             .node(node)
             .seed(100 + at as u64)
-            .agent(
-                &settings,
-                tls::identity().expect("certificate"),
-                link(envelope),
-                link(any()),
-            )
+            .agent(&settings, self.identity.clone(), link(envelope), link(any()))
             .expect("IPv4");
         self.backs.push(Back { agent, node, recorder });
     }
