--- a/crates/lentilreach/src/version/view.rs
+++ b/crates/lentilreach/src/version/view.rs
@@ -60,17 +60,23 @@
         &self.services
     }
 
+    /// All failure domains, sorted by identifier.
+    pub fn domains(&self) -> &[Domain] {
+        &self.domains
+    }
+
+    /// Finds a failure domain.
+    pub fn domain(&self, id: domain::Id) -> Option<&Domain> {
+        let found = self.domains.binary_search_by_key(&id, |domain| domain.id);
+        found.ok().map(|i| &self.domains[i])
+    }
+
     /// Whether operators have taken the failure domain out.
     ///
     /// An unknown failure domain is in: a view older than the domain must not drop its flows.
     pub fn is_out(&self, id: domain::Id) -> bool {
         self.out[usize::from(id.0 >> 6)] & (1 << (id.0 & 63)) != 0
     }
-
-    /// All failure domains, sorted by identifier.
-    pub fn domains(&self) -> &[Domain] {
-        &self.domains
-    }
 }
 
 /// A failure domain.
@@ -99,6 +105,8 @@
     table: Arc<Table>,
     /// What routing reads of each of `members`, in the same order.
     choices: Arc<[Choice]>,
+    /// See [`load::mean_serving`].
+    mean: Option<u32>,
 }
 
 impl Service {
@@ -113,7 +121,8 @@
         members.dedup_by_key(|member| member.node);
         let table = Arc::new(Table::build(&members));
         let choices = load::choices(&members).into();
-        Self { address, id, name, members: members.into(), table, choices }
+        let mean = load::mean_serving(&members);
+        Self { address, id, name, members: members.into(), table, choices, mean }
     }
 
     /// The same service with new load and stage of members, if the set is unchanged.
@@ -124,7 +133,13 @@
         let same = members.len() == self.members.len()
             && members.iter().zip(self.members.iter()).all(|(a, b)| a.node == b.node);
         let choices = load::choices(&members).into();
-        same.then(|| Self { members: members.into(), choices, ..self.clone() })
+        let mean = load::mean_serving(&members);
+        same.then(|| Self { members: members.into(), choices, mean, ..self.clone() })
+    }
+
+    /// The mean of the reported open flows of its members, in tenths of a flow.
+    pub fn mean(&self) -> Option<u32> {
+        self.mean
     }
 
     /// The members, sorted by node identifier.
--- a/crates/lentilreach/tests/codec.rs
+++ b/crates/lentilreach/tests/codec.rs
@@ -54,6 +54,7 @@
         balancer: address(3),
         position: 0,
         candidates: vec![agent(1), agent(2)],
+        mean: Some(25),
     }
 }
 
--- a/crates/lentilreach/tests/fleet/balancer.rs
+++ b/crates/lentilreach/tests/fleet/balancer.rs
@@ -74,6 +74,7 @@
             caller,
             balancer,
             position: 0,
+            mean: None,
             candidates,
         };
         self.send(agent_at(to), Message::Forward(forward, datagram, body));
