Call a store connection by its name and count only calls that arrive

The client's private type shared its name with process::link, and the stand-in counted calls that were refused a connection, which the served store cannot see.

--- a/crates/lentilreach/src/process/store/etcd.rs
+++ b/crates/lentilreach/src/process/store/etcd.rs
@@ -62,14 +62,14 @@
 #[derive(Debug, Default)]
 struct Slot {
     /// The connection for the next call.
-    link: Option<Link>,
+    connection: Option<Connection>,
     /// Number of connections tried; chooses the endpoint.
     tried: usize,
 }
 
 /// A connection with what errors and requests say about its peer.
 #[derive(Debug, Clone)]
-struct Link {
+struct Connection {
     /// The connection.
     channel: Channel,
     /// Address of the peer.
@@ -106,15 +106,15 @@
     async fn call<T, F>(
         &self,
         step: Step,
-        run: impl FnOnce(Link) -> F + Send,
+        run: impl FnOnce(Connection) -> F + Send,
     ) -> Result<T, Error>
     where
         F: Future<Output = Result<T, Status>> + Send,
     {
-        let link = self.link().await?;
-        let mut open = Open { shared: &self.shared, serial: Some(link.serial) };
-        let peer = link.peer.clone();
-        let answer = run(link).await;
+        let connection = self.connection().await?;
+        let mut open = Open { shared: &self.shared, serial: Some(connection.serial) };
+        let peer = connection.peer.clone();
+        let answer = run(connection).await;
         open.serial = None;
         answer.map_err(|status| convert::error(step, &peer, &status))
     }
@@ -123,10 +123,12 @@
     ///
     /// Calls that find none at the same time each open one; the last one stays. That needs
     /// no lock over an await, and the call budget limits their number.
-    async fn link(&self) -> Result<Link, Error> {
-        let current = self.shared.slot.read().link.clone();
-        if let Some(link) = current.filter(|link| !link.channel.is_closed()) {
-            return Ok(link);
+    async fn connection(&self) -> Result<Connection, Error> {
+        let current = self.shared.slot.read().connection.clone();
+        if let Some(connection) =
+            current.filter(|connection| !connection.channel.is_closed())
+        {
+            return Ok(connection);
         }
         let serial = {
             let mut slot = self.shared.slot.write();
@@ -136,11 +138,11 @@
         let endpoints = &self.shared.endpoints;
         let endpoint = endpoints[(serial - 1) % endpoints.len()];
         let peer: Name = endpoint.to_string().into();
-        let link = self.open(endpoint, serial, &peer).await.map_err(|cause| {
+        let connection = self.open(endpoint, serial, &peer).await.map_err(|cause| {
             Error::Unavailable { step: Step::Connect, peer, cause: cause.to_string() }
         })?;
-        self.shared.slot.write().link = Some(link.clone());
-        Ok(link)
+        self.shared.slot.write().connection = Some(connection.clone());
+        Ok(connection)
     }
 
     /// Opens a connection.
@@ -149,7 +151,7 @@
         endpoint: SocketAddr,
         serial: usize,
         peer: &Name,
-    ) -> io::Result<Link> {
+    ) -> io::Result<Connection> {
         let origin = Uri::builder().scheme("http").authority(&**peer).path_and_query("/");
         let origin = origin.build().map_err(io::Error::other)?;
         let late = async {
@@ -158,7 +160,7 @@
         };
         let channel = Channel::connect(endpoint, self.shared.ping, &self.shared.pool);
         let channel = future::or(channel, late).await?;
-        Ok(Link { channel, peer: peer.clone(), origin, serial })
+        Ok(Connection { channel, peer: peer.clone(), origin, serial })
     }
 }
 
@@ -172,8 +174,8 @@
     async fn range(&self, prefix: &str) -> Result<Range, Error> {
         let (key, range_end) = convert::bounds(prefix);
         let request = RangeRequest { key, range_end };
-        let answer = self.call(Step::Range, |link| async move {
-            let mut client = link.keys();
+        let answer = self.call(Step::Range, |connection| async move {
+            let mut client = connection.keys();
             client.range(request).await
         });
         Range::try_from(answer.await?.into_inner())
@@ -182,8 +184,8 @@
 
     async fn write(&self, txn: Txn) -> Result<Written, Error> {
         let request = TxnRequest::from(txn);
-        let answer = self.call(Step::Write, |link| async move {
-            let mut client = link.keys();
+        let answer = self.call(Step::Write, |connection| async move {
+            let mut client = connection.keys();
             client.txn(request).await
         });
         Written::try_from(answer.await?.into_inner())
@@ -192,8 +194,8 @@
 
     async fn grant(&self, ttl: Duration) -> Result<Lease, Error> {
         let request = LeaseGrantRequest { ttl: convert::seconds(ttl), id: 0 };
-        let answer = self.call(Step::Grant, |link| async move {
-            let mut client = link.leases();
+        let answer = self.call(Step::Grant, |connection| async move {
+            let mut client = connection.leases();
             client.lease_grant(request).await
         });
         let answer = answer.await?.into_inner();
@@ -206,8 +208,8 @@
 
     async fn keep(&self, lease: Lease) -> Result<Duration, Error> {
         let request = LeaseKeepAliveRequest { id: lease.0 };
-        let answer = self.call(Step::Keep, |link| async move {
-            let mut client = link.leases();
+        let answer = self.call(Step::Keep, |connection| async move {
+            let mut client = connection.leases();
             let mut answers =
                 client.lease_keep_alive(stream::iter([request])).await?.into_inner();
             answers.message().await
@@ -223,8 +225,8 @@
 
     async fn revoke(&self, lease: Lease) -> Result<(), Error> {
         let request = LeaseRevokeRequest { id: lease.0 };
-        let answer = self.call(Step::Revoke, |link| async move {
-            let mut client = link.leases();
+        let answer = self.call(Step::Revoke, |connection| async move {
+            let mut client = connection.leases();
             client.lease_revoke(request).await
         });
         match answer.await {
@@ -235,17 +237,23 @@
 
     async fn watch(&self, prefix: &str, from: u64) -> Result<Watch, Error> {
         let request = convert::watch(prefix, from);
-        let watch = self.call(Step::Watch, |link| async move {
-            let mut client =
-                WatchClient::with_origin(link.channel.clone(), link.origin.clone())
-                    .max_decoding_message_size(MAX_ANSWER);
+        let watch = self.call(Step::Watch, |connection| async move {
+            let mut client = WatchClient::with_origin(
+                connection.channel.clone(),
+                connection.origin.clone(),
+            )
+            .max_decoding_message_size(MAX_ANSWER);
             // The request is the only one; a new channel has room for it.
             let (hold, requests) = async_channel::bounded(1);
             let _ = hold.try_send(request);
             let mut answers = client.watch(requests).await?.into_inner();
             let first = answers.message().await?;
-            let watch =
-                Watch { answers, _hold: hold, _link: link.clone(), peer: link.peer };
+            let watch = Watch {
+                answers,
+                _hold: hold,
+                _connection: connection.clone(),
+                peer: connection.peer,
+            };
             Ok((first, watch))
         });
         let (first, watch) = watch.await?;
@@ -257,7 +265,7 @@
     }
 }
 
-impl Link {
+impl Connection {
     /// Calls for keys.
     fn keys(&self) -> KvClient<Channel> {
         KvClient::with_origin(self.channel.clone(), self.origin.clone())
@@ -279,7 +287,7 @@
     /// dropping the answers alone does not reset the stream.
     _hold: async_channel::Sender<WatchRequest>,
     /// Keeps the connection open.
-    _link: Link,
+    _connection: Connection,
     /// Address of the store.
     peer: Name,
 }
@@ -335,7 +343,7 @@
     fn drop(&mut self) {
         if let Some(serial) = self.serial {
             let mut slot = self.shared.slot.write();
-            slot.link.take_if(|link| link.serial == serial);
+            slot.connection.take_if(|connection| connection.serial == serial);
         }
     }
 }
--- a/crates/standin/src/store/handle.rs
+++ b/crates/standin/src/store/handle.rs
@@ -178,6 +178,10 @@
         step: Step,
         run: impl FnOnce(&mut Core, Millis) -> Result<T, Refusal>,
     ) -> Result<T, Fault> {
+        if self.is_refusing() {
+            // Without a connection, no call reaches the store.
+            return Err(Fault::Away);
+        }
         self.shared.state.write().counts.add(step);
         self.reach().await?;
         self.change(|state| {
