--- a/crates/lentilreach/src/process/spread/digest.rs
+++ b/crates/lentilreach/src/process/spread/digest.rs
@@ -161,9 +161,10 @@
     u64::from(part).is_multiple_of(DOCUMENTS)
 }
 
-/// Whether a place falls into part `index` of a digest of the given width.
-pub fn falls(place: u64, index: usize, width: usize) -> bool {
-    place as usize % WIDTH % width.max(1) == index
+/// Whether a place falls into one of the parts of a digest of the given width.
+pub fn falls(place: u64, parts: &[u16], width: u16) -> bool {
+    let part = place as usize % WIDTH % usize::from(width.max(1));
+    parts.contains(&(part as u16))
 }
 
 /// Shortens a sum for the wire.
--- a/crates/lentilreach/src/process/spread/member.rs
+++ b/crates/lentilreach/src/process/spread/member.rs
@@ -153,12 +153,13 @@
 
     /// Milliseconds of steady heartbeats that end a silence.
     ///
-    /// Zero after the first silence. Doubles with each further one, so that a slow node is
-    /// not thrown out and brought back repeatedly.
+    /// Zero after the first two silences, which a cut may cause on its way in and out. Doubles
+    /// with each further one, so that a slow node is not thrown out and brought back
+    /// repeatedly.
     pub fn hold_ms(&self) -> u64 {
         match self.flaps {
-            0 | 1 => 0,
-            flaps => 1_000 << flaps.min(5),
+            0..=2 => 0,
+            flaps => 1_000 << (flaps - 1).min(5),
         }
     }
 
--- a/crates/lentilreach/src/process/spread/message.rs
+++ b/crates/lentilreach/src/process/spread/message.rs
@@ -72,11 +72,11 @@
         /// The sums; empty if the roots are equal.
         sums: Vec<u32>,
     },
-    /// Asks for the entries of one part of the digest.
+    /// Asks for the entries of some parts of the digest.
     Pull(Pull),
-    /// Entries of one part of the digest.
+    /// Entries of parts of the digest.
     Fill {
-        /// The part.
+        /// The first part of the question.
         index: u16,
         /// Position of the message in the response.
         turn: u8,
@@ -110,7 +110,12 @@
                 Self::Hashes { scope, sums, .. } => {
                     scope_size(scope) + 3 + 4 * sums.len()
                 }
-                Self::Pull(pull) => scope_size(&pull.scope) + 9 + 4 * pull.have.len(),
+                Self::Pull(pull) => {
+                    scope_size(&pull.scope)
+                        + 8
+                        + 3 * pull.parts.len()
+                        + 4 * pull.have.len()
+                }
                 Self::Fill { entries, .. } => 8 + sum(entries),
             }
     }
@@ -223,21 +228,29 @@
     }
 }
 
-/// Asks for the entries of one part of the digest.
+/// Asks for the entries of some parts of the digest.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Pull {
     /// What is compared.
     pub scope: Scope,
     /// Number of parts.
     pub width: u16,
-    /// The part.
-    pub index: u16,
+    /// The parts, at most [`Pull::PARTS`]; the first one identifies the question.
+    pub parts: Vec<u16>,
     /// Whether the receiver may ask back for entries that it lacks.
     pub back: bool,
-    /// Shortened fingerprints of the entries that the sender has.
+    /// Shortened fingerprints of entries that the sender has, at most [`Pull::HAVE`].
     pub have: Vec<u32>,
 }
 
+impl Pull {
+    /// Most parts of a question.
+    pub const PARTS: usize = 8;
+
+    /// Most fingerprints of a question. What is left out is sent once more than needed.
+    pub const HAVE: usize = 240;
+}
+
 /// Upper bound of the encoded size of an entry in bytes.
 pub fn entry_size(entry: &Entry) -> usize {
     1 + match entry {
--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -213,20 +213,20 @@
         pull: Pull,
         actions: &mut Vec<Action>,
     ) {
-        let (index, width) = (usize::from(pull.index), usize::from(pull.width));
-        let part = self.state.part(now, &pull.scope, index, width);
+        let part = self.state.parts(now, &pull.scope, &pull.parts, pull.width);
+        let Some(index) = pull.parts.first().copied() else { return };
         let lacks = |hash: &u32| part.iter().all(|(own, _)| own != hash);
         let ask_back = pull.back && pull.have.iter().any(lacks);
-        let own: Vec<u32> = part.iter().map(|(hash, _)| *hash).collect();
+        let own = part.iter().map(|(hash, _)| *hash).take(Pull::HAVE).collect();
         let missing = part.into_iter().filter(|(hash, _)| !pull.have.contains(hash));
         // A node that joins can wait; one that serves must not lack configuration.
-        let class = if pull.back && holds_documents(pull.index) {
+        let class = if pull.back && holds_documents(index) {
             Class::Configuration
         } else {
             Class::Repair
         };
         let missing = missing.map(|(_, entry)| entry);
-        self.fill(now, to, class, pull.index, missing, actions);
+        self.fill(now, to, class, index, missing, actions);
         if ask_back && self.ready {
             let body = Body::Pull(Pull { back: false, have: own, ..pull });
             self.send(now, to, body, actions);
--- a/crates/lentilreach/src/process/spread/repair.rs
+++ b/crates/lentilreach/src/process/spread/repair.rs
@@ -6,6 +6,7 @@
 
 use crate::process::clock::Millis;
 use crate::process::spread::digest::{Scope, WIDTH, holds_documents};
+use crate::process::spread::message::Pull;
 use crate::process::spread::state::State;
 
 /// Parts that are asked for at the same time.
@@ -145,7 +146,7 @@
         self.pending.iter().any(|part| holds_documents(*part))
     }
 
-    /// Takes the next part to ask for: the peer, the number of parts, the part.
+    /// Takes the next parts to ask for: the peer, the width of the digest, the parts.
     ///
     /// `peer` is asked if it is given, otherwise the one that sent the sums.
     pub fn next(
@@ -154,13 +155,13 @@
         joining: bool,
         peer: Option<SocketAddr>,
         rng: &mut Rng,
-    ) -> Option<(SocketAddr, u16, u16)> {
+    ) -> Option<(SocketAddr, u16, Vec<u16>)> {
         let (helpers, pending) = (&mut self.helpers, &mut self.pending);
         self.open.retain(|open| {
             let late = now.since(open.at) >= TIMEOUT_MS;
             if late && joining {
                 helpers.retain(|helper| *helper != open.peer);
-                pending.push(open.part);
+                pending.extend(&open.parts);
             }
             !late
         });
@@ -175,16 +176,26 @@
         let document = self.pending.iter().position(|part| holds_documents(*part));
         let document = document.filter(|_| !joining);
         let index = document.unwrap_or_else(|| rng.usize(..self.pending.len()));
-        let part = self.pending.swap_remove(index);
-        self.open.push(Open { part, peer, at: now, seen: 0, end: None });
-        Some((peer, self.width as u16, part))
+        let mut parts = vec![self.pending.swap_remove(index)];
+        if !joining {
+            // Two nodes that serve differ in few entries, so that one response holds those
+            // of several parts.
+            let kind = holds_documents(parts[0]);
+            let same = |part: &mut u16| holds_documents(*part) == kind;
+            parts.extend(self.pending.extract_if(.., same).take(Pull::PARTS - 1));
+        }
+        let open = Open { parts: parts.clone(), peer, at: now, seen: 0, end: None };
+        self.open.push(open);
+        Some((peer, self.width as u16, parts))
     }
 
     /// Notes a message with entries of a part.
     ///
     /// The part is covered if a ready node sent it and no message of the response is missing.
     pub fn filled(&mut self, now: Millis, part: u16, turn: u8, ready: bool, last: bool) {
-        let Some(index) = self.open.iter().position(|open| open.part == part) else {
+        let Some(index) =
+            self.open.iter().position(|open| open.parts.first() == Some(&part))
+        else {
             return;
         };
         let open = &mut self.open[index];
@@ -193,10 +204,10 @@
         open.end = if last { Some(turn) } else { open.end };
         // Messages of a response may overtake each other.
         let whole = open.end.is_some_and(|end| open.seen.count_ones() > end.into());
-        if whole {
-            self.open.swap_remove(index);
+        if !whole {
+            return;
         }
-        if whole && ready {
+        for part in self.open.swap_remove(index).parts.into_iter().filter(|_| ready) {
             let places = (usize::from(part)..WIDTH).step_by(self.width);
             places.for_each(|place| self.covered[place] = true);
         }
@@ -214,11 +225,11 @@
     }
 }
 
-/// A part that has been asked for.
+/// Parts that have been asked for together.
 #[derive(Debug)]
 struct Open {
-    /// The part.
-    part: u16,
+    /// The parts.
+    parts: Vec<u16>,
     /// Who was asked.
     peer: SocketAddr,
     /// When it was asked for, or a message of the response last arrived.
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -86,12 +86,11 @@
             let joining = !self.ready;
             let other = if joining { self.any_helper() } else { None };
             let next = self.repair.next(now, joining, other, &mut self.rng);
-            let Some((peer, width, index)) = next else { return };
+            let Some((peer, width, parts)) = next else { return };
             let scope = self.scope.clone();
-            let part = self.state.part(now, &scope, index.into(), width.into());
-            let mut have: Vec<u32> = part.into_iter().map(|(hash, _)| hash).collect();
-            have.truncate(MAX_FIELDS / 4 - 64);
-            let pull = Pull { scope, width, index, back: self.ready, have };
+            let own = self.state.parts(now, &scope, &parts, width);
+            let have = own.into_iter().map(|(hash, _)| hash).take(Pull::HAVE).collect();
+            let pull = Pull { scope, width, parts, back: self.ready, have };
             self.send(now, peer, Body::Pull(pull), actions);
         }
     }
--- a/crates/lentilreach/src/process/spread/state.rs
+++ b/crates/lentilreach/src/process/spread/state.rs
@@ -93,21 +93,21 @@
         }
     }
 
-    /// Entries of one part of the digest, each with its shortened fingerprint.
-    pub fn part(
+    /// Entries of parts of the digest, each with its shortened fingerprint.
+    pub fn parts(
         &self,
         now: Millis,
         scope: &Scope,
-        index: usize,
-        width: usize,
+        parts: &[u16],
+        width: u16,
     ) -> Vec<(u32, Entry)> {
+        let falls = |place: u64| falls(place, parts, width);
         let documents = self
             .documents
             .iter()
-            .filter(|d| falls(d.place(), index, width))
+            .filter(|d| falls(d.place()))
             .map(|d| (fold(d.fingerprint()), Entry::Document(d.clone())));
-        let members =
-            self.members.iter().filter(|m| falls(node_place(m.id), index, width));
+        let members = self.members.iter().filter(|m| falls(node_place(m.id)));
         let members = members.flat_map(|member| {
             let node = member.node.as_ref();
             let node = node.map(|n| (fold(n.fingerprint()), Entry::Node(n.clone())));
--- a/crates/lentilreach/src/process/spread/wire.rs
+++ b/crates/lentilreach/src/process/spread/wire.rs
@@ -112,8 +112,8 @@
     Compare(#[serde(borrow)] Area<'a>, [u8; 4], bool),
     /// Sums: scope, ready, sums.
     Hashes(#[serde(borrow)] Area<'a>, bool, Vec<[u8; 4]>),
-    /// Question for entries: scope, width, index, back, fingerprints.
-    Pull(#[serde(borrow)] Area<'a>, u16, u16, bool, Vec<[u8; 4]>),
+    /// Question for entries: scope, width, parts, back, fingerprints.
+    Pull(#[serde(borrow)] Area<'a>, u16, Vec<u16>, bool, Vec<[u8; 4]>),
     /// Entries of one part: index, position, ready, last, entries.
     Fill(u16, u8, bool, bool, #[serde(borrow)] Vec<Entry<'a>>),
 }
@@ -182,7 +182,8 @@
                 Self::Hashes(scope.into(), *ready, words(sums))
             }
             Body::Pull(p) => {
-                Self::Pull((&p.scope).into(), p.width, p.index, p.back, words(&p.have))
+                let (scope, parts) = ((&p.scope).into(), p.parts.clone());
+                Self::Pull(scope, p.width, parts, p.back, words(&p.have))
             }
             Body::Fill { index, turn, ready, last, entries } => {
                 Self::Fill(*index, *turn, *ready, *last, list(entries))
@@ -224,12 +225,13 @@
                 let sums = valid.then(|| unwords(&sums)).ok_or(Fault::Size)?;
                 Self::Hashes { scope: scope.try_into()?, ready, sums }
             }
-            Wire::Pull(scope, width, index, back, have) => {
-                if !is_width(width.into()) || index >= width {
+            Wire::Pull(scope, width, parts, back, have) => {
+                let fits = (1..=message::Pull::PARTS).contains(&parts.len());
+                if !fits || !is_width(width.into()) || parts.iter().any(|p| *p >= width) {
                     return Err(Fault::Size);
                 }
                 let (scope, have) = (scope.try_into()?, unwords(&have));
-                Self::Pull(message::Pull { scope, width, index, back, have })
+                Self::Pull(message::Pull { scope, width, parts, back, have })
             }
             Wire::Fill(index, turn, ready, last, entries) => {
                 Self::Fill { index, turn, ready, last, entries: unlist(entries)? }
