Judge silence only by heartbeats heard directly

A balancer that a node no longer attaches to took the newest heartbeat known to others as the last one and published silence after it. It now asks with the version of the attachment that it knows and is told of a newer one.

--- a/crates/lentilreach/src/process/spread/attach.rs
+++ b/crates/lentilreach/src/process/spread/attach.rs
@@ -95,7 +95,10 @@
                 self.avoid.push((slot.id, now));
             }
         }
-        self.slots.retain(|slot| !slot.is_lost(now) && is_fit(state, slot.id, me.id));
+        let least = least(state, me.id);
+        self.slots.retain(|slot| {
+            !slot.is_lost(now) && fitness(state, slot.id, me.id) >= Some(least)
+        });
         self.fill(me, state, rng);
         self.better(now, me, state, rng);
         before != self.ids()
@@ -143,9 +146,10 @@
         rng: &mut Rng,
         filter: impl Fn(domain::Id) -> bool,
     ) -> Option<Slot> {
+        let least = least(state, me.id);
         let nodes = state.members().iter().filter_map(|member| member.node.as_ref());
         let nodes = nodes.filter(|n| {
-            is_fit(state, n.id, me.id)
+            fitness(state, n.id, me.id) >= Some(least)
                 && filter(n.domain)
                 && self.slots.iter().all(|slot| slot.id != n.id)
                 && self.avoid.iter().all(|(id, _)| *id != n.id)
@@ -204,12 +208,17 @@
     }
 }
 
-/// Whether a member is a balancer that can be attached to.
-fn is_fit(state: &State, id: node::Id, me: node::Id) -> bool {
-    let Some(member) = state.member(id).filter(|member| member.id != me) else {
-        return false;
-    };
-    let node = member.node.as_ref();
-    member.status == Status::Alive
-        && node.is_some_and(|n| n.role == Role::Balancer && n.stage != Stage::Leaving)
+/// Whether a member can be attached to, and whether it is alive. `None` if it cannot.
+fn fitness(state: &State, id: node::Id, me: node::Id) -> Option<bool> {
+    let member = state.member(id).filter(|member| member.id != me)?;
+    let node = member.node.as_ref()?;
+    let fits = node.role == Role::Balancer && node.stage != Stage::Leaving;
+    fits.then_some(member.status == Status::Alive)
+}
+
+/// The least fitness that is asked for.
+///
+/// If no balancer seems alive, any is tried: more likely this node was cut off.
+fn least(state: &State, me: node::Id) -> bool {
+    state.members().iter().any(|member| fitness(state, member.id, me) == Some(true))
 }
--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -68,6 +68,9 @@
 /// Time between ticks in milliseconds.
 pub const TICK_MS: u64 = 100;
 
+/// Least time in milliseconds between publications of the heartbeats of attached nodes.
+const VOUCH_MS: u64 = 10_000;
+
 /// One node's part in the exchange.
 #[derive(Debug)]
 pub struct Core {
@@ -113,6 +116,8 @@
     pub(super) listed: u64,
     /// When any node was last heard.
     pub(super) heard: Millis,
+    /// When the heartbeats of attached nodes were last published.
+    pub(super) vouched: Millis,
     /// The load now, if it was ever given.
     pub(super) load: Option<Load>,
     /// The load last reported, and when.
@@ -150,6 +155,7 @@
             order: Vec::new(),
             listed: 0,
             heard: Millis(0),
+            vouched: Millis(0),
             load: None,
             reported: None,
         }
@@ -387,10 +393,31 @@
             let rounds = self.rounds(Class::Liveness);
             self.hot.add(Key::Node(node), Class::Liveness, rounds);
             self.hot.add(Key::Attach(node), Class::Liveness, rounds);
+            self.vouch(now, actions);
         }
         true
     }
 
+    /// Publishes the heartbeats of the nodes whose first balancer this is.
+    ///
+    /// Where this balancer was taken for silent, so are likely those that attach to it.
+    fn vouch(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if now.since(self.vouched) < VOUCH_MS {
+            return;
+        }
+        self.vouched = now;
+        for id in self.watches.ids().collect::<Vec<_>>() {
+            let Some(member) = self.state.member(id) else { continue };
+            let is_first = member.attach.is_some_and(|a| a.is_first(self.me.id));
+            let node = member.node.as_ref().filter(|_| is_first);
+            if let Some((node, beat)) = node.zip(self.watches.evidence(now, id)) {
+                let (role, vital) = (node.role, Vital::Alive);
+                let pulse = Pulse { node: id, role, beat, vital, age_ms: 0 };
+                self.apply(now, Entry::Pulse(pulse), actions);
+            }
+        }
+    }
+
     /// Number of pushes of a new entry: all but a few nodes get it from one of them.
     ///
     /// Each node passes an entry on, so the share that remains without it falls by a factor
--- a/crates/lentilreach/src/process/spread/member.rs
+++ b/crates/lentilreach/src/process/spread/member.rs
@@ -58,6 +58,8 @@
     pub orphan: Option<Millis>,
     /// Silences in close succession.
     flaps: u8,
+    /// When the last of them took effect.
+    fell: Millis,
 }
 
 impl Member {
@@ -75,6 +77,7 @@
             silent_from: Millis(0),
             orphan: None,
             flaps: 0,
+            fell: Millis(0),
         }
     }
 
@@ -83,8 +86,6 @@
         let since = Millis(now.0.saturating_sub(pulse.age_ms));
         let fell = self.vital() == Vital::Alive && pulse.vital != Vital::Alive;
         if fell {
-            let related = since.since(self.since) < FLAP_MS;
-            self.flaps = if related { self.flaps.saturating_add(1) } else { 1 };
             // An old silence arrives after a partition or a pause, when a refutation is
             // likely to be on its way.
             let late = pulse.age_ms > SILENT_MS;
@@ -98,6 +99,16 @@
         }
     }
 
+    /// Takes on a status; counts silences that took effect, not those refuted in time.
+    pub fn turn(&mut self, now: Millis, status: Status) {
+        if self.status == Status::Alive && self.vital() != Vital::Alive {
+            let related = now.since(self.fell) < FLAP_MS;
+            self.flaps = if related { self.flaps.saturating_add(1) } else { 1 };
+            self.fell = now;
+        }
+        self.status = status;
+    }
+
     /// The pulse with its present age.
     pub fn aged(&self, now: Millis) -> Option<Pulse> {
         self.pulse.map(|pulse| Pulse { age_ms: now.since(self.since), ..pulse })
--- a/crates/lentilreach/src/process/spread/message.rs
+++ b/crates/lentilreach/src/process/spread/message.rs
@@ -46,6 +46,8 @@
         node: node::Id,
         /// Its last heartbeat known to the sender.
         beat: u64,
+        /// Version of its attachment known to the sender.
+        attach: u64,
     },
     /// Response to a query: a newer heartbeat was heard.
     Evidence {
@@ -103,9 +105,8 @@
                 }
                 Self::Push(entries) => 2 + sum(entries),
                 Self::Part(part) => part.size(),
-                Self::Query { beat, .. } | Self::Evidence { beat, .. } => {
-                    8 + varint(*beat)
-                }
+                Self::Query { beat, attach, .. } => 8 + varint(*beat) + varint(*attach),
+                Self::Evidence { beat, .. } => 8 + varint(*beat),
                 Self::Compare { scope, .. } => scope_size(scope) + 5,
                 Self::Hashes { scope, sums, .. } => {
                     scope_size(scope) + 3 + 4 * sums.len()
@@ -139,12 +140,14 @@
     /// The class of the message.
     pub fn class(&self) -> Class {
         match self {
-            Self::Beat(_) | Self::Ack(_) => Class::Configuration,
+            // Heartbeats, and what keeps a node from being taken for silent.
+            Self::Beat(_) | Self::Ack(_) | Self::Query { .. } | Self::Evidence { .. } => {
+                Class::Configuration
+            }
             Self::Push(entries) => {
                 entries.iter().map(Entry::class).min().unwrap_or(Class::Load)
             }
             Self::Part(_) => Class::Configuration,
-            Self::Query { .. } | Self::Evidence { .. } => Class::Liveness,
             Self::Compare { .. } | Self::Pull(_) => Class::Liveness,
             Self::Hashes { .. } | Self::Fill { .. } => Class::Repair,
         }
--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -37,11 +37,8 @@
                     self.apply(now, Entry::Document(document), actions);
                 }
             }
-            Body::Query { node, beat } => {
-                let known = self.watches.evidence(now, node).filter(|b| *b > beat);
-                if let Some(beat) = known {
-                    self.send(now, from, Body::Evidence { node, beat }, actions);
-                }
+            Body::Query { node, beat, attach } => {
+                self.answer_query(now, from, node, beat, attach, actions);
             }
             Body::Evidence { node, beat } => self.watches.confirm(now, node, beat),
             // What a joining node could answer is of no use.
@@ -67,6 +64,27 @@
         }
     }
 
+    /// Answers with a newer heartbeat of a node, and with its attachment if that is newer:
+    /// the asking balancer may not be concerned any more.
+    fn answer_query(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        node: node::Id,
+        beat: u64,
+        attach: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(beat) = self.watches.evidence(now, node).filter(|b| *b > beat) {
+            self.send(now, to, Body::Evidence { node, beat }, actions);
+        }
+        let known = self.state.member(node).and_then(|member| member.attach);
+        if let Some(known) = known.filter(|known| known.counter > attach) {
+            let body = Body::Push(vec![Entry::Attach(known)]);
+            self.send(now, to, body, actions);
+        }
+    }
+
     /// Takes entries in.
     fn take_all(&mut self, now: Millis, entries: Vec<Entry>, actions: &mut Vec<Action>) {
         for entry in entries {
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -232,7 +232,8 @@
         let own = short(self.me.id);
         for monitor in attach.monitors.into_iter().flatten().filter(|m| *m != own) {
             if let Some(to) = self.state.monitor(monitor).map(|node| node.exchange) {
-                self.send(now, to, Body::Query { node: id, beat }, actions);
+                let attach = attach.counter;
+                self.send(now, to, Body::Query { node: id, beat, attach }, actions);
             }
         }
     }
@@ -247,7 +248,11 @@
     ) {
         let Some(member) = self.state.member(id) else { return };
         let Some(node) = &member.node else { return };
-        let (role, beat) = (node.role, beat.max(member.beat()));
+        if beat < member.beat() {
+            // Others have heard it later.
+            return;
+        }
+        let role = node.role;
         let pulse = Pulse { node: id, role, beat, vital: Vital::Silent, age_ms: 0 };
         self.apply(now, Entry::Pulse(pulse), actions);
     }
--- a/crates/lentilreach/src/process/spread/state.rs
+++ b/crates/lentilreach/src/process/spread/state.rs
@@ -148,7 +148,7 @@
                 true => Status::Silent,
             };
             if member.status != status {
-                member.status = status;
+                member.turn(now, status);
                 self.changes += 1;
                 changed.push(member.id);
             }
--- a/crates/lentilreach/src/process/spread/watch.rs
+++ b/crates/lentilreach/src/process/spread/watch.rs
@@ -43,6 +43,7 @@
             watch.steady = now;
         }
         watch.address = from;
+        watch.direct = true;
         watch.hear(now, beat);
         true
     }
@@ -86,7 +87,7 @@
             }
             if quiet >= SILENT_MS - SUSPECT_MS {
                 let known = member.is_some_and(|m| m.vital() != Vital::Alive);
-                if !known {
+                if !known && watch.direct {
                     verdicts.push(Verdict::Silent(watch.node, watch.beat));
                 }
             } else if watch.asked.is_none_or(|asked| now.since(asked) >= AGAIN_MS) {
@@ -153,6 +154,8 @@
     pub address: SocketAddr,
     /// Its last heartbeat.
     beat: u64,
+    /// Whether it has sent heartbeats here. If not, others have to judge its silence.
+    direct: bool,
     /// When that was heard, here or elsewhere.
     heard: Millis,
     /// Since when heartbeats arrive without a gap.
@@ -167,7 +170,16 @@
     /// Starts to watch a node as if it had just been heard.
     fn new(now: Millis, node: node::Id, address: SocketAddr) -> Self {
         let queue = Vec::new();
-        Self { node, address, beat: 0, heard: now, steady: now, asked: None, queue }
+        Self {
+            node,
+            address,
+            beat: 0,
+            direct: false,
+            heard: now,
+            steady: now,
+            asked: None,
+            queue,
+        }
     }
 
     /// Notes a newer heartbeat.
--- a/crates/lentilreach/src/process/spread/wire.rs
+++ b/crates/lentilreach/src/process/spread/wire.rs
@@ -104,8 +104,8 @@
     Push(#[serde(borrow)] Vec<Entry<'a>>),
     /// Part of a document: key, revision, index, count, bytes.
     Part(&'a str, u64, u16, u16, &'a [u8]),
-    /// Question for a heartbeat: node, number.
-    Query([u8; 8], u64),
+    /// Question for a heartbeat: node, number, version of the attachment.
+    Query([u8; 8], u64, u64),
     /// A heartbeat: node, number.
     Evidence([u8; 8], u64),
     /// Question for sums: scope, root, ready.
@@ -173,7 +173,9 @@
             Body::Ack(a) => Self::Ack(a.beat, a.counter, a.attach, a.root.to_le_bytes()),
             Body::Push(entries) => Self::Push(list(entries)),
             Body::Part(p) => Self::Part(&p.key, p.revision, p.index, p.count, &p.bytes),
-            Body::Query { node, beat } => Self::Query(node.0.to_le_bytes(), *beat),
+            Body::Query { node, beat, attach } => {
+                Self::Query(node.0.to_le_bytes(), *beat, *attach)
+            }
             Body::Evidence { node, beat } => Self::Evidence(node.0.to_le_bytes(), *beat),
             Body::Compare { scope, root, ready } => {
                 Self::Compare(scope.into(), root.to_le_bytes(), *ready)
@@ -213,7 +215,9 @@
                 count,
                 bytes: Bytes::copy_from_slice(bytes),
             }),
-            Wire::Query(id, beat) => Self::Query { node: id_of(id), beat },
+            Wire::Query(id, beat, attach) => {
+                Self::Query { node: id_of(id), beat, attach }
+            }
             Wire::Evidence(id, beat) => Self::Evidence { node: id_of(id), beat },
             Wire::Compare(scope, root, ready) => {
                 let (scope, root) = (scope.try_into()?, u32::from_le_bytes(root));
