--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -37,11 +37,8 @@
                     self.apply(now, Entry::Document(document), actions);
                 }
             }
-            Body::Query { node, beat } => {
-                let known = self.watches.evidence(now, node).filter(|b| *b > beat);
-                if let Some(beat) = known {
-                    self.send(now, from, Body::Evidence { node, beat }, actions);
-                }
+            Body::Query { node, beat, attach } => {
+                self.answer_query(now, from, node, beat, attach, actions);
             }
             Body::Evidence { node, beat } => self.watches.confirm(now, node, beat),
             // What a joining node could answer is of no use.
@@ -67,6 +64,27 @@
         }
     }
 
+    /// Answers with a newer heartbeat of a node, and with its attachment if that is newer:
+    /// the asking balancer may not be concerned any more.
+    fn answer_query(
+        &mut self,
+        now: Millis,
+        to: SocketAddr,
+        node: node::Id,
+        beat: u64,
+        attach: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(beat) = self.watches.evidence(now, node).filter(|b| *b > beat) {
+            self.send(now, to, Body::Evidence { node, beat }, actions);
+        }
+        let known = self.state.member(node).and_then(|member| member.attach);
+        if let Some(known) = known.filter(|known| known.counter > attach) {
+            let body = Body::Push(vec![Entry::Attach(known)]);
+            self.send(now, to, body, actions);
+        }
+    }
+
     /// Takes entries in.
     fn take_all(&mut self, now: Millis, entries: Vec<Entry>, actions: &mut Vec<Action>) {
         for entry in entries {
@@ -213,20 +231,20 @@
         pull: Pull,
         actions: &mut Vec<Action>,
     ) {
-        let (index, width) = (usize::from(pull.index), usize::from(pull.width));
-        let part = self.state.part(now, &pull.scope, index, width);
+        let part = self.state.parts(now, &pull.scope, &pull.parts, pull.width);
+        let Some(index) = pull.parts.first().copied() else { return };
         let lacks = |hash: &u32| part.iter().all(|(own, _)| own != hash);
         let ask_back = pull.back && pull.have.iter().any(lacks);
-        let own: Vec<u32> = part.iter().map(|(hash, _)| *hash).collect();
+        let own = part.iter().map(|(hash, _)| *hash).take(Pull::HAVE).collect();
         let missing = part.into_iter().filter(|(hash, _)| !pull.have.contains(hash));
         // A node that joins can wait; one that serves must not lack configuration.
-        let class = if pull.back && holds_documents(pull.index) {
+        let class = if pull.back && holds_documents(index) {
             Class::Configuration
         } else {
             Class::Repair
         };
         let missing = missing.map(|(_, entry)| entry);
-        self.fill(now, to, class, pull.index, missing, actions);
+        self.fill(now, to, class, index, missing, actions);
         if ask_back && self.ready {
             let body = Body::Pull(Pull { back: false, have: own, ..pull });
             self.send(now, to, body, actions);
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -86,12 +86,11 @@
             let joining = !self.ready;
             let other = if joining { self.any_helper() } else { None };
             let next = self.repair.next(now, joining, other, &mut self.rng);
-            let Some((peer, width, index)) = next else { return };
+            let Some((peer, width, parts)) = next else { return };
             let scope = self.scope.clone();
-            let part = self.state.part(now, &scope, index.into(), width.into());
-            let mut have: Vec<u32> = part.into_iter().map(|(hash, _)| hash).collect();
-            have.truncate(MAX_FIELDS / 4 - 64);
-            let pull = Pull { scope, width, index, back: self.ready, have };
+            let own = self.state.parts(now, &scope, &parts, width);
+            let have = own.into_iter().map(|(hash, _)| hash).take(Pull::HAVE).collect();
+            let pull = Pull { scope, width, parts, back: self.ready, have };
             self.send(now, peer, Body::Pull(pull), actions);
         }
     }
@@ -233,7 +232,8 @@
         let own = short(self.me.id);
         for monitor in attach.monitors.into_iter().flatten().filter(|m| *m != own) {
             if let Some(to) = self.state.monitor(monitor).map(|node| node.exchange) {
-                self.send(now, to, Body::Query { node: id, beat }, actions);
+                let attach = attach.counter;
+                self.send(now, to, Body::Query { node: id, beat, attach }, actions);
             }
         }
     }
@@ -248,7 +248,11 @@
     ) {
         let Some(member) = self.state.member(id) else { return };
         let Some(node) = &member.node else { return };
-        let (role, beat) = (node.role, beat.max(member.beat()));
+        if beat < member.beat() {
+            // Others have heard it later.
+            return;
+        }
+        let role = node.role;
         let pulse = Pulse { node: id, role, beat, vital: Vital::Silent, age_ms: 0 };
         self.apply(now, Entry::Pulse(pulse), actions);
     }
--- a/crates/lentilreach/src/process/spread/wire.rs
+++ b/crates/lentilreach/src/process/spread/wire.rs
@@ -104,16 +104,16 @@
     Push(#[serde(borrow)] Vec<Entry<'a>>),
     /// Part of a document: key, revision, index, count, bytes.
     Part(&'a str, u64, u16, u16, &'a [u8]),
-    /// Question for a heartbeat: node, number.
-    Query([u8; 8], u64),
+    /// Question for a heartbeat: node, number, version of the attachment.
+    Query([u8; 8], u64, u64),
     /// A heartbeat: node, number.
     Evidence([u8; 8], u64),
     /// Question for sums: scope, root, ready.
     Compare(#[serde(borrow)] Area<'a>, [u8; 4], bool),
     /// Sums: scope, ready, sums.
     Hashes(#[serde(borrow)] Area<'a>, bool, Vec<[u8; 4]>),
-    /// Question for entries: scope, width, index, back, fingerprints.
-    Pull(#[serde(borrow)] Area<'a>, u16, u16, bool, Vec<[u8; 4]>),
+    /// Question for entries: scope, width, parts, back, fingerprints.
+    Pull(#[serde(borrow)] Area<'a>, u16, Vec<u16>, bool, Vec<[u8; 4]>),
     /// Entries of one part: index, position, ready, last, entries.
     Fill(u16, u8, bool, bool, #[serde(borrow)] Vec<Entry<'a>>),
 }
@@ -173,7 +173,9 @@
             Body::Ack(a) => Self::Ack(a.beat, a.counter, a.attach, a.root.to_le_bytes()),
             Body::Push(entries) => Self::Push(list(entries)),
             Body::Part(p) => Self::Part(&p.key, p.revision, p.index, p.count, &p.bytes),
-            Body::Query { node, beat } => Self::Query(node.0.to_le_bytes(), *beat),
+            Body::Query { node, beat, attach } => {
+                Self::Query(node.0.to_le_bytes(), *beat, *attach)
+            }
             Body::Evidence { node, beat } => Self::Evidence(node.0.to_le_bytes(), *beat),
             Body::Compare { scope, root, ready } => {
                 Self::Compare(scope.into(), root.to_le_bytes(), *ready)
@@ -182,7 +184,8 @@
                 Self::Hashes(scope.into(), *ready, words(sums))
             }
             Body::Pull(p) => {
-                Self::Pull((&p.scope).into(), p.width, p.index, p.back, words(&p.have))
+                let (scope, parts) = ((&p.scope).into(), p.parts.clone());
+                Self::Pull(scope, p.width, parts, p.back, words(&p.have))
             }
             Body::Fill { index, turn, ready, last, entries } => {
                 Self::Fill(*index, *turn, *ready, *last, list(entries))
@@ -212,7 +215,9 @@
                 count,
                 bytes: Bytes::copy_from_slice(bytes),
             }),
-            Wire::Query(id, beat) => Self::Query { node: id_of(id), beat },
+            Wire::Query(id, beat, attach) => {
+                Self::Query { node: id_of(id), beat, attach }
+            }
             Wire::Evidence(id, beat) => Self::Evidence { node: id_of(id), beat },
             Wire::Compare(scope, root, ready) => {
                 let (scope, root) = (scope.try_into()?, u32::from_le_bytes(root));
@@ -224,12 +229,13 @@
                 let sums = valid.then(|| unwords(&sums)).ok_or(Fault::Size)?;
                 Self::Hashes { scope: scope.try_into()?, ready, sums }
             }
-            Wire::Pull(scope, width, index, back, have) => {
-                if !is_width(width.into()) || index >= width {
+            Wire::Pull(scope, width, parts, back, have) => {
+                let fits = (1..=message::Pull::PARTS).contains(&parts.len());
+                if !fits || !is_width(width.into()) || parts.iter().any(|p| *p >= width) {
                     return Err(Fault::Size);
                 }
                 let (scope, have) = (scope.try_into()?, unwords(&have));
-                Self::Pull(message::Pull { scope, width, index, back, have })
+                Self::Pull(message::Pull { scope, width, parts, back, have })
             }
             Wire::Fill(index, turn, ready, last, entries) => {
                 Self::Fill { index, turn, ready, last, entries: unlist(entries)? }
