--- a/crates/lentilreach/tests/fleet/agent.rs
+++ b/crates/lentilreach/tests/fleet/agent.rs
@@ -58,6 +58,8 @@
     /// Requests on the backend server and when they began.
     busy: Vec<(Ticket, Millis)>,
     cold_until: Millis,
+    /// Whether the backend server turns cold in the moment in which it becomes idle.
+    turning: bool,
     /// Changes when the backend server is restarted.
     life: u64,
     announced: u64,
@@ -91,6 +93,7 @@
             jobs: Vec::new(),
             busy: Vec::new(),
             cold_until: now.after(LIMITS.cold_ms),
+            turning: false,
             life: 0,
             announced: 0,
         }
@@ -198,16 +201,24 @@
             )
         });
         self.apply(at, actions);
+        let agent = &mut self.agents[at];
+        if agent.turning && agent.busy.is_empty() {
+            // The worst moment: the evidence of warmth is as fresh as it can be.
+            agent.turning = false;
+            agent.cold_until = now.after(LIMITS.cold_ms);
+        }
     }
 
-    /// The backend server turns cold: unnoticed while idle, otherwise with a restart.
+    /// Lets the backend server turn cold unnoticed, once it has become idle.
     pub fn turn_cold(&mut self, at: usize) {
+        self.agents[at].turning = true;
+    }
+
+    /// Restarts the backend server: connections close and it is cold.
+    pub fn restart(&mut self, at: usize) {
         let now = self.now;
         let agent = &mut self.agents[at];
         agent.cold_until = now.after(LIMITS.cold_ms);
-        if agent.busy.is_empty() {
-            return;
-        }
         agent.life += 1;
         let failed = std::mem::take(&mut agent.busy);
         let mut actions = Vec::new();
--- a/crates/lentilreach/tests/fleet/balancer.rs
+++ b/crates/lentilreach/tests/fleet/balancer.rs
@@ -23,7 +23,7 @@
     pub config: Config,
     /// By agent: service, counter and time of the last announcement, and its content.
     members: Vec<Option<(usize, u64, Millis, Member)>>,
-    view: View,
+    pub view: View,
 }
 
 impl World {
--- a/crates/lentilreach/tests/fleet/caller.rs
+++ b/crates/lentilreach/tests/fleet/caller.rs
@@ -54,6 +54,8 @@
     /// The stream on the present flow and when it was last sent.
     stream: Option<(u64, Millis)>,
     not_before: Millis,
+    /// How often its outcome was unknown.
+    unknown: u8,
 }
 
 impl Caller {
@@ -84,8 +86,14 @@
     pub fn want(&mut self, caller: usize, idempotent: bool) {
         let work = Work { operation: self.unique(), attempt: 0 };
         let not_before = self.now;
-        let operation =
-            Operation { work, idempotent, key: None, stream: None, not_before };
+        let operation = Operation {
+            work,
+            idempotent,
+            key: None,
+            stream: None,
+            not_before,
+            unknown: 0,
+        };
         self.callers[caller].operations.push(operation);
     }
 
@@ -166,12 +174,16 @@
             }
             Reply::Unknown(stream) => {
                 flow.established = true;
-                // The outcome of an idempotent request does not matter: it is tried again.
-                if let Some(mine) = caller.take(stream).filter(|mine| mine.idempotent) {
-                    let work = Work { attempt: mine.work.attempt + 1, ..mine.work };
-                    let not_before = now.after(100);
-                    let again = Operation { work, stream: None, not_before, ..mine };
-                    caller.operations.push(again);
+                // An idempotent request is tried anew; any other with the same key, which
+                // may give the answer, a few times.
+                if let Some(mut mine) =
+                    caller.take(stream).filter(|mine| mine.unknown < 3)
+                {
+                    mine.work.attempt += u64::from(mine.idempotent);
+                    mine.unknown += u8::from(!mine.idempotent);
+                    mine.stream = None;
+                    mine.not_before = now.after(100);
+                    caller.operations.push(mine);
                 }
             }
             _ => {}
--- a/crates/lentilreach/tests/fleet/mod.rs
+++ b/crates/lentilreach/tests/fleet/mod.rs
@@ -16,7 +16,8 @@
 use lentilreach::process::ledger;
 use lentilreach::request::admit::Ticket;
 use lentilreach::request::envelope::Forward;
-use lentilreach::version::view::Member;
+use lentilreach::version::load;
+use lentilreach::version::view::{Member, Service};
 
 use agent::Agent;
 use balancer::Balancer;
@@ -302,6 +303,10 @@
             if !self.agents[at].alive || self.paused(Place::Agent(at)).is_some() {
                 continue;
             }
+            let view = &self.balancers[at % BALANCERS].view;
+            let service = view.service(address(self.agents[at].service));
+            let mean = load::mean(service.map(Service::members).unwrap_or_default());
+            self.agents[at].table.set_mean(mean);
             let lies = self.trouble.liar == Some(at);
             let (count, member) = self.agents[at].announcement(self.now, lies);
             for balancer in 0..self.balancers.len() {
--- a/crates/lentilreach/tests/matrix.rs
+++ b/crates/lentilreach/tests/matrix.rs
@@ -177,8 +177,11 @@
             world.callers.iter_mut().for_each(|caller| caller.reopen());
         }
         Step::Admit => {
-            for caller in callers {
-                (0..12).for_each(|_| world.want(caller, true));
+            // Bursts with gaps, so that backend servers are full and idle in turn.
+            for _ in 0..8 {
+                let callers = callers.clone();
+                callers.for_each(|caller| (0..5).for_each(|_| world.want(caller, true)));
+                world.run(world.now.after(100));
             }
         }
         Step::Run => {
@@ -220,7 +223,8 @@
         Fault::Late => world.trouble.late = true,
         Fault::Reordered => world.trouble.reordered = true,
         Fault::LyingLoad => world.trouble.liar = Some(agent),
-        Fault::ColdTurn => world.turn_cold(agent),
+        Fault::ColdTurn if world.rng.bool() => world.turn_cold(agent),
+        Fault::ColdTurn => world.restart(agent),
         Fault::Paused if world.rng.bool() => world.pause(Place::Agent(agent), FAULT_MS),
         Fault::Paused => world.pause(Place::Balancer(balancer), FAULT_MS),
     }
