Run the demo over the store, the relays and the exchange

Cause: the demo handed views to balancers itself, so nothing of control was exercised end to end. Change: the demo starts the stand-in store over loopback, submits its configuration as the command does, and starts balancers and agents through control::Builder; the fabric follows their readiness. The plan config submits changes, two at once.

--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -34,9 +34,6 @@
 /// Time between two samples of open flows.
 const SAMPLE: Duration = Duration::from_millis(100);
 
-/// Time between two reports of load.
-const REPORT: Duration = Duration::from_millis(500);
-
 /// Mean time between two requests on a flow.
 const THINK: Duration = Duration::from_millis(1_200);
 
@@ -106,6 +103,16 @@
     pub out_domain_packets: u64,
     /// For each service: largest over mean of open flows per eligible backend server.
     pub imbalance: Vec<Imbalance>,
+    /// Longest time from acceptance of a configuration to the last process, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub config_in_force_ms: Option<u64>,
+    /// Times that a process went back to an earlier configuration.
+    pub config_reverts: u64,
+    /// Calls to the store a second, a waiting watch counted as one call.
+    pub store_calls_per_s: f64,
+    /// Most bytes a second that any process sent for control.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub control_bytes_per_s_per_node: Option<f64>,
     /// Smallest share of requests answered in any second, in the domain plan.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub service_share: Option<f64>,
@@ -132,6 +139,7 @@
             self.cold_overruns,
             self.leaving_new_work,
             self.out_domain_packets,
+            self.config_reverts,
         ];
         broken.iter().all(|count| *count == 0)
     }
@@ -154,7 +162,7 @@
     )?;
     let stop = Leave::default();
     let callers = start_callers(&pool, &cluster, &record, &stop)?;
-    let publish = pool.spawn(publish(cluster.clone()));
+    let follow = pool.spawn(cluster.clone().follow());
     smol::block_on(Timer::after(WARM_UP));
     progress("warmed up");
     let sampler = Arc::new(Mutex::new(Sampler::new(settings.deployment.services.len())));
@@ -170,7 +178,7 @@
     // Callers finish the request that they are at.
     smol::block_on(Timer::after(Duration::from_millis(500)));
     drop(callers);
-    drop(publish);
+    drop(follow);
     let imbalance = sampler.lock().imbalance(&settings.deployment);
     Ok(report(settings, &cluster, &record, imbalance))
 }
@@ -199,13 +207,13 @@
         stop: stop.clone(),
     };
     let mut callers = Vec::new();
-    for (index, service) in cluster.deployment().services.iter().enumerate() {
+    for service in &cluster.deployment().services {
         let count = cluster.flows_per_unit() * service.targets as u32;
         for at in 0..count {
             let number = callers.len() as u32 + 1;
             let habit = Habit {
                 service: service.name,
-                address: cluster.address(index),
+                address: service.address,
                 delay: ARRIVAL * at / count,
                 think: THINK,
                 keep: number.is_multiple_of(SHORT_SHARE).then_some(SHORT),
@@ -216,18 +224,13 @@
     Ok(callers)
 }
 
-/// Reports load again and again.
-async fn publish(cluster: Cluster) {
-    loop {
-        Timer::after(REPORT).await;
-        cluster.publish();
-    }
-}
-
 /// Samples open flows again and again.
 async fn sample(cluster: Cluster, record: Record, sampler: Arc<Mutex<Sampler>>) {
     loop {
         Timer::after(SAMPLE).await;
+        for (process, revision) in cluster.revisions() {
+            record.revision(process, revision);
+        }
         let flows = record.flows();
         let units = cluster.units();
         let mut sampler = sampler.lock();
@@ -285,7 +288,7 @@
         measured
             .map(|(service, (sum, count))| Imbalance {
                 service: service.name,
-                value: (sum / f64::from(*count) * 1_000.0).round() / 1_000.0,
+                value: round(sum / f64::from(*count)),
             })
             .collect()
     }
@@ -298,6 +301,7 @@
     record: &Record,
     imbalance: Vec<Imbalance>,
 ) -> Report {
+    let seconds = record.elapsed().as_secs_f64();
     let service_share = (settings.plan == Plan::Domain).then(|| share(record));
     Report {
         organisation: settings.deployment.organisation,
@@ -319,6 +323,10 @@
         cold_overruns: record.get(Count::ColdOverrun),
         leaving_new_work: record.get(Count::LeavingWork),
         out_domain_packets: cluster.network().out_packets(),
+        config_in_force_ms: record.longest_in_force().map(|time| time.as_millis() as u64),
+        config_reverts: record.get(Count::Reverted),
+        store_calls_per_s: round(cluster.store().counts().load() as f64 / seconds),
+        control_bytes_per_s_per_node: cluster.network().control_rate().map(round),
         imbalance,
         service_share,
     }
@@ -333,5 +341,10 @@
     let shares = seconds
         .filter(|(sent, _)| *sent > 0)
         .map(|(sent, answered)| *answered as f64 / *sent as f64);
-    (shares.fold(1.0, f64::min) * 1_000.0).round() / 1_000.0
+    round(shares.fold(1.0, f64::min))
+}
+
+/// Rounds to three digits.
+fn round(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
 }
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -3,6 +3,9 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use crate::cluster::{COLD, COLD_SLOTS};
+use crate::unit::LEAVE;
+
 /// A deployment: an organisation with its failure domains and services.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Deployment {
@@ -63,6 +66,23 @@
         }
     }
 
+    /// The operators' file: one template a service, for so many flows per backend server.
+    pub fn document(&self, flows: u32) -> String {
+        let services = self.services.iter();
+        let templates = services.clone().map(|service| service.template(flows));
+        let templates = templates.collect::<Vec<_>>().join(",\n");
+        let services = services.map(|s| {
+            let (name, address) = (s.name, s.address);
+            format!(r#"  "{name}": {{ "template": "{name}", "address": "{address}", "set": "{name}" }}"#)
+        });
+        let services = services.collect::<Vec<_>>().join(",\n");
+        let (organisation, domains) = (self.organisation, self.domains);
+        format!(
+            "{{ \"organisation\": \"{organisation}\", \"domains\": {domains:?},\n\
+             \"templates\": {{\n{templates} }},\n\"services\": {{\n{services} }} }}"
+        )
+    }
+
     /// Finds a deployment by its organisation.
     pub fn find(organisation: &str) -> Option<Self> {
         [Self::weilheim(), Self::peakline()]
@@ -72,6 +92,16 @@
 }
 
 impl Service {
+    /// The template for its backend servers. Each can take over from others of its service.
+    fn template(&self, flows: u32) -> String {
+        let (name, slots, connections) = (self.name, self.slots, 3 * flows);
+        let (cold_ms, leave_ms) = (COLD.as_millis(), LEAVE.as_millis());
+        format!(
+            r#"  "{name}": {{ "slots": {slots}, "connections": {connections}, "cold_slots": {COLD_SLOTS},
+    "cold_ms": {cold_ms}, "leave_ms": {leave_ms}, "queue": 64, "deadline_ms": 2500 }}"#
+        )
+    }
+
     /// A service; `host` is the last part of its loopback address.
     fn new(name: &'static str, targets: usize, slots: u16, host: u8) -> Self {
         // Port 0: the fabric takes a free one, so that runs side by side do not collide.
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -85,9 +85,12 @@
         self.shared.inner.local()
     }
 
-    /// Adds a balancer by its entry address.
+    /// Adds a balancer by its entry address, unless it is there already.
     pub fn add(&self, balancer: SocketAddr) {
-        self.shared.balancers.lock().push(balancer);
+        let mut balancers = self.shared.balancers.lock();
+        if !balancers.contains(&balancer) {
+            balancers.push(balancer);
+        }
     }
 
     /// Removes a balancer.
--- a/crates/standin/src/loopback.rs
+++ b/crates/standin/src/loopback.rs
@@ -36,6 +36,10 @@
     domains: Mutex<Vec<(SocketAddr, usize)>>,
     /// Time since when operators have had each failure domain out.
     out: Mutex<Vec<Option<Instant>>>,
+    /// Whether each failure domain has ever been out.
+    was_out: Mutex<Vec<bool>>,
+    /// Links of the exchange: start, and bytes sent.
+    control: Mutex<Vec<(Instant, Arc<AtomicU64>)>>,
     /// Datagrams that reached a link in a failure domain that was out for [`OUT_GRACE`].
     out_packets: AtomicU64,
 }
@@ -43,6 +47,12 @@
 /// Time within which a failure domain that is taken out must have gone quiet.
 pub const OUT_GRACE: Duration = Duration::from_secs(3);
 
+/// Bytes of the IPv4 and UDP headers of a datagram.
+const HEADERS: u64 = 28;
+
+/// Shortest time over which a rate is taken.
+const MIN_RATE: Duration = Duration::from_secs(5);
+
 impl Network {
     /// A network of `domains` failure domains.
     pub fn new(
@@ -59,6 +69,8 @@
             rng: Mutex::new(Rng::with_seed(seed)),
             domains: Mutex::default(),
             out: Mutex::new(vec![None; domains]),
+            was_out: Mutex::new(vec![false; domains]),
+            control: Mutex::default(),
             out_packets: AtomicU64::new(0),
         };
         Self { shared: Arc::new(shared) }
@@ -76,12 +88,39 @@
         domains.insert(at, (local, domain));
         drop(domains);
         let line = Line::new(&self.shared.pool, udp.clone());
-        Ok(Link { udp, network: self.clone(), domain, line })
+        Ok(Link { udp, network: self.clone(), domain, line, sent: None })
+    }
+
+    /// A link for the exchange, whose bytes are counted.
+    ///
+    /// # Errors
+    /// If no socket can be had.
+    pub fn control(&self, domain: usize) -> io::Result<Link> {
+        let sent = Arc::new(AtomicU64::new(0));
+        self.shared.control.lock().push((Instant::now(), sent.clone()));
+        Ok(Link { sent: Some(sent), ..self.link(domain)? })
+    }
+
+    /// The most bytes a second that any node sent for control since its start, headers of
+    /// IP and UDP included. Nodes that ran for less than 5 s are left out.
+    pub fn control_rate(&self) -> Option<f64> {
+        let links = self.shared.control.lock();
+        let old = links.iter().filter(|(start, _)| start.elapsed() > MIN_RATE);
+        let rate = |(start, sent): &(Instant, Arc<AtomicU64>)| {
+            sent.load(Ordering::Relaxed) as f64 / start.elapsed().as_secs_f64()
+        };
+        old.map(rate).reduce(f64::max)
     }
 
     /// Notes that operators take a failure domain out, or bring it back.
     pub fn set_out(&self, domain: usize, out: bool) {
         self.shared.out.lock()[domain] = out.then(Instant::now);
+        self.shared.was_out.lock()[domain] |= out;
+    }
+
+    /// Whether a failure domain is or has been out.
+    pub fn was_out(&self, domain: usize) -> bool {
+        self.shared.was_out.lock()[domain]
     }
 
     /// Whether a failure domain is out.
@@ -126,16 +165,24 @@
     domain: usize,
     /// Holds datagrams for other failure domains.
     line: Line,
+    /// Bytes sent, for a link of the exchange.
+    sent: Option<Arc<AtomicU64>>,
 }
 
 impl lentilreach::process::link::Link for Link {
     async fn receive(&self, buffer: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
         let received = self.udp.receive(buffer).await?;
-        self.network.arrive(self.domain);
+        if self.sent.is_none() {
+            // The exchange goes on, so that the failure domain can hear of its return.
+            self.network.arrive(self.domain);
+        }
         Ok(received)
     }
 
     fn send(&self, to: SocketAddr, bytes: &[u8]) -> io::Result<()> {
+        if let Some(sent) = &self.sent {
+            sent.fetch_add(bytes.len() as u64 + HEADERS, Ordering::Relaxed);
+        }
         if self.network.domain(to).is_none_or(|domain| domain == self.domain) {
             return self.udp.send(to, bytes);
         }
--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -7,7 +7,17 @@
 use async_io::Timer;
 use futures_util::future::join_all;
 
-use crate::cluster::{COLD, Cluster, Gone};
+use crate::cluster::{COLD, Cluster};
+use crate::unit::Gone;
+
+/// Time for which a stopping balancer goes on forwarding.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// Time within which an accepted configuration must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(7);
+
+/// Time between two looks at the state of processes.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// A plan of changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,13 +28,16 @@
     Rolling,
     /// A failure domain is taken out and brought back.
     Domain,
+    /// Operators submit changes, two racing.
+    Config,
     /// Processes stop without warning and backend servers turn cold by themselves.
     Crash,
 }
 
 impl Plan {
     /// All plans.
-    pub const ALL: [Self; 4] = [Self::Steady, Self::Rolling, Self::Domain, Self::Crash];
+    pub const ALL: [Self; 5] =
+        [Self::Steady, Self::Rolling, Self::Domain, Self::Config, Self::Crash];
 
     /// The name of the plan.
     pub fn as_str(self) -> &'static str {
@@ -32,6 +45,7 @@
             Self::Steady => "steady",
             Self::Rolling => "rolling",
             Self::Domain => "domain",
+            Self::Config => "config",
             Self::Crash => "crash",
         }
     }
@@ -42,6 +56,7 @@
             Self::Steady => {}
             Self::Rolling => roll(cluster, time, note).await,
             Self::Domain => domain(cluster, time, note).await,
+            Self::Config => config(cluster, time, note).await,
             Self::Crash => crash(cluster, time, note).await,
         }
     }
@@ -84,13 +99,15 @@
         if Instant::now() >= end {
             break;
         }
-        let number = unit.backend.number();
+        let place = unit.backend.number();
         let Ok(new) = cluster.add_unit(service, unit.domain) else { continue };
-        note(&format!("backend server {new} joins for {number}"));
-        Timer::after(COLD + Duration::from_millis(300)).await;
-        note(&format!("backend server {number} leaves"));
+        note(&format!("backend server {} joins for {place}", new.backend.number()));
+        while !new.is_ready() && Instant::now() < end {
+            Timer::after(LOOK).await;
+        }
+        Timer::after(COLD).await;
+        note(&format!("backend server {place} leaves"));
         unit.leave();
-        cluster.publish();
         drains.push(async move { unit.finish().await });
     }
     join_all(drains).await;
@@ -99,10 +116,9 @@
 /// Replaces the balancers until the time is over.
 async fn roll_balancers(cluster: &Cluster, end: Instant, note: &impl Fn(&str)) {
     while Instant::now() < end {
-        Timer::after(Duration::from_secs(2)).await;
-        if cluster.add_balancer().is_ok() {
+        Timer::after(Duration::from_secs(1)).await;
+        if cluster.replace_front(GRACE).await.is_ok() {
             note("balancer replaced");
-            cluster.remove_balancer(Duration::from_secs(1)).await;
         }
     }
 }
@@ -110,11 +126,42 @@
 /// Takes the first failure domain out and brings it back.
 async fn domain(cluster: &Cluster, time: Duration, note: impl Fn(&str)) {
     Timer::after(time / 8).await;
-    note("failure domain out");
-    cluster.set_out(0, true);
+    note(&told("failure domain out", cluster.set_out(0, true).await));
     Timer::after(time / 2).await;
-    note("failure domain back");
-    cluster.set_out(0, false);
+    note(&told("failure domain back", cluster.set_out(0, false).await));
+}
+
+/// Submits changes, two of them at once each time.
+async fn config(cluster: &Cluster, time: Duration, note: impl Fn(&str)) {
+    let end = Instant::now() + time;
+    let flows = cluster.flows_per_unit();
+    let mut step = 0;
+    while Instant::now() < end {
+        Timer::after(Duration::from_secs(1)).await;
+        step += 1;
+        let file = |more: u32| cluster.deployment().document(flows + step * 2 + more);
+        let (first, second) = (file(0), file(1));
+        let operator = cluster.operator();
+        let race =
+            futures_lite::future::zip(operator.submit(&first), operator.submit(&second));
+        let (first, second) = race.await;
+        let won = [&first, &second].into_iter().flatten().copied().collect::<Vec<_>>();
+        note(&format!("{} of 2 operators submitted, revisions {won:?}", won.len()));
+        for revision in won {
+            match cluster.in_force(revision, IN_FORCE).await {
+                Some(time) => cluster.record().in_force(time),
+                None => note(&format!("revision {revision} is not in force after 7 s")),
+            }
+        }
+    }
+}
+
+/// What became of a submit.
+fn told(what: &str, result: Result<u64, String>) -> String {
+    match result {
+        Ok(revision) => format!("{what}, revision {revision}"),
+        Err(error) => format!("{what}: {error}"),
+    }
 }
 
 /// Stops a balancer and a backend server with its agent, and turns others cold.
@@ -122,7 +169,7 @@
     let step = time / 5;
     Timer::after(step).await;
     note("balancer crashes");
-    cluster.crash_balancer(Duration::from_secs(1)).await;
+    cluster.crash_front(Duration::from_secs(1)).await;
     Timer::after(step).await;
     let units = cluster.units();
     note("backend server 0 and its agent crash");
@@ -131,5 +178,8 @@
     note("backend server 1 restarts cold");
     units[1].backend.restart();
     let _ = cluster.add_unit(units[0].service, units[0].domain);
-    let _ = cluster.add_balancer();
+    let _ = cluster.add_front();
+    Timer::after(step).await;
+    note("backend server 2 turns cold and keeps its connections");
+    units[2].backend.chill();
 }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 
@@ -30,6 +30,10 @@
     seconds: Mutex<Vec<(u64, u64)>>,
     /// Open flows by backend server, as callers saw them.
     flows: Mutex<Vec<i64>>,
+    /// Longest time from acceptance of a configuration to the last process.
+    in_force: Mutex<Option<Duration>>,
+    /// By process number: the highest revision seen in force.
+    revisions: Mutex<Vec<u64>>,
 }
 
 /// What is counted.
@@ -62,11 +66,13 @@
     LeavingWork,
     /// Attempts to open a flow that failed.
     OpenFailed,
+    /// Times that a process went back to an earlier configuration.
+    Reverted,
 }
 
 impl Count {
     /// Number of variants.
-    const ALL: usize = Self::OpenFailed as usize + 1;
+    const ALL: usize = Self::Reverted as usize + 1;
 }
 
 impl Record {
@@ -80,10 +86,17 @@
             refused: Mutex::default(),
             seconds: Mutex::default(),
             flows: Mutex::new(vec![0; backends]),
+            in_force: Mutex::default(),
+            revisions: Mutex::default(),
         };
         Self { shared: Arc::new(shared) }
     }
 
+    /// Time since the start of the run.
+    pub fn elapsed(&self) -> Duration {
+        self.shared.start.elapsed()
+    }
+
     /// Counts one.
     pub fn add(&self, count: Count) {
         self.shared.counts[count as usize].fetch_add(1, Ordering::Relaxed);
@@ -146,6 +159,29 @@
         self.shared.seconds.lock().clone()
     }
 
+    /// Notes that a configuration is in force everywhere, so long after its acceptance.
+    pub fn in_force(&self, time: Duration) {
+        let mut longest = self.shared.in_force.lock();
+        *longest = Some(longest.map_or(time, |longest| longest.max(time)));
+    }
+
+    /// Longest time from acceptance of a configuration to the last process.
+    pub fn longest_in_force(&self) -> Option<Duration> {
+        *self.shared.in_force.lock()
+    }
+
+    /// Notes the revision in force at a process, and counts if it is lower than before.
+    pub fn revision(&self, process: usize, revision: u64) {
+        let mut revisions = self.shared.revisions.lock();
+        if revisions.len() <= process {
+            revisions.resize(process + 1, 0);
+        }
+        if revision < revisions[process] {
+            self.add(Count::Reverted);
+        }
+        revisions[process] = revision;
+    }
+
     /// Non-idempotent requests that ran more than once.
     pub fn run_twice(&self) -> u64 {
         let runs = self.shared.runs.lock();
