Test the exchange over a network with faults

A node that is paused repeatedly no longer refutes its own silence: its balancers decide when it counts as alive again. Long documents are sent in paced parts.

--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -1,5 +1,6 @@
 //! The decisions of the exchange: events and the time in, actions out.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -17,7 +18,7 @@
 };
 use crate::process::spread::hot::Queue;
 use crate::process::spread::member::Member;
-use crate::process::spread::message::{Body, Message};
+use crate::process::spread::message::{Body, Message, Part};
 use crate::process::spread::part;
 use crate::process::spread::repair::Repair;
 use crate::process::spread::state::{Outcome, State};
@@ -71,6 +72,9 @@
 /// Least time in milliseconds between publications of the heartbeats of attached nodes.
 const VOUCH_MS: u64 = 10_000;
 
+/// Parts of documents in the queue above which no document is added.
+const MAX_OUTBOX: usize = 256;
+
 /// One node's part in the exchange.
 #[derive(Debug)]
 pub struct Core {
@@ -96,6 +100,8 @@
     pub(super) slots: attach::List,
     /// The digest exchange.
     pub(super) repair: Repair,
+    /// Parts of documents that wait for the budget.
+    pub(super) outbox: VecDeque<(SocketAddr, Part)>,
     /// Documents that arrive in parts.
     pub(super) parts: part::List,
     /// The last heartbeat.
@@ -145,6 +151,7 @@
             watches: watch::List::default(),
             slots: attach::List::default(),
             repair: Repair::new(),
+            outbox: VecDeque::new(),
             parts: part::List::default(),
             beat: 0,
             next_beat: Millis(0),
@@ -294,6 +301,17 @@
         self.send_as(now, to, class, body, actions)
     }
 
+    /// Queues the parts of a long document, unless they are queued already.
+    pub(super) fn send_long(&mut self, to: SocketAddr, document: &Document) {
+        let queued = self.outbox.iter().any(|(address, part)| {
+            (*address, &part.key, part.revision) == (to, &document.key, document.revision)
+        });
+        if !queued && self.outbox.len() < MAX_OUTBOX {
+            let parts = Part::split(document).into_iter().flatten();
+            self.outbox.extend(parts.map(|part| (to, part)));
+        }
+    }
+
     /// Sends a message as one of the given class.
     pub(super) fn send_as(
         &mut self,
@@ -378,23 +396,18 @@
         if pulse.vital == Vital::Alive || outdated {
             return false;
         }
-        let beat = if pulse.node == self.me.id {
+        if pulse.node == self.me.id {
+            // Those that this node attaches to decide when it counts as alive again, so that
+            // a node that is paused repeatedly does not bring itself back each time.
             self.beat = self.beat.max(pulse.beat + 1);
-            Some(self.beat)
-        } else {
-            self.watches.evidence(now, pulse.node).filter(|beat| *beat > pulse.beat)
-        };
-        let Some(beat) = beat else { return false };
-        let (node, role) = (pulse.node, pulse.role);
-        let alive = Pulse { node, role, beat, vital: Vital::Alive, age_ms: 0 };
-        self.apply(now, Entry::Pulse(alive), actions);
-        if node == self.me.id {
-            // Those that had removed this node need its announcement again.
-            let rounds = self.rounds(Class::Liveness);
-            self.hot.add(Key::Node(node), Class::Liveness, rounds);
-            self.hot.add(Key::Attach(node), Class::Liveness, rounds);
             self.vouch(now, actions);
+            return false;
         }
+        let beat =
+            self.watches.evidence(now, pulse.node).filter(|beat| *beat > pulse.beat);
+        let Some(beat) = beat else { return false };
+        let alive = Pulse { beat, vital: Vital::Alive, age_ms: 0, ..*pulse };
+        self.apply(now, Entry::Pulse(alive), actions);
         true
     }
 
--- a/crates/lentilreach/src/process/spread/hot.rs
+++ b/crates/lentilreach/src/process/spread/hot.rs
@@ -109,7 +109,7 @@
     /// Adds an entry if there is space for it. One long document fills a batch.
     pub fn add(&mut self, entry: Entry, space: usize) -> bool {
         if let Entry::Document(document) = &entry
-            && Part::split(document).is_some()
+            && Part::is_needed(document)
         {
             let free = self.long.is_empty();
             if free {
--- a/crates/lentilreach/src/process/spread/message.rs
+++ b/crates/lentilreach/src/process/spread/message.rs
@@ -147,8 +147,8 @@
             Self::Push(entries) => {
                 entries.iter().map(Entry::class).min().unwrap_or(Class::Load)
             }
-            Self::Part(_) => Class::Configuration,
-            Self::Compare { .. } | Self::Pull(_) => Class::Liveness,
+            // A long document must not hold up heartbeats.
+            Self::Part(_) | Self::Compare { .. } | Self::Pull(_) => Class::Liveness,
             Self::Hashes { .. } | Self::Fill { .. } => Class::Repair,
         }
     }
@@ -216,6 +216,11 @@
         2 + self.key.len() + varint(self.revision) + 3 + 3 + 2 + self.bytes.len()
     }
 
+    /// Whether a document is too long for one message.
+    pub fn is_needed(document: &Document) -> bool {
+        document.value.as_ref().is_some_and(|value| value.len() > Self::BYTES)
+    }
+
     /// Splits a document, if it does not fit into one message with other entries.
     pub fn split(document: &Document) -> Option<Vec<Self>> {
         let value = document.value.as_ref().filter(|value| value.len() > Self::BYTES)?;
--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -8,7 +8,7 @@
 use crate::process::spread::digest::{Scope, holds_documents};
 use crate::process::spread::entry::{Class, Entry, Pulse, Role, Vital};
 use crate::process::spread::hot::Batch;
-use crate::process::spread::message::{Ack, Beat, Body, MAX_FIELDS, Message, Part, Pull};
+use crate::process::spread::message::{Ack, Beat, Body, MAX_FIELDS, Message, Pull};
 
 /// Most messages that answer one pull.
 const MAX_FILLS: u8 = 8;
@@ -270,9 +270,7 @@
             {
                 drop(entry);
             }
-            for part in batch.long.iter().filter_map(Part::split).flatten() {
-                self.send_as(now, to, class, Body::Part(part), actions);
-            }
+            batch.long.iter().for_each(|document| self.send_long(to, document));
             let last = entries.peek().is_none();
             let long = !batch.long.is_empty();
             // Parts may be lost unnoticed, so a long document does not count as received.
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -9,7 +9,7 @@
 use crate::process::spread::entry::{Class, Entry, Load, Pulse, Role, Vital, short};
 use crate::process::spread::hot::Batch;
 use crate::process::spread::member::Status;
-use crate::process::spread::message::{Beat, Body, MAX_FIELDS, OVERHEAD, Part, Pull};
+use crate::process::spread::message::{Beat, Body, MAX_FIELDS, OVERHEAD, Pull};
 use crate::process::spread::watch::Verdict;
 
 /// Time between heartbeats in milliseconds.
@@ -60,6 +60,7 @@
             self.repeat(now, actions);
         }
         self.judge(now, actions);
+        self.send_parts(now, actions);
         self.pull(now, actions);
         if self.me.role == Role::Balancer {
             self.push_to_leaves(now, actions);
@@ -301,6 +302,20 @@
         })
     }
 
+    /// Sends queued parts of documents as far as the budget allows.
+    fn send_parts(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        while let Some((to, part)) = self.outbox.pop_front() {
+            let body = Body::Part(part);
+            if self.budget.left(now, body.class()) < body.size() {
+                if let Body::Part(part) = body {
+                    self.outbox.push_front((to, part));
+                }
+                return;
+            }
+            self.send(now, to, body, actions);
+        }
+    }
+
     /// Sends a batch of entries.
     fn send_batch(
         &mut self,
@@ -309,9 +324,7 @@
         batch: Batch,
         actions: &mut Vec<Action>,
     ) {
-        for part in batch.long.iter().filter_map(Part::split).flatten() {
-            self.send(now, to, Body::Part(part), actions);
-        }
+        batch.long.iter().for_each(|document| self.send_long(to, document));
         if !batch.entries.is_empty() {
             self.send(now, to, Body::Push(batch.entries), actions);
         }
--- /dev/null
+++ b/crates/lentilreach/tests/spread.rs
@@ -0,0 +1,447 @@
+//! The exchange of state over a network in virtual time that loses, repeats, delays and
+//! reorders datagrams.
+
+use std::net::SocketAddr;
+
+use lentilreach::Name;
+use lentilreach::id::{domain, node};
+use lentilreach::process::spread::budget::BYTES_PER_S;
+use lentilreach::process::spread::core::{Core, Event};
+use lentilreach::process::spread::entry::{Entry, Load, Node, Pulse, Role, Stage, Vital};
+use lentilreach::process::spread::member::Status;
+use lentilreach_standin::network::{Faults, Network};
+
+/// The key of the document that the tests change.
+const KEY: &str = "lentilreach/service/weilheim/abo-kalender";
+
+/// Datagrams are lost, repeated and reordered more than the targets ask for.
+fn faults() -> Faults {
+    Faults { loss: 0.05, duplicate: 0.05, jitter_us: 20_000, ..Faults::default() }
+}
+
+/// Everything but loads is logged.
+fn network(seed: u64) -> Network {
+    Network::new(seed, faults(), |entry| !matches!(entry, Entry::Load(_)))
+}
+
+/// The exchange address of a node.
+fn address(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 4_001).into()
+}
+
+/// A node in failure domain `number % 3`.
+fn node(number: u8, role: Role, incarnation: u64) -> Node {
+    let id = u64::from(number) + 1 + (incarnation << 8);
+    Node {
+        id: node::Id(id.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        counter: 0,
+        name: format!("node-{number}").into(),
+        role,
+        envelope: ([10, 0, 0, number], 4_000).into(),
+        exchange: address(number),
+        admin: ([10, 0, 0, number], 4_002).into(),
+        domain: domain::Id(number % 3),
+        set: "abo".into(),
+        organisation: "weilheim".into(),
+        stage: Stage::Active,
+    }
+}
+
+/// Starts nodes; the first one has read the store, the others know its address.
+fn fleet(network: &mut Network, balancers: u8, agents: u8) -> Vec<usize> {
+    let mut nodes = Vec::new();
+    for number in 0..balancers + agents {
+        let role = if number < balancers { Role::Balancer } else { Role::Agent };
+        nodes.push(network.start(node(number, role, 0)));
+    }
+    network.event(nodes[0], document(1));
+    network.event(nodes[0], Event::Complete);
+    for index in &nodes[1..] {
+        network.event(*index, Event::Join(address(0)));
+    }
+    network.run(20_000);
+    nodes
+}
+
+/// A change of the document, as read from the store.
+fn document(revision: u64) -> Event {
+    let value = format!("{{\"revision\":{revision}}}").into_bytes();
+    Event::Local(Entry::document(KEY.into(), revision, Some(value.into())))
+}
+
+/// The revision of the document at a node.
+fn revision(core: &Core) -> Option<u64> {
+    core.documents().iter().find(|d| *d.key == *KEY).map(|d| d.revision)
+}
+
+/// How a node sees another.
+fn status(network: &Network, at: usize, of: usize) -> Option<Status> {
+    let id = network.core(of).me().id;
+    let mut members = network.core(at).members();
+    members.find(|(node, _)| node.id == id).map(|(_, member)| member.status)
+}
+
+/// Pulses logged about a node since `since_ms` that declare it silent.
+fn silences(network: &Network, of: usize, since_ms: u64) -> usize {
+    let id = network.core(of).me().id;
+    let is_silence = |entry: &Entry| match entry {
+        Entry::Pulse(pulse) => pulse.node == id && pulse.vital != Vital::Alive,
+        _ => false,
+    };
+    let log = network.log.iter();
+    log.filter(|(at, _, entry)| *at >= since_ms && is_silence(entry)).count()
+}
+
+/// Whether the nodes have equal digests.
+fn agree(network: &Network, nodes: &[usize]) -> bool {
+    let mut roots = nodes.iter().map(|index| network.core(*index).root());
+    let first = roots.next();
+    roots.all(|root| Some(root) == first)
+}
+
+/// Guards against entries that pushes and digests together leave out under loss.
+#[test]
+fn all_nodes_get_all_entries() {
+    let mut network = network(1);
+
+    let nodes = fleet(&mut network, 30, 30);
+    network.event(nodes[7], document(2));
+    network.run(7_000);
+
+    for index in &nodes {
+        assert!(network.core(*index).is_ready(), "node {index} is not ready");
+        assert_eq!(revision(network.core(*index)), Some(2), "node {index}");
+    }
+    assert!(agree(&network, &nodes[..30]));
+    assert_eq!(network.core(nodes[3]).members().count(), 60);
+}
+
+/// Guards against a late or repeated older version replacing a newer one.
+#[test]
+fn versions_never_revert() {
+    let mut network = network(2);
+    network.faults.duplicate = 0.3;
+    let nodes = fleet(&mut network, 12, 6);
+
+    for change in 2..20 {
+        network.event(nodes[change as usize % 12], document(change));
+        network.event(nodes[(change as usize + 5) % 12], document(change - 1));
+        network.run(300);
+    }
+    network.run(7_000);
+
+    let mut highest = vec![0; nodes.len()];
+    for (at, index, entry) in &network.log {
+        if let Entry::Document(document) = entry {
+            assert!(document.revision > highest[*index], "node {index} at {at} ms");
+            highest[*index] = document.revision;
+        }
+    }
+    assert!(highest.iter().all(|revision| *revision == 19), "{highest:?}");
+}
+
+/// Guards against a deletion that a node with the old document undoes.
+#[test]
+fn deletion_is_not_undone() {
+    let mut network = network(3);
+    let nodes = fleet(&mut network, 8, 2);
+    network.pause(nodes[5], true);
+
+    network.event(nodes[1], Event::Local(Entry::document(KEY.into(), 9, None)));
+    network.run(10_000);
+    network.pause(nodes[5], false);
+    network.run(10_000);
+
+    for index in &nodes {
+        let key: Name = KEY.into();
+        assert_eq!(revision(network.core(*index)), Some(9), "node {index}");
+        assert_eq!(network.core(*index).document(&key), None, "node {index}");
+    }
+}
+
+/// Guards against documents longer than a datagram that never arrive whole.
+#[test]
+fn long_document_arrives() {
+    let mut network = network(4);
+    let nodes = fleet(&mut network, 10, 5);
+    let value: Vec<u8> = (0..20_000_u32).map(|n| n as u8).collect();
+
+    let entry =
+        Entry::document("lentilreach/domain".into(), 2, Some(value.clone().into()));
+    network.event(nodes[2], Event::Local(entry));
+    network.run(30_000);
+
+    for index in &nodes {
+        let found = network.core(*index).document(&"lentilreach/domain".into());
+        assert_eq!(found.map(|found| &found[..]), Some(&value[..]), "node {index}");
+    }
+}
+
+/// Guards against nodes that stay apart after a cut, and against a lost change.
+#[test]
+fn cut_heals() {
+    let mut network = network(5);
+    let nodes = fleet(&mut network, 12, 12);
+    let (inside, outside): (Vec<usize>, Vec<usize>) =
+        nodes.iter().partition(|index| network.core(**index).me().domain.0 == 0);
+
+    inside.iter().for_each(|index| network.side(*index, 1));
+    network.run(5_000);
+    network.event(outside[0], document(2));
+    network.run(300_000);
+    assert_eq!(revision(network.core(inside[0])), Some(1));
+    inside.iter().for_each(|index| network.side(*index, 0));
+    network.run(30_000);
+
+    assert!(agree(&network, &nodes[..12]));
+    for at in &nodes[..12] {
+        for of in &nodes {
+            assert_eq!(revision(network.core(*of)), Some(2), "node {of}");
+            assert_eq!(status(&network, *at, *of), Some(Status::Alive), "{of} at {at}");
+        }
+    }
+}
+
+/// Guards against a new node that serves before it has the full state.
+#[test]
+fn restart_gets_state_from_one_peer() {
+    let mut network = network(6);
+    let nodes = fleet(&mut network, 12, 20);
+    network.stop(nodes[4]);
+    network.run(1_000);
+
+    let again = network.start(node(4, Role::Balancer, 1));
+    network.event(again, Event::Join(address(9)));
+    let mut early = 0;
+    while !network.core(again).is_ready() && network.now_ms() < 60_000 {
+        early = network.core(again).documents().len();
+        network.run(50);
+    }
+
+    assert!(network.core(again).is_ready());
+    assert!(early <= 1, "ready long after the documents");
+    assert_eq!(revision(network.core(again)), Some(1));
+    let known = network
+        .core(again)
+        .members()
+        .filter(|(n, _)| n.id != node(4, Role::Balancer, 0).id);
+    assert!(known.count() >= 31, "members are missing at readiness");
+}
+
+/// Guards against a node that becomes ready by the state of one that has none itself.
+#[test]
+fn empty_nodes_do_not_make_each_other_ready() {
+    let mut network = network(7);
+    let first = network.start(node(0, Role::Balancer, 0));
+    let second = network.start(node(1, Role::Balancer, 0));
+    network.event(first, Event::Join(address(1)));
+    network.event(second, Event::Join(address(0)));
+
+    network.run(20_000);
+
+    assert!(!network.core(first).is_ready() && !network.core(second).is_ready());
+}
+
+/// Guards against a dead agent that keeps getting new flows, and against an entry that
+/// returns after it expired.
+#[test]
+fn dead_agent_is_silent_then_removed() {
+    let mut network = network(8);
+    let nodes = fleet(&mut network, 9, 9);
+    let dead = nodes[12];
+    let id = network.core(dead).me().id;
+
+    network.stop(dead);
+    network.run(4_500);
+    for at in &nodes[..9] {
+        assert_eq!(status(&network, *at, dead), Some(Status::Silent), "at {at}");
+    }
+    network.run(130_000);
+    let late = network.start(node(30, Role::Balancer, 0));
+    network.event(late, Event::Join(address(1)));
+    network.run(60_000);
+
+    for at in nodes[..9].iter().chain([&late]) {
+        let mut members = network.core(*at).members();
+        assert!(members.all(|(node, _)| node.id != id), "revived at {at}");
+    }
+}
+
+/// Guards against deaths that loss alone makes up.
+#[test]
+fn loss_kills_nobody() {
+    let mut network = network(9);
+    let nodes = fleet(&mut network, 20, 40);
+    let start = network.now_ms();
+
+    network.run(120_000);
+
+    let wrong: usize = nodes.iter().map(|of| silences(&network, *of, start)).sum();
+    assert_eq!(wrong, 0);
+}
+
+/// Guards against a paused node that is not noticed, that declares others dead when it goes
+/// on, or that is thrown out and brought back again and again.
+#[test]
+fn paused_node_neither_flaps_nor_accuses() {
+    let mut network = network(10);
+    let nodes = fleet(&mut network, 10, 10);
+    let slow = nodes[3];
+    let start = network.now_ms();
+
+    for _ in 0..10 {
+        network.pause(slow, true);
+        network.run(5_000);
+        network.pause(slow, false);
+        network.run(2_000);
+    }
+    let returns = network.log.iter().filter(|(at, index, entry)| {
+        let id = network.core(slow).me().id;
+        let back = |p: &Pulse| p.node == id && p.vital == Vital::Alive;
+        *at >= start && *index == nodes[0] && matches!(entry, Entry::Pulse(p) if back(p))
+    });
+    let returns = returns.count();
+    network.run(90_000);
+
+    for of in nodes.iter().filter(|of| **of != slow) {
+        assert_eq!(silences(&network, *of, start), 0, "node {of} was accused");
+    }
+    assert!(returns <= 8, "brought back {returns} times in 10 pauses");
+    assert_eq!(status(&network, nodes[0], slow), Some(Status::Alive));
+}
+
+/// Guards against deaths declared when a clock jumps forwards or backwards.
+#[test]
+fn jumping_clock_does_no_harm() {
+    let mut network = network(11);
+    let nodes = fleet(&mut network, 8, 8);
+    let start = network.now_ms();
+
+    for by_ms in [10_000_000, -7_200_000, 60_000] {
+        network.shift_clock(nodes[2], by_ms);
+        network.run(10_000);
+    }
+    network.event(nodes[0], document(2));
+    network.run(7_000);
+
+    let wrong: usize = nodes.iter().map(|of| silences(&network, *of, start)).sum();
+    assert_eq!(wrong, 0);
+    assert_eq!(revision(network.core(nodes[2])), Some(2));
+}
+
+/// Guards against a cut failure domain that is taken for dead and forgotten.
+#[test]
+fn silent_domain_is_unreachable_not_dead() {
+    let mut network = network(12);
+    let nodes = fleet(&mut network, 12, 18);
+    let cut = |network: &Network, index: usize| network.core(index).me().domain.0 == 1;
+    let inside: Vec<usize> =
+        nodes.iter().copied().filter(|index| cut(&network, *index)).collect();
+
+    inside.iter().for_each(|index| network.side(*index, 1));
+    network.run(12_000);
+    let soon: Vec<_> = inside.iter().map(|of| status(&network, nodes[0], *of)).collect();
+    network.run(600_000);
+    let later: Vec<_> = inside.iter().map(|of| status(&network, nodes[0], *of)).collect();
+
+    assert!(soon.iter().all(|s| *s == Some(Status::Unreachable)), "{soon:?}");
+    assert!(later.iter().all(|s| *s == Some(Status::Unreachable)), "{later:?}");
+    let others = nodes[..12].iter().filter(|of| !inside.contains(of));
+    for of in others.filter(|of| **of != nodes[0]) {
+        assert_eq!(status(&network, nodes[0], *of), Some(Status::Alive), "node {of}");
+    }
+}
+
+/// Guards against a node that sends more than its budget, whatever happens.
+#[test]
+fn budget_is_never_exceeded() {
+    let mut network = network(13);
+    let nodes = fleet(&mut network, 10, 40);
+
+    for step in 0..60_u32 {
+        for index in &nodes[10..] {
+            let id = network.core(*index).me().id;
+            let open = step * 10;
+            let load =
+                Load { node: id, counter: 0, open, limit: 2_000, busy: 1, slots: 5 };
+            network.event(*index, Event::Load(load));
+        }
+        network.event(nodes[0], document(u64::from(step) + 2));
+        if step == 20 {
+            nodes[..4].iter().for_each(|index| network.side(*index, 1));
+        }
+        if step == 40 {
+            nodes[..4].iter().for_each(|index| network.side(*index, 0));
+        }
+        network.run(1_000);
+    }
+
+    for index in &nodes {
+        let most = network.traffic(*index).most_sent;
+        assert!(most <= u64::from(BYTES_PER_S), "node {index} sent {most} bytes");
+    }
+    let newest =
+        nodes.iter().filter(|i| revision(network.core(**i)).is_some_and(|r| r > 58));
+    assert_eq!(newest.count(), nodes.len(), "configuration does not wait for loads");
+}
+
+/// Guards against load reports that never reach other balancers.
+#[test]
+fn load_reaches_balancers() {
+    let mut network = network(14);
+    let nodes = fleet(&mut network, 6, 6);
+    let agent = nodes[8];
+    let id = network.core(agent).me().id;
+
+    let load = Load { node: id, counter: 0, open: 700, limit: 2_000, busy: 1, slots: 5 };
+    network.event(agent, Event::Load(load));
+    network.run(10_000);
+
+    let has = |index: &&usize| {
+        let mut members = network.core(**index).members();
+        let found = members.find(|(node, _)| node.id == id);
+        found.and_then(|(_, member)| member.load).is_some_and(|load| load.open == 700)
+    };
+    assert!(nodes[..6].iter().filter(has).count() >= 5);
+}
+
+/// Guards against a leaving node that still gets work because the news is slow.
+#[test]
+fn leaving_is_known_at_once() {
+    let mut network = network(15);
+    let nodes = fleet(&mut network, 12, 12);
+    let leaving = nodes[15];
+    let id = network.core(leaving).me().id;
+
+    network.event(leaving, Event::Stage(Stage::Leaving));
+    network.run(3_000);
+
+    for at in &nodes[..12] {
+        let mut members = network.core(*at).members();
+        let found = members.find(|(node, _)| node.id == id);
+        assert_eq!(found.map(|(node, _)| node.stage), Some(Stage::Leaving), "at {at}");
+    }
+}
+
+/// Guards against a recorded datagram that is accepted a second time.
+#[test]
+fn replay_is_refused() {
+    let mut network = network(16);
+    let nodes = fleet(&mut network, 4, 0);
+    network.faults.duplicate = 0.0;
+    network.faults.loss = 0.0;
+    network.record(nodes[1]);
+    network.run(5_000);
+    let recorded = network.recorded(nodes[1]).to_vec();
+
+    let before = network.traffic(nodes[2]).refused;
+    for _ in 0..2 {
+        for bytes in &recorded {
+            network.inject(nodes[2], address(1), bytes.clone());
+        }
+    }
+
+    let refused = network.traffic(nodes[2]).refused - before;
+    assert!(!recorded.is_empty());
+    assert!(refused >= recorded.len() as u64, "{refused} of {}", 2 * recorded.len());
+}
