--- a/crates/lentilreach/tests/spread.rs
+++ b/crates/lentilreach/tests/spread.rs
@@ -7,7 +7,7 @@
 use lentilreach::id::{domain, node};
 use lentilreach::process::spread::budget::BYTES_PER_S;
 use lentilreach::process::spread::core::{Core, Event};
-use lentilreach::process::spread::entry::{Entry, Load, Node, Pulse, Role, Stage, Vital};
+use lentilreach::process::spread::entry::{Entry, Load, Node, Role, Stage, Vital};
 use lentilreach::process::spread::member::Status;
 use lentilreach_standin::network::{Faults, Network};
 
@@ -289,24 +289,24 @@
     let slow = nodes[3];
     let start = network.now_ms();
 
-    for _ in 0..10 {
-        network.pause(slow, true);
-        network.run(5_000);
-        network.pause(slow, false);
-        network.run(2_000);
+    let mut returns = 0;
+    let mut last = Some(Status::Alive);
+    for step in 0..700 {
+        // Five seconds of pause, two of work, ten times.
+        network.pause(slow, step % 70 < 50);
+        network.run(100);
+        let now = status(&network, nodes[0], slow);
+        returns += u32::from(now == Some(Status::Alive) && last != now);
+        last = now;
     }
-    let returns = network.log.iter().filter(|(at, index, entry)| {
-        let id = network.core(slow).me().id;
-        let back = |p: &Pulse| p.node == id && p.vital == Vital::Alive;
-        *at >= start && *index == nodes[0] && matches!(entry, Entry::Pulse(p) if back(p))
-    });
-    let returns = returns.count();
+    network.pause(slow, false);
     network.run(90_000);
 
     for of in nodes.iter().filter(|of| **of != slow) {
         assert_eq!(silences(&network, *of, start), 0, "node {of} was accused");
     }
-    assert!(returns <= 8, "brought back {returns} times in 10 pauses");
+    // Two silences are free; after the third, more than the two seconds must be steady.
+    assert!(returns <= 2, "brought back {returns} times in 10 pauses");
     assert_eq!(status(&network, nodes[0], slow), Some(Status::Alive));
 }
 
--- /dev/null
+++ b/crates/lentilreach/tests/spread_driver.rs
@@ -0,0 +1,90 @@
+//! The driver of the exchange over UDP on loopback.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::future;
+use lentilreach::id::{domain, node};
+use lentilreach::process::clock::Hybrid;
+use lentilreach::process::link::{Link, Udp};
+use lentilreach::process::lock::Ranked;
+use lentilreach::process::pool::Pool;
+use lentilreach::process::spread::core::Core;
+use lentilreach::process::spread::driver::Exchange;
+use lentilreach::process::spread::entry::{Entry, Node, Role, Stage};
+use lentilreach::process::spread::seal::{Key, Sealer};
+
+/// The key that every node derives from its settings.
+const FLEET: [u8; 16] = [3; 16];
+
+/// Starts a node with the given keys; the last one is used for new messages.
+fn start(pool: &Pool, id: u64, role: Role, keys: &[u8]) -> Exchange<Udp> {
+    let link =
+        Udp::bind((Ipv4Addr::LOCALHOST, 0).into()).expect("loopback has free ports");
+    let address = link.local();
+    let id = node::Id(id);
+    let node = Node {
+        id,
+        counter: 0,
+        name: format!("node-{id}").into(),
+        role,
+        envelope: address,
+        exchange: address,
+        admin: address,
+        domain: domain::Id(0),
+        set: "abo".into(),
+        organisation: "weilheim".into(),
+        stage: Stage::Active,
+    };
+    let current = keys.last().copied().unwrap_or(0);
+    let keys = keys.iter().map(|key| Key::new(*key, &[FLEET[0] + key; 16])).collect();
+    let hybrid = Arc::new(Ranked::new(80, Hybrid::default()));
+    let core = Core::new(node, id.0);
+    Exchange::start(pool, link, core, Sealer::new(id, keys, current), hybrid)
+}
+
+/// The address of a node.
+fn address(exchange: &Exchange<Udp>) -> SocketAddr {
+    exchange.read(|core| core.me().exchange)
+}
+
+/// Waits until a node's state satisfies a condition; returns whether it did in time.
+fn wait(exchange: &Exchange<Udp>, mut done: impl FnMut(&Core) -> bool) -> bool {
+    let met = async {
+        while !exchange.read(&mut done) {
+            exchange.changed().await;
+        }
+        true
+    };
+    // The limit only ends a test that fails.
+    let limit = async {
+        Timer::after(Duration::from_secs(30)).await;
+        false
+    };
+    future::block_on(future::or(met, limit))
+}
+
+/// Guards against a driver that loses events, and against a new node that cannot join once
+/// the fleet uses a key that it does not have yet.
+#[test]
+fn nodes_join_and_receive_documents() {
+    let pool = Pool::new(2).expect("the system has threads");
+    let first = start(&pool, 1, Role::Balancer, &[0, 1]);
+    let agent = start(&pool, 2, Role::Agent, &[0]);
+    let entry = |revision: u64| {
+        let value = Some(vec![revision as u8].into());
+        Entry::document("lentilreach/domain".into(), revision, value)
+    };
+
+    first.submit(entry(1));
+    first.complete();
+    agent.join(address(&first));
+
+    assert!(wait(&agent, Core::is_ready), "the agent is not ready");
+    assert!(wait(&first, |core| core.members().count() == 2), "the agent is unknown");
+    first.submit(entry(2));
+    let arrived = |core: &Core| core.documents().iter().any(|d| d.revision == 2);
+    assert!(wait(&agent, arrived), "the document did not arrive");
+}
--- /dev/null
+++ b/crates/standin/src/measure/setup.rs
@@ -0,0 +1,151 @@
+//! Nodes and documents of the fleet under measurement.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fastrand::Rng;
+use lentilreach::Name;
+use lentilreach::id::{domain, node};
+use lentilreach::process::spread::entry::{
+    Attach, Entry, Load, MONITORS, Node, Role, Stage, short,
+};
+
+use super::Settings;
+
+/// Organisations that share the fleet.
+pub(super) const ORGANISATIONS: usize = 4;
+
+/// Services for each 4,000 targets at the expected scale.
+const SERVICES: usize = 1_100;
+
+/// Open flows of a target at the expected scale: 9.1 million over 4,000 targets.
+const OPEN: u32 = 2_275;
+
+/// The revision that the fleet starts with.
+pub(super) const FIRST: u64 = 1_000;
+
+/// The name of an organisation.
+pub(super) fn organisation(index: usize) -> Name {
+    format!("organisation-{}", index % ORGANISATIONS).into()
+}
+
+/// The documents of the fleet at the first revision.
+pub(super) fn documents(settings: &Settings) -> Vec<Entry> {
+    let services = (settings.targets * SERVICES / 4_000).max(ORGANISATIONS);
+    let keys = (0..services).map(|index| service(index, index / ORGANISATIONS));
+    let shared = ["domain", "key", "template/calendar", "template/feed"];
+    let shared = shared.iter().map(|name| format!("lentilreach/{name}").into());
+    let all = keys.chain(shared);
+    all.map(|key| Entry::document(key, FIRST, Some(document(FIRST)))).collect()
+}
+
+/// The key of a service of an organisation.
+pub(super) fn service(index: usize, number: usize) -> Name {
+    format!("lentilreach/service/{}/service-{number:04}", organisation(index)).into()
+}
+
+/// A balancer's announcement.
+pub(super) fn balancer(settings: &Settings, index: usize, rng: &mut Rng) -> Node {
+    Node {
+        id: node::Id(rng.u64(..)),
+        counter: 0,
+        name: format!("balancer-{index:03}").into(),
+        role: Role::Balancer,
+        envelope: address(10, index, 4_000),
+        exchange: address(10, index, 4_001),
+        admin: address(10, index, 4_002),
+        domain: domain::Id((index % settings.domains()) as u8),
+        set: "".into(),
+        organisation: "".into(),
+        stage: Stage::Active,
+    }
+}
+
+/// An agent's announcement.
+pub(super) fn agent(settings: &Settings, index: usize, rng: &mut Rng) -> Node {
+    Node {
+        name: format!("agent-{index:04}").into(),
+        role: Role::Agent,
+        envelope: address(11, index, 4_000),
+        exchange: address(11, index, 4_001),
+        admin: address(11, index, 4_002),
+        set: format!("set-{}", index % 100).into(),
+        organisation: organisation(index),
+        ..balancer(settings, index, rng)
+    }
+}
+
+/// Attaches each node to three balancers, two of its own failure domain if it is an agent.
+pub(super) fn attach(nodes: &[Node], balancers: &[Node], rng: &mut Rng) -> Vec<Entry> {
+    let mut entries = Vec::new();
+    for node in nodes {
+        let fit = |b: &&Node| {
+            b.id != node.id && (node.role == Role::Balancer || b.domain == node.domain)
+        };
+        let mut candidates: Vec<u32> =
+            balancers.iter().filter(fit).map(|b| short(b.id)).collect();
+        rng.shuffle(&mut candidates);
+        // An agent's third balancer is in another failure domain.
+        let far = balancers.iter().filter(|b| b.domain != node.domain);
+        let far: Vec<u32> = far.map(|b| short(b.id)).collect();
+        let third = rng.choice(&far).copied();
+        candidates.truncate(MONITORS - 1);
+        candidates.extend(third.filter(|id| !candidates.contains(id)));
+        let monitors = std::array::from_fn(|index| candidates.get(index).copied());
+        entries.push(Entry::Attach(Attach { node: node.id, counter: 1, monitors }));
+    }
+    entries
+}
+
+/// A document as the operators' command writes it.
+pub(super) fn document(revision: u64) -> Bytes {
+    format!(
+        r#"{{"template":"calendar","address":"127.1.0.1:4433","set":"abo","slots":5,"connections":2000,"cold_slots":1,"cold_ms":8000,"operation":"{revision:032x}"}}"#
+    )
+    .into()
+}
+
+/// An address of a node.
+pub(super) fn address(net: u8, index: usize, port: u16) -> SocketAddr {
+    let ip = Ipv4Addr::new(net, 0, (index >> 8) as u8, index as u8);
+    SocketAddrV4::new(ip, port).into()
+}
+
+/// A target's load at the start.
+pub(super) fn load(node: node::Id, rng: &mut Rng) -> Load {
+    let open = OPEN - 100 + rng.u32(..200);
+    Load { node, counter: 0, open, limit: 3_000, busy: 2, slots: 5 }
+}
+
+/// The announcement of a node as an entry.
+pub(super) fn announce(node: &Node) -> Entry {
+    Entry::Node(Arc::new(Node { counter: 1, ..node.clone() }))
+}
+
+/// A copy that shares no memory, as another process would have.
+pub(super) fn copy(entry: &Entry) -> Entry {
+    let name = |name: &Name| Name::from(&**name);
+    match entry {
+        Entry::Document(d) => {
+            let value = d.value.as_ref().map(|value| Bytes::copy_from_slice(value));
+            Entry::document(name(&d.key), d.revision, value)
+        }
+        Entry::Node(node) => Entry::Node(Arc::new(Node {
+            name: name(&node.name),
+            set: name(&node.set),
+            organisation: name(&node.organisation),
+            ..node.as_ref().clone()
+        })),
+        other => other.clone(),
+    }
+}
+
+/// Resident memory of this process in bytes, where the system tells.
+pub(super) fn resident() -> Option<u64> {
+    let status = fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib * 1_024)
+}
--- /dev/null
+++ b/crates/standin/tests/measure.rs
@@ -0,0 +1,42 @@
+//! The measurement of the exchange keeps to the stated targets at a small scale.
+
+use lentilreach_standin::measure::{Plan, Report, Settings, control};
+
+/// Measures a fleet of 20 balancers and 60 targets.
+fn measured(plan: Plan, seed: u64) -> Report {
+    let (nodes, targets) = (20, 60);
+    control(&Settings { nodes, targets, loss_percent: 1.0, seconds: 30, seed, plan })
+}
+
+/// Guards against configuration that takes longer than 7 s to the last node, or 2 s at the
+/// median, and against traffic above 11,000 bytes a second.
+#[test]
+fn targets_are_met() {
+    for (plan, seed) in [(Plan::Steady, 1), (Plan::StoreAway, 2), (Plan::Steady, 3)] {
+        let report = measured(plan, seed);
+
+        assert_eq!(report.in_force_missing, 0, "{report:?}");
+        assert!(report.in_force_ms_max.is_some_and(|ms| ms <= 7_000), "{report:?}");
+        assert!(report.in_force_ms_p50.is_some_and(|ms| ms <= 2_000), "{report:?}");
+        assert!(report.bytes_per_s_per_node_max <= 11_000, "{report:?}");
+        assert_eq!(report.not_alive_at_end, 0, "{report:?}");
+    }
+}
+
+/// Guards against restarted balancers that never become ready.
+#[test]
+fn restarted_balancers_become_ready() {
+    let report = measured(Plan::Restart, 4);
+
+    assert_eq!(report.ready_missing, Some(0), "{report:?}");
+    assert!(report.bytes_per_s_per_node_max <= 11_000, "{report:?}");
+}
+
+/// Guards against a measurement that differs from run to run.
+#[test]
+fn same_seed_gives_same_figures() {
+    let (first, second) = (measured(Plan::Partition, 5), measured(Plan::Partition, 5));
+
+    assert_eq!(first.sent_by_kind, second.sent_by_kind);
+    assert_eq!(first.in_force_ms_max, second.in_force_ms_max);
+}
