--- a/crates/lentilreach/tests/fleet/agent.rs
+++ b/crates/lentilreach/tests/fleet/agent.rs
@@ -230,10 +230,12 @@
         self.apply(at, actions);
     }
 
-    /// Ends an agent in a planned stop, once nothing runs.
+    /// Ends an agent in a planned stop. Nothing may run by then.
     pub fn stop(&mut self, at: usize) {
-        self.tally.interrupted += self.agents[at].busy.len() as u32;
-        self.agents[at].alive = false;
+        let agent = &mut self.agents[at];
+        if std::mem::take(&mut agent.alive) {
+            self.tally.interrupted += agent.jobs.len() as u32;
+        }
     }
 
     /// Takes a caller's datagram in.
--- a/crates/lentilreach/tests/matrix.rs
+++ b/crates/lentilreach/tests/matrix.rs
@@ -156,6 +156,10 @@
         world.agents.iter_mut().for_each(|agent| agent.table.set_limits(FLOWS));
     }
     if step == Step::Leave {
+        world.run(STEP.after(3_980));
+        // An agent that still took work would be busy when it stops.
+        (0..world.callers.len())
+            .for_each(|caller| (0..4).for_each(|_| world.want(caller, true)));
         world.run(STEP.after(4_000));
         world.stop(subject);
     }
