--- a/crates/lentilreach-balancer/src/main.rs
+++ b/crates/lentilreach-balancer/src/main.rs
@@ -69,24 +69,31 @@
 
 /// Chooses the side of callers.
 async fn start(settings: &Balancer) -> Result<(), Error> {
+    // Files first: a mistake in them is told without a socket.
+    let daemon = Daemon::new(&settings.node)?;
     let address = settings.service;
     match settings.fabric {
         Some(fabric) => {
-            run(settings, Encapsulated::new(daemon::link(address)?, fabric)).await
+            let entry = Encapsulated::new(daemon::link(address)?, fabric);
+            run(settings, daemon, entry).await
         }
         None => {
             let entry = Direct::bind(address);
-            run(settings, entry.map_err(|e| Error::new("listen", address, e))?).await
+            let entry = entry.map_err(|e| Error::new("listen", address, e))?;
+            run(settings, daemon, entry).await
         }
     }
 }
 
 /// Runs until a signal.
-async fn run<E: Entry>(settings: &Balancer, entry: E) -> Result<(), Error> {
+async fn run<E: Entry>(
+    settings: &Balancer,
+    daemon: Daemon,
+    entry: E,
+) -> Result<(), Error> {
     let signal = |error| Error::new("signal", "system", error);
     let mut stop = Stop::new().map_err(signal)?;
     let node = &settings.node;
-    let daemon = Daemon::new(node)?;
     let endpoints = node.store.iter();
     let client = endpoints.fold(store::Settings::builder(), |b, e| b.endpoint(*e));
     let store = store::connect(client.build(), daemon.pool.clone());
