Let a joining relay get the members from a peer before it is ready

A balancer that took a free slot was ready with the documents of the store alone and dropped the first packets of new flows, as it knew no member.

--- a/crates/lentilreach/src/process/control/builder.rs
+++ b/crates/lentilreach/src/process/control/builder.rs
@@ -94,6 +94,7 @@
             node: self.node,
             domain: self.settings.domain.clone(),
             exchange: address,
+            has_peers: !self.settings.peers.is_empty(),
         };
         let relay = Relay::start(
             &self.pool,
--- a/crates/lentilreach/src/process/relay/driver.rs
+++ b/crates/lentilreach/src/process/relay/driver.rs
@@ -27,6 +27,11 @@
 /// watch itself opens again with its own delays.
 const FOLLOW_MS: (u64, u64) = (100, 2_000);
 
+/// Time in milliseconds that a peer has to pass on the full state before a holder does with
+/// what the store has. The store knows no backend servers, and a peer answers within a few
+/// round trips.
+const PEER_MS: u64 = 1_500;
+
 /// Who registers.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -36,6 +41,8 @@
     pub domain: Name,
     /// Where it receives the exchange.
     pub exchange: SocketAddr,
+    /// Whether the settings name peers.
+    pub has_peers: bool,
 }
 
 /// The registration of a balancer. Stops without giving up its slot when dropped.
@@ -197,14 +204,23 @@
 
     /// Gives news to the exchange.
     fn publish(&self, news: News) {
+        let others = news.peers.iter().any(|peer| *peer != self.settings.exchange);
+        let alone = !self.settings.has_peers && !others;
         self.join(news.peers.into_iter());
         news.documents.into_iter().for_each(|entry| self.exchange.submit(entry));
         for key in news.oversized {
             let reason = format!("longer than {MAX_DOCUMENT} bytes").into();
             self.record(Kind::ConfigRejected { entry: key, reason });
         }
-        if news.complete {
+        if news.complete && alone {
             self.exchange.complete();
+        } else if news.complete {
+            let exchange = self.exchange.clone();
+            let complete = async move {
+                Timer::after(Duration::from_millis(PEER_MS)).await;
+                exchange.complete();
+            };
+            self.pool.spawn(complete).detach();
         }
     }
 
--- a/crates/standin/tests/control.rs
+++ b/crates/standin/tests/control.rs
@@ -34,6 +34,23 @@
     }
 }
 
+/// Guards against a balancer that takes a relay slot and reports ready with the services of
+/// the store but without their members, so that it drops the packets of new flows.
+#[test]
+fn joining_balancer_is_ready_with_members_only() {
+    let mut fleet = Fleet::start(2, 3);
+    fleet.wait_for_members(4433, 3);
+
+    fleet.add_balancer();
+
+    let front = &fleet.fronts[2];
+    until("the third balancer is ready", || front.balancer.board().ready().is_ok());
+    assert_eq!(front.members(4433), Some(3));
+    until("it holds the second slot of nord", || {
+        front.count(|kind| matches!(kind, Kind::RelayGained { .. })) == 1
+    });
+}
+
 /// Guards against an accepted document that is lost with the store, and against a holder
 /// that gives up its configuration or fills the timeline during an outage.
 #[test]
