Send copies of an opening packet the same way and compare true counts

Cause: balancers with different reports of load ordered the candidates of a flow differently, so two agents answered copies of one opening packet. In a burst all agents were ahead of a mean that is old, and flows ended at the candidate that balancers like least. The first cold start of an agent ended after 10 ms, since its limits were the lowest until it had its configuration.

Change: copies go to the flow's home first, which depends on the flow and the membership alone and remembers who took the flow. Agents that decline for balance pass their open flows along; the one with the fewest takes the flow. New limits apply to the first cold turn. The way of a packet is one decision, connection::guide, which the fault matrix runs too.

handing_on_ends asserted that no position follows the largest; that value now stands for the home, so the test asserts both that and the end of the list.

--- a/crates/lentilreach/src/connection/open.rs
+++ b/crates/lentilreach/src/connection/open.rs
@@ -26,6 +26,17 @@
     pub half_open_ms: u64,
 }
 
+/// How an opening packet is offered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Offer {
+    /// Candidates after this agent.
+    pub remaining: usize,
+    /// The fewest open flows of the candidates that declined before.
+    pub fewest: Option<u32>,
+    /// Whether the packet was handed back, so that balance no longer counts.
+    pub returned: bool,
+}
+
 /// What to do with an opening packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -35,6 +46,8 @@
     Admit,
     /// The packet goes to the next candidate.
     HandOn,
+    /// The packet goes back to the candidate with the fewest open flows.
+    HandBack,
     /// No candidate is left, or the flow was refused or closed here a moment ago.
     Refuse(Why),
 }
@@ -113,6 +126,11 @@
         self.leaving = leaving;
     }
 
+    /// Whether the backend server is draining.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Sets whether the backend server is in a cold start.
     pub fn set_cold(&mut self, cold: bool) {
         self.cold = cold;
@@ -124,6 +142,16 @@
     /// the same way. The exception is a packet that was handed on before and now arrives
     /// with this agent as its last candidate: it is decided anew.
     pub fn offer(&mut self, now: Millis, flow: flow::Key, remaining: usize) -> Outcome {
+        self.compare(now, flow, Offer { remaining, fewest: None, returned: false })
+    }
+
+    /// The same, with what the candidates before have decided.
+    ///
+    /// The reported mean lags, so in a burst every candidate is above it. The true counts
+    /// decide then: the first candidate that has no more than those before takes the flow,
+    /// and if none has, the one with the fewest gets it back.
+    pub fn compare(&mut self, now: Millis, flow: flow::Key, offer: Offer) -> Outcome {
+        let Offer { remaining, fewest, returned } = offer;
         if now >= self.due {
             self.expire(now);
         }
@@ -132,11 +160,23 @@
         }
         match self.memory.find(now, self.limits.half_open_ms, flow) {
             Some(Decision::Refused(why)) => return Outcome::Refuse(why),
-            Some(Decision::HandedOn) if remaining > 0 => return Outcome::HandOn,
+            Some(Decision::HandedOn) if remaining > 0 && !returned => {
+                return Outcome::HandOn;
+            }
+            Some(Decision::HandedBack) if fewest.is_some() && !returned => {
+                return Outcome::HandBack;
+            }
             _ => {}
         }
         match self.obstacle() {
-            None if remaining < RESERVE || !self.is_ahead() => self.admit(now, flow),
+            None if returned || !self.is_ahead() => self.admit(now, flow),
+            None if remaining < RESERVE && fewest.is_some_and(|f| f < self.open()) => {
+                self.remember(now, flow, Decision::HandedBack);
+                Outcome::HandBack
+            }
+            None if remaining < RESERVE || fewest.is_some_and(|f| self.open() <= f) => {
+                self.admit(now, flow)
+            }
             Some(why) if remaining == 0 => {
                 self.remember(now, flow, Decision::Refused(why));
                 Outcome::Refuse(why)
@@ -259,6 +299,8 @@
 enum Decision {
     /// Handed on to the next candidate.
     HandedOn,
+    /// Handed back to the candidate with the fewest open flows.
+    HandedBack,
     /// Refused for a reason.
     Refused(Why),
 }
--- a/crates/lentilreach/src/process/agent.rs
+++ b/crates/lentilreach/src/process/agent.rs
@@ -9,7 +9,9 @@
 use async_io::Timer;
 use smol::Task;
 
+use crate::connection::directory::Directory;
 use crate::connection::flow;
+use crate::connection::guide::{Guide, Step};
 use crate::connection::open::{self, Outcome};
 use crate::id::{domain, node, service};
 use crate::process::balancer::is_passing;
@@ -27,10 +29,10 @@
 use crate::process::seal::Seals;
 use crate::process::site::{self, Site};
 use crate::process::slot::Slots;
-use crate::process::tables::{CONFIG, CONNECTIONS, MEMBERS, Tables};
+use crate::process::tables::{CONFIG, CONNECTIONS, DIRECTORY, MEMBERS, Tables};
 use crate::process::upstream::Http;
 use crate::request::admit;
-use crate::request::envelope::{Fault, Forward, Header, Sealer};
+use crate::request::envelope::{Fault, Forward, Header, Sealer, Taken};
 use crate::request::packet::{Form, Packet};
 
 /// Tasks that receive envelopes.
@@ -106,6 +108,8 @@
     pub heard: Arc<Ranked<Heard>>,
     /// Open flows, rank [`CONNECTIONS`].
     pub flows: Ranked<open::Table>,
+    /// Where opening flows have gone whose home is here, rank [`DIRECTORY`].
+    directory: Ranked<Directory>,
     /// Where requests run.
     pub site: Arc<Site<Http, L>>,
     /// Answers other agents about their keys.
@@ -162,6 +166,7 @@
             pool: pool.clone(),
             heard: Arc::new(Ranked::new(MEMBERS, Heard::default())),
             flows: Ranked::new(CONNECTIONS, open::Table::new(settings.limits.flows)),
+            directory: Ranked::new(DIRECTORY, Directory::default()),
             site: Arc::new(site),
             seals,
             endpoints: Ranked::new(CONFIG, Vec::new()),
@@ -282,6 +287,10 @@
         let keys = self.tables.keys();
         match keys.sealer.open(envelope) {
             Ok((Header::Forward(forward), datagram)) => self.take(forward, datagram, out),
+            Ok((Header::Taken(taken), _)) => {
+                let flow = flow::Key { caller: taken.caller, id: taken.id };
+                self.directory.write().settle(self.clock.now(), flow, taken.agent);
+            }
             Ok(_) => self.envelopes.reject(Fault::Header),
             Err(fault) => self.envelopes.reject(fault),
         }
@@ -291,10 +300,16 @@
     fn take(&self, forward: Forward, datagram: &[u8], out: &mut Vec<u8>) {
         self.note(forward.balancer);
         if !forward.candidates.is_empty() {
-            match self.offer(&forward, datagram) {
-                Some(Outcome::HandOn) => return self.hand_on(&forward, datagram, out),
-                Some(_) => {}
-                None => return self.dropped.discard(Dropping::Opening),
+            let Some(flow) = opening(&forward, datagram) else {
+                return self.dropped.discard(Dropping::Opening);
+            };
+            match self.step(flow, forward.clone()) {
+                Step::Deliver { tell: Some(home), .. } => self.tell(home, flow, out),
+                Step::Deliver { tell: None, .. } => {}
+                Step::Send { to, forward, .. } => {
+                    return self.send(to, forward, datagram, out);
+                }
+                Step::Drop => return self.dropped.discard(Dropping::Opening),
             }
         }
         let endpoints = self.endpoints.read();
@@ -308,45 +323,62 @@
         }
     }
 
-    /// Decides on an opening packet; `None` if it is none.
-    fn offer(&self, forward: &Forward, datagram: &[u8]) -> Option<Outcome> {
-        let packet = Packet::parse(forward.caller, forward.address, datagram).ok()?;
-        if packet.form != Form::Initial {
-            return None;
-        }
+    /// Decides on an opening packet and counts the decision.
+    fn step(&self, flow: flow::Key, forward: Forward) -> Step {
         let metrics = {
             let endpoints = self.endpoints.read();
             let found =
                 endpoints.binary_search_by_key(&forward.service, |e| e.served().id);
-            found.map(|at| endpoints[at].metrics().clone())
+            found.ok().map(|at| endpoints[at].metrics().clone())
         };
-        let Ok(metrics) = metrics else { return Some(Outcome::HandOn) };
-        let flow = flow::Key::new(forward.caller, packet.destination);
         let cold = self.site.slots().is_cold();
         let mut flows = self.flows.write();
         flows.set_cold(cold);
-        flows.set_mean(forward.mean);
-        let outcome = flows.offer(self.clock.now(), flow, forward.remaining());
+        let mut directory = self.directory.write();
+        let serves = metrics.is_some();
+        let mut guide = Guide {
+            me: self.origin(),
+            serves,
+            flows: &mut flows,
+            directory: &mut directory,
+        };
+        let step = guide.step(self.clock.now(), flow, forward);
+        drop(directory);
         drop(flows);
-        match outcome {
-            Outcome::Admit => metrics.admit(),
-            Outcome::HandOn => metrics.hand_on(),
-            Outcome::Refuse(why) => {
-                if let Some(why) = refusal(why) {
+        let Some(metrics) = metrics else { return step };
+        match &step {
+            Step::Deliver { outcome: Outcome::Admit, .. } => metrics.admit(),
+            Step::Deliver { outcome: Outcome::Refuse(why), .. } => {
+                if let Some(why) = refusal(*why) {
                     metrics.refuse(why);
                 }
             }
-            Outcome::Known => {}
+            Step::Send { declined: true, .. } => metrics.hand_on(),
+            _ => {}
         }
-        Some(outcome)
+        step
     }
 
-    /// Hands an opening packet to the next candidate.
-    fn hand_on(&self, forward: &Forward, datagram: &[u8], out: &mut Vec<u8>) {
-        let Some((agent, next)) = forward.next() else { return };
-        if self.tables.keys().sealer.seal(&Header::Forward(next), datagram, out) {
+    /// Tells the home of a flow that this agent has taken it.
+    fn tell(&self, home: SocketAddrV4, flow: flow::Key, out: &mut Vec<u8>) {
+        let taken = Taken { caller: flow.caller, id: flow.id, agent: self.origin() };
+        if self.tables.keys().sealer.seal(&Header::Taken(taken), &[], out) {
+            // If it is lost, a copy of the packet goes over the candidates again.
+            let _ = self.link.send(SocketAddr::V4(home), out);
+        }
+    }
+
+    /// Sends an opening packet to another agent.
+    fn send(
+        &self,
+        to: SocketAddrV4,
+        forward: Forward,
+        datagram: &[u8],
+        out: &mut Vec<u8>,
+    ) {
+        if self.tables.keys().sealer.seal(&Header::Forward(forward), datagram, out) {
             // A lost packet is sent again by the caller.
-            let _ = self.link.send(SocketAddr::V4(agent), out);
+            let _ = self.link.send(SocketAddr::V4(to), out);
         }
     }
 
@@ -390,3 +422,10 @@
         open::Why::Closed => None,
     }
 }
+
+/// The flow that a datagram opens; `None` if it opens none.
+fn opening(forward: &Forward, datagram: &[u8]) -> Option<flow::Key> {
+    let packet = Packet::parse(forward.caller, forward.address, datagram).ok()?;
+    let opens = packet.form == Form::Initial;
+    opens.then(|| flow::Key::new(forward.caller, packet.destination))
+}
--- a/crates/lentilreach/src/process/balancer.rs
+++ b/crates/lentilreach/src/process/balancer.rs
@@ -11,7 +11,7 @@
 use crate::process::metric::{Balancer as Metrics, Envelope};
 use crate::process::pool::Pool;
 use crate::process::tables::Tables;
-use crate::request::envelope::{Fault, Forward, Header};
+use crate::request::envelope::{Fault, Forward, HOME, Header};
 use crate::request::packet::{self, Packet};
 use crate::request::route::{Reason, Verdict, route};
 use crate::version::view::Service;
@@ -92,9 +92,9 @@
         let verdict = route(&view, &keys.tokens, &packet, keys.salt());
         let (service, agent, candidates, mean) = match verdict {
             Verdict::Forward { service, agent } => (service, agent, Vec::new(), None),
-            Verdict::Offer { service, candidates } => {
+            Verdict::Offer { service, home, candidates } => {
                 let mean = view.service(arrival.service).and_then(Service::mean);
-                (service, candidates.as_slice()[0], Vec::from(&candidates), mean)
+                (service, home, Vec::from(&candidates), mean)
             }
             Verdict::Drop(reason) => return self.metrics.discard(reason),
         };
@@ -105,7 +105,10 @@
             caller: arrival.caller,
             balancer: self.link.local(),
             mean,
-            position: 0,
+            home: opening.then_some(agent),
+            fewest: None,
+            returned: false,
+            position: if opening { HOME } else { 0 },
             candidates,
         });
         if !keys.sealer.seal(&header, datagram, out)
--- a/crates/lentilreach/src/process/tables.rs
+++ b/crates/lentilreach/src/process/tables.rs
@@ -9,9 +9,11 @@
 //! | [`VIEW`] | the view that routing reads |
 //! | [`KEYS`] | the key ring |
 //! | [`CONNECTIONS`] | open flows |
+//! | [`DIRECTORY`] | where opening flows have gone |
 //! | [`SLOTS`] | the gate to the backend server |
 //! | [`LEDGER`] | at-most-once record |
 //! | [`EVENTS`] | the ring of events |
+//! | [`crate::process::store::RANK`] | the store client's own locks |
 
 use std::sync::Arc;
 
@@ -29,6 +31,8 @@
 pub const KEYS: u8 = 40;
 /// Rank of open flows.
 pub const CONNECTIONS: u8 = 50;
+/// Rank of the directory of opening flows.
+pub const DIRECTORY: u8 = 55;
 /// Rank of the gate to the backend server.
 pub const SLOTS: u8 = 60;
 /// Rank of the at-most-once record.
--- a/crates/lentilreach/src/process/warmth.rs
+++ b/crates/lentilreach/src/process/warmth.rs
@@ -78,6 +78,8 @@
     level: u16,
     /// The limit is held at the cold limit until this time.
     hold: Millis,
+    /// When the last cold turn began.
+    turned: Millis,
     /// The last slow sign or cold turn. Requests that started before it prove nothing.
     sign: Millis,
     /// Fast answers still missing since the last sign.
@@ -97,6 +99,7 @@
             ramp,
             level: 1,
             hold: now,
+            turned: now,
             sign: now,
             missing: 0,
             strikes: 0,
@@ -108,8 +111,15 @@
         warmth
     }
 
-    /// Replaces the limits. A running cold turn keeps its end.
+    /// Replaces the limits. A running cold turn keeps its end, unless no answer has been seen
+    /// yet: then the new limits say how long it lasts.
+    ///
+    /// An agent starts with the lowest limits before it has its configuration, and its first
+    /// cold turn ended with them after 10 ms.
     pub fn set_ramp(&mut self, ramp: Ramp) {
+        if self.times.ring.is_empty() {
+            self.hold = self.turned.after(ramp.cold_ms);
+        }
         let cold_slots = ramp.cold_slots.max(1);
         self.ramp = Ramp { cold_slots, slots: ramp.slots.max(cold_slots), ..ramp };
         self.level = self.level.clamp(cold_slots, self.ramp.slots);
@@ -149,6 +159,7 @@
 
     /// A cold turn: a connection was closed or refused, or a request failed or was shed.
     pub fn turn(&mut self, now: Millis) {
+        self.turned = now;
         self.hold = self.hold.max(now.after(self.ramp.cold_ms));
         self.doubt(now);
         self.strikes = 0;
--- a/crates/lentilreach/src/request/envelope.rs
+++ b/crates/lentilreach/src/request/envelope.rs
@@ -26,6 +26,9 @@
 /// Bytes of the tag.
 const TAG: usize = 16;
 
+/// Position of a datagram that goes to the home of its flow, before the first candidate.
+pub const HOME: u8 = u8::MAX;
+
 /// Header of an envelope.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -34,6 +37,20 @@
     Forward(Forward),
     /// From an agent to a balancer, for the caller.
     Return(Return),
+    /// From an agent to the home of a flow: it has taken the flow.
+    Taken(Taken),
+}
+
+/// A flow that an agent has taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Taken {
+    /// The caller.
+    pub caller: SocketAddr,
+    /// Hash of the first connection ID.
+    pub id: u64,
+    /// The agent.
+    pub agent: SocketAddrV4,
 }
 
 /// A caller's datagram on its way to a backend server.
@@ -51,7 +68,14 @@
     /// The reported mean of open flows of the service's members, in tenths; only in a
     /// datagram that opens a flow. Agents do not hear of each other in the exchange.
     pub mean: Option<u32>,
-    /// Index of the receiving agent in `candidates`.
+    /// The agent that keeps track of the opening flow; none unless the datagram opens one.
+    pub home: Option<SocketAddrV4>,
+    /// The candidate with the fewest open flows among those that declined, and their number.
+    pub fewest: Option<(SocketAddrV4, u32)>,
+    /// Whether a candidate handed the datagram back. From then on `candidates` holds two
+    /// agents and only obstacles are a reason to hand it on, so there is no loop.
+    pub returned: bool,
+    /// Index of the receiving agent in `candidates`, or [`HOME`].
     pub position: u8,
     /// Empty unless the datagram opens a flow.
     pub candidates: Vec<SocketAddrV4>,
@@ -62,7 +86,7 @@
     ///
     /// The position only grows, so a datagram visits each candidate at most once.
     pub fn next(&self) -> Option<(SocketAddrV4, Self)> {
-        let position = self.position.checked_add(1)?;
+        let position = if self.position == HOME { 0 } else { self.position + 1 };
         let agent = *self.candidates.get(usize::from(position))?;
         Some((agent, Self { position, ..self.clone() }))
     }
@@ -71,6 +95,11 @@
     pub fn remaining(&self) -> usize {
         self.candidates.len().saturating_sub(usize::from(self.position) + 1)
     }
+
+    /// The same datagram for other candidates, as a list of its own.
+    pub fn redirect(&self, candidates: Vec<SocketAddrV4>) -> Self {
+        Self { candidates, fewest: None, position: 0, ..self.clone() }
+    }
 }
 
 impl From<&Candidates> for Vec<SocketAddrV4> {
--- a/crates/lentilreach/src/request/route.rs
+++ b/crates/lentilreach/src/request/route.rs
@@ -25,6 +25,9 @@
     Offer {
         /// The service addressed.
         service: service::Id,
+        /// The agent that keeps track of the opening flow. Depends on the flow and the
+        /// membership, not on load.
+        home: SocketAddrV4,
         /// Never empty.
         candidates: Candidates,
     },
@@ -123,6 +126,8 @@
     // The score above the place. Positive floats are in the same order as their bits.
     let mut ranks = [u64::MAX; WIDTH];
     let (mut len, mut takers) = (0, 0);
+    // The place of the first taker in the order of the bucket, which load does not change.
+    let mut home = WIDTH;
     for (place, choice) in service.choices(hash).enumerate().take(WIDTH) {
         agents[place] = choice.agent;
         if view.is_out(choice.domain) {
@@ -131,7 +136,10 @@
         let score = choice.cost * DRAWS[usize::from(draws[place])];
         ranks[place] = u64::from(score.to_bits()) << 8 | place as u64;
         len += 1;
-        takers += u8::from(choice.cost < load::LAST);
+        if choice.cost < load::LAST {
+            takers += 1;
+            home = home.min(place);
+        }
     }
     if len == 0 {
         return Verdict::Drop(Reason::NoMember);
@@ -141,7 +149,8 @@
     // flows for balance as long as candidates remain, and these would refuse them.
     let len = if takers == 0 { len } else { takers };
     let list = ranks.map(|rank| agents[rank as usize % WIDTH]);
-    Verdict::Offer { service: service.id, candidates: Candidates { list, len } }
+    let home = if takers == 0 { list[0] } else { agents[home] };
+    Verdict::Offer { service: service.id, home, candidates: Candidates { list, len } }
 }
 
 /// Sorts by the network of Batcher, which has no branch that depends on the values.
--- a/crates/lentilreach/tests/codec.rs
+++ b/crates/lentilreach/tests/codec.rs
@@ -4,7 +4,7 @@
 
 use lentilreach::connection::token::{self, Token};
 use lentilreach::id::{domain, node, service};
-use lentilreach::request::envelope::{self, Forward, Header, Sealer};
+use lentilreach::request::envelope::{self, Forward, HOME, Header, Sealer};
 use lentilreach::request::packet::{self, Form, Packet};
 use lentilreach::request::route::{Reason, Verdict, route};
 use lentilreach::version::view::{Domain, Load, Member, Service, Stage, View};
@@ -55,6 +55,9 @@
         position: 0,
         candidates: vec![agent(1), agent(2)],
         mean: Some(25),
+        home: Some(agent(1)),
+        fewest: Some((agent(2), 7)),
+        returned: false,
     }
 }
 
@@ -179,7 +182,9 @@
 
     assert_eq!((second, next.position, next.remaining()), (agent(2), 1, 0));
     assert_eq!(next.next(), None);
-    assert_eq!(Forward { position: u8::MAX, ..forward() }.next(), None);
+    assert_eq!(Forward { position: HOME - 1, ..forward() }.next(), None);
+    let (first, from_home) = Forward { position: HOME, ..forward() }.next().expect("two");
+    assert_eq!((first, from_home.position, from_home.remaining()), (agent(1), 0, 1));
 }
 
 /// Guards against an envelope of another fleet, and against a nonce that repeats.
--- a/crates/lentilreach/tests/fleet/agent.rs
+++ b/crates/lentilreach/tests/fleet/agent.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use lentilreach::connection::directory::Directory;
+use lentilreach::connection::guide::{Guide, Step};
 use lentilreach::connection::open::{self, Outcome, Table};
 use lentilreach::connection::{flow, token::Token};
 use lentilreach::id::node;
@@ -48,6 +50,7 @@
     pub draining: Option<Millis>,
     pub config: Config,
     pub table: Table,
+    directory: Directory,
     pub gate: Gate,
     node: node::Id,
     ledger: Ledger,
@@ -86,6 +89,7 @@
             draining: None,
             config: Config::default(),
             table: Table::new(FLOWS),
+            directory: Directory::default(),
             gate: Gate::new(LIMITS, now),
             node,
             ledger: Ledger::new(node, 1_000, 60_000),
@@ -142,6 +146,9 @@
             Message::Forward(forward, datagram, body) => {
                 self.receive(at, forward, datagram, body);
             }
+            Message::Taken(flow, by) => {
+                self.agents[at].directory.settle(self.now, flow, by);
+            }
             Message::Seal(key, from, stream) => {
                 let sealing = self.agents[at].ledger.seal(self.now, &key);
                 self.send(Place::Agent(from), Message::Sealed(sealing, stream));
@@ -269,24 +276,33 @@
     /// Decides on an opening packet.
     fn open(&mut self, at: usize, forward: Forward, datagram: Vec<u8>) {
         let caller = forward.caller;
+        let service = forward.service;
         let agent = &mut self.agents[at];
-        match agent.table.offer(self.now, flow_key(caller), forward.remaining()) {
-            Outcome::HandOn => {
-                if let Some((next, forward)) = forward.next() {
-                    self.send(
-                        agent_at(next),
-                        Message::Forward(forward, datagram, Body::Open),
-                    );
-                }
+        let mut guide = Guide {
+            me: agent_address(at),
+            serves: true,
+            flows: &mut agent.table,
+            directory: &mut agent.directory,
+        };
+        let (outcome, tell) = match guide.step(self.now, flow_key(caller), forward) {
+            Step::Deliver { outcome, tell } => (outcome, tell),
+            Step::Send { to, forward, .. } => {
+                let message = Message::Forward(forward, datagram, Body::Open);
+                return self.send(agent_at(to), message);
             }
+            Step::Drop => return,
+        };
+        let agent = &mut self.agents[at];
+        match outcome {
             Outcome::Refuse(_) => self.answer(caller, Reply::Refuse),
+            Outcome::HandOn | Outcome::HandBack => unreachable!("sent on by the guide"),
             Outcome::Admit | Outcome::Known => {
                 if let Err(place) = agent.flows.binary_search_by_key(&caller, |(c, _)| *c)
                 {
                     agent.flows.insert(place, (caller, Vec::new()));
                 }
                 let token = Token {
-                    service: forward.service,
+                    service,
                     domain: domain_of(at),
                     agent: agent_address(at),
                     incarnation: agent.node.incarnation(),
@@ -295,6 +311,10 @@
                 let binding = (agent.node, agent.ledger.expiry(self.now));
                 let token = self.keys.encode(&token).expect("there is a key");
                 self.answer(caller, Reply::Accept(token, at, binding));
+                if let Some(home) = tell {
+                    let taken = Message::Taken(flow_key(caller), agent_address(at));
+                    self.send(agent_at(home), taken);
+                }
             }
         }
     }
--- a/crates/lentilreach/tests/fleet/balancer.rs
+++ b/crates/lentilreach/tests/fleet/balancer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use lentilreach::process::clock::Millis;
-use lentilreach::request::envelope::Forward;
+use lentilreach::request::envelope::{Forward, HOME};
 use lentilreach::request::packet::Packet;
 use lentilreach::request::route::{Verdict, route};
 use lentilreach::version::view::{Domain, Member, Service, Stage, View};
@@ -61,20 +61,25 @@
         let (id, to, candidates) =
             match route(&self.balancers[at].view, &self.keys, &packet, SALT) {
                 Verdict::Forward { service, agent } => (service, agent, Vec::new()),
-                Verdict::Offer { service, candidates } => {
-                    let list = candidates.as_slice().to_vec();
-                    (service, list[0], list)
+                Verdict::Offer { service, home, candidates } => {
+                    (service, home, candidates.as_slice().to_vec())
                 }
                 Verdict::Drop(_) => return,
             };
         let balancer = SocketAddr::from(([127, 3, 0, at as u8], 1));
+        let view = &self.balancers[at].view;
+        let mean = view.service(service).and_then(Service::mean);
+        let opening = !candidates.is_empty();
         let forward = Forward {
             service: id,
             address: service,
             caller,
             balancer,
-            position: 0,
-            mean: None,
+            home: opening.then_some(to),
+            fewest: None,
+            returned: false,
+            position: if opening { HOME } else { 0 },
+            mean,
             candidates,
         };
         self.send(agent_at(to), Message::Forward(forward, datagram, body));
--- a/crates/lentilreach/tests/fleet/mod.rs
+++ b/crates/lentilreach/tests/fleet/mod.rs
@@ -10,14 +10,13 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use fastrand::Rng;
-use lentilreach::connection::token;
+use lentilreach::connection::{flow, token};
 use lentilreach::id::{domain, node, service};
 use lentilreach::process::clock::Millis;
 use lentilreach::process::ledger;
 use lentilreach::request::admit::Ticket;
 use lentilreach::request::envelope::Forward;
-use lentilreach::version::load;
-use lentilreach::version::view::{Member, Service};
+use lentilreach::version::view::Member;
 
 use agent::Agent;
 use balancer::Balancer;
@@ -57,6 +56,8 @@
     Datagram(SocketAddr, SocketAddr, Vec<u8>, Body),
     /// The same on its way to an agent.
     Forward(Forward, Vec<u8>, Body),
+    /// An agent has taken a flow; for the flow's home.
+    Taken(flow::Key, SocketAddrV4),
     /// An agent's reply to a flow.
     Return(SocketAddr, Reply),
     /// Asks the owner to seal a key: the asking agent and its pending stream.
@@ -303,10 +304,6 @@
             if !self.agents[at].alive || self.paused(Place::Agent(at)).is_some() {
                 continue;
             }
-            let view = &self.balancers[at % BALANCERS].view;
-            let service = view.service(address(self.agents[at].service));
-            let mean = load::mean(service.map(Service::members).unwrap_or_default());
-            self.agents[at].table.set_mean(mean);
             let lies = self.trouble.liar == Some(at);
             let (count, member) = self.agents[at].announcement(self.now, lies);
             for balancer in 0..self.balancers.len() {
--- a/crates/lentilreach/tests/spread_driver.rs
+++ b/crates/lentilreach/tests/spread_driver.rs
@@ -1,15 +1,13 @@
 //! The driver of the exchange over UDP on loopback.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
 use futures_lite::future;
 use lentilreach::id::{domain, node};
-use lentilreach::process::clock::Hybrid;
+use lentilreach::process::event::Recorder;
 use lentilreach::process::link::{Link, Udp};
-use lentilreach::process::lock::Ranked;
 use lentilreach::process::pool::Pool;
 use lentilreach::process::spread::core::Core;
 use lentilreach::process::spread::driver::Exchange;
@@ -40,9 +38,9 @@
     };
     let current = keys.last().copied().unwrap_or(0);
     let keys = keys.iter().map(|key| Key::new(*key, &[FLEET[0] + key; 16])).collect();
-    let hybrid = Arc::new(Ranked::new(80, Hybrid::default()));
+    let recorder = Recorder::new(format!("node-{id}").into(), "nord".into());
     let core = Core::new(node, id.0);
-    Exchange::start(pool, link, core, Sealer::new(id, keys, current), hybrid)
+    Exchange::start(pool, link, core, Sealer::new(id, keys, current), recorder)
 }
 
 /// The address of a node.
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -349,7 +349,7 @@
         for (position, agent) in list.iter().enumerate() {
             let table = &mut self.agents[*agent].table;
             match table.offer(self.now, key, list.len() - position - 1) {
-                open::Outcome::HandOn => {}
+                open::Outcome::HandOn | open::Outcome::HandBack => {}
                 open::Outcome::Refuse(_) => return (position as u64, None),
                 open::Outcome::Admit | open::Outcome::Known => {
                     table.complete(self.now, key);
