Suspend the bound of agents while the mean grows

While a service fills up, all agents are ahead of a mean that is a second old and handed flows on to the candidate liked least.

--- a/crates/lentilreach/src/connection/open.rs
+++ b/crates/lentilreach/src/connection/open.rs
@@ -15,6 +15,9 @@
 /// `docs/decisions/steering.md`.
 const RESERVE: usize = 2;
 
+/// Time over which growth of the mean is judged, in milliseconds: the age of load reports.
+const TREND_MS: u64 = 1_000;
+
 /// What a backend server may hold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -71,6 +74,10 @@
     limits: Limits,
     /// Reported mean of the open flows of the service's members, in tenths.
     mean: Option<u32>,
+    /// Earlier means and when they were set, the last two at least [`TREND_MS`] apart.
+    past: [(Millis, u32); 2],
+    /// The time of the last event.
+    latest: Millis,
     /// Whether the backend server is draining.
     leaving: bool,
     /// Whether the backend server is in a cold start.
@@ -89,6 +96,8 @@
         Self {
             limits,
             mean: None,
+            past: [(Millis(0), 0); 2],
+            latest: Millis(0),
             leaving: false,
             cold: true,
             flows: Vec::new(),
@@ -106,6 +115,9 @@
     /// Sets the reported mean of open flows of the service's members, in tenths of a flow.
     pub fn set_mean(&mut self, tenths: Option<u32>) {
         self.mean = tenths;
+        if self.latest.since(self.past[1].0) >= TREND_MS {
+            self.past = [self.past[1], (self.latest, tenths.unwrap_or(0))];
+        }
     }
 
     /// Sets whether the backend server is draining.
@@ -124,6 +136,7 @@
     /// the same way. The exception is a packet that was handed on before and now arrives
     /// with this agent as its last candidate: it is decided anew.
     pub fn offer(&mut self, now: Millis, flow: flow::Key, remaining: usize) -> Outcome {
+        self.latest = now;
         if now >= self.due {
             self.expire(now);
         }
@@ -219,10 +232,14 @@
     /// Whether there are more open flows than the mean of the service by 2% and a half.
     ///
     /// The tighter the bound, the more flows are handed on; see `docs/decisions/steering.md`.
+    /// There is no bound while the mean grows by more than 5% and one within one to two
+    /// [`TREND_MS`]: all members are then ahead of the reported mean, and flows would be handed
+    /// on to the candidate that is liked least.
     fn is_ahead(&self) -> bool {
         let Some(mean) = self.mean else { return false };
-        let mean = u64::from(mean);
-        u64::from(self.open()) * 10 > mean + mean / 50 + 5
+        let (mean, past) = (u64::from(mean), u64::from(self.past[0].1));
+        let grows = mean > past + past / 20 + 10;
+        !grows && u64::from(self.open()) * 10 > mean + mean / 50 + 5
     }
 
     /// Gives a flow a place.
