Damp the weights while a service fills up

Relative distances are large while all members have few flows, and weights then sent the flows of a report interval to a few members. Weights now correct at most what arrives within the age of a report, and agents have no bound below a mean of one flow.

--- a/crates/lentilreach/src/connection/open.rs
+++ b/crates/lentilreach/src/connection/open.rs
@@ -15,6 +15,9 @@
 /// `docs/decisions/steering.md`.
 const RESERVE: usize = 2;
 
+/// Least mean that is compared with, in tenths of a flow.
+const MIN_MEAN: u64 = 10;
+
 /// Time over which growth of the mean is judged, in milliseconds: the age of load reports.
 const TREND_MS: u64 = 1_000;
 
@@ -232,14 +235,15 @@
     /// Whether there are more open flows than the mean of the service by 2% and a half.
     ///
     /// The tighter the bound, the more flows are handed on; see `docs/decisions/steering.md`.
-    /// There is no bound while the mean grows by more than 5% and one within one to two
-    /// [`TREND_MS`]: all members are then ahead of the reported mean, and flows would be handed
-    /// on to the candidate that is liked least.
+    /// There is no bound while the mean is below one flow or grows by more than 5% and one
+    /// within one to two [`TREND_MS`]: all members are then ahead of the reported mean, and
+    /// flows would be handed on to the candidate that is liked least.
     fn is_ahead(&self) -> bool {
         let Some(mean) = self.mean else { return false };
         let (mean, past) = (u64::from(mean), u64::from(self.past[0].1));
         let grows = mean > past + past / 20 + 10;
-        !grows && u64::from(self.open()) * 10 > mean + mean / 50 + 5
+        let is_usable = mean >= MIN_MEAN && !grows;
+        is_usable && u64::from(self.open()) * 10 > mean + mean / 50 + 5
     }
 
     /// Gives a flow a place.
--- a/crates/lentilreach/src/version/view.rs
+++ b/crates/lentilreach/src/version/view.rs
@@ -8,7 +8,7 @@
 use crate::id::{domain, node, service};
 use crate::process::name::Name;
 pub use crate::version::load::Load;
-use crate::version::load::{self, Choice};
+use crate::version::load::{self, Choice, Trend};
 use crate::version::table::Table;
 
 /// One version of everything that a routing decision needs.
@@ -97,6 +97,8 @@
     table: Arc<Table>,
     /// What routing reads of each of `members`, in the same order.
     choices: Arc<[Choice]>,
+    /// How the mean of open flows changes.
+    trend: Trend,
 }
 
 impl Service {
@@ -110,8 +112,9 @@
         members.sort_by_key(|member| member.node);
         members.dedup_by_key(|member| member.node);
         let table = Arc::new(Table::build(&members));
-        let choices = load::choices(&members).into();
-        Self { address, id, name, members: members.into(), table, choices }
+        let trend = Trend::new(&members);
+        let choices = load::choices(&members, &trend).into();
+        Self { address, id, name, members: members.into(), table, choices, trend }
     }
 
     /// The same service with new load and stage of members, if the set is unchanged.
@@ -121,8 +124,12 @@
         members.sort_by_key(|member| member.node);
         let same = members.len() == self.members.len()
             && members.iter().zip(self.members.iter()).all(|(a, b)| a.node == b.node);
-        let choices = load::choices(&members).into();
-        same.then(|| Self { members: members.into(), choices, ..self.clone() })
+        if !same {
+            return None;
+        }
+        let trend = self.trend.next(&members);
+        let choices = load::choices(&members, &trend).into();
+        Some(Self { members: members.into(), choices, trend, ..self.clone() })
     }
 
     /// The members, sorted by node identifier.
