--- a/crates/standin/examples/steering.rs
+++ b/crates/standin/examples/steering.rs
@@ -2,13 +2,16 @@
 //!
 //! The first argument is the number of seeds (default 5).
 
-use lentilreach_standin::experiment::{Figures, Order, Policy, Scenario, run};
+use lentilreach_standin::experiment::{
+    Figures, Order, Plan, Policy, START_MS, Scenario, run,
+};
 
 /// What is compared.
-const POLICIES: [(&str, Policy); 8] = [
+const POLICIES: [(&str, Policy); 9] = [
     ("rendezvous", Policy { order: Order::Rendezvous, bound: false }),
     ("two choices", Policy { order: Order::TwoChoices, bound: false }),
     ("least reported", Policy { order: Order::Least, bound: false }),
+    ("before", Policy { order: Order::Quantised, bound: false }),
     ("rendezvous + bound", Policy { order: Order::Rendezvous, bound: true }),
     ("two choices + bound", Policy { order: Order::TwoChoices, bound: true }),
     ("least reported + bound", Policy { order: Order::Least, bound: true }),
@@ -18,23 +21,31 @@
 
 fn main() {
     let seeds = std::env::args().nth(1).and_then(|n| n.parse().ok()).unwrap_or(5);
-    for (rolling, life_ms) in [(false, 20_000), (true, 20_000), (true, 60_000)] {
+    for (plan, life_ms) in [
+        (Plan::Fill, 20_000),
+        (Plan::Steady, 20_000),
+        (Plan::Rolling, 20_000),
+        (Plan::Rolling, 60_000),
+    ] {
         for (members, flows) in
             [(3, 40), (4, 40), (7, 40), (40, 40), (3, 400), (4, 400), (7, 400), (40, 400)]
         {
-            let plan = if rolling { "rolling" } else { "steady" };
             println!(
-                "\n{plan}, {members} members, {flows} flows each, life {} s",
+                "\n{plan:?}, {members} members, {flows} flows each, life {} s",
                 life_ms / 1_000
             );
             println!("| policy | imbalance | p99 | hops | split | refused |");
             println!("| --- | --- | --- | --- | --- | --- |");
             for (name, policy) in POLICIES {
                 let figures = (1..=seeds).map(|seed| {
-                    let duration_ms =
-                        3 * life_ms + if rolling { 150_000 } else { 80_000 };
+                    let end_ms = START_MS
+                        + match plan {
+                            Plan::Fill => 5_000,
+                            Plan::Steady => 3 * life_ms + 64_000,
+                            Plan::Rolling => 3 * life_ms + 134_000,
+                        };
                     let scenario =
-                        Scenario { members, flows, life_ms, rolling, duration_ms, seed };
+                        Scenario { members, flows, life_ms, plan, end_ms, seed };
                     run(scenario, policy)
                 });
                 print(name, &figures.collect::<Vec<_>>());
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -37,6 +37,9 @@
 /// Duration of a cold start, in milliseconds.
 const COLD_MS: u64 = 8_000;
 
+/// When flows begin to arrive, in milliseconds; all members are warm by then.
+pub const START_MS: u64 = 2 * COLD_MS;
+
 /// Limits of a member: 2,000 flows, a fifth of them in a cold start.
 const LIMITS: open::Limits =
     open::Limits { flows: 2_000, cold_flows: 400, half_open_ms: 3_000 };
@@ -50,6 +53,8 @@
     TwoChoices,
     /// All by reported load, those of equal load at random.
     Least,
+    /// The same with load in 1/64 of the limit, as the library ordered before.
+    Quantised,
     /// All by reported load plus the flows that this balancer sent since, times the balancers.
     Sent,
     /// The library's own order.
@@ -65,6 +70,17 @@
     pub bound: bool,
 }
 
+/// What happens in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Plan {
+    /// Flows come and go after the service has filled up.
+    Steady,
+    /// Members are also replaced one after the other.
+    Rolling,
+    /// The service fills up; figures count from the start.
+    Fill,
+}
+
 /// One run.
 #[derive(Debug, Clone, Copy)]
 pub struct Scenario {
@@ -74,10 +90,10 @@
     pub flows: u32,
     /// Mean life of a flow in milliseconds, exponentially distributed.
     pub life_ms: u64,
-    /// Whether members are replaced one after the other.
-    pub rolling: bool,
-    /// Duration in milliseconds.
-    pub duration_ms: u64,
+    /// What happens.
+    pub plan: Plan,
+    /// End in milliseconds. The service is empty at [`START_MS`].
+    pub end_ms: u64,
     /// Seed of all random numbers.
     pub seed: u64,
 }
@@ -100,7 +116,7 @@
 /// Runs one scenario under one policy.
 pub fn run(scenario: Scenario, policy: Policy) -> Figures {
     let mut world = World::new(scenario, policy);
-    while world.now.0 < scenario.duration_ms {
+    while world.now.0 < scenario.end_ms {
         world.step();
     }
     world.figures()
@@ -195,7 +211,7 @@
             scenario,
             policy,
             rng: Rng::with_seed(scenario.seed),
-            now: Millis(COLD_MS * 2),
+            now: Millis(START_MS),
             agents: Vec::new(),
             balancers: balancers.collect(),
             ends: BinaryHeap::new(),
@@ -220,9 +236,10 @@
         });
     }
 
-    /// Whether figures count: after the fill-up.
+    /// Whether figures count.
     fn is_measured(&self) -> bool {
-        self.now.0 > COLD_MS * 2 + 3 * self.scenario.life_ms
+        self.scenario.plan == Plan::Fill
+            || self.now.0 > START_MS + 3 * self.scenario.life_ms
     }
 
     /// One millisecond.
@@ -233,7 +250,10 @@
         if now.0.is_multiple_of(REFRESH_MS) {
             self.refresh();
         }
-        if self.scenario.rolling && self.is_measured() && now.0.is_multiple_of(ROLL_MS) {
+        if self.scenario.plan == Plan::Rolling
+            && self.is_measured()
+            && now.0.is_multiple_of(ROLL_MS)
+        {
             (0..self.scenario.members.div_ceil(7)).for_each(|_| self.roll());
         }
         while let Some(Reverse((at, agent, key))) = self.ends.peek().copied()
@@ -383,6 +403,12 @@
                 self.rng.shuffle(&mut list);
                 list.sort_by_key(|m| use_of(m, 0));
             }
+            Order::Quantised => {
+                self.rng.shuffle(&mut list);
+                list.sort_by_key(|m| {
+                    u64::from(m.load.open) * 64 / u64::from(m.load.limit)
+                });
+            }
             Order::Sent => {
                 self.rng.shuffle(&mut list);
                 let sent = |m: &Member| balancer.sent[m.node.0 as usize].1;
