--- a/crates/lentilreach/src/connection/open.rs
+++ b/crates/lentilreach/src/connection/open.rs
@@ -15,6 +15,9 @@
 /// `docs/decisions/steering.md`.
 const RESERVE: usize = 2;
 
+/// Least mean that is compared with, in tenths of a flow.
+const MIN_MEAN: u32 = 10;
+
 /// What a backend server may hold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -259,8 +262,9 @@
     /// Whether there are more open flows than the mean of the service by 2% and a half.
     ///
     /// The tighter the bound, the more flows are handed on; see `docs/decisions/steering.md`.
+    /// There is no bound while the mean is below [`MIN_MEAN`], when nothing is known yet.
     fn is_ahead(&self) -> bool {
-        let Some(mean) = self.mean else { return false };
+        let Some(mean) = self.mean.filter(|mean| *mean >= MIN_MEAN) else { return false };
         let mean = u64::from(mean);
         u64::from(self.open()) * 10 > mean + mean / 50 + 5
     }
--- a/crates/lentilreach/src/request/route.rs
+++ b/crates/lentilreach/src/request/route.rs
@@ -128,18 +128,18 @@
     let (mut len, mut takers) = (0, 0);
     // The place of the first taker in the order of the bucket, which load does not change.
     let mut home = WIDTH;
-    for (place, choice) in service.choices(hash).enumerate().take(WIDTH) {
-        agents[place] = choice.agent;
-        if view.is_out(choice.domain) {
-            continue;
-        }
-        let score = choice.cost * DRAWS[usize::from(draws[place])];
-        ranks[place] = u64::from(score.to_bits()) << 8 | place as u64;
-        len += 1;
-        if choice.cost < load::LAST {
-            takers += 1;
-            home = home.min(place);
+    let places = agents.iter_mut().zip(&mut ranks).zip(draws).enumerate();
+    for ((place, ((agent, rank), draw)), choice) in places.zip(service.choices(hash)) {
+        *agent = choice.agent;
+        let is_in = !view.is_out(choice.domain);
+        let score = choice.cost * DRAWS[usize::from(draw)];
+        if is_in {
+            *rank = u64::from(score.to_bits()) << 8 | place as u64;
         }
+        len += u8::from(is_in);
+        let takes = is_in && choice.cost < load::LAST;
+        takers += u8::from(takes);
+        home = home.min(if takes { place } else { WIDTH });
     }
     if len == 0 {
         return Verdict::Drop(Reason::NoMember);
--- a/crates/lentilreach/tests/open.rs
+++ b/crates/lentilreach/tests/open.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use lentilreach::connection::flow::Key;
-use lentilreach::connection::open::{Limits, Outcome, Table, Why};
+use lentilreach::connection::open::{Limits, Offer, Outcome, Table, Why};
 use lentilreach::process::clock::Millis;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -69,16 +69,42 @@
     assert_eq!(table.open(), 10);
 }
 
+/// A warm table with five flows that has known this mean for three seconds, and the time.
+fn settled(mean: u32) -> (Table, Millis) {
+    let mut table = warm(5);
+    for second in 1..4 {
+        table.offer(Millis(second * 1_000), key(0), 0);
+        table.set_mean(Some(mean));
+    }
+    (table, Millis(3_000))
+}
+
 /// Guards against imbalance, and against refusals for balance when few candidates remain.
 #[test]
 fn flows_above_the_mean_are_handed_on() {
-    let mut table = warm(5);
-    table.set_mean(Some(40));
+    let (mut table, now) = settled(40);
+
+    assert_eq!(table.offer(now, key(60), 2), Outcome::HandOn);
+    assert_eq!(table.offer(now, key(61), 1), Outcome::Admit);
+    let (mut table, now) = settled(50);
+    assert_eq!(table.offer(now, key(63), 2), Outcome::Admit);
+}
 
-    assert_eq!(table.offer(Millis(0), key(60), 2), Outcome::HandOn);
-    assert_eq!(table.offer(Millis(0), key(61), 1), Outcome::Admit);
-    table.set_mean(Some(60));
-    assert_eq!(table.offer(Millis(0), key(62), 2), Outcome::Admit);
+/// Guards against flows that all members hand on while the service fills up, since each is
+/// ahead of a mean that is a second old: the true counts decide then.
+#[test]
+fn fewest_flows_win_over_an_old_mean() {
+    let (mut table, now) = settled(20);
+    let against = |fewest| Offer { remaining: 2, fewest: Some(fewest), returned: false };
+
+    assert_eq!(table.compare(now, key(60), against(4)), Outcome::HandOn);
+    assert_eq!(table.compare(now, key(61), against(5)), Outcome::Admit);
+    let last = Offer { remaining: 1, fewest: Some(5), returned: false };
+    assert_eq!(table.compare(now, key(62), last), Outcome::HandBack);
+    let returned = Offer { remaining: 1, fewest: None, returned: true };
+    assert_eq!(table.compare(now, key(60), returned), Outcome::Admit);
+    let (mut empty, now) = settled(0);
+    assert_eq!(empty.offer(now, key(63), 2), Outcome::Admit, "no mean yet");
 }
 
 /// Guards against unbounded memory under a flood of opening packets.
