Ask for missing parts of long documents

A lost part was replaced only by another transfer of the whole document, and a late part of a known document opened it anew. Missing parts are now asked for and sent first.

Storms of announcements are pushed less often and left to the digest.

--- a/crates/lentilreach/src/process/spread/budget.rs
+++ b/crates/lentilreach/src/process/spread/budget.rs
@@ -107,10 +107,10 @@
 }
 
 /// Ceiling of announcements and liveness in bytes per second.
-const LIVENESS: u32 = 10_000;
+const LIVENESS: u32 = 9_000;
 
 /// Ceiling of digests and what they repair in bytes per second.
-const REPAIR: u32 = 8_000;
+const REPAIR: u32 = 8_500;
 
 /// Ceiling of loads in bytes per second, both directions.
 const LOAD: u32 = 6_000;
--- a/crates/lentilreach/src/process/spread/core.rs
+++ b/crates/lentilreach/src/process/spread/core.rs
@@ -72,8 +72,14 @@
 /// Least time in milliseconds between publications of the heartbeats of attached nodes.
 const VOUCH_MS: u64 = 10_000;
 
+/// Pushes of a document that takes several messages.
+const LONG_ROUNDS: u8 = 2;
+
+/// Entries to push above which fewer pushes of each are made.
+const MANY: usize = 64;
+
 /// Parts of documents in the queue above which no document is added.
-const MAX_OUTBOX: usize = 256;
+pub(super) const MAX_OUTBOX: usize = 256;
 
 /// One node's part in the exchange.
 #[derive(Debug)]
@@ -370,7 +376,9 @@
             _ => {}
         }
         if self.me.role == Role::Balancer && self.ready {
-            let rounds = self.rounds(class);
+            let is_long = matches!(&entry, Entry::Document(d) if Part::is_needed(d));
+            // A long document fills the budget for seconds; the digest brings it to the rest.
+            let rounds = if is_long { LONG_ROUNDS } else { self.rounds(class) };
             self.hot.add(key.clone(), class, rounds);
             self.queue_for_leaves(&key, &entry);
         }
@@ -440,8 +448,10 @@
         let log = (u32::BITS - nodes.leading_zeros()) as u8;
         match class {
             Class::Configuration => log + 1,
-            Class::Repair => log.div_ceil(2) + 1,
-            Class::Load => log.div_ceil(4).max(2),
+            // Many entries at once are cheaper to repair than to push to the last node.
+            Class::Liveness if self.hot.urgent() > MANY => log.div_ceil(2) + 1,
+            Class::Repair if self.hot.urgent() > MANY => 2,
+            Class::Load if self.hot.loads() > MANY => log.div_ceil(4).max(2),
             _ => log,
         }
     }
--- a/crates/lentilreach/src/process/spread/hot.rs
+++ b/crates/lentilreach/src/process/spread/hot.rs
@@ -38,9 +38,9 @@
         }
     }
 
-    /// Whether entries other than loads wait.
-    pub fn is_urgent(&self) -> bool {
-        !self.urgent.is_empty()
+    /// Number of entries other than loads that wait.
+    pub fn urgent(&self) -> usize {
+        self.urgent.len()
     }
 
     /// Number of loads that wait.
--- a/crates/lentilreach/src/process/spread/message.rs
+++ b/crates/lentilreach/src/process/spread/message.rs
@@ -40,6 +40,15 @@
     Push(Vec<Entry>),
     /// Part of a document that is too long for one datagram.
     Part(Part),
+    /// Asks for parts of a document again that did not arrive.
+    Missing {
+        /// Key of the document.
+        key: Name,
+        /// Revision of the document.
+        revision: u64,
+        /// Positions of the parts, at most [`Part::MISSING`].
+        parts: Vec<u16>,
+    },
     /// Asks another balancer of a node for a heartbeat newer than `beat`.
     Query {
         /// The node.
@@ -105,6 +114,9 @@
                 }
                 Self::Push(entries) => 2 + sum(entries),
                 Self::Part(part) => part.size(),
+                Self::Missing { key, revision, parts } => {
+                    2 + key.len() + varint(*revision) + 2 + 3 * parts.len()
+                }
                 Self::Query { beat, attach, .. } => 8 + varint(*beat) + varint(*attach),
                 Self::Evidence { beat, .. } => 8 + varint(*beat),
                 Self::Compare { scope, .. } => scope_size(scope) + 5,
@@ -128,6 +140,7 @@
             Self::Ack(_) => "ack",
             Self::Push(_) => "push",
             Self::Part(_) => "part",
+            Self::Missing { .. } => "missing",
             Self::Query { .. } => "query",
             Self::Evidence { .. } => "evidence",
             Self::Compare { .. } => "compare",
@@ -148,7 +161,10 @@
                 entries.iter().map(Entry::class).min().unwrap_or(Class::Load)
             }
             // A long document must not hold up heartbeats.
-            Self::Part(_) | Self::Compare { .. } | Self::Pull(_) => Class::Liveness,
+            Self::Part(_)
+            | Self::Missing { .. }
+            | Self::Compare { .. }
+            | Self::Pull(_) => Class::Liveness,
             Self::Hashes { .. } | Self::Fill { .. } => Class::Repair,
         }
     }
@@ -211,6 +227,9 @@
     /// Bytes of a document in each part but the last.
     pub const BYTES: usize = 900;
 
+    /// Most parts that are asked for again at once.
+    pub const MISSING: usize = 16;
+
     /// Upper bound of the encoded size of the fields in bytes.
     fn size(&self) -> usize {
         2 + self.key.len() + varint(self.revision) + 3 + 3 + 2 + self.bytes.len()
--- a/crates/lentilreach/src/process/spread/part.rs
+++ b/crates/lentilreach/src/process/spread/part.rs
@@ -1,10 +1,13 @@
 //! Puts documents together that arrive in parts.
 
+use std::net::SocketAddr;
+
 use bytes::{Bytes, BytesMut};
 
 use crate::process::clock::Millis;
+use crate::process::spread::digest::fold;
 use crate::process::spread::entry::{Document, MAX_DOCUMENT};
-use crate::process::spread::message::Part;
+use crate::process::spread::message::{Body, Part};
 
 /// Documents that may be incomplete at the same time.
 const MAX_OPEN: usize = 8;
@@ -12,6 +15,9 @@
 /// Time in milliseconds after which an incomplete document may make room for another.
 const STALE_MS: u64 = 10_000;
 
+/// Time in milliseconds without a new part after which missing ones are asked for.
+const QUIET_MS: u64 = 500;
+
 /// Documents of which parts are missing.
 #[derive(Debug, Default)]
 pub struct List {
@@ -23,7 +29,7 @@
     /// Takes a part; returns the document if it is complete.
     ///
     /// Parts survive until the document is complete, so that repeated pushes fill gaps.
-    pub fn add(&mut self, now: Millis, part: Part) -> Option<Document> {
+    pub fn add(&mut self, now: Millis, from: SocketAddr, part: Part) -> Option<Document> {
         let most = MAX_DOCUMENT.div_ceil(Part::BYTES);
         let count = usize::from(part.count);
         let fits =
@@ -35,17 +41,43 @@
             let older = open.key == part.key && open.revision < part.revision;
             !older && now.since(open.at) < STALE_MS
         });
-        let index = self.find(now, &part)?;
+        let index = self.find(now, from, &part)?;
         let open = &mut self.open[index];
-        open.at = now;
+        (open.at, open.from) = (now, from);
         *open.parts.get_mut(usize::from(part.index))? = Some(part.bytes);
         let value = open.join()?;
         let open = self.open.swap_remove(index);
         Some(Document { key: open.key, revision: open.revision, value: Some(value) })
     }
 
+    /// Shortened fingerprints of the documents that are arriving.
+    pub fn fingerprints(&self) -> impl Iterator<Item = u32> {
+        self.open.iter().map(|open| {
+            let (key, revision) = (open.key.clone(), open.revision);
+            fold(Document { key, revision, value: None }.fingerprint())
+        })
+    }
+
+    /// Documents whose missing parts are to be asked for: whom, and the question.
+    pub fn missing(&mut self, now: Millis) -> Vec<(SocketAddr, Body)> {
+        let is_due = |open: &&mut Open| {
+            now.since(open.at) >= QUIET_MS && now.since(open.asked) >= QUIET_MS
+        };
+        let due = self.open.iter_mut().filter(is_due);
+        due.map(|open| {
+            open.asked = now;
+            let parts = open.parts.iter().enumerate();
+            let parts = parts.filter(|(_, part)| part.is_none());
+            let parts =
+                parts.map(|(index, _)| index as u16).take(Part::MISSING).collect();
+            let (key, revision) = (open.key.clone(), open.revision);
+            (open.from, Body::Missing { key, revision, parts })
+        })
+        .collect()
+    }
+
     /// Position of the document of a part; `None` if there is no room.
-    fn find(&mut self, now: Millis, part: &Part) -> Option<usize> {
+    fn find(&mut self, now: Millis, from: SocketAddr, part: &Part) -> Option<usize> {
         let found = self.open.iter().position(|open| {
             open.key == part.key
                 && open.revision == part.revision
@@ -57,6 +89,8 @@
                 revision: part.revision,
                 parts: vec![None; usize::from(part.count)],
                 at: now,
+                from,
+                asked: now,
             });
             return Some(self.open.len() - 1);
         }
@@ -75,6 +109,10 @@
     parts: Vec<Option<Bytes>>,
     /// When a part last arrived.
     at: Millis,
+    /// Who sent it.
+    from: SocketAddr,
+    /// When missing parts were last asked for.
+    asked: Millis,
 }
 
 impl Open {
--- a/crates/lentilreach/src/process/spread/receive.rs
+++ b/crates/lentilreach/src/process/spread/receive.rs
@@ -4,11 +4,12 @@
 
 use crate::id::node;
 use crate::process::clock::Millis;
-use crate::process::spread::core::{Action, Core};
+use crate::process::name::Name;
+use crate::process::spread::core::{Action, Core, MAX_OUTBOX};
 use crate::process::spread::digest::{Scope, holds_documents};
 use crate::process::spread::entry::{Class, Entry, Pulse, Role, Vital};
 use crate::process::spread::hot::Batch;
-use crate::process::spread::message::{Ack, Beat, Body, MAX_FIELDS, Message, Pull};
+use crate::process::spread::message::{Ack, Beat, Body, MAX_FIELDS, Message, Part, Pull};
 
 /// Most messages that answer one pull.
 const MAX_FILLS: u8 = 8;
@@ -32,10 +33,9 @@
             Body::Beat(beat) => self.receive_beat(now, from, sender, beat, actions),
             Body::Ack(ack) => self.receive_ack(now, from, sender, ack, actions),
             Body::Push(entries) => self.take_all(now, entries, actions),
-            Body::Part(part) => {
-                if let Some(document) = self.parts.add(now, part) {
-                    self.apply(now, Entry::Document(document), actions);
-                }
+            Body::Part(part) => self.receive_part(now, from, part, actions),
+            Body::Missing { key, revision, parts } => {
+                self.resend(from, &key, revision, &parts);
             }
             Body::Query { node, beat, attach } => {
                 self.answer_query(now, from, node, beat, attach, actions);
@@ -45,7 +45,7 @@
             Body::Compare { .. } | Body::Pull(_) if !self.ready => {}
             Body::Compare { scope, root, ready } => {
                 // A node that serves may lack configuration; one that joins can wait.
-                let class = if ready { Class::Liveness } else { Class::Repair };
+                let class = if ready { Class::Configuration } else { Class::Repair };
                 self.answer_compare(now, from, class, scope, root, actions);
             }
             Body::Hashes { scope, ready, sums } => {
@@ -64,6 +64,38 @@
         }
     }
 
+    /// Takes a part of a document.
+    fn receive_part(
+        &mut self,
+        now: Millis,
+        from: SocketAddr,
+        part: Part,
+        actions: &mut Vec<Action>,
+    ) {
+        // A late part of a known document must not open it anew.
+        if self.state.revision(&part.key) >= Some(part.revision) {
+            return;
+        }
+        if let Some(document) = self.parts.add(now, from, part) {
+            self.apply(now, Entry::Document(document), actions);
+        }
+    }
+
+    /// Puts parts that did not arrive at the head of the queue: they complete a document,
+    /// while what is queued begins others.
+    fn resend(&mut self, to: SocketAddr, key: &Name, revision: u64, missing: &[u16]) {
+        let documents = self.state.documents().iter();
+        let document = documents.filter(|d| d.key == *key && d.revision == revision);
+        let parts = document.filter_map(Part::split).flatten();
+        let parts = parts.filter(|part| missing.contains(&part.index));
+        for part in parts {
+            let entry = (to, part);
+            self.outbox.retain(|queued| *queued != entry);
+            self.outbox.push_front(entry);
+        }
+        self.outbox.truncate(MAX_OUTBOX + Part::MISSING);
+    }
+
     /// Answers with a newer heartbeat of a node, and with its attachment if that is newer:
     /// the asking balancer may not be concerned any more.
     fn answer_query(
--- a/crates/lentilreach/src/process/spread/round.rs
+++ b/crates/lentilreach/src/process/spread/round.rs
@@ -49,6 +49,7 @@
         self.refresh_peers();
         if !self.ready {
             self.join(now, actions);
+            self.send_parts(now, actions);
             self.pull(now, actions);
             self.review(now, actions);
             return;
@@ -90,7 +91,10 @@
             let Some((peer, width, parts)) = next else { return };
             let scope = self.scope.clone();
             let own = self.state.parts(now, &scope, &parts, width);
-            let have = own.into_iter().map(|(hash, _)| hash).take(Pull::HAVE).collect();
+            // What is arriving in parts must not be sent anew.
+            let arriving = self.parts.fingerprints();
+            let own = own.into_iter().map(|(hash, _)| hash);
+            let have = arriving.chain(own).take(Pull::HAVE).collect();
             let pull = Pull { scope, width, parts, back: self.ready, have };
             self.send(now, peer, Body::Pull(pull), actions);
         }
@@ -282,7 +286,7 @@
             let loads = round == 0
                 && self.hot.loads() > 0
                 && (many || self.ticks.is_multiple_of(LOAD_TICKS));
-            if !self.hot.is_urgent() && !loads {
+            if self.hot.urgent() == 0 && !loads {
                 return;
             }
             let Some(to) = self.next_peer() else { return };
@@ -304,6 +308,9 @@
 
     /// Sends queued parts of documents as far as the budget allows.
     fn send_parts(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for (to, question) in self.parts.missing(now) {
+            self.send(now, to, question, actions);
+        }
         while let Some((to, part)) = self.outbox.pop_front() {
             let body = Body::Part(part);
             if self.budget.left(now, body.class()) < body.size() {
--- a/crates/lentilreach/src/process/spread/state.rs
+++ b/crates/lentilreach/src/process/spread/state.rs
@@ -59,6 +59,11 @@
         &self.documents
     }
 
+    /// The revision of a document or its deletion; `None` if it is unknown.
+    pub fn revision(&self, key: &Name) -> Option<u64> {
+        self.find_document(key).ok().map(|index| self.documents[index].revision)
+    }
+
     /// The members, sorted by identifier, with removed ones.
     pub fn members(&self) -> &[Member] {
         &self.members
--- a/crates/lentilreach/src/process/spread/wire.rs
+++ b/crates/lentilreach/src/process/spread/wire.rs
@@ -104,6 +104,8 @@
     Push(#[serde(borrow)] Vec<Entry<'a>>),
     /// Part of a document: key, revision, index, count, bytes.
     Part(&'a str, u64, u16, u16, &'a [u8]),
+    /// Question for parts: key, revision, positions.
+    Missing(&'a str, u64, Vec<u16>),
     /// Question for a heartbeat: node, number, version of the attachment.
     Query([u8; 8], u64, u64),
     /// A heartbeat: node, number.
@@ -173,6 +175,9 @@
             Body::Ack(a) => Self::Ack(a.beat, a.counter, a.attach, a.root.to_le_bytes()),
             Body::Push(entries) => Self::Push(list(entries)),
             Body::Part(p) => Self::Part(&p.key, p.revision, p.index, p.count, &p.bytes),
+            Body::Missing { key, revision, parts } => {
+                Self::Missing(key, *revision, parts.clone())
+            }
             Body::Query { node, beat, attach } => {
                 Self::Query(node.0.to_le_bytes(), *beat, *attach)
             }
@@ -215,6 +220,12 @@
                 count,
                 bytes: Bytes::copy_from_slice(bytes),
             }),
+            Wire::Missing(key, revision, parts) => {
+                if parts.len() > message::Part::MISSING {
+                    return Err(Fault::Size);
+                }
+                Self::Missing { key: name(key, MAX_KEY)?, revision, parts }
+            }
             Wire::Query(id, beat, attach) => {
                 Self::Query { node: id_of(id), beat, attach }
             }
