--- a/crates/lentilreach-cli/src/command.rs
+++ b/crates/lentilreach-cli/src/command.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
+use lentilreach_cli::{status, timeline};
 
-use crate::{check, completions, demo, domain, show, submit};
+use crate::{check, completions, demo, domain, measure, show, submit};
 
 /// The name of the binary.
 pub const BINARY: &str = "lentilreach";
@@ -42,6 +43,9 @@
         domain::command(),
         completions::command(),
         demo::command(),
+        measure::command(),
+        status::command(),
+        timeline::command(),
     ]
 }
 
--- a/crates/lentilreach-cli/src/main.rs
+++ b/crates/lentilreach-cli/src/main.rs
@@ -10,6 +10,7 @@
 mod context;
 mod demo;
 mod domain;
+mod measure;
 mod reply;
 mod show;
 mod submit;
@@ -19,6 +20,7 @@
 
 use clap::ArgMatches;
 use env_logger::Env;
+use lentilreach_cli::{status, timeline};
 
 use crate::context::Context;
 use crate::reply::Reply;
@@ -35,6 +37,9 @@
 /// Runs the subcommand and prints its reply.
 fn run(context: &Context, matches: &ArgMatches) -> ExitCode {
     let reply = match matches.subcommand() {
+        Some(("measure", matches)) => return measure::run(matches),
+        Some(("status", matches)) => return status::run(matches),
+        Some(("timeline", matches)) => return timeline::run(matches),
         Some((check::NAME, matches)) => check::run(context, matches),
         Some((submit::NAME, matches)) => submit::run(context, matches),
         Some((show::NAME, matches)) => show::run(context, matches),
