Detect cold answers from twice the warm median, and roll in turn

Cause: a backend server that turns cold without closing connections and answers three times slower was below the threshold, which lay above three times the median; it got up to three requests beyond what it bears, seconds after its turn. The rolling plan replaced the next backend server while the one before was still draining, which is not in turn. Change: the threshold is twice the median; the rolling plan waits for the drain. Considered and ruled out: a slower stand-in, which would hide the case.

--- a/crates/lentilreach/src/process/warmth.rs
+++ b/crates/lentilreach/src/process/warmth.rs
@@ -40,7 +40,7 @@
 use crate::process::clock::Millis;
 
 /// An answer is slow from this multiple of the warm median on.
-pub const SLOW_FACTOR: u64 = 3;
+pub const SLOW_FACTOR: u64 = 2;
 
 /// Answers within this time are never slow, in milliseconds: scheduling delays of the machine
 /// are of this order.
--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -85,7 +85,8 @@
         .await;
 }
 
-/// Replaces the backend servers of one service until the time is over.
+/// Replaces the backend servers of one service in turn until the time is over: the next one
+/// joins when the drain of the one before is done.
 async fn roll_service(
     cluster: &Cluster,
     service: usize,
@@ -94,7 +95,6 @@
 ) {
     let old: Vec<_> =
         cluster.units().into_iter().filter(|unit| unit.service == service).collect();
-    let mut drains = Vec::new();
     for unit in old {
         if Instant::now() >= end {
             break;
@@ -108,9 +108,8 @@
         Timer::after(COLD).await;
         note(&format!("backend server {place} leaves"));
         unit.leave();
-        drains.push(async move { unit.finish().await });
+        unit.finish().await;
     }
-    join_all(drains).await;
 }
 
 /// Replaces the balancers until the time is over.
