Compare all candidates of small services before a flow ends at a full one

Cause: in a service of three, the second candidate took a flow although it was ahead of the mean, and the third, with ten flows fewer, was never asked; its count drifted away (32 against 45 and 43). Change: at least three candidates are compared; a last candidate that cannot take the flow hands it back to the one with the fewest open flows in place of refusing it.

--- a/crates/lentilreach/src/connection/guide.rs
+++ b/crates/lentilreach/src/connection/guide.rs
@@ -76,6 +76,7 @@
         }
         self.flows.set_mean(forward.mean);
         let offer = Offer {
+            declined: forward.position,
             remaining: forward.remaining(),
             fewest: forward.fewest.map(|(_, open)| open),
             returned: forward.returned,
--- a/crates/lentilreach/src/connection/open.rs
+++ b/crates/lentilreach/src/connection/open.rs
@@ -15,6 +15,12 @@
 /// `docs/decisions/steering.md`.
 const RESERVE: usize = 2;
 
+/// Candidates that must have declined before one that is ahead of the mean takes a flow.
+///
+/// Three compared are enough: with d random choices the fullest server lies above the mean by
+/// about ln ln n / ln d (Azar et al., 1999). Each comparison costs a way between agents.
+const COMPARED: usize = 2;
+
 /// Least mean that is compared with, in tenths of a flow.
 const MIN_MEAN: u32 = 10;
 
@@ -32,6 +38,8 @@
 /// How an opening packet is offered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Offer {
+    /// Candidates that declined before.
+    pub declined: u8,
     /// Candidates after this agent.
     pub remaining: usize,
     /// The fewest open flows of the candidates that declined before.
@@ -145,16 +153,18 @@
     /// the same way. The exception is a packet that was handed on before and now arrives
     /// with this agent as its last candidate: it is decided anew.
     pub fn offer(&mut self, now: Millis, flow: flow::Key, remaining: usize) -> Outcome {
-        self.compare(now, flow, Offer { remaining, fewest: None, returned: false })
+        let offer = Offer { declined: 0, remaining, fewest: None, returned: false };
+        self.compare(now, flow, offer)
     }
 
     /// The same, with what the candidates before have decided.
     ///
     /// The reported mean lags, so in a burst every candidate is above it. The true counts
-    /// decide then: the first candidate that has no more than those before takes the flow,
-    /// and if none has, the one with the fewest gets it back.
+    /// decide then: the first candidate after [`COMPARED`] others that has no more than they
+    /// takes the flow, and if none has, the one with the fewest gets it back. So does a flow
+    /// that the last candidate cannot take: it is refused only if nobody can.
     pub fn compare(&mut self, now: Millis, flow: flow::Key, offer: Offer) -> Outcome {
-        let Offer { remaining, fewest, returned } = offer;
+        let Offer { declined, remaining, fewest, returned } = offer;
         if now >= self.due {
             self.expire(now);
         }
@@ -171,23 +181,32 @@
             }
             _ => {}
         }
+        let is_compared = usize::from(declined) >= COMPARED;
         match self.obstacle() {
             None if returned || !self.is_ahead() => self.admit(now, flow),
-            None if remaining < RESERVE && fewest.is_some_and(|f| f < self.open()) => {
-                self.remember(now, flow, Decision::HandedBack);
-                Outcome::HandBack
-            }
-            None if remaining < RESERVE || fewest.is_some_and(|f| self.open() <= f) => {
+            None if remaining < RESERVE && fewest.is_none() => self.admit(now, flow),
+            None if is_compared && fewest.is_some_and(|f| self.open() <= f) => {
                 self.admit(now, flow)
             }
-            Some(why) if remaining == 0 => {
-                self.remember(now, flow, Decision::Refused(why));
-                Outcome::Refuse(why)
+            None if remaining == 0 && fewest.is_some_and(|f| self.open() <= f) => {
+                self.admit(now, flow)
             }
-            _ => {
-                self.remember(now, flow, Decision::HandedOn);
-                Outcome::HandOn
+            _ if remaining > 0 => self.decline(now, flow, Decision::HandedOn),
+            _ if fewest.is_some() && !returned => {
+                self.decline(now, flow, Decision::HandedBack)
             }
+            Some(why) => self.decline(now, flow, Decision::Refused(why)),
+            None => self.admit(now, flow),
+        }
+    }
+
+    /// Remembers that a flow was not admitted.
+    fn decline(&mut self, now: Millis, flow: flow::Key, decision: Decision) -> Outcome {
+        self.remember(now, flow, decision);
+        match decision {
+            Decision::HandedOn => Outcome::HandOn,
+            Decision::HandedBack => Outcome::HandBack,
+            Decision::Refused(why) => Outcome::Refuse(why),
         }
     }
 
