--- /dev/null
+++ b/crates/standin/benches/relay.rs
@@ -0,0 +1,120 @@
+//! Datagrams through a balancer beside a bare UDP relay, in one run.
+//!
+//! Both receive and send one datagram at a time on as many tasks of the same pool. The relay
+//! is the ceiling: it does nothing but pass datagrams on. The target is 0.8 of it.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::{Criterion, Throughput, criterion_main};
+use lentilreach::connection::token::Token;
+use lentilreach::id::{domain, node, service};
+use lentilreach::process::balancer::Balancer;
+use lentilreach::process::entry::{Encapsulated, Transit};
+use lentilreach::process::key::{Ring, Secret};
+use lentilreach::process::link::{Link, MAX_DATAGRAM, Udp};
+use lentilreach::process::pool::Pool;
+use lentilreach::process::tables::Tables;
+use lentilreach::version::view::{Service, View};
+use smol::Task;
+
+/// Datagrams under way at once. Fewer than fit a socket buffer, so that none is lost.
+const WINDOW: usize = 64;
+
+/// Size of a caller's datagram in bytes, the usual size of QUIC.
+const SIZE: usize = 1_200;
+
+/// Tasks of the relay, as many as a balancer has for one direction.
+const TASKS: usize = 2;
+
+/// A free port of loopback.
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A socket that waits a while for datagrams.
+fn socket() -> UdpSocket {
+    let socket = UdpSocket::bind(any()).expect("loopback has free ports");
+    let limit = Some(Duration::from_secs(5));
+    socket.set_read_timeout(limit).expect("the limit is not zero");
+    socket
+}
+
+/// Starts a relay to a sink; returns its address.
+fn relay(pool: &Pool, sink: SocketAddr) -> (SocketAddr, Vec<Task<()>>) {
+    let link = Udp::bind(any()).expect("loopback has free ports");
+    let address = link.local();
+    let pass = |link: Udp| async move {
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        while let Ok((len, _)) = link.receive(&mut buffer).await {
+            // A full buffer shows as a lost datagram at the sink.
+            let _ = link.send(sink, &buffer[..len]);
+        }
+    };
+    let tasks = (0..TASKS).map(|_| pool.spawn(pass(link.clone()))).collect();
+    (address, tasks)
+}
+
+/// Starts a balancer; returns its address and a datagram for the sink as its agent.
+fn balancer(pool: &Pool, sink: SocketAddr) -> (SocketAddr, Vec<u8>, Balancer) {
+    let SocketAddr::V4(agent) = sink else { unreachable!("loopback is IPv4") };
+    let address = SocketAddr::from(([127, 1, 0, 1], 4433));
+    let id = service::Id::of("weilheim", "abo");
+    let secret = Secret::fleet(b"the secret of the benchmark");
+    let ring = Ring::new(node::Id(1), std::slice::from_ref(&secret), secret.id);
+    let token =
+        Token { service: id, domain: domain::Id(0), agent, incarnation: 1, nonce: 1 };
+    let token = ring.tokens.encode(&token).expect("there is a key");
+    let tables = Arc::new(Tables::new(ring));
+    let services = vec![Service::new(address, id, "weilheim/abo".into(), Vec::new())];
+    tables.set_view(View::new(1, services, Vec::new()));
+    let entry = Udp::bind(any()).expect("loopback has free ports");
+    let to = entry.local();
+    let link = Udp::bind(any()).expect("loopback has free ports");
+    let balancer = Balancer::start(pool, tables, Encapsulated::new(entry, any()), link);
+    let mut packet = vec![0x40; SIZE];
+    packet[1..1 + token.len()].copy_from_slice(&token);
+    let mut datagram = Vec::new();
+    let caller = SocketAddr::from(([127, 0, 0, 2], 40_000));
+    Transit { caller, service: address }.encode(&packet, &mut datagram);
+    (to, datagram, balancer)
+}
+
+/// Sends a window of datagrams and waits until all have arrived at the sink.
+fn pass(source: &UdpSocket, to: SocketAddr, datagram: &[u8], sink: &UdpSocket) {
+    let mut buffer = [0; MAX_DATAGRAM];
+    for _ in 0..WINDOW {
+        source.send_to(datagram, to).expect("the buffer has room");
+    }
+    for _ in 0..WINDOW {
+        sink.recv(&mut buffer).expect("no datagram is lost");
+    }
+}
+
+/// Compares the two.
+fn compare(criterion: &mut Criterion) {
+    let pool = Pool::new(2).expect("threads");
+    let (source, sink) = (socket(), socket());
+    let address = sink.local_addr().expect("the sink is bound");
+    let (relay, _tasks) = relay(&pool, address);
+    let (balancer, datagram, _balancer) = balancer(&pool, address);
+    let mut group = criterion.benchmark_group("datagrams");
+    group.throughput(Throughput::Elements(WINDOW as u64));
+    group.bench_function("relay", |b| {
+        b.iter(|| pass(&source, relay, &datagram, &sink));
+    });
+    group.bench_function("balancer", |b| {
+        b.iter(|| pass(&source, balancer, &datagram, &sink));
+    });
+    group.finish();
+}
+
+/// Runs the comparison with the options of the command line.
+fn benches() {
+    let mut criterion = Criterion::default().configure_from_args();
+    compare(&mut criterion);
+    criterion.final_summary();
+}
+
+criterion_main!(benches);
