--- a/crates/lentilreach-cli/src/demo.rs
+++ b/crates/lentilreach-cli/src/demo.rs
@@ -1,9 +1,12 @@
 //! `lentilreach demo`: a whole deployment in one process.
 
+use std::path::PathBuf;
+
 use clap::{Arg, ArgMatches, Command, value_parser};
 use lentilreach_standin::demo::{self, Report, Settings};
 use lentilreach_standin::deployment::Deployment;
 use lentilreach_standin::plan::Plan;
+use lentilreach_standin::report::html;
 
 use crate::reply::{Reply, Status};
 
@@ -42,15 +45,30 @@
             option("loss", "PERCENT", "0", "Datagrams lost on long links")
                 .value_parser(percent),
         )
+        .arg(
+            Arg::new("html")
+                .long("html")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Write a page with plots of the run"),
+        )
 }
 
 /// Runs the demo. Fails if a promise was broken or the run could not be set up.
 pub fn run(matches: &ArgMatches) -> Reply {
+    let settings = settings(matches);
     // Standard output is for the report alone.
-    match demo::run(&settings(matches), |line| eprintln!("{line}")) {
-        Ok(report) => reply(&report),
-        Err(error) => Reply::failed(format!("step=demo {error}")),
+    let run = match demo::run(&settings, |line| eprintln!("{line}")) {
+        Ok(run) => run,
+        Err(error) => return Reply::failed(format!("step=demo {error}")),
+    };
+    if let Some(path) = matches.get_one::<PathBuf>("html") {
+        let title = format!("{}, {}", settings.deployment.organisation, settings.plan);
+        if let Err(error) = std::fs::write(path, html(&title, &run.series)) {
+            return Reply::failed(format!("step=write peer={} {error}", path.display()));
+        }
     }
+    reply(&run.report)
 }
 
 /// An option with a default.
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -15,8 +15,10 @@
 use crate::caller::{Crowd, Habit};
 use crate::cluster::Cluster;
 use crate::deployment::Deployment;
+use crate::history::History;
 use crate::plan::Plan;
 use crate::record::{Count, Record};
+use crate::report::Series;
 use crate::tls;
 
 /// Worker threads of a run.
@@ -60,6 +62,15 @@
     pub loss: f64,
 }
 
+/// What a run gave.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// The counts.
+    pub report: Report,
+    /// The course of the run after the warm-up.
+    pub series: Series,
+}
+
 /// What callers and backend servers saw. A value that was not measured is absent.
 #[derive(Debug, Clone, Serialize)]
 pub struct Report {
@@ -149,7 +160,8 @@
 ///
 /// # Errors
 /// If sockets, threads or certificates cannot be had.
-pub fn run(settings: &Settings, progress: impl Fn(&str)) -> io::Result<Report> {
+pub fn run(settings: &Settings, progress: impl Fn(&str)) -> io::Result<Run> {
+    let history = History::new();
     let pool = Pool::new(THREADS)?;
     let record = Record::new(0);
     let cluster = Cluster::start(
@@ -167,11 +179,19 @@
     progress("warmed up");
     let sampler = Arc::new(Mutex::new(Sampler::new(settings.deployment.services.len())));
     let sample = pool.spawn(sample(cluster.clone(), record.clone(), sampler.clone()));
+    let note = |text: &str| {
+        history.change(text);
+        progress(text);
+    };
     let start = Instant::now();
     let time = Duration::from_secs(settings.seconds);
     smol::block_on(async {
-        let plan = settings.plan.run(&cluster, time.mul_f64(0.8), &progress);
-        futures_lite::future::zip(plan, watch(&record, start + time, &progress)).await;
+        let plan = settings.plan.run(&cluster, time.mul_f64(0.8), note);
+        futures_lite::future::zip(
+            plan,
+            watch(&record, &history, start + time, &progress),
+        )
+        .await;
     });
     drop(sample);
     stop.begin();
@@ -180,7 +200,8 @@
     drop(callers);
     drop(follow);
     let imbalance = sampler.lock().imbalance(&settings.deployment);
-    Ok(report(settings, &cluster, &record, imbalance))
+    let report = report(settings, &cluster, &record, imbalance);
+    Ok(Run { report, series: history.series(&cluster) })
 }
 
 /// Starts the callers of all services.
@@ -246,9 +267,15 @@
 }
 
 /// Tells of the state each second until the end.
-async fn watch(record: &Record, end: Instant, progress: &impl Fn(&str)) {
+async fn watch(
+    record: &Record,
+    history: &History,
+    end: Instant,
+    progress: &impl Fn(&str),
+) {
     while Instant::now() < end {
         Timer::after(Duration::from_secs(1)).await;
+        history.sample(record);
         progress(&format!(
             "open {}, answered {} of {}, refused {}, broken {}",
             record.flows().iter().sum::<i64>(),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod experiment;
 pub mod fabric;
 pub mod front;
+pub mod history;
 pub mod loopback;
 pub mod measure;
 pub mod network;
