--- a/crates/lentilreach/src/connection/open.rs
+++ b/crates/lentilreach/src/connection/open.rs
@@ -160,7 +160,7 @@
     /// The same, with what the candidates before have decided.
     ///
     /// The reported mean lags, so in a burst every candidate is above it. The true counts
-    /// decide then: the first candidate after [`COMPARED`] others that has no more than they
+    /// decide then: the first candidate after two others that has no more than they
     /// takes the flow, and if none has, the one with the fewest gets it back. So does a flow
     /// that the last candidate cannot take: it is refused only if nobody can.
     pub fn compare(&mut self, now: Millis, flow: flow::Key, offer: Offer) -> Outcome {
--- a/crates/lentilreach/src/process/control/agent.rs
+++ b/crates/lentilreach/src/process/control/agent.rs
@@ -69,7 +69,7 @@
 
     /// Waits until all flows are closed or the template's limit has passed.
     ///
-    /// Lasts at least [`LINGER`], so that offers from balancers that have not heard of the
+    /// Lasts at least 3 s, so that offers from balancers that have not heard of the
     /// drain are handed on.
     pub async fn drained(&self) {
         let linger = Timer::after(LINGER);
