Test that balancers take no caller's datagram for another protocol

Cause: the greased fixed bit had no test. Change: a short run over real sockets asserts that no datagram is dropped as not QUIC. Seen red with greasing offered to callers (see the drop counter), green without.

--- /dev/null
+++ b/crates/standin/tests/path.rs
@@ -0,0 +1,42 @@
+//! The whole path over real sockets: callers, fabric, balancers, agents, backend servers.
+
+use lentilreach::process::metric;
+use lentilreach_standin::demo::{self, Settings};
+use lentilreach_standin::deployment::Deployment;
+use lentilreach_standin::plan::Plan;
+
+/// A short run without changes and without loss.
+fn short() -> Settings {
+    Settings {
+        deployment: Deployment::weilheim(),
+        plan: Plan::Steady,
+        seed: 1,
+        seconds: 1,
+        scale: 0.002,
+        loss: 0.0,
+    }
+}
+
+/// Sums a counter with a label over the metrics in Prometheus form.
+fn sum(metrics: &str, name: &str, label: &str) -> f64 {
+    let lines =
+        metrics.lines().filter(|line| line.starts_with(name) && line.contains(label));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+/// Guards against callers that grease the fixed bit, whose datagrams a balancer takes for
+/// something else than QUIC: half of all datagrams were dropped and handshakes took seconds.
+#[test]
+fn no_datagram_of_a_caller_is_taken_for_another_protocol() {
+    let metrics = metric::install().expect("no other recorder is installed");
+
+    let run = demo::run(&short(), |_| {}).expect("sockets and threads can be had");
+
+    let metrics = metrics.render();
+    let received = sum(&metrics, "lentilreach_balancer_datagrams_received_total", "");
+    assert!(received > 100.0, "{received} datagrams received");
+    let dropped = "lentilreach_balancer_datagrams_dropped_total";
+    assert_eq!(sum(&metrics, dropped, "not_quic"), 0.0, "{metrics}");
+    assert!(run.report.is_kept(), "{:?}", run.report);
+    assert!(run.report.requests_answered > 0);
+}
