Name stand-ins and request state by the usual terms

Cause: the read-through found names that need explaining (front, unit, crowd, fate, habit, nature, site, line, once). Change: balancer instance, target, group, failures, profile, capacity, context, queue, completion; no change of behaviour.

--- a/crates/lentilreach/src/connection/session.rs
+++ b/crates/lentilreach/src/connection/session.rs
@@ -9,10 +9,10 @@
 use h3::server::RequestResolver;
 use smol::Task;
 
+use crate::process::context::Context;
 use crate::process::leave::Leave;
 use crate::process::link::Link;
 use crate::process::pool::Pool;
-use crate::process::site::Site;
 use crate::request::serve::{Error, Upstream, serve};
 
 /// How a session ended.
@@ -32,7 +32,7 @@
 /// `leave` is the drain of the service; the drain of the process has the same effect.
 pub async fn run<U: Upstream, L: Link>(
     pool: &Pool,
-    site: Arc<Site<U, L>>,
+    context: Arc<Context<U, L>>,
     leave: &Leave,
     connection: quinn::Connection,
 ) -> End {
@@ -42,10 +42,10 @@
     let mut requests: Vec<Task<()>> = Vec::new();
     let mut limit = None;
     loop {
-        match next(&site, leave, &mut session, limit).await {
+        match next(&context, leave, &mut session, limit).await {
             Next::Request(resolver) => {
                 requests.retain(|task| !task.is_finished());
-                requests.push(pool.spawn(answer(site.clone(), *resolver)));
+                requests.push(pool.spawn(answer(context.clone(), *resolver)));
             }
             Next::Leave => {
                 // GOAWAY tells the caller to open a new flow. One request more may be under
@@ -53,7 +53,7 @@
                 if session.shutdown(1).await.is_err() {
                     return End::Caller;
                 }
-                limit = Some(Instant::now() + site.leave_limit());
+                limit = Some(Instant::now() + context.leave_limit());
             }
             Next::End => break,
             Next::Expired => return close(&quic),
@@ -98,7 +98,7 @@
 
 /// Waits for a request, the drain or its limit, or the end of the connection.
 async fn next<U: Upstream, L: Link>(
-    site: &Site<U, L>,
+    context: &Context<U, L>,
     leave: &Leave,
     session: &mut Connection,
     limit: Option<Instant>,
@@ -114,7 +114,7 @@
             expire(limit).await;
             return Next::Expired;
         }
-        future::or(site.leave().wait(), leave.wait()).await;
+        future::or(context.leave().wait(), leave.wait()).await;
         Next::Leave
     };
     future::or(request, leave).await
@@ -139,11 +139,11 @@
 
 /// Serves one request.
 async fn answer<U: Upstream, L: Link>(
-    site: Arc<Site<U, L>>,
+    context: Arc<Context<U, L>>,
     resolver: RequestResolver<h3_quinn::Connection, Bytes>,
 ) {
     let Ok((request, mut stream)) = resolver.resolve_request().await else { return };
-    match serve(&site, request, &mut stream).await {
+    match serve(&context, request, &mut stream).await {
         Ok(()) => {}
         Err(Error::Caller(error)) => log::trace!("step=answer peer=caller {error}"),
         Err(Error::Backend(error)) => log::debug!("step=answer peer=backend {error}"),
--- a/crates/lentilreach/src/process/agent.rs
+++ b/crates/lentilreach/src/process/agent.rs
@@ -16,6 +16,7 @@
 use crate::id::{domain, node, service};
 use crate::process::balancer::is_passing;
 use crate::process::clock::Clock;
+use crate::process::context::{self, Context};
 use crate::process::endpoint::{Endpoint, Identity};
 use crate::process::event::Refusal;
 use crate::process::heard::Heard;
@@ -27,7 +28,6 @@
 use crate::process::name::Name;
 use crate::process::pool::Pool;
 use crate::process::seal::Seals;
-use crate::process::site::{self, Site};
 use crate::process::slot::Slots;
 use crate::process::tables::{CONFIG, CONNECTIONS, DIRECTORY, MEMBERS, Tables};
 use crate::process::upstream::Http;
@@ -110,8 +110,8 @@
     pub flows: Ranked<open::Table>,
     /// Where opening flows have gone whose home is here, rank [`DIRECTORY`].
     directory: Ranked<Directory>,
-    /// Where requests run.
-    pub site: Arc<Site<Http, L>>,
+    /// Shared by request tasks.
+    pub context: Arc<Context<Http, L>>,
     /// Answers other agents about their keys.
     seals: Arc<Seals<L>>,
     /// Sorted by [`Endpoint::key`], without duplicates; rank [`CONFIG`].
@@ -142,15 +142,15 @@
         let (upstream, closed) = Http::new(settings.backend, pool.clone());
         let slots = Slots::new(settings.limits.requests, clock);
         let seals = Arc::new(Seals::new(link.clone(), tables.clone()));
-        let site = site::Settings {
+        let context = context::Settings {
             node: settings.node,
             agent: address,
             clock,
             deadline_ms: settings.limits.deadline_ms,
             leave_ms: settings.limits.leave_ms,
         };
-        let site = Site::new(
-            site,
+        let context = Context::new(
+            context,
             tables.clone(),
             slots.clone(),
             upstream,
@@ -167,7 +167,7 @@
             heard: Arc::new(Ranked::new(MEMBERS, Heard::default())),
             flows: Ranked::new(CONNECTIONS, open::Table::new(settings.limits.flows)),
             directory: Ranked::new(DIRECTORY, Directory::default()),
-            site: Arc::new(site),
+            context: Arc::new(context),
             seals,
             endpoints: Ranked::new(CONFIG, Vec::new()),
             identity: settings.identity,
@@ -237,13 +237,13 @@
     /// Replaces the limits of the backend server. Open flows and running requests stay.
     pub fn limit(&self, limits: Limits) {
         self.shared.flows.write().set_limits(limits.flows);
-        self.shared.site.slots().set_limits(limits.requests);
-        self.shared.site.set_times(limits.deadline_ms, limits.leave_ms);
+        self.shared.context.slots().set_limits(limits.requests);
+        self.shared.context.set_times(limits.deadline_ms, limits.leave_ms);
     }
 
     /// Sets the gauges of flows and requests.
     pub fn measure(&self) {
-        let slots = self.shared.site.slots();
+        let slots = self.shared.context.slots();
         let (busy, waiting) = (slots.busy(), slots.waiting());
         for endpoint in self.shared.endpoints.read().iter() {
             let metrics = endpoint.metrics();
@@ -256,13 +256,13 @@
     /// Begins the drain: no new flow, no new request, callers are told to leave.
     pub fn leave(&self) {
         self.shared.flows.write().set_leaving(true);
-        self.shared.site.slots().set_draining(true);
-        self.shared.site.leave().begin();
+        self.shared.context.slots().set_draining(true);
+        self.shared.context.leave().begin();
     }
 
     /// Waits until all flows are closed or the template's limit has passed.
     pub async fn drained(&self) {
-        let limit = self.shared.site.leave_limit();
+        let limit = self.shared.context.leave_limit();
         let end = self.shared.clock.now().after(limit.as_millis() as u64);
         while self.shared.flows.read().open() > 0 && self.shared.clock.now() < end {
             Timer::after(TICK).await;
@@ -304,7 +304,7 @@
     /// Takes in one envelope.
     fn receive(&self, envelope: &[u8], out: &mut Vec<u8>) {
         if Sealer::is_secret(envelope) {
-            if !self.seals.receive(envelope, |key| self.site.seal(key)) {
+            if !self.seals.receive(envelope, |key| self.context.seal(key)) {
                 self.dropped.discard(Dropping::Secret);
             }
             return;
@@ -357,7 +357,7 @@
             let served = found.filter(|at| !endpoints[*at].is_retired());
             served.map(|at| endpoints[at].metrics().clone())
         };
-        let cold = self.site.slots().is_cold();
+        let cold = self.context.slots().is_cold();
         let mut flows = self.flows.write();
         flows.set_cold(cold);
         let mut directory = self.directory.write();
@@ -420,7 +420,7 @@
     async fn tick_all(self: Arc<Self>) {
         loop {
             Timer::after(TICK).await;
-            self.site.slots().tick();
+            self.context.slots().tick();
             self.flows.write().expire(self.clock.now());
             self.remove_retired();
         }
--- a/crates/lentilreach/src/process/site.rs
+++ b/crates/lentilreach/src/process/context.rs
@@ -1,4 +1,4 @@
-//! What all requests at one agent share: the gate, the ledger, the backend server.
+//! What the requests at one agent share: the gate, the ledger, the backend server.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,7 +18,7 @@
 use crate::process::slot::Slots;
 use crate::process::tables::{LEDGER, Tables};
 use crate::request::rule::{self, Outcome};
-use crate::request::serve::{Once, Upstream};
+use crate::request::serve::{Completion, Upstream};
 
 /// Records that the ledger holds at most.
 ///
@@ -26,10 +26,10 @@
 /// on average; above that new ones are refused as not run.
 const RECORDS: usize = 65_536;
 
-/// The place where requests run: one agent with its backend server.
+/// State that the request tasks of one agent share.
 #[derive(Debug)]
-pub struct Site<U, L> {
-    /// Settings that hold for the site's life.
+pub struct Context<U, L> {
+    /// Settings that hold for the context's life.
     settings: Settings,
     /// Longest time for one request, in milliseconds.
     deadline_ms: AtomicU64,
@@ -49,7 +49,7 @@
     leave: Leave,
 }
 
-/// Settings of a [`Site`].
+/// Settings of a [`Context`].
 #[derive(Debug, Clone, Copy)]
 pub struct Settings {
     /// The agent's process.
@@ -75,8 +75,8 @@
     Told(StatusCode, Outcome),
 }
 
-impl<U: Upstream, L: Link> Site<U, L> {
-    /// A site for one backend server.
+impl<U: Upstream, L: Link> Context<U, L> {
+    /// A context for one backend server.
     pub fn new(
         settings: Settings,
         tables: Arc<Tables>,
@@ -177,11 +177,11 @@
     }
 
     /// Records how a request that was to run has ended.
-    pub fn settle(&self, key: &ledger::Key, end: &Once) {
+    pub fn settle(&self, key: &ledger::Key, end: &Completion) {
         let outcome = match end {
-            Once::Answered(answer) => ledger::Outcome::Answered(answer.clone()),
-            Once::NotRun(_) => ledger::Outcome::NotRun,
-            Once::Unknown => ledger::Outcome::Unknown,
+            Completion::Answered(answer) => ledger::Outcome::Answered(answer.clone()),
+            Completion::NotRun(_) => ledger::Outcome::NotRun,
+            Completion::Unknown => ledger::Outcome::Unknown,
         };
         self.ledger.write().finish(self.now(), key, outcome);
     }
--- a/crates/lentilreach/src/process/control/agent.rs
+++ b/crates/lentilreach/src/process/control/agent.rs
@@ -120,7 +120,7 @@
                 if self.stage == Some(Stage::Leaving) {
                     return future::pending().await;
                 }
-                self.body.shared().site.leave().wait().await;
+                self.body.shared().context.leave().wait().await;
                 None
             };
             let changed = async { Some(self.exchange.changed().await) };
@@ -161,7 +161,7 @@
             && assembly::is_out(&old, &self.domain)
         {
             // Operators bring a failure domain back as a cold start of its backend servers.
-            self.body.shared().site.slots().closed();
+            self.body.shared().context.slots().closed();
         }
         let fault = self.serve();
         self.show(fault);
@@ -218,8 +218,8 @@
     fn report(&mut self) {
         self.body.measure();
         let shared = self.body.shared();
-        let slots = shared.site.slots();
-        let stage = if shared.site.leave().has_begun() {
+        let slots = shared.context.slots();
+        let stage = if shared.context.leave().has_begun() {
             Stage::Leaving
         } else if slots.is_cold() {
             Stage::Cold
--- a/crates/lentilreach/src/process/endpoint.rs
+++ b/crates/lentilreach/src/process/endpoint.rs
@@ -198,8 +198,8 @@
         connection.close(refused(), b"no place");
         return;
     }
-    let site = shared.site.clone();
-    let end = session::run(&shared.pool, site, &leave, connection).await;
+    let context = shared.context.clone();
+    let end = session::run(&shared.pool, context, &leave, connection).await;
     metrics.close(match end {
         session::End::Caller => Close::Caller,
         session::End::Drained => Close::Drained,
--- a/crates/lentilreach/src/process/slot.rs
+++ b/crates/lentilreach/src/process/slot.rs
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 struct Shared {
     /// The gate and those who wait for it.
-    line: Ranked<Line>,
+    queue: Ranked<Queue>,
     /// The number of the next ticket.
     next: AtomicU64,
     /// Time for the gate.
@@ -28,7 +28,7 @@
 
 /// The gate and those who wait for it.
 #[derive(Debug)]
-struct Line {
+struct Queue {
     /// Decides.
     gate: Gate,
     /// Sorted by ticket; each ticket that the gate has queued, until it is told.
@@ -57,9 +57,9 @@
 impl Slots {
     /// Slots behind a new gate.
     pub fn new(limits: Limits, clock: Clock) -> Self {
-        let line = Line { gate: Gate::new(limits, clock.now()), waiting: Vec::new() };
-        let line = Ranked::new(SLOTS, line);
-        Self { shared: Arc::new(Shared { line, next: AtomicU64::new(0), clock }) }
+        let queue = Queue { gate: Gate::new(limits, clock.now()), waiting: Vec::new() };
+        let queue = Ranked::new(SLOTS, queue);
+        Self { shared: Arc::new(Shared { queue, next: AtomicU64::new(0), clock }) }
     }
 
     /// Waits for a slot until the deadline.
@@ -69,10 +69,10 @@
     pub async fn enter(&self, deadline: Millis) -> Result<Permit, Refusal> {
         let ticket = Ticket(self.shared.next.fetch_add(1, Ordering::Relaxed));
         let told = {
-            let mut line = self.shared.line.write();
-            match line.gate.arrive(self.now(), ticket, deadline) {
+            let mut queue = self.shared.queue.write();
+            match queue.gate.arrive(self.now(), ticket, deadline) {
                 Arrival::Run => None,
-                Arrival::Wait => Some(line.queue(ticket)),
+                Arrival::Wait => Some(queue.wait(ticket)),
                 Arrival::Refuse { retry_after_ms, why } => {
                     return Err(Refusal { retry_after_ms, why });
                 }
@@ -102,32 +102,32 @@
 
     /// Replaces the limits. Running requests stay.
     pub fn set_limits(&self, limits: Limits) {
-        self.shared.line.write().gate.set_limits(limits);
+        self.shared.queue.write().gate.set_limits(limits);
     }
 
     /// Refuses all new requests from now on, or admits them again.
     pub fn set_draining(&self, draining: bool) {
-        self.shared.line.write().gate.set_draining(draining);
+        self.shared.queue.write().gate.set_draining(draining);
     }
 
     /// Requests that run at present.
     pub fn busy(&self) -> u16 {
-        self.shared.line.read().gate.busy()
+        self.shared.queue.read().gate.busy()
     }
 
     /// Requests that wait for a slot at present.
     pub fn waiting(&self) -> u16 {
-        self.shared.line.read().gate.waiting()
+        self.shared.queue.read().gate.waiting()
     }
 
     /// Requests that may run at present.
     pub fn limit(&self) -> u16 {
-        self.shared.line.read().gate.limit(self.now())
+        self.shared.queue.read().gate.limit(self.now())
     }
 
     /// Whether the backend server is taken to be cold.
     pub fn is_cold(&self) -> bool {
-        self.shared.line.read().gate.is_cold(self.now())
+        self.shared.queue.read().gate.is_cold(self.now())
     }
 
     /// The time for the gate.
@@ -138,17 +138,17 @@
     /// Applies an event to the gate and tells those whom it concerns.
     fn update(&self, event: impl FnOnce(&mut Gate, Millis) -> Vec<Action>) {
         let now = self.now();
-        let mut line = self.shared.line.write();
-        let actions = event(&mut line.gate, now);
+        let mut queue = self.shared.queue.write();
+        let actions = event(&mut queue.gate, now);
         for action in actions {
-            line.tell(action);
+            queue.tell(action);
         }
     }
 }
 
-impl Line {
+impl Queue {
     /// Notes that a ticket waits.
-    fn queue(&mut self, ticket: Ticket) -> async_channel::Receiver<Result<(), Refusal>> {
+    fn wait(&mut self, ticket: Ticket) -> async_channel::Receiver<Result<(), Refusal>> {
         let (sender, receiver) = async_channel::bounded(1);
         let at = self.waiting.partition_point(|(other, _)| *other < ticket);
         self.waiting.insert(at, (ticket, sender));
@@ -204,7 +204,7 @@
             return;
         }
         let ticket = self.ticket;
-        self.slots.shared.line.write().forget(ticket);
+        self.slots.shared.queue.write().forget(ticket);
         self.slots.update(|gate, now| gate.cancel(now, ticket));
     }
 }
--- a/crates/lentilreach/src/request/serve.rs
+++ b/crates/lentilreach/src/request/serve.rs
@@ -13,10 +13,10 @@
 use hyper::body::Incoming;
 
 use crate::process::clock::Millis;
+use crate::process::context::{Claim, Context};
 use crate::process::ledger::{Answer, MAX_ANSWER};
 use crate::process::link::Link;
 use crate::process::name::Name;
-use crate::process::site::{Claim, Site};
 use crate::process::slot::{Permit, Refusal};
 use crate::request::admit::End;
 use crate::request::rule::{self, Outcome};
@@ -59,35 +59,37 @@
 /// # Errors
 /// If the caller did not get a whole answer; its stream is reset then.
 pub async fn serve<U: Upstream, L: Link>(
-    site: &Site<U, L>,
+    context: &Context<U, L>,
     request: Request<()>,
     stream: &mut Stream,
 ) -> Result<(), Error> {
     let Some(body) = receive(stream).await? else {
-        return refuse(site, stream, StatusCode::PAYLOAD_TOO_LARGE, None).await;
+        return refuse(context, stream, StatusCode::PAYLOAD_TOO_LARGE, None).await;
     };
     let (head, ()) = request.into_parts();
-    let limit = rule::deadline_ms(&head.headers, site.deadline_ms());
-    let deadline = site.now().after(limit);
+    let limit = rule::deadline_ms(&head.headers, context.deadline_ms());
+    let deadline = context.now().after(limit);
     if rule::is_idempotent(&head.method) {
         let request = outgoing(&head, body, limit);
-        return run(site, request, deadline, stream).await;
+        return run(context, request, deadline, stream).await;
     }
-    match site.claim(&head.headers).await {
+    match context.claim(&head.headers).await {
         Claim::Run(key) => {
             let request = outgoing(&head, body, limit);
-            let answer = run_once(site, request, deadline).await;
-            site.settle(&key, &answer);
-            tell(site, stream, answer).await
+            let answer = run_once(context, request, deadline).await;
+            context.settle(&key, &answer);
+            tell(context, stream, answer).await
         }
-        Claim::Answered(answer) => tell(site, stream, Once::Answered(answer)).await,
-        Claim::Told(status, outcome) => say(site, stream, status, outcome, None).await,
+        Claim::Answered(answer) => {
+            tell(context, stream, Completion::Answered(answer)).await
+        }
+        Claim::Told(status, outcome) => say(context, stream, status, outcome, None).await,
     }
 }
 
 /// How a non-idempotent request ended.
 #[derive(Debug, Clone)]
-pub enum Once {
+pub enum Completion {
     /// With an answer.
     Answered(Answer),
     /// Before any byte of it went to the backend server.
@@ -98,35 +100,36 @@
 
 /// Runs an idempotent request and streams the answer through.
 async fn run<U: Upstream, L: Link>(
-    site: &Site<U, L>,
+    context: &Context<U, L>,
     request: Request<Full<Bytes>>,
     deadline: Millis,
     stream: &mut Stream,
 ) -> Result<(), Error> {
-    let permit = match site.slots().enter(deadline).await {
+    let permit = match context.slots().enter(deadline).await {
         Ok(permit) => permit,
         Err(refusal) => {
             let retry = Some(refusal.retry_after_ms);
-            return refuse(site, stream, StatusCode::SERVICE_UNAVAILABLE, retry).await;
+            return refuse(context, stream, StatusCode::SERVICE_UNAVAILABLE, retry).await;
         }
     };
-    let started = site.now();
-    let Ok(mut lease) = site.upstream().lease().await else {
+    let started = context.now();
+    let Ok(mut lease) = context.upstream().lease().await else {
         permit.finish(End::Refused);
-        return refuse(site, stream, StatusCode::SERVICE_UNAVAILABLE, Some(1_000)).await;
+        return refuse(context, stream, StatusCode::SERVICE_UNAVAILABLE, Some(1_000))
+            .await;
     };
-    let answer = within(site, deadline, U::call(&mut lease, request)).await;
+    let answer = within(context, deadline, U::call(&mut lease, request)).await;
     let Some(Ok(answer)) = answer else {
         permit.finish(End::Failed);
         let status = StatusCode::BAD_GATEWAY;
-        return say(site, stream, status, Outcome::Unknown, None).await;
+        return say(context, stream, status, Outcome::Unknown, None).await;
     };
-    pass(site, answer, started, permit, stream).await
+    pass(context, answer, started, permit, stream).await
 }
 
 /// Passes an answer on to the caller while it arrives.
 async fn pass<U: Upstream, L: Link>(
-    site: &Site<U, L>,
+    context: &Context<U, L>,
     answer: Response<Incoming>,
     started: Millis,
     permit: Permit,
@@ -134,9 +137,9 @@
 ) -> Result<(), Error> {
     let (mut head, mut body) = answer.into_parts();
     let shed = head.status == StatusCode::SERVICE_UNAVAILABLE;
-    let took_ms = site.now().since(started);
+    let took_ms = context.now().since(started);
     strip(&mut head.headers);
-    site.bind(&mut head.headers);
+    context.bind(&mut head.headers);
     stream.send_response(Response::from_parts(head, ())).await?;
     while let Some(frame) = body.frame().await {
         let frame = match frame {
@@ -157,23 +160,23 @@
 
 /// Runs a non-idempotent request. Nothing in here sends it a second time.
 async fn run_once<U: Upstream, L: Link>(
-    site: &Site<U, L>,
+    context: &Context<U, L>,
     request: Request<Full<Bytes>>,
     deadline: Millis,
-) -> Once {
-    let permit = match site.slots().enter(deadline).await {
+) -> Completion {
+    let permit = match context.slots().enter(deadline).await {
         Ok(permit) => permit,
-        Err(refusal) => return Once::NotRun(refusal),
+        Err(refusal) => return Completion::NotRun(refusal),
     };
-    let started = site.now();
-    let Ok(mut lease) = site.upstream().lease().await else {
+    let started = context.now();
+    let Ok(mut lease) = context.upstream().lease().await else {
         permit.finish(End::Refused);
-        return Once::NotRun(Refusal::backend_server());
+        return Completion::NotRun(Refusal::backend_server());
     };
-    let Some(Ok(answer)) = within(site, deadline, U::call(&mut lease, request)).await
+    let Some(Ok(answer)) = within(context, deadline, U::call(&mut lease, request)).await
     else {
         permit.finish(End::Failed);
-        return Once::Unknown;
+        return Completion::Unknown;
     };
     let (mut head, body) = answer.into_parts();
     // A backend server that sheds load says 503. That is passed on as its answer: bytes
@@ -182,12 +185,12 @@
     let body = http_body_util::Limited::new(body, MAX_ANSWER).collect().await;
     let Ok(body) = body else {
         permit.finish(End::Failed);
-        return Once::Unknown;
+        return Completion::Unknown;
     };
-    let took_ms = site.now().since(started);
+    let took_ms = context.now().since(started);
     permit.finish(if shed { End::Refused } else { End::Answered { took_ms } });
     strip(&mut head.headers);
-    Once::Answered(Answer {
+    Completion::Answered(Answer {
         status: head.status.as_u16(),
         headers: flatten(&head.headers),
         body: body.to_bytes(),
@@ -196,44 +199,44 @@
 
 /// Sends the end of a non-idempotent request to the caller.
 async fn tell<U: Upstream, L: Link>(
-    site: &Site<U, L>,
+    context: &Context<U, L>,
     stream: &mut Stream,
-    end: Once,
+    end: Completion,
 ) -> Result<(), Error> {
     match end {
-        Once::Answered(answer) => {
+        Completion::Answered(answer) => {
             let mut response = Response::new(());
             *response.status_mut() =
                 StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
             *response.headers_mut() = unflatten(&answer.headers);
-            site.bind(response.headers_mut());
+            context.bind(response.headers_mut());
             stream.send_response(response).await?;
             stream.send_data(answer.body.clone()).await?;
             Ok(stream.finish().await?)
         }
-        Once::NotRun(refusal) => {
+        Completion::NotRun(refusal) => {
             let retry = Some(refusal.retry_after_ms);
-            refuse(site, stream, StatusCode::SERVICE_UNAVAILABLE, retry).await
+            refuse(context, stream, StatusCode::SERVICE_UNAVAILABLE, retry).await
         }
-        Once::Unknown => {
-            say(site, stream, StatusCode::BAD_GATEWAY, Outcome::Unknown, None).await
+        Completion::Unknown => {
+            say(context, stream, StatusCode::BAD_GATEWAY, Outcome::Unknown, None).await
         }
     }
 }
 
 /// Tells the caller that its request was not run.
 async fn refuse<U: Upstream, L: Link>(
-    site: &Site<U, L>,
+    context: &Context<U, L>,
     stream: &mut Stream,
     status: StatusCode,
     retry_after_ms: Option<u64>,
 ) -> Result<(), Error> {
-    say(site, stream, status, Outcome::NotRun, retry_after_ms).await
+    say(context, stream, status, Outcome::NotRun, retry_after_ms).await
 }
 
 /// Sends an answer of our own, without a body.
 async fn say<U: Upstream, L: Link>(
-    site: &Site<U, L>,
+    context: &Context<U, L>,
     stream: &mut Stream,
     status: StatusCode,
     outcome: Outcome,
@@ -247,7 +250,7 @@
         // The field counts whole seconds (RFC 9110, section 10.2.3).
         headers.insert(http::header::RETRY_AFTER, HeaderValue::from(ms.div_ceil(1_000)));
     }
-    site.bind(headers);
+    context.bind(headers);
     stream.send_response(response).await?;
     Ok(stream.finish().await?)
 }
@@ -318,11 +321,11 @@
 
 /// Waits for a future until the deadline; `None` if it passes.
 async fn within<U: Upstream, L: Link, T>(
-    site: &Site<U, L>,
+    context: &Context<U, L>,
     deadline: Millis,
     future: impl Future<Output = T>,
 ) -> Option<T> {
-    let left = Duration::from_millis(deadline.since(site.now()));
+    let left = Duration::from_millis(deadline.since(context.now()));
     let timeout = async {
         Timer::after(left).await;
         None
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -26,7 +26,7 @@
 
 /// What a backend server bears and how fast it is.
 #[derive(Debug, Clone, Copy)]
-pub struct Nature {
+pub struct Capacity {
     /// Requests at once when warm; more are shed.
     pub slots: u16,
     /// Requests at once when cold.
@@ -58,7 +58,7 @@
     /// The service that it serves.
     service: &'static str,
     /// What it bears.
-    nature: Nature,
+    capacity: Capacity,
     /// Where it counts.
     record: Record,
     /// Its state.
@@ -91,7 +91,7 @@
         pool: &Pool,
         number: usize,
         service: &'static str,
-        nature: Nature,
+        capacity: Capacity,
         record: Record,
     ) -> io::Result<Self> {
         let listener = Async::<TcpListener>::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
@@ -106,7 +106,7 @@
         let shared = Arc::new(Shared {
             number,
             service,
-            nature,
+            capacity,
             record,
             state: Mutex::new(state),
             pool: pool.clone(),
@@ -153,7 +153,7 @@
     }
 
     /// Turns cold without cutting connections or telling anyone.
-    pub fn chill(&self) {
+    pub fn turn_cold(&self) {
         self.shared.state.lock().cold_since = Instant::now();
     }
 
@@ -173,26 +173,26 @@
 impl Shared {
     /// Whether it is in a cold start.
     fn is_cold(&self, state: &State) -> bool {
-        state.cold_since.elapsed() < self.nature.cold
+        state.cold_since.elapsed() < self.capacity.cold
     }
 
     /// Takes a request in, or sheds it. Returns the time that it takes.
     fn begin(self: &Arc<Self>) -> Option<(Running, Duration)> {
         let mut state = self.state.lock();
         let cold = self.is_cold(&state);
-        if cold && state.running >= self.nature.cold_slots {
+        if cold && state.running >= self.capacity.cold_slots {
             self.record.add(Count::ColdOverrun);
         }
         if state.leaving_since.is_some_and(|since| since.elapsed() >= LEAVING_GRACE) {
             self.record.add(Count::LeavingWork);
         }
-        if state.running >= self.nature.slots {
+        if state.running >= self.capacity.slots {
             return None;
         }
         state.running += 1;
-        let factor = if cold { self.nature.cold_factor } else { 1 };
+        let factor = if cold { self.capacity.cold_factor } else { 1 };
         let running = Running { shared: self.clone(), incarnation: state.incarnation };
-        Some((running, self.nature.work * factor))
+        Some((running, self.capacity.work * factor))
     }
 }
 
--- a/crates/standin/src/front.rs
+++ b/crates/standin/src/balancer.rs
@@ -14,7 +14,7 @@
 
 /// A balancer.
 #[derive(Debug)]
-pub struct Front {
+pub struct Instance {
     /// Its number among the processes.
     pub number: usize,
     /// Index of its failure domain in the deployment.
@@ -27,7 +27,7 @@
     balancer: Mutex<Option<Balancer<Link>>>,
 }
 
-impl Front {
+impl Instance {
     /// Starts a balancer.
     ///
     /// # Errors
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -27,7 +27,7 @@
 const CHANGES: f64 = 0.25;
 
 /// Says which ends of flows have a reason that callers cannot see.
-pub trait Fate: Clone + Send + Sync + 'static {
+pub trait Failures: Clone + Send + Sync + 'static {
     /// Whether a flow to this backend server may be cut: the process crashed, or operators
     /// took its failure domain out. Without a number, whether any may.
     fn excuses(&self, backend: Option<usize>) -> bool;
@@ -35,7 +35,7 @@
 
 /// What a caller does.
 #[derive(Debug, Clone, Copy)]
-pub struct Habit {
+pub struct Profile {
     /// The service's name.
     pub service: &'static str,
     /// The service's address.
@@ -50,7 +50,7 @@
 
 /// Callers of one run.
 #[derive(Debug, Clone)]
-pub struct Crowd<F> {
+pub struct Group<F> {
     /// Runs callers.
     pub pool: Pool,
     /// Where they count.
@@ -58,16 +58,16 @@
     /// QUIC endpoints that callers share.
     pub endpoints: Arc<[quinn::Endpoint]>,
     /// Which ends of flows have a reason.
-    pub fate: F,
+    pub failures: F,
     /// Begun when callers are to stop.
     pub stop: Leave,
 }
 
-impl<F: Fate> Crowd<F> {
+impl<F: Failures> Group<F> {
     /// Starts a caller. `number` distinguishes its requests.
-    pub fn start(&self, number: u32, habit: Habit) -> Task<()> {
+    pub fn start(&self, number: u32, profile: Profile) -> Task<()> {
         let caller =
-            Caller { crowd: self.clone(), habit, number, requests: 0, attempts: 0 };
+            Caller { group: self.clone(), profile, number, requests: 0, attempts: 0 };
         self.pool.spawn(caller.run())
     }
 }
@@ -75,9 +75,9 @@
 /// One caller.
 struct Caller<F> {
     /// What callers share.
-    crowd: Crowd<F>,
+    group: Group<F>,
     /// What it does.
-    habit: Habit,
+    profile: Profile,
     /// Distinguishes its requests.
     number: u32,
     /// Requests sent.
@@ -124,17 +124,17 @@
     key: Option<String>,
 }
 
-impl<F: Fate> Caller<F> {
+impl<F: Failures> Caller<F> {
     /// Opens flows and sends requests until told to stop.
     async fn run(mut self) {
         let mut pending = None;
-        Timer::after(self.habit.delay).await;
-        while !self.crowd.stop.has_begun() {
+        Timer::after(self.profile.delay).await;
+        while !self.group.stop.has_begun() {
             let Some(mut flow) = self.open().await else {
                 Timer::after(REOPEN).await;
                 continue;
             };
-            self.crowd.record.add(Count::Opened);
+            self.group.record.add(Count::Opened);
             let end = self.converse(&mut flow, &mut pending).await;
             self.close(&flow, &end);
         }
@@ -142,25 +142,25 @@
 
     /// Opens a flow.
     async fn open(&self) -> Option<Flow> {
-        let endpoints = &self.crowd.endpoints;
+        let endpoints = &self.group.endpoints;
         let endpoint = &endpoints[self.number as usize % endpoints.len()];
-        let connecting = endpoint.connect(self.habit.address, tls::NAME).ok()?;
+        let connecting = endpoint.connect(self.profile.address, tls::NAME).ok()?;
         let timeout = async {
             Timer::after(CONNECT).await;
             None
         };
         let quic = future::or(async { connecting.await.ok() }, timeout).await;
         let Some(quic) = quic else {
-            self.crowd.record.add(Count::OpenFailed);
+            self.group.record.add(Count::OpenFailed);
             return None;
         };
         let wrapped = h3_quinn::Connection::new(quic.clone());
         let (mut driver, sender) = h3::client::new(wrapped).await.ok()?;
-        let driver = self.crowd.pool.spawn(async move {
+        let driver = self.group.pool.spawn(async move {
             future::poll_fn(|cx| driver.poll_close(cx)).await;
         });
-        let until = self.habit.keep.map(|keep| Instant::now() + keep);
-        let exchange = Exchange::new(sender, self.habit.service);
+        let until = self.profile.keep.map(|keep| Instant::now() + keep);
+        let exchange = Exchange::new(sender, self.profile.service);
         Some(Flow { quic, exchange, _driver: driver, until, backend: None })
     }
 
@@ -191,7 +191,7 @@
 
     /// Waits for the time of the next request.
     async fn think(&self, flow: &Flow) -> Option<End> {
-        let time = self.habit.think.mul_f64(0.5 + fastrand::f64());
+        let time = self.profile.think.mul_f64(0.5 + fastrand::f64());
         let idle = async {
             Timer::after(time).await;
             None
@@ -201,7 +201,7 @@
             Some(if is_graceful(&flow.quic) { End::Moved } else { End::Cut })
         };
         let stop = async {
-            self.crowd.stop.wait().await;
+            self.group.stop.wait().await;
             Some(End::Stop)
         };
         let end = future::or(cut, future::or(stop, idle)).await;
@@ -216,7 +216,7 @@
         Pending {
             number: u64::from(self.number) << 32 | u64::from(self.requests),
             idempotent: first || fastrand::f64() >= CHANGES,
-            second: self.crowd.record.sent(),
+            second: self.group.record.sent(),
             left: ATTEMPTS,
             key: None,
         }
@@ -234,14 +234,14 @@
         };
         let reply = flow.exchange.send(&attempt).await;
         if matches!(reply, Reply::NotRun { .. }) {
-            self.crowd.record.refused(attempt.number);
+            self.group.record.refused(attempt.number);
         }
         reply
     }
 
     /// Acts on a reply; returns whether the request is done with.
     async fn settle(&self, flow: &mut Flow, request: &mut Pending, reply: Reply) -> bool {
-        let record = &self.crowd.record;
+        let record = &self.group.record;
         match reply {
             Reply::Answered { backend } => {
                 record.answered(request.second);
@@ -282,19 +282,19 @@
     fn meet(&self, flow: &mut Flow, backend: usize) {
         if flow.backend.is_none() {
             flow.backend = Some(backend);
-            self.crowd.record.flow(backend, 1);
+            self.group.record.flow(backend, 1);
         }
     }
 
     /// Closes a flow and counts how it ended.
     fn close(&self, flow: &Flow, end: &End) {
         if let Some(backend) = flow.backend {
-            self.crowd.record.flow(backend, -1);
+            self.group.record.flow(backend, -1);
         }
-        if matches!(end, End::Cut) && !self.crowd.stop.has_begun() {
-            let excused = self.crowd.fate.excuses(flow.backend);
+        if matches!(end, End::Cut) && !self.group.stop.has_begun() {
+            let excused = self.group.failures.excuses(flow.backend);
             let count = if excused { Count::Lost } else { Count::Broken };
-            self.crowd.record.add(count);
+            self.group.record.add(count);
             log::info!(
                 "flow cut caller={} backend={:?} excused={excused} reason={:?}",
                 self.number,
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -16,17 +16,17 @@
 use lentilreach::process::store as client;
 use parking_lot::Mutex;
 
-use crate::backend::{Backend, Nature};
-use crate::caller::Fate;
+use crate::backend::{Backend, Capacity};
+use crate::balancer::Instance;
+use crate::caller::Failures;
 use crate::deployment::{CONNECTIONS, Deployment};
 use crate::fabric::Fabric;
-use crate::front::Front;
 use crate::loopback::Network;
 use crate::operator::Operator;
 use crate::record::Record;
 use crate::store;
+use crate::target::{Gone, Target};
 use crate::tls;
-use crate::unit::{Gone, Unit};
 
 /// Balancers of a deployment.
 const BALANCERS: usize = 4;
@@ -79,9 +79,9 @@
     /// Number of the next process.
     next: AtomicUsize,
     /// Balancers that run, the oldest first.
-    fronts: Mutex<Vec<Arc<Front>>>,
+    balancers: Mutex<Vec<Arc<Instance>>>,
     /// Backend servers with their agents, by number; those gone stay.
-    units: Mutex<Vec<Arc<Unit>>>,
+    targets: Mutex<Vec<Arc<Target>>>,
 }
 
 impl Cluster {
@@ -124,8 +124,8 @@
             identity: tls::identity()?,
             secret: Secret::fleet(&secret),
             next: AtomicUsize::new(0),
-            fronts: Mutex::default(),
-            units: Mutex::default(),
+            balancers: Mutex::default(),
+            targets: Mutex::default(),
         };
         let cluster = Self { shared: Arc::new(shared) };
         smol::block_on(cluster.populate())?;
@@ -135,14 +135,14 @@
     /// Submits the configuration, starts all processes and waits until they are ready.
     async fn populate(&self) -> io::Result<()> {
         let deployment = &self.shared.deployment;
-        let document = deployment.document(self.flows_per_unit());
+        let document = deployment.document(self.flows_per_target());
         self.operator().submit(&document).await.map_err(io::Error::other)?;
         for _ in 0..BALANCERS {
-            self.add_front()?;
+            self.add_balancer()?;
         }
         for (index, service) in deployment.services.iter().enumerate() {
             for target in 0..service.targets {
-                self.add_unit(index, target % deployment.domains.len())?;
+                self.add_target(index, target % deployment.domains.len())?;
             }
         }
         let end = Instant::now() + START;
@@ -185,36 +185,39 @@
         &self.shared.operator
     }
 
-    /// All units, by number; those gone included.
-    pub fn units(&self) -> Vec<Arc<Unit>> {
-        self.shared.units.lock().clone()
+    /// All targets, by number; those gone included.
+    pub fn targets(&self) -> Vec<Arc<Target>> {
+        self.shared.targets.lock().clone()
     }
 
     /// Balancers that run, the oldest first.
-    pub fn fronts(&self) -> Vec<Arc<Front>> {
-        self.shared.fronts.lock().clone()
+    pub fn balancers(&self) -> Vec<Arc<Instance>> {
+        self.shared.balancers.lock().clone()
     }
 
     /// Flows per backend server that the scale gives.
-    pub fn flows_per_unit(&self) -> u32 {
+    pub fn flows_per_target(&self) -> u32 {
         (CONNECTIONS * self.shared.scale).round().max(1.0) as u32
     }
 
     /// Whether all processes are ready and all balancers know all agents.
     fn is_ready(&self) -> bool {
-        let units = self.units();
-        let count = units.len();
-        units.iter().all(|unit| unit.is_ready())
-            && self.fronts().iter().all(|f| f.is_ready() && f.members() == count)
+        let targets = self.targets();
+        let count = targets.len();
+        targets.iter().all(|target| target.is_ready())
+            && self.balancers().iter().all(|f| f.is_ready() && f.members() == count)
     }
 
     /// The configuration revision in force at each process that runs, by process number.
     pub fn revisions(&self) -> Vec<(usize, u64)> {
-        let fronts = self.fronts();
-        let units = self.units();
-        let fronts = fronts.iter().map(|front| (front.number, front.revision()));
-        let units = units.iter().filter(|unit| unit.gone().is_none());
-        fronts.chain(units.map(|unit| (unit.number, unit.revision()))).collect()
+        let balancers = self.balancers();
+        let targets = self.targets();
+        let balancers =
+            balancers.iter().map(|balancer| (balancer.number, balancer.revision()));
+        let targets = targets.iter().filter(|target| target.gone().is_none());
+        balancers
+            .chain(targets.map(|target| (target.number, target.revision())))
+            .collect()
     }
 
     /// Waits until a revision is in force at every process; `None` if it is not in time.
@@ -232,12 +235,13 @@
     /// Lets the fabric follow the readiness of balancers, as the platform does.
     pub async fn follow(self) {
         loop {
-            for front in self.fronts() {
-                let ready = front.is_ready() && !self.network().is_out(front.domain);
+            for balancer in self.balancers() {
+                let ready =
+                    balancer.is_ready() && !self.network().is_out(balancer.domain);
                 if ready {
-                    self.shared.fabric.add(front.entry);
+                    self.shared.fabric.add(balancer.entry);
                 } else {
-                    self.shared.fabric.remove(front.entry);
+                    self.shared.fabric.remove(balancer.entry);
                 }
             }
             Timer::after(LOOK).await;
@@ -248,7 +252,7 @@
     ///
     /// # Errors
     /// If no socket can be had.
-    pub fn add_front(&self) -> io::Result<()> {
+    pub fn add_balancer(&self) -> io::Result<()> {
         let shared = &self.shared;
         let number = shared.next.fetch_add(1, Ordering::Relaxed);
         let domain = number % shared.deployment.domains.len();
@@ -256,7 +260,7 @@
         let store = client::Settings::builder().endpoint(shared.store.address()).build();
         let store = client::connect(store, shared.pool.clone())?;
         let builder = self.builder(&settings.clone().balancer(any()).node);
-        let front = Front::start(
+        let balancer = Instance::start(
             number,
             domain,
             builder,
@@ -264,7 +268,7 @@
             shared.fabric.inner(),
             store,
         )?;
-        shared.fronts.lock().push(Arc::new(front));
+        shared.balancers.lock().push(Arc::new(balancer));
         Ok(())
     }
 
@@ -272,24 +276,24 @@
     ///
     /// # Errors
     /// If no socket can be had.
-    pub async fn replace_front(&self, grace: Duration) -> io::Result<()> {
-        self.add_front()?;
-        while !self.fronts().last().is_some_and(|front| front.is_ready()) {
+    pub async fn replace_balancer(&self, grace: Duration) -> io::Result<()> {
+        self.add_balancer()?;
+        while !self.balancers().last().is_some_and(|balancer| balancer.is_ready()) {
             Timer::after(LOOK).await;
         }
-        let old = self.fronts().remove(0);
+        let old = self.balancers().remove(0);
         old.leave();
         // The fabric follows its readiness; datagrams under way are still forwarded.
         Timer::after(grace).await;
-        self.shared.fronts.lock().retain(|front| !Arc::ptr_eq(front, &old));
+        self.shared.balancers.lock().retain(|balancer| !Arc::ptr_eq(balancer, &old));
         self.shared.fabric.remove(old.entry);
         old.stop();
         Ok(())
     }
 
     /// Stops the oldest balancer without warning. The fabric notices after `notice`.
-    pub async fn crash_front(&self, notice: Duration) {
-        let old = self.shared.fronts.lock().remove(0);
+    pub async fn crash_balancer(&self, notice: Duration) {
+        let old = self.shared.balancers.lock().remove(0);
         old.stop();
         Timer::after(notice).await;
         self.shared.fabric.remove(old.entry);
@@ -299,10 +303,10 @@
     ///
     /// # Errors
     /// If no socket can be had.
-    pub fn add_unit(&self, service: usize, domain: usize) -> io::Result<Arc<Unit>> {
+    pub fn add_target(&self, service: usize, domain: usize) -> io::Result<Arc<Target>> {
         let shared = &self.shared;
         let kind = &shared.deployment.services[service];
-        let nature = Nature {
+        let capacity = Capacity {
             slots: kind.slots,
             cold_slots: COLD_SLOTS,
             cold: COLD,
@@ -311,20 +315,20 @@
         };
         let place = shared.record.grow();
         let record = shared.record.clone();
-        let backend = Backend::start(&shared.pool, place, kind.name, nature, record)?;
+        let backend = Backend::start(&shared.pool, place, kind.name, capacity, record)?;
         let number = shared.next.fetch_add(1, Ordering::Relaxed);
         let settings = self
             .settings("agent", number, domain)
-            .peers(self.fronts().iter().map(|front| front.exchange()))
+            .peers(self.balancers().iter().map(|balancer| balancer.exchange()))
             .agent(kind.name, backend.address(), "", "");
         let builder = self.builder(&settings.node);
         let identity = shared.identity.clone();
         let envelopes = shared.network.link(domain)?;
         let messages = shared.network.control(domain)?;
         let agent = builder.agent(&settings, identity, envelopes, messages)?;
-        let unit = Arc::new(Unit::new(backend, number, service, domain, agent));
-        shared.units.lock().push(unit.clone());
-        Ok(unit)
+        let target = Arc::new(Target::new(backend, number, service, domain, agent));
+        shared.targets.lock().push(target.clone());
+        Ok(target)
     }
 
     /// Takes a failure domain out or brings it back, as operators do; returns the revision.
@@ -334,9 +338,9 @@
     pub async fn set_out(&self, domain: usize, out: bool) -> Result<u64, String> {
         if !out {
             // What comes back has been restarted.
-            let back = self.units();
-            let back = back.iter().filter(|unit| unit.domain == domain);
-            back.for_each(|unit| unit.backend.restart());
+            let back = self.targets();
+            let back = back.iter().filter(|target| target.domain == domain);
+            back.for_each(|target| target.backend.restart());
         }
         let name = self.shared.deployment.domains[domain];
         let revision = self.operator().set_out(name, out).await?;
@@ -359,15 +363,16 @@
     }
 }
 
-impl Fate for Cluster {
+impl Failures for Cluster {
     fn excuses(&self, backend: Option<usize>) -> bool {
-        let units = self.shared.units.lock();
-        let excused = |unit: &Arc<Unit>| {
-            unit.gone() == Some(Gone::Crashed) || self.shared.network.was_out(unit.domain)
+        let targets = self.shared.targets.lock();
+        let excused = |target: &Arc<Target>| {
+            target.gone() == Some(Gone::Crashed)
+                || self.shared.network.was_out(target.domain)
         };
         match backend {
-            Some(place) => units.get(place).is_some_and(excused),
-            None => units.iter().any(excused),
+            Some(place) => targets.get(place).is_some_and(excused),
+            None => targets.iter().any(excused),
         }
     }
 }
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use smol::Task;
 
-use crate::caller::{Crowd, Habit};
+use crate::caller::{Group, Profile};
 use crate::cluster::Cluster;
 use crate::deployment::Deployment;
 use crate::history::History;
@@ -220,26 +220,26 @@
             Ok(endpoint)
         })
         .collect::<io::Result<Vec<_>>>()?;
-    let crowd = Crowd {
+    let group = Group {
         pool: pool.clone(),
         record: record.clone(),
         endpoints: endpoints.into(),
-        fate: cluster.clone(),
+        failures: cluster.clone(),
         stop: stop.clone(),
     };
     let mut callers = Vec::new();
     for service in &cluster.deployment().services {
-        let count = cluster.flows_per_unit() * service.targets as u32;
+        let count = cluster.flows_per_target() * service.targets as u32;
         for at in 0..count {
             let number = callers.len() as u32 + 1;
-            let habit = Habit {
+            let profile = Profile {
                 service: service.name,
                 address: service.address,
                 delay: ARRIVAL * at / count,
                 think: THINK,
                 keep: number.is_multiple_of(SHORT_SHARE).then_some(SHORT),
             };
-            callers.push(crowd.start(number, habit));
+            callers.push(group.start(number, profile));
         }
     }
     Ok(callers)
@@ -253,12 +253,12 @@
             record.revision(process, revision);
         }
         let flows = record.flows();
-        let units = cluster.units();
+        let targets = cluster.targets();
         let mut sampler = sampler.lock();
         for service in 0..sampler.services.len() {
-            let eligible = units.iter().filter(|unit| {
-                let out = cluster.network().is_out(unit.domain);
-                unit.service == service && unit.is_eligible() && !out
+            let eligible = targets.iter().filter(|target| {
+                let out = cluster.network().is_out(target.domain);
+                target.service == service && target.is_eligible() && !out
             });
             let open: Vec<_> = eligible.map(|u| flows[u.backend.number()]).collect();
             sampler.add(service, &open);
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::cluster::{COLD, COLD_SLOTS};
-use crate::unit::LEAVE;
+use crate::target::LEAVE;
 
 /// A deployment: an organisation with its failure domains and services.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -56,14 +56,14 @@
     /// The series of the whole run.
     pub fn series(self, cluster: &Cluster) -> Series {
         let services = &cluster.deployment().services;
-        let units = cluster.units();
-        let name = |place: usize| match units.get(place) {
-            Some(unit) => format!("{} {place}", services[unit.service].name).into(),
+        let targets = cluster.targets();
+        let name = |place: usize| match targets.get(place) {
+            Some(target) => format!("{} {place}", services[target.service].name).into(),
             None => place.to_string().into(),
         };
         let State { mut rows, changes, .. } = self.state.into_inner();
-        rows.iter_mut().for_each(|row| row.open.resize(units.len(), 0));
-        Series { servers: (0..units.len()).map(name).collect(), rows, changes }
+        rows.iter_mut().for_each(|row| row.open.resize(targets.len(), 0));
+        Series { servers: (0..targets.len()).map(name).collect(), rows, changes }
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 //! 4. The [`record`] holds what callers and backend servers saw; the report is made of it.
 
 pub mod backend;
+pub mod balancer;
 pub mod caller;
 pub mod cluster;
 pub mod demo;
@@ -16,7 +17,6 @@
 pub mod exchange;
 pub mod experiment;
 pub mod fabric;
-pub mod front;
 pub mod history;
 pub mod loopback;
 pub mod measure;
@@ -27,6 +27,6 @@
 pub mod record;
 pub mod report;
 pub mod store;
+pub mod target;
 pub mod tls;
-pub mod unit;
 pub mod work;
--- a/crates/standin/src/plan.rs
+++ b/crates/standin/src/plan.rs
@@ -8,7 +8,7 @@
 use futures_util::future::join_all;
 
 use crate::cluster::{COLD, Cluster};
-use crate::unit::Gone;
+use crate::target::Gone;
 
 /// Time for which a stopping balancer goes on forwarding.
 const GRACE: Duration = Duration::from_secs(1);
@@ -93,22 +93,25 @@
     end: Instant,
     note: &impl Fn(&str),
 ) {
-    let old: Vec<_> =
-        cluster.units().into_iter().filter(|unit| unit.service == service).collect();
-    for unit in old {
+    let old: Vec<_> = cluster
+        .targets()
+        .into_iter()
+        .filter(|target| target.service == service)
+        .collect();
+    for target in old {
         if Instant::now() >= end {
             break;
         }
-        let place = unit.backend.number();
-        let Ok(new) = cluster.add_unit(service, unit.domain) else { continue };
+        let place = target.backend.number();
+        let Ok(new) = cluster.add_target(service, target.domain) else { continue };
         note(&format!("backend server {} joins for {place}", new.backend.number()));
         while !new.is_ready() && Instant::now() < end {
             Timer::after(LOOK).await;
         }
         Timer::after(COLD).await;
         note(&format!("backend server {place} leaves"));
-        unit.leave();
-        unit.finish().await;
+        target.leave();
+        target.finish().await;
     }
 }
 
@@ -116,7 +119,7 @@
 async fn roll_balancers(cluster: &Cluster, end: Instant, note: &impl Fn(&str)) {
     while Instant::now() < end {
         Timer::after(Duration::from_secs(1)).await;
-        if cluster.replace_front(GRACE).await.is_ok() {
+        if cluster.replace_balancer(GRACE).await.is_ok() {
             note("balancer replaced");
         }
     }
@@ -133,7 +136,7 @@
 /// Submits changes, two of them at once each time.
 async fn config(cluster: &Cluster, time: Duration, note: impl Fn(&str)) {
     let end = Instant::now() + time;
-    let flows = cluster.flows_per_unit();
+    let flows = cluster.flows_per_target();
     let mut step = 0;
     while Instant::now() < end {
         Timer::after(Duration::from_secs(1)).await;
@@ -168,17 +171,17 @@
     let step = time / 5;
     Timer::after(step).await;
     note("balancer crashes");
-    cluster.crash_front(Duration::from_secs(1)).await;
+    cluster.crash_balancer(Duration::from_secs(1)).await;
     Timer::after(step).await;
-    let units = cluster.units();
+    let targets = cluster.targets();
     note("backend server 0 and its agent crash");
-    units[0].stop(Gone::Crashed);
+    targets[0].stop(Gone::Crashed);
     Timer::after(step).await;
     note("backend server 1 restarts cold");
-    units[1].backend.restart();
-    let _ = cluster.add_unit(units[0].service, units[0].domain);
-    let _ = cluster.add_front();
+    targets[1].backend.restart();
+    let _ = cluster.add_target(targets[0].service, targets[0].domain);
+    let _ = cluster.add_balancer();
     Timer::after(step).await;
     note("backend server 2 turns cold and keeps its connections");
-    units[2].backend.chill();
+    targets[2].backend.turn_cold();
 }
--- a/crates/standin/src/unit.rs
+++ b/crates/standin/src/target.rs
@@ -22,7 +22,7 @@
 
 /// A backend server with its agent.
 #[derive(Debug)]
-pub struct Unit {
+pub struct Target {
     /// The backend server.
     pub backend: Backend,
     /// Its number among the processes.
@@ -37,7 +37,7 @@
     end: Mutex<Option<Gone>>,
 }
 
-/// How a unit ended.
+/// How a target ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Gone {
     /// After a drain.
@@ -46,7 +46,7 @@
     Crashed,
 }
 
-impl Unit {
+impl Target {
     /// A backend server and its agent.
     pub fn new(
         backend: Backend,
--- a/crates/standin/tests/control.rs
+++ b/crates/standin/tests/control.rs
@@ -230,14 +230,14 @@
 
 /// Whether the backend server of an agent is taken to be cold.
 fn is_cold(back: &Back) -> bool {
-    back.agent.body().shared().site.slots().is_cold()
+    back.agent.body().shared().context.slots().is_cold()
 }
 
 /// Lets an agent see a fast answer of its backend server.
 fn run_request(back: &Back) {
     let shared = back.agent.body().shared();
     let deadline = shared.clock.now().after(1_000);
-    let permit = smol::block_on(shared.site.slots().enter(deadline));
+    let permit = smol::block_on(shared.context.slots().enter(deadline));
     if let Ok(permit) = permit {
         permit.finish(End::Answered { took_ms: 1 });
     }
