Let one key type, one mean and one receive check serve both sides

Cause: the last read-through found the AES key of the exchange beside its twin of the envelopes, two copies of the mean of open flows, the check of passing receive errors in the balancer though agents use it too, and one fixture twice in the control tests. Change: each stands once.

--- a/crates/lentilreach/src/process/balancer.rs
+++ b/crates/lentilreach/src/process/balancer.rs
@@ -1,13 +1,12 @@
 //! The body of the balancer daemon: receives, routes, forwards, returns.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use smol::Task;
 
 use crate::process::entry::{Arrival, Entry};
-use crate::process::link::{Link, MAX_DATAGRAM};
+use crate::process::link::{Link, MAX_DATAGRAM, is_passing};
 use crate::process::metric::{Balancer as Metrics, Envelope};
 use crate::process::pool::Pool;
 use crate::process::tables::Tables;
@@ -147,15 +146,3 @@
         }
     }
 }
-
-/// Whether a receive error concerns one datagram and not the socket.
-///
-/// A closed port at a peer shows up as "connection refused" on the next receive.
-pub fn is_passing(error: &io::Error) -> bool {
-    matches!(
-        error.kind(),
-        io::ErrorKind::ConnectionRefused
-            | io::ErrorKind::ConnectionReset
-            | io::ErrorKind::Interrupted
-    )
-}
--- a/crates/lentilreach/src/process/link.rs
+++ b/crates/lentilreach/src/process/link.rs
@@ -73,3 +73,15 @@
         self.local
     }
 }
+
+/// Whether a receive error concerns one datagram and not the socket.
+///
+/// A closed port at a peer shows up as "connection refused" on the next receive.
+pub fn is_passing(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::Interrupted
+    )
+}
--- a/crates/lentilreach/src/process/spread/seal.rs
+++ b/crates/lentilreach/src/process/spread/seal.rs
@@ -4,9 +4,10 @@
 //! message, AES-128-GCM tag (16). Sender and sequence number are the nonce, so a nonce is not
 //! repeated as long as incarnations draw different identifiers.
 
-use ring::aead::{AES_128_GCM, Aad, LessSafeKey, Nonce, UnboundKey};
+use ring::aead::{Aad, Nonce};
 
 use crate::id::node;
+pub use crate::request::envelope::Key;
 
 /// Version of the layout.
 const VERSION: u8 = 1;
@@ -23,29 +24,6 @@
 /// Senders that are remembered. Above the number of nodes, restarts included.
 const MAX_SENDERS: usize = 16_384;
 
-/// A key of the exchange.
-pub struct Key {
-    /// Identifies the key in messages.
-    pub id: u8,
-    /// The cipher.
-    cipher: LessSafeKey,
-}
-
-impl Key {
-    /// A key from 16 secret bytes.
-    pub fn new(id: u8, secret: &[u8; 16]) -> Self {
-        let key = UnboundKey::new(&AES_128_GCM, secret);
-        let key = key.expect("an AES-128 key has 16 bytes");
-        Self { id, cipher: LessSafeKey::new(key) }
-    }
-}
-
-impl std::fmt::Debug for Key {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Key").field("id", &self.id).finish_non_exhaustive()
-    }
-}
-
 /// Seals and opens messages of one process.
 #[derive(Debug)]
 pub struct Sealer {
--- a/crates/lentilreach/src/request/envelope.rs
+++ b/crates/lentilreach/src/request/envelope.rs
@@ -146,12 +146,12 @@
     }
 }
 
-/// A key that authenticates envelopes.
+/// A key that seals envelopes or messages of the exchange.
 pub struct Key {
-    /// Identifies the key in envelopes.
+    /// Identifies the key in what it has sealed.
     pub id: u8,
     /// The cipher.
-    cipher: LessSafeKey,
+    pub(crate) cipher: LessSafeKey,
 }
 
 impl Key {
--- a/crates/lentilreach/src/version/load.rs
+++ b/crates/lentilreach/src/version/load.rs
@@ -107,18 +107,19 @@
 ///
 /// Only members that are neither cold nor draining count; `None` without any.
 pub fn mean(members: &[Member]) -> Option<u32> {
-    let warm = || members.iter().filter(|member| member.stage == Stage::Active);
-    let count = warm().count() as u64;
-    let open: u64 = warm().map(|member| u64::from(member.load.open)).sum();
-    (open * 10).checked_div(count).map(|tenths| tenths as u32)
+    mean_where(members, |stage| stage == Stage::Active)
 }
 
 /// The same over all members that may be given new flows, cold ones included.
 pub fn mean_serving(members: &[Member]) -> Option<u32> {
-    let serving =
-        || members.iter().filter(|m| matches!(m.stage, Stage::Active | Stage::Cold));
-    let open: u64 = serving().map(|member| u64::from(member.load.open)).sum();
-    let tenths = (open * 10).checked_div(serving().count() as u64);
+    mean_where(members, |stage| matches!(stage, Stage::Active | Stage::Cold))
+}
+
+/// The mean over the members whose stage counts.
+fn mean_where(members: &[Member], counts: impl Fn(Stage) -> bool) -> Option<u32> {
+    let counted = || members.iter().filter(|member| counts(member.stage));
+    let open: u64 = counted().map(|member| u64::from(member.load.open)).sum();
+    let tenths = (open * 10).checked_div(counted().count() as u64);
     tenths.map(|tenths| tenths as u32)
 }
 
--- a/crates/standin/tests/control.rs
+++ b/crates/standin/tests/control.rs
@@ -210,14 +210,7 @@
 /// Guards against answers from another address than the caller asked, which it drops.
 #[test]
 fn direct_entry_answers_from_the_service_address() {
-    let mut fleet = Fleet::start(1, 1);
-    let port = fleet.add_direct();
-    fleet.submit(port);
-    fleet.wait_for_members(port, 1);
-    let board = fleet.backs[0].agent.board().clone();
-    until("the agent serves", || board.ready().is_ok());
-    let mut caller = quinn::Endpoint::client(any()).expect("a free port");
-    caller.set_default_client_config(tls::client(&fleet.identity).expect("certificate"));
+    let (fleet, port, caller) = serving();
 
     let connection = smol::block_on(async {
         let connecting = caller.connect(fleet::address(port), tls::NAME);
@@ -247,14 +240,7 @@
 /// draining them.
 #[test]
 fn flows_of_a_moved_service_drain() {
-    let mut fleet = Fleet::start(1, 1);
-    let port = fleet.add_direct();
-    fleet.submit(port);
-    fleet.wait_for_members(port, 1);
-    let board = fleet.backs[0].agent.board().clone();
-    until("the agent serves", || board.ready().is_ok());
-    let mut caller = quinn::Endpoint::client(any()).expect("a free port");
-    caller.set_default_client_config(tls::client(&fleet.identity).expect("certificate"));
+    let (fleet, port, caller) = serving();
     let connection = smol::block_on(async {
         let connecting = caller.connect(fleet::address(port), tls::NAME);
         connecting.expect("a valid address").await.expect("a handshake")
@@ -269,3 +255,16 @@
         fleet.backs[0].agent.body().shared().flows.read().open() == 0
     });
 }
+
+/// A fleet whose balancer serves callers at a port, and a caller.
+fn serving() -> (Fleet, u16, quinn::Endpoint) {
+    let mut fleet = Fleet::start(1, 1);
+    let port = fleet.add_direct();
+    fleet.submit(port);
+    fleet.wait_for_members(port, 1);
+    let board = fleet.backs[0].agent.board().clone();
+    until("the agent serves", || board.ready().is_ok());
+    let mut caller = quinn::Endpoint::client(any()).expect("a free port");
+    caller.set_default_client_config(tls::client(&fleet.identity).expect("certificate"));
+    (fleet, port, caller)
+}
