End flows out of reach at once, and hold openings for cold backend servers

After the power loss, flows of agents that had left without a word kept every walk from ending, and cold backend servers refused openings that they could take a moment later.

Ruled out: loss on the way (drops counted by reason: hops), start-up time.

Change: the walk depends on the flow and the addresses only; a silent agent's flows end at the balancer; an opening waits up to 1 s for its place at a cold backend server; an agent whose backend server has left withdraws its entry in the store.

--- a/crates/steer/src/connection/held.rs
+++ b/crates/steer/src/connection/held.rs
@@ -20,6 +20,8 @@
 /// How far a flow has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
+    /// The opening segment is kept until the backend server bears it.
+    Waiting,
     /// The opening segment was delivered.
     Offered,
     /// The backend server accepted it; the caller may have chosen another one.
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -13,6 +13,7 @@
 use crate::process::backend::{self, Backend, Bounds, Report};
 use crate::process::roster::Roster;
 use crate::request::message::Search;
+use crate::request::message::Stage::Closed;
 use crate::request::place::{self, Request};
 use crate::request::segment::Segment;
 use crate::version::routing::Routing;
@@ -96,6 +97,12 @@
         /// Whether it opens a flow that was not here.
         is_new: bool,
     },
+    /// The backend server gets it later, when it bears one more opening. Until then it is
+    /// kept; at that time [`Agent::release`] decides.
+    Hold {
+        /// When.
+        until: Millis,
+    },
     /// Another agent gets it.
     Pass {
         /// The agent.
@@ -145,6 +152,8 @@
     Route,
     /// The balancer decided by routes older than those that this agent has acted by.
     Stale,
+    /// The opening waits for a cold backend server, or waited in vain.
+    Held,
     /// The flow is somewhere else.
     Elsewhere,
     /// The flow ended with its backend server.
@@ -166,6 +175,7 @@
             Self::DomainOut => "domain_out",
             Self::Route => "route",
             Self::Stale => "stale",
+            Self::Held => "held",
             Self::Elsewhere => "elsewhere",
             Self::Lost => "lost",
             Self::Nowhere => "nowhere",
@@ -271,10 +281,30 @@
         if arrival.segment.is_opening() {
             self.open(now, routing, roster, arrival)
         } else {
-            self.follow(now, routing, roster, arrival)
+            self.follow(now, roster, arrival)
         }
     }
 
+    /// Decides on an opening segment that was held until now.
+    pub fn release(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+        arrival: &Arrival,
+    ) -> Step {
+        let flow = arrival.segment.from_caller();
+        let is_waiting =
+            self.held.remove(&flow).is_some_and(|held| held.stage == Stage::Waiting);
+        let is_open = self.backend.stage(now).is_some_and(|stage| stage != Closed);
+        if !is_waiting || !is_open || routing.is_out(&self.domain) {
+            return self.decline(routing, roster, arrival, Cause::Held);
+        }
+        self.floor = self.floor.max(arrival.way.revision.max(routing.revision));
+        self.held.insert(now, flow, Held::new(Stage::Offered));
+        self.deliver(now, arrival, true)
+    }
+
     /// Decides on a segment of the backend server.
     pub fn answer(
         &mut self,
@@ -361,8 +391,10 @@
     ) -> Step {
         let flow = arrival.segment.from_caller();
         let way = &arrival.way;
-        if self.held.get(now, &flow).is_some() {
-            return self.deliver(now, arrival, false);
+        match self.held.get(now, &flow).map(|held| held.stage) {
+            Some(Stage::Waiting) => return Step::Drop(Cause::Held),
+            Some(_) => return self.deliver(now, arrival, false),
+            None => {}
         }
         let revision = way.revision.max(routing.revision);
         if revision < self.floor {
@@ -394,6 +426,14 @@
         let cold_per_s = limits.map_or(0.0, |service| service.cold_per_s);
         let (open, _) = self.load(now);
         if let Err(refusal) = self.backend.admit(now, open, connections, cold_per_s) {
+            let is_elsewhere = place::is_ready(routing, roster, &service, &way.tried);
+            if refusal == backend::Refusal::Cold
+                && !is_elsewhere
+                && let Some(until) = self.backend.reserve(now, cold_per_s)
+            {
+                self.held.insert(now, flow, Held::new(Stage::Waiting));
+                return Step::Hold { until };
+            }
             return self.decline(routing, roster, arrival, refusal.into());
         }
         self.floor = revision;
@@ -431,13 +471,7 @@
     }
 
     /// Decides on a segment of a flow that should be open.
-    fn follow(
-        &mut self,
-        now: Millis,
-        routing: &Routing,
-        roster: &Roster,
-        arrival: &Arrival,
-    ) -> Step {
+    fn follow(&mut self, now: Millis, roster: &Roster, arrival: &Arrival) -> Step {
         let flow = arrival.segment.from_caller();
         let ack = arrival.segment.acknowledged;
         let found = self.held.get(now, &flow).filter(|held| held.matches(ack)).copied();
@@ -450,7 +484,7 @@
             {
                 self.deliver(now, arrival, false)
             }
-            None => self.seek(now, routing, roster, arrival),
+            None => self.seek(now, roster, arrival),
         }
     }
 
@@ -487,13 +521,7 @@
     }
 
     /// Passes a segment on to where its flow may be.
-    fn seek(
-        &mut self,
-        now: Millis,
-        routing: &Routing,
-        roster: &Roster,
-        arrival: &Arrival,
-    ) -> Step {
+    fn seek(&mut self, now: Millis, roster: &Roster, arrival: &Arrival) -> Step {
         if arrival.segment.flags.reset {
             return Step::Drop(Cause::Elsewhere);
         }
@@ -519,17 +547,15 @@
                 return Step::Pass { to, way, cause: Cause::Elsewhere };
             }
         }
-        let domain =
-            roster.get(way.origin).map_or(&*self.domain, |member| &*member.domain);
         let last = (way.search == Search::Walk).then_some(self.address);
-        let mut next = place::next(routing, roster, &flow, domain, last);
+        let mut next = place::next(roster, &flow, last);
         if next == Some(self.address) {
-            next = place::next(routing, roster, &flow, domain, next);
+            next = place::next(roster, &flow, next);
         }
         way.search = Search::Walk;
         match next {
             Some(to) => Step::Pass { to, way, cause: Cause::Elsewhere },
-            None if roster.is_whole() => self.end(arrival, Cause::Nowhere),
+            None if roster.is_settled(now) => self.end(arrival, Cause::Nowhere),
             None => Step::Drop(Cause::Unknown),
         }
     }
@@ -566,11 +592,11 @@
                 self.held.remove(&flow);
                 self.end(&arrival, Cause::Lost)
             }
-            Some(Stage::Offered | Stage::Accepted) => {
+            Some(Stage::Waiting | Stage::Offered | Stage::Accepted) => {
                 self.held.remove(&flow);
-                self.seek(now, routing, roster, &arrival)
+                self.seek(now, roster, &arrival)
             }
-            None => self.seek(now, routing, roster, &arrival),
+            None => self.seek(now, roster, &arrival),
         })
     }
 
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -15,6 +15,10 @@
 /// of the limit, and the time that a segment may take to the backend server.
 const COLD_WINDOW_MS: u64 = 1_100;
 
+/// Longest time that an opening waits for a cold backend server, in milliseconds. Callers
+/// give up after 1,400 ms, and the segment and its answer travel within that.
+const HOLD_MS: u64 = 1_000;
+
 /// Time after its start in which the report of a backend server shows that it started after
 /// its agent, as the number of reports it has made.
 const FIRST_REPORTS: u64 = 1;
@@ -233,16 +237,33 @@
         while self.openings.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW_MS) {
             self.openings.pop_front();
         }
-        if self.is_cold(now) {
-            let most = cold_per_s * self.bounds.cold_factor + self.bounds.cold_slack;
-            if self.openings.len() as f64 + 1.0 > most {
-                return Err(Refusal::Cold);
-            }
+        if self.is_cold(now) && self.openings.len() >= self.cold_limit(cold_per_s) {
+            return Err(Refusal::Cold);
         }
         self.openings.push_back(now);
         Ok(())
     }
 
+    /// Reserves the next moment at which a cold backend server bears one more opening; none
+    /// if that is later than an opening may wait.
+    pub fn reserve(&mut self, now: Millis, cold_per_s: f64) -> Option<Millis> {
+        let limit = self.cold_limit(cold_per_s);
+        let place = self.openings.len().checked_sub(limit)?;
+        let free = self.openings.get(place)?.after(COLD_WINDOW_MS);
+        let until = if self.is_suspect { free } else { free.min(self.cold_until) };
+        if until > now.after(HOLD_MS) {
+            return None;
+        }
+        // Rises: `free` does, and openings at the end of the cold time are the last ones.
+        self.openings.push_back(until);
+        Some(until)
+    }
+
+    /// Openings in [`COLD_WINDOW_MS`] that a cold backend server bears.
+    fn cold_limit(&self, cold_per_s: f64) -> usize {
+        (cold_per_s * self.bounds.cold_factor + self.bounds.cold_slack) as usize
+    }
+
     /// Whether it bears few requests.
     fn is_cold(&self, now: Millis) -> bool {
         self.is_suspect || now < self.cold_until
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -42,8 +42,13 @@
         /// Whether it is the first segment that this balancer places there.
         is_new: bool,
     },
-    /// The caller gets a reset: no flow was opened.
-    Refuse(Refusal),
+    /// The caller gets a reset.
+    Refuse {
+        /// Within the window of the caller.
+        sequence: u32,
+        /// Why.
+        cause: Refusal,
+    },
     /// It is dropped.
     Drop(Reason),
 }
@@ -55,6 +60,8 @@
     NoRoute,
     /// No agent takes flows of the service.
     NoAgent,
+    /// The agent of the flow is silent.
+    AgentSilent,
 }
 
 impl Refusal {
@@ -63,6 +70,7 @@
         match self {
             Self::NoRoute => "no_route",
             Self::NoAgent => "no_agent",
+            Self::AgentSilent => "agent_silent",
         }
     }
 }
@@ -103,7 +111,7 @@
         if segment.is_opening() {
             self.open(now, routing, roster, segment)
         } else {
-            self.follow(now, roster, &segment.from_caller())
+            self.follow(now, roster, segment)
         }
     }
 
@@ -141,7 +149,9 @@
         let flow = segment.from_caller();
         let route = routing.route(flow.service);
         let service = route.and_then(|route| place::service(route, &flow));
-        let Some(service) = service else { return Step::Refuse(Refusal::NoRoute) };
+        let Some(service) = service else {
+            return Step::Refuse { sequence: 0, cause: Refusal::NoRoute };
+        };
         let name = routing.service(service).map(|service| service.name.clone());
         let known = self.cache.get(now, &flow);
         let mut tried = None;
@@ -168,7 +178,7 @@
             if now.since(self.start) < START_MS {
                 return Step::Drop(Reason::NoMember);
             }
-            return Step::Refuse(Refusal::NoAgent);
+            return Step::Refuse { sequence: 0, cause: Refusal::NoAgent };
         };
         roster.place(to);
         self.cache.place(now, flow, to);
@@ -176,9 +186,18 @@
     }
 
     /// Sends a segment to where its flow is, or to its home if that is not known.
-    fn follow(&mut self, now: Millis, roster: &Roster, flow: &flow::Key) -> Step {
+    fn follow(&mut self, now: Millis, roster: &Roster, segment: &Segment) -> Step {
+        let flow = &segment.from_caller();
         let known = self.cache.get(now, flow).map(|entry| entry.agent);
-        if let Some(to) = known.filter(|agent| roster.get(*agent).is_some()) {
+        if let Some(member) = known.and_then(|agent| roster.get(agent)) {
+            // Its agent does not answer: a new flow serves the caller sooner.
+            if member.is_silent && !segment.flags.reset && roster.is_settled(now) {
+                return Step::Refuse {
+                    sequence: segment.acknowledged,
+                    cause: Refusal::AgentSilent,
+                };
+            }
+            let to = member.address;
             return Step::Send {
                 to,
                 search: Search::Known,
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use lentilreach::process::clock::Millis;
 use lentilreach::process::link::{Link, MAX_DATAGRAM, is_passing};
 use lentilreach::process::lock::Ranked;
 use lentilreach::process::pool::Pool;
@@ -54,6 +55,8 @@
 /// What the tasks of an agent share.
 #[derive(Debug)]
 struct State<F, L> {
+    /// Runs tasks.
+    pool: Pool,
     /// What both daemons have.
     node: Arc<Node<L>>,
     /// Reads segments.
@@ -92,8 +95,14 @@
         );
         let flows = Ranked::new(tables::CONNECTIONS, flows);
         let server = settings.server;
-        let state =
-            Arc::new(State { node: node.clone(), format, backend, server, flows });
+        let state = Arc::new(State {
+            pool: pool.clone(),
+            node: node.clone(),
+            format,
+            backend,
+            server,
+            flows,
+        });
         let shared = state.clone();
         let mut tasks = start(pool, &node, outside, Role::Agent, move |before, after| {
             shared.flows.write().rerouted(before, after);
@@ -120,11 +129,8 @@
         state.node.is_stopping.store(true, Ordering::Relaxed);
         state.flows.write().stop();
         if state.flows.read().backend().has_left() {
-            let members: Vec<_> =
-                state.node.roster.read().members().iter().map(|m| m.address).collect();
-            for member in members {
-                state.node.send(member, &Message::Leave);
-            }
+            state.node.leave();
+            Timer::after(GRACE).await;
             return;
         }
         state.beat(false);
@@ -243,9 +249,9 @@
     }
 
     /// Handles a message of another node.
-    fn handle(&self, from: SocketAddrV4, bytes: &[u8]) {
+    fn handle(self: &Arc<Self>, from: SocketAddrV4, bytes: &[u8]) {
         match Message::decode(bytes) {
-            Some(Message::Segment(envelope)) => self.segment(&envelope),
+            Some(Message::Segment(envelope)) => self.clone().segment(&envelope),
             Some(Message::Beat(beat)) => {
                 if self.node.hear(from, &beat) {
                     self.node.beat_to(&[from], self.offer().as_ref(), Role::Agent, false);
@@ -261,7 +267,7 @@
     }
 
     /// Handles a segment of a caller.
-    fn segment(&self, envelope: &Envelope<'_>) {
+    fn segment(self: Arc<Self>, envelope: &Envelope<'_>) {
         let segment = match self.format.read(envelope.bytes) {
             Ok(segment) => segment,
             Err(fault) => return invalid(fault.as_str()),
@@ -283,9 +289,31 @@
             let roster = self.node.roster.read();
             self.flows.write().segment(self.node.now(), &routing, &roster, &arrival)
         };
+        if let Step::Hold { until } = step {
+            let bytes = envelope.bytes.to_vec();
+            let held = self.clone().hold(until, arrival, bytes);
+            self.pool.spawn(held).detach();
+            return;
+        }
         self.perform(&segment, step, envelope.bytes, routing.version);
     }
 
+    /// Keeps an opening segment until its backend server bears it.
+    async fn hold(self: Arc<Self>, until: Millis, arrival: Arrival, bytes: Vec<u8>) {
+        let wait_ms = until.since(self.node.now());
+        log::info!(
+            target: "held", flow:% = arrival.segment.from_caller(), wait_ms = wait_ms;
+            "opening waits for a cold backend server"
+        );
+        Timer::after(Duration::from_millis(wait_ms)).await;
+        let routing = self.node.routing();
+        let step = {
+            let roster = self.node.roster.read();
+            self.flows.write().release(self.node.now(), &routing, &roster, &arrival)
+        };
+        self.perform(&arrival.segment, step, &bytes, routing.version);
+    }
+
     /// Handles a segment of the backend server.
     fn answer(&self, bytes: &mut [u8]) {
         let segment = match self.format.read(bytes) {
@@ -338,6 +366,8 @@
                     log::info!(target: "offered", flow:% = flow, version = version; "flow offered");
                 }
             }
+            // Only openings are held, where they arrive.
+            Step::Hold { .. } => {}
             Step::Pass { to, way, cause } => {
                 metrics::counter!("lentilreach_steer_passed_total", "reason" => cause.as_str())
                     .increment(1);
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -160,7 +160,9 @@
                     );
                 }
             }
-            Step::Refuse(refusal) => self.refuse(&segment, refusal, routing.version),
+            Step::Refuse { sequence, cause } => {
+                self.refuse(&segment, sequence, cause, routing.version);
+            }
             Step::Drop(reason) => {
                 metrics::counter!("lentilreach_steer_dropped_total", "reason" => reason.as_str())
                     .increment(1);
@@ -172,11 +174,11 @@
         }
     }
 
-    /// Tells a caller that its flow is not opened.
-    fn refuse(&self, segment: &Segment, refusal: Refusal, version: u64) {
+    /// Tells a caller that its flow is not opened, or has ended.
+    fn refuse(&self, segment: &Segment, sequence: u32, refusal: Refusal, version: u64) {
         let flow = segment.from_caller();
         let to = SocketAddrV4::new(*flow.caller.ip(), self.node.settings.callers_port);
-        let bytes = self.format.reset(&flow, 0);
+        let bytes = self.format.reset(&flow, sequence);
         if let Err(error) = self.callers.send(SocketAddr::V4(to), &bytes) {
             log::debug!(target: "send_failed", peer:% = to, cause:% = error; "not sent");
         }
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -48,6 +48,8 @@
     count: AtomicU32,
     /// Tells the follower of documents that another node knows newer ones.
     newer: (Sender<()>, Receiver<()>),
+    /// Tells the registration that the node leaves for good.
+    leaves: (Sender<()>, Receiver<()>),
 }
 
 impl<L: Link> Node<L> {
@@ -64,6 +66,7 @@
             incarnation: fastrand::u64(1..),
             count: AtomicU32::new(0),
             newer: async_channel::bounded(1),
+            leaves: async_channel::bounded(1),
         })
     }
 
@@ -93,8 +96,9 @@
         if !self.routing.read().is_in_force() {
             return Err("no configuration has been read".into());
         }
-        if self.roster.read().agents().all(|member| member.is_silent) {
-            return Err("no agent has been heard".into());
+        let roster = self.roster.read();
+        if roster.is_isolated() || roster.agents().next().is_none() {
+            return Err("most agents are not heard".into());
         }
         Ok(())
     }
@@ -179,6 +183,22 @@
         }
     }
 
+    /// Tells all members, and the registration, that the node leaves for good.
+    pub fn leave(&self) {
+        let roster = self.roster.read();
+        for member in roster.members() {
+            self.send(member.address, &Message::Leave);
+        }
+        // A full channel means that the registration has been told already.
+        let _ = self.leaves.0.try_send(());
+    }
+
+    /// Waits until the node leaves for good.
+    pub async fn leaves(&self) {
+        // The sender lives as long as the node, so the channel is never closed.
+        let _ = self.leaves.1.recv().await;
+    }
+
     /// Waits until another node is known to have newer documents.
     pub async fn newer(&self) {
         // The sender lives as long as the node, so the channel is never closed.
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::future::or;
 use lentilreach::process::clock::Millis;
 use lentilreach::process::link::Link;
 use lentilreach::process::store::backoff::Backoff;
@@ -17,7 +18,7 @@
 /// must be back within two seconds of the store's return.
 const BACKOFF_MS: (u64, u64) = (100, 1_000);
 
-/// Registers until the task is cancelled.
+/// Registers until the task is cancelled, or until the entry is withdrawn.
 pub async fn run<L: Link, S: Store>(node: Arc<Node<L>>, store: S, role: Role) {
     let address = node.settings.nodes;
     let domain = node.settings.domain.clone();
@@ -37,7 +38,17 @@
                 if std::mem::take(&mut is_lost) {
                     log::info!(target: "store", change = "regained", call = "register"; "store answers");
                 }
-                sleep(KEEP_MS).await;
+                let due = async {
+                    sleep(KEEP_MS).await;
+                    false
+                };
+                let leaves = async {
+                    entry.node.leaves().await;
+                    true
+                };
+                if or(due, leaves).await {
+                    return entry.withdraw().await;
+                }
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_lost, true) {
@@ -107,6 +118,14 @@
         Ok(())
     }
 
+    /// Ends the own entry, so that newcomers do not wait for this node.
+    async fn withdraw(&self) {
+        let Some(lease) = self.lease else { return };
+        if let Err(error) = self.store.revoke(lease).await {
+            log::warn!(target: "membership", change = "kept", cause:% = error; "own entry stays until it lapses");
+        }
+    }
+
     /// Introduces the members that the store lists and asks new ones for a beat.
     fn learn(&self, range: &Range) {
         let now = self.node.now();
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -15,6 +15,10 @@
 /// half a beat of delay.
 pub const SILENT_MS: u64 = 2_500;
 
+/// Time that a new member gets to answer the first beat, in milliseconds: a slow process and
+/// a retry.
+pub const ANSWER_MS: u64 = 1_000;
+
 /// A silent member is forgotten after this long, in milliseconds. No flow is older.
 pub const FORGET_MS: u64 = 60_000;
 
@@ -127,9 +131,20 @@
         self.members.iter().filter(|member| member.role == Role::Agent)
     }
 
-    /// Whether every agent was heard lately.
-    pub fn is_whole(&self) -> bool {
-        self.agents().all(|member| !member.is_silent)
+    /// Whether every agent has been heard or had time to answer.
+    ///
+    /// Flows of those that did not are out of reach: ending them lets callers go elsewhere.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        let is_awaited = |member: &Member| {
+            member.is_silent && member.node == 0 && now.since(member.heard) < ANSWER_MS
+        };
+        !self.is_isolated() && !self.agents().any(is_awaited)
+    }
+
+    /// Whether most agents are silent: this node is rather cut off than all of them gone.
+    pub fn is_isolated(&self) -> bool {
+        let silent = self.agents().filter(|member| member.is_silent).count();
+        silent * 2 > self.agents().count()
     }
 
     /// Adds a node that the store lists. Returns whether it is new.
--- a/crates/steer/src/request/place.rs
+++ b/crates/steer/src/request/place.rs
@@ -73,6 +73,20 @@
     usable.iter().min_by_key(rank).map(|member| member.address)
 }
 
+/// Whether an agent other than those in `tried` takes flows of a service without limit.
+pub fn is_ready(
+    routing: &Routing,
+    roster: &Roster,
+    service: &str,
+    tried: &[SocketAddrV4],
+) -> bool {
+    roster.agents().any(|member| {
+        member.stage() == Some(Stage::Ready)
+            && is_fit(routing, member, service)
+            && !tried.contains(&member.address)
+    })
+}
+
 /// Steps a flow per slot within which two loads differ.
 const LOAD_STEPS: f64 = 1_000.0;
 
@@ -104,32 +118,19 @@
 
 /// The agent to ask after `last` when all are asked in turn; the first one without it.
 ///
-/// Agents of the route's services come first, then those of the domain, then by weight.
-/// Positions only rise, so a walk ends even if nodes know different members.
+/// The order depends on the flow and the agents' addresses only, so it is the same at nodes
+/// that know different members, and a walk ends.
 pub fn next(
-    routing: &Routing,
     roster: &Roster,
     flow: &flow::Key,
-    domain: &str,
     last: Option<SocketAddrV4>,
 ) -> Option<SocketAddrV4> {
-    let route = routing.route(flow.service);
-    let position = |member: &Member| {
-        let service = member.offer.as_ref().map(|offer| &*offer.service);
-        let is_other = !route.is_some_and(|route| {
-            route.split.iter().any(|share| Some(&*share.service) == service)
-        });
-        let weight = weight(flow, member.address);
-        (is_other, *member.domain != *domain, u64::MAX - weight, member.address)
-    };
-    let after = last.and_then(|address| roster.get(address)).map(position);
-    roster
-        .agents()
-        .filter(|member| !member.is_silent)
-        .map(position)
-        .filter(|position| after.is_none_or(|after| *position > after))
-        .min()
-        .map(|(_, _, _, address)| address)
+    let position = |address: SocketAddrV4| (u64::MAX - weight(flow, address), address);
+    let after = last.map(position);
+    let agents = roster.agents().filter(|member| !member.is_silent);
+    let positions = agents.map(|member| position(member.address));
+    let later = positions.filter(|position| after.is_none_or(|after| *position > after));
+    later.min().map(|(_, address)| address)
 }
 
 /// The rendezvous weight of an agent for a flow.
