--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -83,9 +83,11 @@
     }
     *node.routing.write() = Arc::new(after.clone());
     rerouted(&before, after);
+    let cold: Vec<_> = after.services.iter().map(|service| service.cold_per_s).collect();
     log::info!(
         target: "config", version = after.version, revision = after.revision,
-        routes = after.routes.len(), out:? = after.out; "configuration in force"
+        routes = after.routes.len(), out:? = after.out, cold_per_s:? = cold;
+        "configuration in force"
     );
 }
 
--- /dev/null
+++ b/crates/steer/tests/backend.rs
@@ -0,0 +1,153 @@
+//! What a backend server may be given.
+
+mod fixture;
+
+use fixture::{COLD_LIMIT, REPORT_MS, bounds, report};
+use lentilreach::process::clock::Millis;
+use lentilreach_steer::process::backend::{Backend, Change, Refusal, Report};
+use lentilreach_steer::request::message::Stage;
+
+const NOW: Millis = Millis(50_000);
+
+/// A backend server that has reported.
+fn backend(report: Report) -> Backend {
+    let mut backend = Backend::new(bounds());
+    backend.hear(NOW, report);
+    backend
+}
+
+/// Admits an opening with no other limit than the cold one.
+fn admit(backend: &mut Backend, at: Millis) -> Result<(), Refusal> {
+    backend.admit(at, 0, u32::MAX, 0.0)
+}
+
+/// Guards against a cold backend server that gets more in some second than it bears, wherever
+/// the second begins.
+#[test]
+fn a_cold_one_gets_its_limit_in_any_second() {
+    let mut backend = backend(Report { cold_ms: 20_000, ..report(1) });
+    let tries = (0..10_000).step_by(7).map(|ms| NOW.after(ms));
+
+    // Its reports go on, or it would be closed.
+    let mut sequence = 1;
+    let mut admitted = Vec::new();
+    for at in tries {
+        if at.since(NOW) / REPORT_MS >= sequence {
+            sequence += 1;
+            backend.hear(at, Report { cold_ms: 20_000, ..report(sequence) });
+        }
+        if admit(&mut backend, at).is_ok() {
+            admitted.push(at);
+        }
+    }
+
+    let in_second = |start: &Millis| {
+        admitted.iter().filter(|at| **at >= *start && at.since(*start) < 1_000).count()
+    };
+    assert!(admitted.iter().all(|start| in_second(start) <= COLD_LIMIT));
+    assert!(admitted.len() >= 9 * COLD_LIMIT * 8 / 10, "{} admitted", admitted.len());
+}
+
+/// Guards against openings that are refused although they can wait, and against waits that
+/// together exceed the limit.
+#[test]
+fn openings_wait_for_their_place() {
+    let mut backend = backend(Report { cold_ms: 3_000, ..report(1) });
+    for _ in 0..COLD_LIMIT {
+        admit(&mut backend, NOW).expect("within the limit");
+    }
+    assert_eq!(admit(&mut backend, NOW), Err(Refusal::Cold));
+    // A place that is free in 1,100 ms is too late for one that comes now.
+    assert_eq!(backend.reserve(NOW, 0.0), None);
+
+    let later = NOW.after(500);
+    let places: Vec<_> =
+        (0..COLD_LIMIT + 3).map(|_| backend.reserve(later, 0.0)).collect();
+
+    let granted: Vec<_> = places.iter().flatten().collect();
+    assert_eq!(granted.len(), COLD_LIMIT);
+    assert!(granted.iter().all(|at| at.since(NOW) >= 1_000 && at.since(later) <= 1_000));
+}
+
+/// Guards against waits beyond the end of the cold time.
+#[test]
+fn openings_wait_no_longer_than_the_cold_time() {
+    let mut backend = backend(Report { cold_ms: 400, ..report(1) });
+    for _ in 0..COLD_LIMIT {
+        admit(&mut backend, NOW).expect("within the limit");
+    }
+
+    assert_eq!(backend.reserve(NOW, 0.0), Some(NOW.after(400)));
+}
+
+/// Guards against new work on a backend server that drains, has left or is not heard.
+#[test]
+fn closed_ones_get_nothing() {
+    let mut draining = backend(Report { is_draining: true, ..report(1) });
+    assert_eq!(admit(&mut draining, NOW), Err(Refusal::Draining));
+    assert_eq!(draining.stage(NOW), Some(Stage::Closed));
+
+    let mut left = backend(report(1));
+    assert!(left.leave("i-1"));
+    assert_eq!(admit(&mut left, NOW), Err(Refusal::Draining));
+
+    let mut silent = backend(report(1));
+    let late = NOW.after(3 * REPORT_MS + 1);
+    assert_eq!(admit(&mut silent, late), Err(Refusal::Unknown));
+    assert_eq!(silent.stage(late), Some(Stage::Closed));
+
+    let mut unknown = Backend::new(bounds());
+    assert_eq!(admit(&mut unknown, NOW), Err(Refusal::Unknown));
+    assert_eq!(unknown.stage(NOW), None);
+}
+
+/// Guards against a late report that takes back a drain.
+#[test]
+fn late_reports_change_nothing() {
+    let mut backend = backend(report(4));
+    let drains = Report { is_draining: true, ..report(6) };
+    assert_eq!(backend.hear(NOW, drains), Change::Stage);
+
+    assert_eq!(backend.hear(NOW, report(5)), Change::Outdated);
+
+    assert_eq!(backend.stage(NOW), Some(Stage::Closed));
+}
+
+/// Guards against a report of an earlier lifetime that arrives after the next one registered.
+#[test]
+fn an_earlier_lifetime_does_not_come_back() {
+    let mut backend = backend(Report { born: Some(2_000), ..report(1) });
+    let old = Report { id: "i-0".into(), born: Some(1_000), ..report(90) };
+
+    assert_eq!(backend.hear(NOW, old), Change::Outdated);
+
+    assert_eq!(backend.report().map(|report| &*report.id), Some("i-1"));
+}
+
+/// Guards against counts of an earlier lifetime that hide the reports of a new one under the
+/// same identifier.
+#[test]
+fn a_restart_under_the_same_identifier_counts_anew() {
+    let mut backend = backend(report(40));
+    let again = Report { born: Some(9_000), ..report(1) };
+
+    let change = backend.hear(NOW, again);
+
+    assert_eq!(change, Change::Started { is_replacement: true });
+}
+
+/// Guards against full load on a failure domain that returns cold, before the report that
+/// says so.
+#[test]
+fn a_suspect_one_is_limited_until_its_next_report() {
+    let mut backend = backend(report(1));
+    backend.suspect();
+    for _ in 0..COLD_LIMIT {
+        admit(&mut backend, NOW).expect("within the limit");
+    }
+    assert_eq!(admit(&mut backend, NOW), Err(Refusal::Cold));
+
+    backend.hear(NOW, report(2));
+
+    assert_eq!(admit(&mut backend, NOW), Ok(()));
+}
