Do not take an unheard agent for dead, and end flows with their backend server

Its first beat to the flow's agent was lost; the agent counted as silent although it had never been heard, and 1 s later its flows were ended.

Ruled out: a false report of a gone backend server (the reset came from the balancer), a dropped route.

Change: new members are asked three times; only an agent that was heard and then was silent for 3.5 s is out of reach. Callers of flows that ended with their backend server get a reset. Openings after the cold time are spread.

--- a/crates/steer/src/connection/held.rs
+++ b/crates/steer/src/connection/held.rs
@@ -11,6 +11,8 @@
     pub stage: Stage,
     /// The backend server's first sequence number, if the agent saw it.
     pub first: Option<u32>,
+    /// The last number that the caller acknowledged.
+    pub acknowledged: u32,
     /// The nodes that were told where the flow is.
     pub homes: [Option<SocketAddrV4>; 2],
     /// When the flow's last request segment was delivered and not yet answered.
@@ -37,7 +39,7 @@
 impl Held {
     /// A flow at its start.
     pub fn new(stage: Stage) -> Self {
-        Self { stage, first: None, homes: [None; 2], waiting: None }
+        Self { stage, first: None, acknowledged: 0, homes: [None; 2], waiting: None }
     }
 
     /// Whether an acknowledgement of the caller can belong to this flow.
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -185,6 +185,15 @@
     }
 }
 
+/// A flow that ended with its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ended {
+    /// The flow.
+    pub flow: flow::Key,
+    /// Sequence number of the reset for the caller.
+    pub sequence: u32,
+}
+
 /// Flows that homes are to be told of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct News {
@@ -224,27 +233,37 @@
         &self.backend
     }
 
-    /// Takes a report of the backend server.
-    pub fn report(&mut self, now: Millis, report: Report) -> backend::Change {
+    /// Takes a report of the backend server. Returns the flows that ended with an earlier
+    /// lifetime.
+    pub fn report(
+        &mut self,
+        now: Millis,
+        report: Report,
+    ) -> (backend::Change, Vec<Ended>) {
         let is_first = report.is_first();
         let change = self.backend.hear(now, report);
+        let mut ended = Vec::new();
         if let backend::Change::Started { is_replacement } = change {
             self.is_complete = is_first;
             if is_replacement {
-                self.lose();
+                ended = self.lose();
             }
         }
-        change
+        (change, ended)
     }
 
     /// Takes note that the backend server ends. Returns whether it is the current one.
-    pub fn leave(&mut self, id: &str) -> bool {
-        let is_current = self.backend.leave(id);
-        if is_current {
-            self.is_complete = true;
-            self.lose();
+    pub fn leave(&mut self, now: Millis, id: &str) -> bool {
+        self.backend.leave(now, id)
+    }
+
+    /// Returns the flows that ended because the backend server is gone, each once.
+    pub fn tick(&mut self, now: Millis) -> Vec<Ended> {
+        if !self.backend.tick(now) {
+            return Vec::new();
         }
-        is_current
+        self.is_complete = true;
+        self.lose()
     }
 
     /// Admits no more openings, because the process is about to end.
@@ -497,6 +516,9 @@
     fn deliver(&mut self, now: Millis, arrival: &Arrival, is_new: bool) -> Step {
         let flow = arrival.segment.from_caller();
         if let Some(held) = self.held.get(now, &flow) {
+            if !arrival.segment.is_opening() {
+                held.acknowledged = arrival.segment.acknowledged;
+            }
             if arrival.segment.length > 0 {
                 held.waiting.get_or_insert(now);
             }
@@ -600,12 +622,17 @@
         })
     }
 
-    /// Marks all flows as ended with their backend server.
-    fn lose(&mut self) {
-        self.held.retain(|_, held| {
+    /// Marks all flows as ended with their backend server; returns those that were open.
+    fn lose(&mut self) -> Vec<Ended> {
+        let mut ended = Vec::new();
+        self.held.retain(|flow, held| {
+            if held.is_open() {
+                ended.push(Ended { flow: *flow, sequence: held.acknowledged });
+            }
             held.stage = Stage::Lost;
             true
         });
+        ended
     }
 }
 
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -15,6 +15,17 @@
 /// of the limit, and the time that a segment may take to the backend server.
 const COLD_WINDOW_MS: u64 = 1_100;
 
+/// Time between ticks, in milliseconds.
+pub const TICK_MS: u64 = 200;
+
+/// Time from the last call of a backend server until it has ended, in milliseconds: two
+/// ticks.
+const END_MS: u64 = 400;
+
+/// Time between openings that waited for the end of the cold time, in milliseconds. A backend
+/// server with 5 slots and requests of 40 ms keeps up.
+const RAMP_MS: u64 = 10;
+
 /// Longest time that an opening waits for a cold backend server, in milliseconds. Callers
 /// give up after 1,400 ms, and the segment and its answer travel within that.
 const HOLD_MS: u64 = 1_000;
@@ -106,14 +117,21 @@
     report: Option<Report>,
     /// When that was taken.
     heard: Millis,
-    /// The backend server has said goodbye, or is known to have ended.
-    has_left: bool,
+    /// When the backend server said that it ends.
+    left: Option<Millis>,
+    /// Whether its end was reported by [`Self::tick`].
+    is_gone: bool,
+    /// Ticks since its last report. Unlike the time, they do not pass while this process is
+    /// paused.
+    ticks: u64,
     /// When it stops to be cold.
     cold_until: Millis,
     /// Set when it may have turned cold since its last report.
     is_suspect: bool,
     /// When openings were delivered, within [`COLD_WINDOW_MS`].
     openings: VecDeque<Millis>,
+    /// The last opening that waits for the end of the cold time.
+    ramp: Millis,
     /// The agent's process is about to end.
     is_stopping: bool,
 }
@@ -125,10 +143,13 @@
             bounds,
             report: None,
             heard: Millis(0),
-            has_left: false,
+            left: None,
+            is_gone: false,
+            ticks: 0,
             cold_until: Millis(0),
             is_suspect: true,
             openings: VecDeque::new(),
+            ramp: Millis(0),
             is_stopping: false,
         }
     }
@@ -153,7 +174,9 @@
             Some(_) => Change::None,
         };
         self.heard = now;
-        self.has_left = false;
+        self.left = None;
+        self.is_gone = false;
+        self.ticks = 0;
         self.is_suspect = false;
         self.cold_until = now.after(report.cold_ms);
         self.report = Some(report);
@@ -164,12 +187,26 @@
     }
 
     /// Takes note that a backend server ends. Returns whether it is the current one.
-    pub fn leave(&mut self, id: &str) -> bool {
+    pub fn leave(&mut self, now: Millis, id: &str) -> bool {
         let is_current = self.report.as_ref().is_some_and(|report| *report.id == *id);
-        self.has_left |= is_current;
+        if is_current {
+            self.left.get_or_insert(now);
+        }
         is_current
     }
 
+    /// Whether the backend server is found to be gone since the last call: it said so, or
+    /// stopped to report without a drain. To be called every [`TICK_MS`].
+    pub fn tick(&mut self, now: Millis) -> bool {
+        self.ticks += 1;
+        let has_ended = self.left.is_some_and(|left| now.since(left) >= END_MS);
+        let is_draining = self.report.as_ref().is_none_or(|report| report.is_draining);
+        let is_silent = self.ticks * TICK_MS > self.bounds.report_ms * MISSED_REPORTS;
+        let is_found = !self.is_gone && (has_ended || (is_silent && !is_draining));
+        self.is_gone |= is_found;
+        is_found
+    }
+
     /// Takes note of a sign that it may be cold, until its next report.
     pub fn suspect(&mut self) {
         self.is_suspect = true;
@@ -182,13 +219,13 @@
 
     /// Whether the backend server has ended or said that it does.
     pub fn has_left(&self) -> bool {
-        self.has_left
+        self.left.is_some()
     }
 
     /// The stage that balancers are told; none before the first report.
     pub fn stage(&self, now: Millis) -> Option<Stage> {
         let report = self.report.as_ref()?;
-        let is_closed = self.has_left
+        let is_closed = self.has_left()
             || self.is_stopping
             || report.is_draining
             || self.is_overdue(now);
@@ -202,7 +239,7 @@
     /// Whether it may be running, as far as an agent that started at `start` can tell.
     pub fn is_present(&self, now: Millis, start: Millis) -> bool {
         let heard = if self.report.is_some() { self.heard } else { start };
-        !self.has_left && now.since(heard) <= self.bounds.report_ms * MISSED_REPORTS
+        !self.has_left() && now.since(heard) <= self.bounds.report_ms * MISSED_REPORTS
     }
 
     /// Whether its reports stay out.
@@ -225,7 +262,7 @@
         if self.is_stopping {
             return Err(Refusal::Stopping);
         }
-        if report.is_draining || self.has_left {
+        if report.is_draining || self.left.is_some() {
             return Err(Refusal::Draining);
         }
         if self.is_overdue(now) {
@@ -250,11 +287,13 @@
         let limit = self.cold_limit(cold_per_s);
         let place = self.openings.len().checked_sub(limit)?;
         let free = self.openings.get(place)?.after(COLD_WINDOW_MS);
-        let until = if self.is_suspect { free } else { free.min(self.cold_until) };
+        let warm = self.cold_until.max(self.ramp.after(RAMP_MS));
+        let until = if self.is_suspect { free } else { free.min(warm) };
         if until > now.after(HOLD_MS) {
             return None;
         }
-        // Rises: `free` does, and openings at the end of the cold time are the last ones.
+        self.ramp = if until == warm { warm } else { self.ramp };
+        // Rises: `free` does, and openings after the cold time are the last ones.
         self.openings.push_back(until);
         Some(until)
     }
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -7,16 +7,12 @@
 
 use crate::connection::cache::Cache;
 use crate::connection::flow;
-use crate::process::roster::{BEAT_MS, Roster};
+use crate::process::roster::{ANSWER_MS, Roster};
 use crate::request::message::Search;
 use crate::request::place::{self, Request};
 use crate::request::segment::Segment;
 use crate::version::routing::Routing;
 
-/// Time after the start in which agents may not have answered yet, in milliseconds: a beat of
-/// each, and a retry.
-const START_MS: u64 = 2 * BEAT_MS;
-
 /// The state of a balancer that decisions need.
 #[derive(Debug)]
 pub struct Balancer {
@@ -175,7 +171,7 @@
         let agent = place::choose(routing, roster, request, tried.as_slice());
         let Some(to) = agent.or(tried) else {
             // Agents may not have answered yet; the caller sends a copy soon.
-            if now.since(self.start) < START_MS {
+            if now.since(self.start) <= ANSWER_MS {
                 return Step::Drop(Reason::NoMember);
             }
             return Step::Refuse { sequence: 0, cause: Refusal::NoAgent };
@@ -191,7 +187,7 @@
         let known = self.cache.get(now, flow).map(|entry| entry.agent);
         if let Some(member) = known.and_then(|agent| roster.get(agent)) {
             // Its agent does not answer: a new flow serves the caller sooner.
-            if member.is_silent && !segment.flags.reset && roster.is_settled(now) {
+            if roster.is_unreachable(now, member) && !segment.flags.reset {
                 return Step::Refuse {
                     sequence: segment.acknowledged,
                     cause: Refusal::AgentSilent,
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -17,8 +17,8 @@
 
 use super::balancer::{broken, invalid};
 use super::{Node, Outside, start};
-use crate::process::agent::{self, Answer, Arrival, Step, Way};
-use crate::process::backend::{Bounds, Change, Report};
+use crate::process::agent::{self, Answer, Arrival, Ended, Step, Way};
+use crate::process::backend::{Bounds, Change, Report, TICK_MS};
 use crate::process::documents::Source;
 use crate::process::roster::{BEAT_MS, Role};
 use crate::process::settings;
@@ -29,10 +29,6 @@
 /// 150 bytes with its place in the table; the limit leaves most of the memory.
 const FLOWS_PER_MB: usize = 500;
 
-/// Time between reports to the homes of flows, in milliseconds. Flows of one request mostly
-/// end within it and need none.
-const TICK_MS: u64 = 200;
-
 /// Longest time that a stopping agent waits for a moment without a running request. The rest
 /// of the time until the process is killed covers a slow machine.
 const QUIET: Duration = Duration::from_secs(3);
@@ -43,6 +39,9 @@
 /// Time for which a stopping agent still forwards, so that balancers send no more openings.
 const GRACE: Duration = Duration::from_millis(300);
 
+/// Time for which an agent goes on after its backend server has ended, to end its flows.
+const GRACE_GONE: Duration = Duration::from_millis(800);
+
 /// A running agent.
 #[derive(Debug)]
 pub struct Agent<F, L> {
@@ -130,10 +129,10 @@
         state.flows.write().stop();
         if state.flows.read().backend().has_left() {
             state.node.leave();
-            Timer::after(GRACE).await;
+            Timer::after(GRACE_GONE).await;
             return;
         }
-        state.beat(false);
+        state.beat();
         Timer::after(GRACE).await;
         let limit = QUIET.min(state.node.settings.stop / 2);
         let start = state.node.now();
@@ -159,9 +158,10 @@
         let (id, is_draining) = (report.id.clone(), report.is_draining);
         let (service, sequence) = (report.service.clone(), report.sequence);
         let cold_ms = report.cold_ms;
-        let change = state.flows.write().report(state.node.now(), report);
+        let (change, ended) = state.flows.write().report(state.node.now(), report);
+        state.end(&ended, "replaced");
         if matches!(change, Change::Started { .. } | Change::Stage) {
-            state.beat(false);
+            state.beat();
             log::info!(
                 target: "backend", id:% = id, service:% = service, sequence = sequence,
                 change:? = change, draining = is_draining, cold_ms = cold_ms;
@@ -172,8 +172,8 @@
 
     /// Takes note that a backend server ends.
     pub fn leave(&self, id: &str) {
-        let is_current = self.state.flows.write().leave(id);
-        self.state.beat(false);
+        let is_current = self.state.flows.write().leave(self.state.node.now(), id);
+        self.state.beat();
         log::info!(target: "backend", id = id, change = "left", current = is_current; "backend server left");
     }
 }
@@ -214,14 +214,16 @@
             if now >= due {
                 due = now.after(BEAT_MS);
                 self.node.tick();
-                self.beat(false);
+                self.beat();
                 let idle_ms = self.node.settings.flow.as_millis() as u64;
                 self.flows.write().expire(now, idle_ms);
             }
-            let news = {
+            let (ended, news) = {
                 let roster = self.node.roster.read();
-                self.flows.write().news(&roster)
+                let mut flows = self.flows.write();
+                (flows.tick(now), flows.news(&roster))
             };
+            self.end(&ended, "backend_gone");
             for home in news {
                 for flows in home.flows.chunks(MAX_TAKEN) {
                     self.node.send(home.to, &Message::Taken(flows.to_vec()));
@@ -232,9 +234,10 @@
     }
 
     /// Sends a beat to all members.
-    fn beat(&self, is_asking: bool) {
+    fn beat(&self) {
         let offer = self.offer();
-        self.node.beat(offer.as_ref(), Role::Agent, is_asking);
+        *self.node.offer.write() = offer;
+        self.node.beat(Role::Agent);
     }
 
     /// What balancers are told of the backend server.
@@ -248,13 +251,23 @@
         Some(Offer { service, stage, open, busy, slots: report.slots })
     }
 
+    /// Tells callers that their flows have ended with the backend server.
+    fn end(&self, flows: &[Ended], cause: &'static str) {
+        for Ended { flow, sequence } in flows {
+            self.send_caller(*flow.caller.ip(), &self.format.reset(flow, *sequence));
+            metrics::counter!("lentilreach_steer_ended_total", "reason" => cause)
+                .increment(1);
+            log::info!(target: "ended", flow:% = flow, cause = cause; "flow ended with its backend server");
+        }
+    }
+
     /// Handles a message of another node.
     fn handle(self: &Arc<Self>, from: SocketAddrV4, bytes: &[u8]) {
         match Message::decode(bytes) {
             Some(Message::Segment(envelope)) => self.clone().segment(&envelope),
             Some(Message::Beat(beat)) => {
                 if self.node.hear(from, &beat) {
-                    self.node.beat_to(&[from], self.offer().as_ref(), Role::Agent, false);
+                    self.node.beat_to(&[from], Role::Agent, false);
                 }
             }
             Some(Message::Taken(flows)) => {
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -119,7 +119,7 @@
     async fn tick(self: Arc<Self>) {
         loop {
             self.node.tick();
-            self.node.beat(None, Role::Balancer, false);
+            self.node.beat(Role::Balancer);
             let now = self.node.now();
             let idle_ms = self.node.settings.flow.as_millis() as u64;
             self.flows.write().expire(now, idle_ms);
@@ -196,7 +196,7 @@
         match Message::decode(bytes) {
             Some(Message::Beat(beat)) => {
                 if self.node.hear(from, &beat) {
-                    self.node.beat_to(&[from], None, Role::Balancer, false);
+                    self.node.beat_to(&[from], Role::Balancer, false);
                 }
             }
             Some(Message::Here(flow)) => {
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -38,6 +38,8 @@
     pub routing: Ranked<Arc<Routing>>,
     /// The members.
     pub roster: Ranked<Roster>,
+    /// What the own beats say of the backend server; none for a balancer.
+    pub offer: Ranked<Option<Offer<'static>>>,
     /// Revision of the operators' documents that were read.
     pub revision: AtomicU64,
     /// Set when the process is asked to stop.
@@ -61,6 +63,7 @@
             link,
             routing: Ranked::new(tables::CONFIG, Arc::default()),
             roster: Ranked::new(tables::MEMBERS, Roster::new()),
+            offer: Ranked::new(tables::SLOTS, None),
             revision: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
             incarnation: fastrand::u64(1..),
@@ -113,7 +116,7 @@
 
     /// Sends a beat to the members that need it: balancers need those of agents, and agents
     /// need all.
-    pub fn beat(&self, offer: Option<&Offer<'static>>, role: Role, is_asking: bool) {
+    pub fn beat(&self, role: Role) {
         let to: Vec<_> = {
             let roster = self.roster.read();
             let needs = |member: &&crate::process::roster::Member| {
@@ -121,17 +124,11 @@
             };
             roster.members().iter().filter(needs).map(|member| member.address).collect()
         };
-        self.beat_to(&to, offer, role, is_asking);
+        self.beat_to(&to, role, false);
     }
 
     /// Sends a beat to some nodes.
-    pub fn beat_to(
-        &self,
-        to: &[SocketAddrV4],
-        offer: Option<&Offer<'static>>,
-        role: Role,
-        is_asking: bool,
-    ) {
+    pub fn beat_to(&self, to: &[SocketAddrV4], role: Role, is_asking: bool) {
         let beat = Beat {
             node: self.incarnation,
             count: self.count.fetch_add(1, Ordering::Relaxed) + 1,
@@ -139,7 +136,7 @@
             revision: self.revision.load(Ordering::Relaxed),
             is_asking,
             is_agent: role == Role::Agent,
-            offer: offer.cloned(),
+            offer: self.offer.read().clone(),
         };
         let message = Message::Beat(beat);
         for address in to.iter().filter(|address| **address != self.settings.nodes) {
@@ -147,7 +144,8 @@
         }
     }
 
-    /// Takes note of a beat. Returns whether its sender wants an answer.
+    /// Takes note of a beat. Returns whether its sender is to get one: it asks for it, or is new
+    /// and may not know this node.
     pub fn hear(&self, from: SocketAddrV4, beat: &Beat<'_>) -> bool {
         let change = self.roster.write().hear(self.now(), from, beat);
         match change {
@@ -165,7 +163,7 @@
             // A full channel means that the follower has been told already.
             let _ = self.newer.0.try_send(());
         }
-        beat.is_asking
+        beat.is_asking || change == Ok(Change::Joined)
     }
 
     /// Takes note that a member ends.
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -1,5 +1,6 @@
 //! Keeps the own entry in the store's list of members, and learns of others there.
 
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 
 use super::Node;
 use crate::process::membership::{CHECK_MS, KEEP_MS, Listed, PREFIX, TTL_MS};
-use crate::process::roster::Role;
+use crate::process::roster::{ASK_MS, ASKS, Role};
 
 /// Delays after an error of the store, in milliseconds: the first and the longest. An entry
 /// must be back within two seconds of the store's return.
@@ -99,7 +100,7 @@
             Some(_) => self.store.glance(PREFIX).await?,
         };
         let is_listed = range.get(&self.listed.key()).is_some();
-        self.learn(&range);
+        self.learn(&range).await;
         if !is_listed && self.checked.is_some() {
             log::warn!(target: "membership", change = "missing"; "own entry is gone");
             self.lease = None;
@@ -127,7 +128,20 @@
     }
 
     /// Introduces the members that the store lists and asks new ones for a beat.
-    fn learn(&self, range: &Range) {
+    async fn learn(&self, range: &Range) {
+        let new = self.introduce(range);
+        for _ in 0..ASKS {
+            let unheard = self.node.roster.read().unheard(&new);
+            if unheard.is_empty() {
+                return;
+            }
+            self.node.beat_to(&unheard, self.listed.role, true);
+            sleep(ASK_MS).await;
+        }
+    }
+
+    /// Introduces the members that the store lists; returns the new ones.
+    fn introduce(&self, range: &Range) -> Vec<SocketAddrV4> {
         let now = self.node.now();
         let mut new = Vec::new();
         {
@@ -147,7 +161,7 @@
                 }
             }
         }
-        self.node.beat_to(&new, None, self.listed.role, true);
+        new
     }
 }
 
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -15,9 +15,19 @@
 /// half a beat of delay.
 pub const SILENT_MS: u64 = 2_500;
 
-/// Time that a new member gets to answer the first beat, in milliseconds: a slow process and
-/// a retry.
-pub const ANSWER_MS: u64 = 1_000;
+/// Time that a new member gets to answer, in milliseconds: it is asked [`ASKS`] times, and a
+/// process on a slow machine takes some time.
+pub const ANSWER_MS: u64 = 1_200;
+
+/// How often a new member is asked for a beat. Links lose one datagram in 40 at times.
+pub const ASKS: u32 = 3;
+
+/// Time between these, in milliseconds.
+pub const ASK_MS: u64 = 300;
+
+/// An agent that was heard and then was silent for this long is out of reach, in milliseconds:
+/// its flows may end. Three beats must be lost.
+pub const UNREACHABLE_MS: u64 = 3_500;
 
 /// A silent member is forgotten after this long, in milliseconds. No flow is older.
 pub const FORGET_MS: u64 = 60_000;
@@ -82,6 +92,12 @@
         f64::from(offer.open + self.placed) / f64::from(offer.slots.max(1))
     }
 
+    /// Whether it has been silent for long enough to be out of reach.
+    fn is_unreachable(&self, now: Millis) -> bool {
+        let limit_ms = if self.node == 0 { ANSWER_MS } else { UNREACHABLE_MS };
+        self.is_silent && now.since(self.heard) > limit_ms
+    }
+
     /// Whether its backend server takes new flows; none if it has no backend server.
     pub fn stage(&self) -> Option<Stage> {
         self.offer.as_ref().map(|offer| offer.stage)
@@ -131,16 +147,28 @@
         self.members.iter().filter(|member| member.role == Role::Agent)
     }
 
-    /// Whether every agent has been heard or had time to answer.
+    /// Whether every agent is heard, or known to be out of reach.
     ///
-    /// Flows of those that did not are out of reach: ending them lets callers go elsewhere.
+    /// Ending the flows of an agent out of reach lets callers go elsewhere.
     pub fn is_settled(&self, now: Millis) -> bool {
-        let is_awaited = |member: &Member| {
-            member.is_silent && member.node == 0 && now.since(member.heard) < ANSWER_MS
-        };
+        let is_awaited =
+            |member: &Member| member.is_silent && !member.is_unreachable(now);
         !self.is_isolated() && !self.agents().any(is_awaited)
     }
 
+    /// Whether the flows of an agent may end because it is out of reach.
+    pub fn is_unreachable(&self, now: Millis, member: &Member) -> bool {
+        member.node != 0 && member.is_unreachable(now) && !self.is_isolated()
+    }
+
+    /// Members among `addresses` that have not been heard yet.
+    pub fn unheard(&self, addresses: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
+        let is_unheard = |address: &&SocketAddrV4| {
+            self.get(**address).is_some_and(|member| member.node == 0)
+        };
+        addresses.iter().filter(is_unheard).copied().collect()
+    }
+
     /// Whether most agents are silent: this node is rather cut off than all of them gone.
     pub fn is_isolated(&self) -> bool {
         let silent = self.agents().filter(|member| member.is_silent).count();
--- a/crates/steer/tests/backend.rs
+++ b/crates/steer/tests/backend.rs
@@ -88,7 +88,7 @@
     assert_eq!(draining.stage(NOW), Some(Stage::Closed));
 
     let mut left = backend(report(1));
-    assert!(left.leave("i-1"));
+    assert!(left.leave(NOW, "i-1"));
     assert_eq!(admit(&mut left, NOW), Err(Refusal::Draining));
 
     let mut silent = backend(report(1));
--- /dev/null
+++ b/crates/steer/tests/balancer.rs
@@ -0,0 +1,180 @@
+//! Where a balancer sends the segments of callers.
+
+mod fixture;
+
+use fixture::{agent_address, agent_beat, flow, opening, request, roster, routing};
+use lentilreach::process::clock::Millis;
+use lentilreach_steer::process::balancer::{Balancer, Reason, Refusal, Step};
+use lentilreach_steer::process::roster::{
+    ANSWER_MS, Role, Roster, SILENT_MS, UNREACHABLE_MS,
+};
+use lentilreach_steer::request::message::{Search, Stage};
+use lentilreach_steer::request::place::homes;
+
+const START: Millis = Millis(10_000);
+
+/// A balancer in the first domain that started long ago.
+fn balancer() -> Balancer {
+    Balancer::new(Millis(0), "a".into(), 1_000)
+}
+
+/// Lets every agent but those in `silent` be heard again.
+fn hear(roster: &mut Roster, now: Millis, count: u32, silent: &[u8]) {
+    for number in (1..=6).filter(|number| !silent.contains(number)) {
+        let beat = agent_beat(count, "a", Stage::Ready, 0);
+        roster.hear(now, agent_address(number), &beat).expect("a later beat");
+    }
+}
+
+/// The agent that a step sends to.
+fn target(step: &Step) -> u8 {
+    match step {
+        Step::Send { to, .. } => to.ip().octets()[3],
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+/// Guards against copies of an opening segment that open the flow twice.
+#[test]
+fn copies_follow_the_first_while_its_agent_is_heard() {
+    let mut roster = roster(START, 6, &["a"]);
+    let (mut balancer, routing) = (balancer(), routing(1));
+    let first = balancer.segment(START, &routing, &mut roster, &opening(flow(1), 0));
+    let later = START.after(200);
+    hear(&mut roster, START.after(100), 2, &[]);
+
+    let copy = balancer.segment(later, &routing, &mut roster, &opening(flow(1), 1));
+
+    assert_eq!(target(&copy), target(&first));
+}
+
+/// Guards against a caller that waits for an agent that died between two beats.
+#[test]
+fn copies_go_elsewhere_if_the_agent_was_not_heard_since() {
+    let mut roster = roster(START, 6, &["a"]);
+    let (mut balancer, routing) = (balancer(), routing(1));
+    let now = START.after(500);
+    let first = balancer.segment(now, &routing, &mut roster, &opening(flow(1), 0));
+
+    let later = now.after(200);
+    let copy = balancer.segment(later, &routing, &mut roster, &opening(flow(1), 1));
+
+    assert_ne!(target(&copy), target(&first));
+}
+
+/// Guards against flows that a balancer loses when the routers turn to it: it must ask the
+/// home, not guess.
+#[test]
+fn an_unknown_flow_goes_to_its_home() {
+    let mut roster = roster(START, 6, &["a", "b"]);
+    let mut balancer = balancer();
+    let home = homes(&roster, &flow(1))[0].expect("a home");
+
+    let step = balancer.segment(START, &routing(1), &mut roster, &request(flow(1), 9));
+
+    let expected =
+        Step::Send { to: home, search: Search::Home(0), service: None, is_new: true };
+    assert_eq!(step, expected);
+}
+
+/// Guards against more than one detour: once found, a flow is known.
+#[test]
+fn a_found_flow_takes_no_detour() {
+    let mut roster = roster(START, 6, &["a", "b"]);
+    let mut balancer = balancer();
+    balancer.here(START, flow(1), agent_address(4));
+
+    let step = balancer.segment(START, &routing(1), &mut roster, &request(flow(1), 9));
+
+    assert!(matches!(step, Step::Send { search: Search::Known, .. }), "{step:?}");
+    assert_eq!(target(&step), 4);
+}
+
+/// Guards against a reset of an open flow by a new balancer that has not yet heard the
+/// flow's agent: the first beat of the agent was lost.
+#[test]
+fn an_agent_that_was_never_heard_is_not_taken_for_dead() {
+    let mut roster = Roster::new();
+    for number in 1..=6 {
+        roster.introduce(START, agent_address(number), Role::Agent, "a".into());
+    }
+    hear(&mut roster, START.after(10), 1, &[4]);
+    let mut balancer = balancer();
+    balancer.here(START.after(20), flow(1), agent_address(4));
+    hear(&mut roster, START.after(1_010), 2, &[4]);
+
+    let now = START.after(1_100);
+    roster.tick(now);
+    let step = balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9));
+
+    assert_eq!(target(&step), 4);
+}
+
+/// Guards against callers that wait for an agent that is gone.
+#[test]
+fn flows_of_an_agent_that_fell_silent_end() {
+    let mut roster = roster(START, 6, &["a"]);
+    let mut balancer = balancer();
+    balancer.here(START, flow(1), agent_address(4));
+    let now = START.after(UNREACHABLE_MS + 1);
+    hear(&mut roster, now, 2, &[4]);
+    roster.tick(now);
+
+    let step = balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9));
+
+    assert_eq!(step, Step::Refuse { sequence: 9, cause: Refusal::AgentSilent });
+}
+
+/// Guards against flows that end after a few lost beats.
+#[test]
+fn flows_of_an_agent_that_missed_some_beats_go_on() {
+    let mut roster = roster(START, 6, &["a"]);
+    let mut balancer = balancer();
+    balancer.here(START, flow(1), agent_address(4));
+    let now = START.after(SILENT_MS + 1);
+    hear(&mut roster, now, 2, &[4]);
+    roster.tick(now);
+
+    let step = balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9));
+
+    assert_eq!(target(&step), 4);
+}
+
+/// Guards against a balancer that was cut off, or paused, and ends the flows of all agents.
+#[test]
+fn an_isolated_balancer_ends_no_flow() {
+    let mut roster = roster(START, 6, &["a"]);
+    let mut balancer = balancer();
+    balancer.here(START, flow(1), agent_address(4));
+    let now = START.after(UNREACHABLE_MS + 1);
+    hear(&mut roster, now, 2, &[1, 3, 4, 5]);
+    roster.tick(now);
+
+    let step = balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9));
+
+    assert_eq!(target(&step), 4);
+}
+
+/// Guards against answers at once that are wrong: no route is known for certain only with a
+/// configuration, and no agent only when they had time to answer.
+#[test]
+fn openings_are_refused_for_a_reason_or_dropped() {
+    let mut empty = Roster::new();
+    let mut balancer = Balancer::new(START, "a".into(), 1_000);
+    let unknown = lentilreach_steer::version::routing::Routing::default();
+    let mut other = opening(flow(1), 0);
+    other.destination.set_port(9);
+
+    let mut decide = |now, routing: &_, segment: &_| {
+        balancer.segment(now, routing, &mut empty, segment)
+    };
+
+    let segment = opening(flow(1), 0);
+    assert_eq!(decide(START, &unknown, &segment), Step::Drop(Reason::NoConfig));
+    let no_route = Step::Refuse { sequence: 0, cause: Refusal::NoRoute };
+    assert_eq!(decide(START, &routing(1), &other), no_route);
+    assert_eq!(decide(START, &routing(1), &segment), Step::Drop(Reason::NoMember));
+    let no_agent = Step::Refuse { sequence: 0, cause: Refusal::NoAgent };
+    let later = START.after(ANSWER_MS + 1);
+    assert_eq!(decide(later, &routing(1), &segment), no_agent);
+}
