Ask the second home when the first does not answer, and keep leaving agents silent

Change: an agent that has said farewell sends no more beats; a balancer asks the second home, then all agents in turn, when a segment of an unknown flow comes again.

--- a/crates/steer/src/connection/cache.rs
+++ b/crates/steer/src/connection/cache.rs
@@ -7,20 +7,52 @@
 use super::flow::Key;
 use super::table::Table;
 
-/// The agents of flows, as one balancer knows them. A hint: losing it costs a detour.
+/// Time after which a flow that was asked for is asked for in another way, in milliseconds.
+/// Segments of one burst come closer together, retransmissions after 200 ms or more.
+const ASK_MS: u64 = 100;
+
+/// The ways in which a flow is asked for: at its two homes, and at all agents in turn.
+const WAYS: u8 = 3;
+
+/// What one balancer knows of flows. A hint: losing it costs a detour.
 #[derive(Debug)]
 pub struct Cache {
     /// By flow.
     flows: Table<Entry>,
 }
 
-/// Where the segments of a flow go.
+/// What is known of a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Entry {
-    /// The agent.
-    pub agent: SocketAddrV4,
-    /// When the flow was placed there by this balancer; none if an agent reported it.
-    pub placed: Option<Millis>,
+pub enum Entry {
+    /// This balancer placed it.
+    Placed {
+        /// The agent.
+        agent: SocketAddrV4,
+        /// When.
+        at: Millis,
+    },
+    /// An agent reported that it holds it.
+    Found {
+        /// The agent.
+        agent: SocketAddrV4,
+    },
+    /// It was asked for, and no agent has reported yet.
+    Asked {
+        /// In which way.
+        way: u8,
+        /// Since when.
+        at: Millis,
+    },
+}
+
+impl Entry {
+    /// The agent that the flow's segments go to.
+    pub fn agent(&self) -> Option<SocketAddrV4> {
+        match self {
+            Self::Placed { agent, .. } | Self::Found { agent } => Some(*agent),
+            Self::Asked { .. } => None,
+        }
+    }
 }
 
 impl Cache {
@@ -36,12 +68,27 @@
 
     /// Notes that this balancer sent the opening segment of a flow to an agent.
     pub fn place(&mut self, now: Millis, flow: Key, agent: SocketAddrV4) {
-        self.flows.insert(now, flow, Entry { agent, placed: Some(now) });
+        self.flows.insert(now, flow, Entry::Placed { agent, at: now });
     }
 
     /// Notes the agent that reports to hold a flow.
-    pub fn learn(&mut self, now: Millis, flow: Key, agent: SocketAddrV4) {
-        self.flows.insert(now, flow, Entry { agent, placed: None });
+    pub fn find(&mut self, now: Millis, flow: Key, agent: SocketAddrV4) {
+        self.flows.insert(now, flow, Entry::Found { agent });
+    }
+
+    /// The way in which a flow is asked for now: another one if the last had no answer.
+    pub fn ask(&mut self, now: Millis, flow: &Key) -> u8 {
+        let entry = match self.get(now, flow) {
+            Some(Entry::Asked { way, at }) if now.since(at) < ASK_MS => {
+                Entry::Asked { way, at }
+            }
+            Some(Entry::Asked { way, .. }) => {
+                Entry::Asked { way: (way + 1) % WAYS, at: now }
+            }
+            _ => Entry::Asked { way: 0, at: now },
+        };
+        self.flows.insert(now, *flow, entry);
+        if let Entry::Asked { way, .. } = entry { way } else { 0 }
     }
 
     /// Forgets a flow.
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -23,12 +23,12 @@
 const END_MS: u64 = 400;
 
 /// Time between openings that waited for the end of the cold time, in milliseconds. A backend
-/// server with 5 slots and requests of 40 ms keeps up.
-const RAMP_MS: u64 = 10;
+/// server with 2 slots and requests of 20 ms keeps up and serves its open flows besides.
+const RAMP_MS: u64 = 25;
 
 /// Longest time that an opening waits for a cold backend server, in milliseconds. Callers
 /// give up after 1,400 ms, and the segment and its answer travel within that.
-const HOLD_MS: u64 = 1_000;
+const HOLD_MS: u64 = 1_250;
 
 /// Time after its start in which the report of a backend server shows that it started after
 /// its agent, as the number of reports it has made.
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -5,7 +5,7 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
-use crate::connection::cache::Cache;
+use crate::connection::cache::{Cache, Entry};
 use crate::connection::flow;
 use crate::process::roster::{ANSWER_MS, Roster};
 use crate::request::message::Search;
@@ -113,7 +113,7 @@
 
     /// Takes note of the agent that holds a flow.
     pub fn here(&mut self, now: Millis, flow: flow::Key, agent: SocketAddrV4) {
-        self.cache.learn(now, flow, agent);
+        self.cache.find(now, flow, agent);
     }
 
     /// Takes note that no agent holds a flow.
@@ -150,14 +150,17 @@
         };
         let name = routing.service(service).map(|service| service.name.clone());
         let known = self.cache.get(now, &flow);
+        let known = known.and_then(|entry| Some((entry.agent()?, entry)));
         let mut tried = None;
-        if let Some(entry) = known {
-            let is_heard = roster.get(entry.agent).is_some_and(|member| {
-                !member.is_silent
-                    && entry.placed.is_none_or(|placed| member.heard >= placed)
+        if let Some((to, entry)) = known {
+            let is_heard = roster.get(to).is_some_and(|member| {
+                let is_later = match entry {
+                    Entry::Placed { at, .. } => member.heard >= at,
+                    _ => true,
+                };
+                !member.is_silent && is_later
             });
             if is_heard || !segment.is_copy() {
-                let to = entry.agent;
                 return Step::Send {
                     to,
                     search: Search::Open,
@@ -165,7 +168,7 @@
                     is_new: false,
                 };
             }
-            tried = Some(entry.agent);
+            tried = Some(to);
         }
         let request = Request { flow: &flow, service, domain: &self.domain };
         let agent = place::choose(routing, roster, request, tried.as_slice());
@@ -184,7 +187,7 @@
     /// Sends a segment to where its flow is, or to its home if that is not known.
     fn follow(&mut self, now: Millis, roster: &Roster, segment: &Segment) -> Step {
         let flow = &segment.from_caller();
-        let known = self.cache.get(now, flow).map(|entry| entry.agent);
+        let known = self.cache.get(now, flow).and_then(|entry| entry.agent());
         if let Some(member) = known.and_then(|agent| roster.get(agent)) {
             // Its agent does not answer: a new flow serves the caller sooner.
             if roster.is_unreachable(now, member) && !segment.flags.reset {
@@ -202,11 +205,14 @@
             };
         }
         let [first, second] = place::homes(roster, flow);
-        let (to, rank) = match (first, second) {
-            (Some(to), _) => (to, 0),
-            (None, Some(to)) => (to, 1),
-            (None, None) => return Step::Drop(Reason::NoMember),
+        let (to, search) = match self.cache.ask(now, flow) {
+            0 => (first, Search::Home(0)),
+            1 if second.is_some() => (second, Search::Home(1)),
+            _ => (place::next(roster, flow, None), Search::Walk),
         };
-        Step::Send { to, search: Search::Home(rank), service: None, is_new: true }
+        match to {
+            Some(to) => Step::Send { to, search, service: None, is_new: true },
+            None => Step::Drop(Reason::NoMember),
+        }
     }
 }
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -44,6 +44,8 @@
     pub revision: AtomicU64,
     /// Set when the process is asked to stop.
     pub is_stopping: AtomicBool,
+    /// Set when members were told that the node leaves for good. It is silent then.
+    has_left: AtomicBool,
     /// Identifies this start of the process.
     incarnation: u64,
     /// Number of the last beat.
@@ -66,6 +68,7 @@
             offer: Ranked::new(tables::SLOTS, None),
             revision: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
+            has_left: AtomicBool::new(false),
             incarnation: fastrand::u64(1..),
             count: AtomicU32::new(0),
             newer: async_channel::bounded(1),
@@ -129,6 +132,9 @@
 
     /// Sends a beat to some nodes.
     pub fn beat_to(&self, to: &[SocketAddrV4], role: Role, is_asking: bool) {
+        if self.has_left.load(Ordering::Relaxed) {
+            return;
+        }
         let beat = Beat {
             node: self.incarnation,
             count: self.count.fetch_add(1, Ordering::Relaxed) + 1,
@@ -183,6 +189,7 @@
 
     /// Tells all members, and the registration, that the node leaves for good.
     pub fn leave(&self) {
+        self.has_left.store(true, Ordering::Relaxed);
         let roster = self.roster.read();
         for member in roster.members() {
             self.send(member.address, &Message::Leave);
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -149,6 +149,10 @@
             for entry in &range.entries {
                 match Listed::try_from(entry) {
                     Ok(member) if member.address == self.listed.address => {}
+                    // Balancers need nothing of each other.
+                    Ok(member)
+                        if self.listed.role == Role::Balancer
+                            && member.role == Role::Balancer => {}
                     Ok(member) => {
                         let Listed { address, role, domain } = member;
                         if roster.introduce(now, address, role, domain) {
--- a/crates/steer/tests/balancer.rs
+++ b/crates/steer/tests/balancer.rs
@@ -178,3 +178,26 @@
     let later = START.after(ANSWER_MS + 1);
     assert_eq!(decide(later, &routing(1), &segment), no_agent);
 }
+
+/// Guards against a flow whose home died or left a moment ago: retransmissions must not all
+/// go the same way into the void.
+#[test]
+fn a_home_that_does_not_answer_is_passed_over() {
+    let mut roster = roster(START, 6, &["a", "b"]);
+    let mut balancer = balancer();
+    let [first, second] = homes(&roster, &flow(1));
+    let mut ask = |ms| {
+        let now = START.after(ms);
+        match balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9)) {
+            Step::Send { to, search, .. } => (Some(to), search),
+            other => panic!("not sent: {other:?}"),
+        }
+    };
+
+    // Segments of one burst are asked for alike; a retransmission comes after 200 ms.
+    assert_eq!(ask(0), (first, Search::Home(0)));
+    assert_eq!(ask(5), (first, Search::Home(0)));
+    assert_eq!(ask(200), (second, Search::Home(1)));
+    assert_eq!(ask(600).1, Search::Walk);
+    assert_eq!(ask(1_400), (first, Search::Home(0)));
+}
