--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -445,7 +445,8 @@
         let cold_per_s = limits.map_or(0.0, |service| service.cold_per_s);
         let (open, _) = self.load(now);
         if let Err(refusal) = self.backend.admit(now, open, connections, cold_per_s) {
-            let is_elsewhere = place::is_ready(routing, roster, &service, &way.tried);
+            let own = [self.address];
+            let is_elsewhere = place::is_ready(routing, roster, &service, &own);
             if refusal == backend::Refusal::Cold
                 && !is_elsewhere
                 && let Some(until) = self.backend.reserve(now, cold_per_s)
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -213,8 +213,8 @@
             let now = self.node.now();
             if now >= due {
                 due = now.after(BEAT_MS);
-                self.node.tick();
                 self.beat();
+                self.node.tick();
                 let idle_ms = self.node.settings.flow.as_millis() as u64;
                 self.flows.write().expire(now, idle_ms);
             }
@@ -237,6 +237,7 @@
     fn beat(&self) {
         let offer = self.offer();
         *self.node.offer.write() = offer;
+        self.node.hear_itself(Role::Agent);
         self.node.beat(Role::Agent);
     }
 
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -135,18 +135,38 @@
         if self.has_left.load(Ordering::Relaxed) {
             return;
         }
-        let beat = Beat {
+        let offer = self.offer.read();
+        let beat = self.next_beat(offer.as_ref(), role, is_asking);
+        let message = Message::Beat(beat);
+        for address in to.iter().filter(|address| **address != self.settings.nodes) {
+            self.send(*address, &message);
+        }
+    }
+
+    /// Takes the own beat into the roster, so that this node finds the same homes of flows as
+    /// the others.
+    pub fn hear_itself(&self, role: Role) {
+        let offer = self.offer.read().clone();
+        let beat = self.next_beat(offer.as_ref(), role, false);
+        // Counts of own beats rise.
+        let _ = self.roster.write().hear(self.now(), self.settings.nodes, &beat);
+    }
+
+    /// The next beat.
+    fn next_beat<'a>(
+        &'a self,
+        offer: Option<&Offer<'a>>,
+        role: Role,
+        is_asking: bool,
+    ) -> Beat<'a> {
+        Beat {
             node: self.incarnation,
             count: self.count.fetch_add(1, Ordering::Relaxed) + 1,
             domain: Cow::Borrowed(&self.settings.domain),
             revision: self.revision.load(Ordering::Relaxed),
             is_asking,
             is_agent: role == Role::Agent,
-            offer: self.offer.read().clone(),
-        };
-        let message = Message::Beat(beat);
-        for address in to.iter().filter(|address| **address != self.settings.nodes) {
-            self.send(*address, &message);
+            offer: offer.cloned(),
         }
     }
 
--- /dev/null
+++ b/crates/steer/tests/agent.rs
@@ -0,0 +1,518 @@
+//! What an agent does with segments: the last word on what its backend server gets.
+
+mod fixture;
+
+use fixture::{
+    CALENDAR, COLD_LIMIT, INVOICES, agent, agent_address, agent_beat, arrival, bounds,
+    flow, from_backend, mark, open, opening, report, request, returned, roster, routing,
+};
+use lentilreach::process::clock::Millis;
+use lentilreach_steer::connection::flow;
+use lentilreach_steer::process::agent::{Agent, Answer, Cause, Ended, Step};
+use lentilreach_steer::process::backend::{Change, Refusal, Report};
+use lentilreach_steer::process::roster::Roster;
+use lentilreach_steer::request::message::{Search, Stage};
+use lentilreach_steer::request::place::homes;
+use lentilreach_steer::request::segment::Flags;
+use lentilreach_steer::version::routing::Routing;
+
+const NOW: Millis = Millis(100_000);
+
+/// First sequence number of a backend server in these tests.
+const FIRST: u32 = 5_000;
+
+/// Agent 1 of a roster of six.
+fn subject() -> (Agent, Roster) {
+    (agent(NOW, 1, "a"), roster(NOW, 6, &["a", "b"]))
+}
+
+/// A flow of which agent 1 is not a home.
+fn foreign(roster: &Roster) -> flow::Key {
+    let is_foreign =
+        |key: &flow::Key| !homes(roster, key).contains(&Some(agent_address(1)));
+    (1..).map(flow).find(is_foreign).expect("most flows have other homes")
+}
+
+/// A flow whose first home is agent 1.
+fn own(roster: &Roster) -> flow::Key {
+    let is_own = |key: &flow::Key| homes(roster, key)[0] == Some(agent_address(1));
+    (1..).map(flow).find(is_own).expect("one flow in six has this home")
+}
+
+/// Why a segment was passed on, and how it looks for its place then.
+fn passed(step: Step) -> (Cause, Search) {
+    match step {
+        Step::Pass { cause, way, .. } => (cause, way.search),
+        other => panic!("not passed on: {other:?}"),
+    }
+}
+
+/// Guards against a target of another service on a reused address: the balancer still
+/// believes the earlier one.
+#[test]
+fn another_service_on_the_address_gets_no_flow() {
+    let (mut agent, roster) = subject();
+    let other = Report {
+        id: "i-2".into(),
+        service: INVOICES.into(),
+        born: Some(2_000),
+        ..report(1)
+    };
+    agent.report(NOW, other);
+
+    let arrival = arrival(opening(flow(1), 0), Search::Open, 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &arrival);
+
+    assert_eq!(passed(step).0, Cause::Route);
+}
+
+/// Guards against an older decision after a newer one was acted upon, in both orders: the
+/// balancer may be ahead of the agent or behind it.
+#[test]
+fn no_opening_goes_by_an_older_configuration_than_before() {
+    let (mut agent, roster) = subject();
+    let behind = routing(4);
+    let newer = arrival(opening(flow(1), 0), Search::Open, 5);
+    assert!(matches!(
+        agent.segment(NOW, &behind, &roster, &newer),
+        Step::Deliver { is_new: true, .. }
+    ));
+
+    let older = arrival(opening(flow(2), 0), Search::Open, 4);
+
+    assert_eq!(agent.segment(NOW, &behind, &roster, &older), Step::Drop(Cause::Stale));
+    // Once the agent has the version itself, it decides by that.
+    let step = agent.segment(NOW, &routing(5), &roster, &older);
+    assert!(matches!(step, Step::Deliver { is_new: true, .. }), "{step:?}");
+}
+
+/// Guards against a flow on a route that a newer configuration has moved.
+#[test]
+fn the_newer_of_two_configurations_decides() {
+    let (mut agent, roster) = subject();
+    let mut moved = routing(6);
+    moved.routes[0].split[0].service = INVOICES.into();
+
+    let arrival = arrival(opening(flow(1), 0), Search::Open, 5);
+    let step = agent.segment(NOW, &moved, &roster, &arrival);
+
+    // No agent of the other service is known, so the caller is told at once.
+    assert!(matches!(step, Step::Refuse { cause: Cause::Route, .. }), "{step:?}");
+}
+
+/// Guards against new flows in a failure domain that operators have taken out, whatever the
+/// balancer believes.
+#[test]
+fn a_domain_that_is_out_gets_no_flow() {
+    let (mut agent, roster) = subject();
+    let out = Routing { out: vec!["a".into()], ..routing(1) };
+
+    let arrival = arrival(opening(flow(1), 0), Search::Open, 1);
+    let step = agent.segment(NOW, &out, &roster, &arrival);
+
+    assert_eq!(passed(step).0, Cause::DomainOut);
+}
+
+/// Guards against full load on a backend server that turned cold while its failure domain
+/// was out, before the report that says so.
+#[test]
+fn a_domain_that_is_back_is_limited_at_first() {
+    let (mut agent, _) = subject();
+    let alone = roster(NOW, 1, &["a"]);
+    let out = Routing { out: vec!["a".into()], ..routing(1) };
+    agent.rerouted(&out, &routing(1));
+
+    let steps: Vec<_> = (1..=20)
+        .map(|port| {
+            let arrival = arrival(opening(flow(port), 0), Search::Open, 1);
+            agent.segment(NOW, &routing(1), &alone, &arrival)
+        })
+        .collect();
+
+    let delivered =
+        steps.iter().filter(|step| matches!(step, Step::Deliver { .. })).count();
+    assert_eq!(delivered, COLD_LIMIT);
+}
+
+/// Guards against new work after a drain was acknowledged.
+#[test]
+fn a_draining_backend_server_gets_no_flow() {
+    let (mut agent, roster) = subject();
+    let (change, _) = agent.report(NOW, Report { is_draining: true, ..report(2) });
+    assert_eq!(change, Change::Stage);
+
+    let arrival = arrival(opening(flow(1), 0), Search::Open, 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &arrival);
+
+    assert_eq!(passed(step).0, Cause::Admission(Refusal::Draining));
+}
+
+/// Guards against a burst of openings from all balancers at once: what a cold backend server
+/// does not bear waits or goes elsewhere, and nothing is delivered before its time.
+#[test]
+fn a_cold_burst_waits_for_its_places() {
+    let mut agent =
+        Agent::new(NOW, agent_address(1), "a".into(), bounds(), 60_000, 1_000);
+    agent.report(NOW, Report { cold_ms: 5_000, ..report(1) });
+    let alone = roster(NOW, 1, &["a"]);
+    let routing = routing(1);
+
+    let mut delivered = 0;
+    let mut held = Vec::new();
+    let mut refused = 0;
+    for port in 1..=20 {
+        let arrival = arrival(opening(flow(port), 0), Search::Open, 1);
+        match agent.segment(NOW, &routing, &alone, &arrival) {
+            Step::Deliver { .. } => delivered += 1,
+            Step::Hold { until } => held.push((until, arrival)),
+            Step::Refuse { cause: Cause::Admission(Refusal::Cold), .. } => refused += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    assert_eq!((delivered, held.len(), refused), (COLD_LIMIT, COLD_LIMIT, 10));
+    let (until, first) = &held[0];
+    // A copy of an opening that waits is not delivered before it.
+    let copy = arrival(opening(first.segment.from_caller(), 1), Search::Open, 1);
+    let step = agent.segment(NOW.after(200), &routing, &alone, &copy);
+    assert_eq!(step, Step::Drop(Cause::Held));
+    let step = agent.release(*until, &routing, &alone, first);
+    assert!(matches!(step, Step::Deliver { is_new: true, .. }), "{step:?}");
+}
+
+/// Guards against an opening that waited for a backend server which drains meanwhile.
+#[test]
+fn a_held_opening_is_not_delivered_after_a_drain() {
+    let mut agent =
+        Agent::new(NOW, agent_address(1), "a".into(), bounds(), 60_000, 1_000);
+    agent.report(NOW, Report { cold_ms: 5_000, ..report(1) });
+    let alone = roster(NOW, 1, &["a"]);
+    let mut held = None;
+    for port in 1..=6 {
+        let arrival = arrival(opening(flow(port), 0), Search::Open, 1);
+        if let Step::Hold { until } = agent.segment(NOW, &routing(1), &alone, &arrival) {
+            held = Some((until, arrival));
+        }
+    }
+    let (until, arrival) = held.expect("the sixth waits");
+    agent.report(NOW.after(100), Report { is_draining: true, ..report(2) });
+
+    let step = agent.release(until, &routing(1), &alone, &arrival);
+
+    assert!(matches!(step, Step::Refuse { cause: Cause::Held, .. }), "{step:?}");
+}
+
+/// Guards against a caller that is refused although another backend server has room.
+#[test]
+fn a_returned_opening_goes_to_another_agent() {
+    let (mut agent, roster) = subject();
+    let segment = opening(flow(1), 0);
+    let step =
+        agent.segment(NOW, &routing(1), &roster, &arrival(segment, Search::Open, 1));
+
+    let back = returned(segment, mark(&step));
+    let answer = agent.answer(NOW, &routing(1), &roster, &back);
+
+    let Some(Answer::Returned(Step::Pass { to, way, cause })) = answer else {
+        panic!("{answer:?}")
+    };
+    assert_ne!(to, agent_address(1));
+    assert_eq!((way.tried, cause), (vec![agent_address(1)], Cause::Returned));
+}
+
+/// Guards against an opening that wanders without end while all backend servers are full.
+#[test]
+fn an_opening_is_refused_after_some_agents() {
+    let (mut agent, roster) = subject();
+    let segment = opening(flow(1), 0);
+    let mut last = arrival(segment, Search::Open, 1);
+    last.way.tried = (2..=5).map(agent_address).collect();
+    let step = agent.segment(NOW, &routing(1), &roster, &last);
+
+    let answer = agent.answer(NOW, &routing(1), &roster, &returned(segment, mark(&step)));
+
+    let refused = matches!(
+        answer,
+        Some(Answer::Returned(Step::Refuse { sequence: 0, cause: Cause::Returned, .. }))
+    );
+    assert!(refused, "{answer:?}");
+}
+
+/// Guards against a returned segment that is taken for another one: a mark of an earlier
+/// process, or of another flow.
+#[test]
+fn a_returned_segment_with_a_foreign_mark_is_dropped() {
+    let (mut agent, roster) = subject();
+    let segment = opening(flow(1), 0);
+    let step =
+        agent.segment(NOW, &routing(1), &roster, &arrival(segment, Search::Open, 1));
+    let mark = mark(&step);
+
+    let other = returned(opening(flow(2), 0), mark);
+    assert_eq!(agent.answer(NOW, &routing(1), &roster, &other), None);
+    let unknown = returned(segment, mark.wrapping_add(9));
+    assert_eq!(agent.answer(NOW, &routing(1), &roster, &unknown), None);
+}
+
+/// Guards against a detour that repeats: the balancer learns where the flow is.
+#[test]
+fn the_balancer_is_told_of_a_flow_that_it_did_not_know() {
+    let (mut agent, roster) = subject();
+    open(NOW, &mut agent, &roster, flow(1), FIRST);
+    let mut deliver = |search| {
+        let arrival = arrival(request(flow(1), FIRST + 1), search, 1);
+        match agent.segment(NOW, &routing(1), &roster, &arrival) {
+            Step::Deliver { tell, .. } => tell,
+            other => panic!("not delivered: {other:?}"),
+        }
+    };
+
+    assert_eq!(deliver(Search::Told), Some(fixture::balancer_address(1)));
+    assert_eq!(deliver(Search::Known), None);
+}
+
+/// Guards against more than one detour for a flow whose home knows it.
+#[test]
+fn a_home_sends_straight_to_the_agent_of_the_flow() {
+    let (mut agent, roster) = subject();
+    let key = own(&roster);
+    agent.taken(NOW, agent_address(4), &[key]);
+
+    let arrival = arrival(request(key, FIRST), Search::Home(0), 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &arrival);
+
+    let Step::Pass { to, way, .. } = step else { panic!("{step:?}") };
+    assert_eq!((to, way.search), (agent_address(4), Search::Told));
+}
+
+/// Guards against flows that are lost with their home: the second one is asked, then all.
+#[test]
+fn a_home_without_an_entry_asks_the_second_home_then_all() {
+    let (mut agent, roster) = subject();
+    let key = own(&roster);
+    let mut ask = |search| {
+        let arrival = arrival(request(key, FIRST), search, 1);
+        passed(agent.segment(NOW, &routing(1), &roster, &arrival))
+    };
+
+    assert_eq!(ask(Search::Home(0)), (Cause::Elsewhere, Search::Home(1)));
+    assert_eq!(ask(Search::Home(1)), (Cause::Elsewhere, Search::Walk));
+    assert_eq!(ask(Search::Told), (Cause::Elsewhere, Search::Walk));
+}
+
+/// Guards against flows that end because their agent started again: until it knows all flows,
+/// only the backend server can tell.
+#[test]
+fn a_restarted_agent_delivers_what_it_does_not_know() {
+    let roster = roster(NOW, 6, &["a", "b"]);
+    let mut agent =
+        Agent::new(NOW, agent_address(1), "a".into(), bounds(), 60_000, 1_000);
+    agent.report(NOW, report(17));
+    let key = foreign(&roster);
+    let segment = request(key, FIRST);
+
+    let arrival = arrival(segment, Search::Known, 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &arrival);
+
+    // If the backend server does not hold it, the search goes on.
+    let answer = agent.answer(NOW, &routing(1), &roster, &returned(segment, mark(&step)));
+    let Some(Answer::Returned(step)) = answer else { panic!("{answer:?}") };
+    assert_eq!(passed(step), (Cause::Elsewhere, Search::Home(0)));
+}
+
+/// Guards against segments delivered to a backend server that cannot hold their flow.
+#[test]
+fn an_agent_that_knows_all_flows_delivers_no_other() {
+    let (mut agent, roster) = subject();
+    let key = foreign(&roster);
+
+    let arrival = arrival(request(key, FIRST), Search::Known, 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &arrival);
+
+    assert_eq!(passed(step), (Cause::Elsewhere, Search::Home(0)));
+}
+
+/// Guards against a flow that is kept at the backend server that the caller did not choose:
+/// copies of one opening segment were accepted twice.
+#[test]
+fn a_half_open_flow_of_another_choice_is_passed_on() {
+    let (mut agent, roster) = subject();
+    let key = foreign(&roster);
+    open(NOW, &mut agent, &roster, key, FIRST);
+
+    let elsewhere = arrival(request(key, FIRST.wrapping_add(1 << 31)), Search::Known, 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &elsewhere);
+
+    assert_eq!(passed(step), (Cause::Elsewhere, Search::Home(0)));
+}
+
+/// Guards against callers that wait for a backend server that started again, and against a
+/// reset outside the caller's window.
+#[test]
+fn flows_end_with_the_lifetime_of_their_backend_server() {
+    let (mut agent, roster) = subject();
+    open(NOW, &mut agent, &roster, flow(1), FIRST);
+    let known = arrival(request(flow(1), FIRST + 77), Search::Known, 1);
+    agent.segment(NOW, &routing(1), &roster, &known);
+
+    let (change, ended) = agent.report(NOW, Report { born: Some(9_000), ..report(1) });
+
+    assert_eq!(change, Change::Started { is_replacement: true });
+    assert_eq!(ended, [Ended { flow: flow(1), sequence: FIRST + 77 }]);
+    let step = agent.segment(NOW, &routing(1), &roster, &known);
+    assert!(
+        matches!(step, Step::Refuse { cause: Cause::Lost, sequence, .. } if sequence == FIRST + 77),
+        "{step:?}"
+    );
+}
+
+/// Guards against flows that end because this process was paused: the reports that came
+/// meanwhile have not been read yet.
+#[test]
+fn a_pause_is_not_taken_for_a_silent_backend_server() {
+    let (mut agent, roster) = subject();
+    open(NOW, &mut agent, &roster, flow(1), FIRST);
+
+    assert_eq!(agent.tick(NOW.after(200)), []);
+    assert_eq!(agent.tick(NOW.after(9_000)), []);
+    agent.report(NOW.after(9_001), report(9));
+
+    assert_eq!(agent.tick(NOW.after(9_200)), []);
+}
+
+/// Guards against callers that wait for a backend server that crashed without a word.
+#[test]
+fn flows_end_when_reports_stay_out() {
+    let (mut agent, roster) = subject();
+    open(NOW, &mut agent, &roster, flow(1), FIRST);
+
+    let ended: Vec<_> =
+        (1..=20).flat_map(|tick| agent.tick(NOW.after(tick * 200))).collect();
+
+    assert_eq!(ended.len(), 1, "each flow ends once");
+}
+
+/// Guards against flows cut off a backend server that drains and makes no more reports.
+#[test]
+fn flows_of_a_draining_backend_server_go_on() {
+    let (mut agent, roster) = subject();
+    open(NOW, &mut agent, &roster, flow(1), FIRST);
+    agent.report(NOW, Report { is_draining: true, ..report(2) });
+
+    assert!((1..=100).all(|tick| agent.tick(NOW.after(tick * 200)).is_empty()));
+
+    agent.leave(NOW.after(20_000), "i-1");
+    assert_eq!(agent.tick(NOW.after(20_100)), []);
+    assert_eq!(agent.tick(NOW.after(20_400)).len(), 1);
+}
+
+/// Guards against a reset of a flow that lives behind an agent which is only late.
+#[test]
+fn a_walk_that_could_not_ask_all_ends_nothing() {
+    let (mut agent, mut roster) = subject();
+    let key = foreign(&roster);
+    let last = (1..=6)
+        .map(agent_address)
+        .max_by_key(|agent| position(&roster, &key, *agent))
+        .expect("six agents");
+    if last != agent_address(1) {
+        // Only the last agent of the order ends a walk; let this one be it.
+        for number in 2..=6 {
+            if position(&roster, &key, agent_address(number))
+                > position(&roster, &key, agent_address(1))
+            {
+                roster.leave(agent_address(number));
+            }
+        }
+    }
+    let end = arrival(request(key, FIRST), Search::Walk, 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &end);
+    assert!(matches!(step, Step::Refuse { cause: Cause::Nowhere, .. }), "{step:?}");
+
+    // Another agent was heard a while ago and may come back.
+    let (far, late) = (agent_address(9), NOW.after(2_600));
+    roster.hear(NOW, far, &agent_beat(1, "a", Stage::Ready, 0)).expect("a first beat");
+    for number in 1..=6 {
+        if roster.get(agent_address(number)).is_some() {
+            let beat = agent_beat(9, "a", Stage::Ready, 0);
+            roster.hear(late, agent_address(number), &beat).expect("a later beat");
+        }
+    }
+    roster.tick(late);
+    let step = agent.segment(late, &routing(1), &roster, &end);
+    assert_eq!(step, Step::Drop(Cause::Unknown));
+}
+
+/// The number of agents that come before one in the order of a walk.
+fn position(roster: &Roster, key: &flow::Key, agent: std::net::SocketAddrV4) -> usize {
+    let mut order = Vec::new();
+    let mut last = None;
+    while let Some(next) = lentilreach_steer::request::place::next(roster, key, last) {
+        order.push(next);
+        last = Some(next);
+    }
+    order.iter().position(|other| *other == agent).unwrap_or(usize::MAX)
+}
+
+/// Guards against homes that are not told of a flow, told twice, or not told again when the
+/// members change.
+#[test]
+fn homes_are_told_once_and_again_when_they_change() {
+    let (mut agent, mut roster) = subject();
+    let key = foreign(&roster);
+    open(NOW, &mut agent, &roster, key, FIRST);
+    let [first, second] = homes(&roster, &key).map(|home| home.expect("a home"));
+
+    let mut told: Vec<_> = agent.news(&roster).iter().map(|news| news.to).collect();
+    told.sort();
+    let mut expected = [first, second];
+    expected.sort();
+    assert_eq!(told, expected);
+    assert_eq!(agent.news(&roster), []);
+
+    roster.leave(first);
+    let told: Vec<_> = agent.news(&roster).iter().map(|news| news.to).collect();
+    let third = homes(&roster, &key)[1].expect("a home");
+    assert_eq!(told, if third == agent_address(1) { vec![] } else { vec![third] });
+}
+
+/// Guards against load reports that do not follow what the backend server does.
+#[test]
+fn open_and_waiting_flows_are_counted() {
+    let (mut agent, roster) = subject();
+    open(NOW, &mut agent, &roster, flow(1), FIRST);
+    open(NOW, &mut agent, &roster, flow(2), FIRST);
+    assert_eq!(agent.load(NOW), (2, 0));
+
+    let known = arrival(request(flow(1), FIRST + 1), Search::Known, 1);
+    agent.segment(NOW, &routing(1), &roster, &known);
+    assert_eq!(agent.load(NOW), (2, 1));
+
+    let flags = Flags { acknowledge: true, ..Flags::default() };
+    let mut answer = from_backend(flow(1), flags, FIRST + 1);
+    answer.length = 600;
+    let sent = agent.answer(NOW.after(30), &routing(1), &roster, &answer);
+    assert_eq!(sent, Some(Answer::Send { is_accept: false, after_ms: Some(30) }));
+    assert_eq!(agent.load(NOW.after(30)), (2, 0));
+
+    let close = Flags { close: true, ..flags };
+    agent.answer(NOW, &routing(1), &roster, &from_backend(flow(2), close, FIRST + 1));
+    assert_eq!(agent.load(NOW), (1, 0));
+}
+
+/// Guards against an agent that is chosen for a service before its backend server reports.
+#[test]
+fn an_agent_without_a_report_takes_no_flow() {
+    let mut agent =
+        Agent::new(NOW, agent_address(1), "a".into(), bounds(), 60_000, 1_000);
+    let roster = roster(NOW, 6, &["a", "b"]);
+
+    let arrival = arrival(opening(flow(1), 0), Search::Open, 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &arrival);
+
+    assert_eq!(passed(step).0, Cause::Admission(Refusal::Unknown));
+    assert_eq!(
+        routing(1).service(CALENDAR).map(|service| service.connections),
+        Some(2_000)
+    );
+}
