--- a/crates/steer/src/process/documents.rs
+++ b/crates/steer/src/process/documents.rs
@@ -77,12 +77,24 @@
     routing: Routing,
     /// Revision up to which the store's changes are known.
     revision: u64,
+    /// Revision of the last known change of a document. At most `revision`.
+    changed: u64,
 }
 
 impl<S: Source> Documents<S> {
     /// No documents yet.
     pub fn new(source: S) -> Self {
-        Self { source, routing: Routing::default(), revision: 0 }
+        Self { source, routing: Routing::default(), revision: 0, changed: 0 }
+    }
+
+    /// Prefix of the store keys that hold the documents.
+    pub fn prefix(&self) -> &'static str {
+        self.source.prefix()
+    }
+
+    /// Revision of the last known change of a document.
+    pub fn changed(&self) -> u64 {
+        self.changed
     }
 
     /// What is in force.
@@ -114,7 +126,10 @@
                 for change in &batch.changes {
                     match change {
                         Change::Put(entry) => errors.extend(self.put(entry).err()),
-                        Change::Delete { key, .. } => self.delete(key),
+                        Change::Delete { key, revision } => {
+                            self.changed = self.changed.max(*revision);
+                            self.delete(key);
+                        }
                     }
                 }
                 self.revision = self.revision.max(batch.revision);
@@ -125,6 +140,7 @@
 
     /// Takes a document.
     fn put(&mut self, entry: &Entry) -> Result<(), Error> {
+        self.changed = self.changed.max(entry.modified);
         match self.source.kind(&entry.key) {
             Kind::Config if entry.modified > self.routing.revision => {
                 let config = self.source.config(&entry.value)?;
--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -34,7 +34,7 @@
     rerouted: impl Fn(&Routing, &Routing) + Send + Sync + 'static,
 ) -> Vec<Task<()>> {
     let Outside { store, source } = outside;
-    let follow = follow::run(node.clone(), store.clone(), source, rerouted);
+    let follow = follow::run(node.clone(), store.clone(), source, role, rerouted);
     let register = register::run(node.clone(), store, role);
     vec![pool.spawn(follow), pool.spawn(register)]
 }
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -40,8 +40,10 @@
     pub roster: Ranked<Roster>,
     /// What the own beats say of the backend server; none for a balancer.
     pub offer: Ranked<Option<Offer<'static>>>,
-    /// Revision of the operators' documents that were read.
+    /// Revision of the last change of the operators' documents that was read.
     pub revision: AtomicU64,
+    /// Highest revision of a document that another node knows.
+    newest: AtomicU64,
     /// Set when the process is asked to stop.
     pub is_stopping: AtomicBool,
     /// Set when members were told that the node leaves for good. It is silent then.
@@ -67,6 +69,7 @@
             roster: Ranked::new(tables::MEMBERS, Roster::new()),
             offer: Ranked::new(tables::SLOTS, None),
             revision: AtomicU64::new(0),
+            newest: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
             has_left: AtomicBool::new(false),
             incarnation: fastrand::u64(1..),
@@ -185,7 +188,8 @@
                 metrics::counter!("lentilreach_steer_beats_outdated_total").increment(1);
             }
         }
-        if beat.revision > self.revision.load(Ordering::Relaxed) {
+        let known = self.newest.fetch_max(beat.revision, Ordering::Relaxed);
+        if beat.revision > known {
             // A full channel means that the follower has been told already.
             let _ = self.newer.0.try_send(());
         }
@@ -224,7 +228,12 @@
         let _ = self.leaves.1.recv().await;
     }
 
-    /// Waits until another node is known to have newer documents.
+    /// Highest revision of a document that another node knows.
+    pub fn newest(&self) -> u64 {
+        self.newest.load(Ordering::Relaxed)
+    }
+
+    /// Waits until another node is heard to have newer documents than any before.
     pub async fn newer(&self) {
         // The sender lives as long as the node, so the channel is never closed.
         let _ = self.newer.1.recv().await;
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -82,7 +82,7 @@
     /// The sender's failure domain.
     #[serde(borrow)]
     pub domain: Cow<'a, str>,
-    /// Revision of the operators' documents that the sender has read.
+    /// Revision of the last change of the operators' documents that the sender knows.
     pub revision: u64,
     /// Whether the receiver should answer with a beat.
     pub is_asking: bool,
