--- a/crates/steer/src/connection/held.rs
+++ b/crates/steer/src/connection/held.rs
@@ -14,7 +14,7 @@
     /// The last number that the caller acknowledged.
     pub acknowledged: u32,
     /// The nodes that were told where the flow is.
-    pub homes: [Option<SocketAddrV4>; 2],
+    pub homes: [Option<Home>; 2],
     /// When the flow's last request segment was delivered and not yet answered.
     pub waiting: Option<Millis>,
 }
@@ -28,7 +28,7 @@
     Offered,
     /// The backend server accepted it; the caller may have chosen another one.
     Accepted,
-    /// The backend server has taken part after the handshake.
+    /// The caller has chosen this backend server.
     Open,
     /// One of its ends has closed the flow.
     Closing,
@@ -46,7 +46,9 @@
     ///
     /// A caller that opened the flow elsewhere acknowledges unrelated numbers.
     pub fn matches(&self, ack: u32) -> bool {
-        self.first.is_none_or(|first| ack.wrapping_sub(first) <= MAX_SENT)
+        let most =
+            if self.stage == Stage::Accepted { MAX_SENT_AT_ONCE } else { MAX_SENT };
+        self.first.is_none_or(|first| ack.wrapping_sub(first) <= most)
     }
 
     /// Whether the flow counts as open load.
@@ -55,6 +57,19 @@
     }
 }
 
+/// A node that was told where a flow is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Home {
+    /// Where it receives messages.
+    pub address: SocketAddrV4,
+    /// Its incarnation. The next one has to be told again.
+    pub node: u64,
+}
+
+/// Bytes that a backend server sends before the caller's first acknowledgement at most: the
+/// 16 packets that may be in flight.
+const MAX_SENT_AT_ONCE: u32 = 16 * 1_200;
+
 /// Bytes that a backend server sends in one flow at most, for [`Held::matches`]: 60 s at
 /// 1 MB/s. Random numbers of another backend server lie within with probability 1.5%.
 const MAX_SENT: u32 = 60_000_000;
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -7,7 +7,7 @@
 use lentilreach::process::clock::Millis;
 
 use crate::connection::flow;
-use crate::connection::held::{Held, Stage};
+use crate::connection::held::{Held, Home, Stage};
 use crate::connection::index::Index;
 use crate::connection::table::Table;
 use crate::process::backend::{self, Backend, Bounds, Report};
@@ -347,7 +347,8 @@
         held.stage = match held.stage {
             _ if segment.flags.close || segment.flags.reset => Stage::Closing,
             Stage::Offered if is_accept => Stage::Accepted,
-            Stage::Offered | Stage::Accepted if !is_accept => Stage::Open,
+            // After a restart of the agent, only the flow's data show that it is open.
+            Stage::Offered if segment.length > 0 => Stage::Open,
             stage => stage,
         };
         let waiting = if segment.length > 0 { held.waiting.take() } else { None };
@@ -364,13 +365,16 @@
         self.held.retain(|flow, held| {
             let is_due = held.homes == [None; 2] || is_changed;
             if is_due && held.is_open() {
-                let homes = place::homes(roster, flow);
-                let added = homes
-                    .iter()
-                    .flatten()
-                    .filter(|home| **home != own && !held.homes.contains(&Some(**home)));
-                for home in added {
-                    note(&mut list, *home, *flow);
+                let homes = place::homes(roster, flow).map(|home| {
+                    let member = roster.get(home?)?;
+                    Some(Home { address: member.address, node: member.node })
+                });
+                let told = held.homes;
+                let added = homes.iter().flatten();
+                for home in added.filter(|home| !told.contains(&Some(**home))) {
+                    if home.address != own {
+                        note(&mut list, home.address, *flow);
+                    }
                 }
                 held.homes = homes;
             }
@@ -519,6 +523,9 @@
         if let Some(held) = self.held.get(now, &flow) {
             if !arrival.segment.is_opening() {
                 held.acknowledged = arrival.segment.acknowledged;
+                if held.stage == Stage::Accepted {
+                    held.stage = Stage::Open;
+                }
             }
             if arrival.segment.length > 0 {
                 held.waiting.get_or_insert(now);
@@ -627,11 +634,14 @@
     fn lose(&mut self) -> Vec<Ended> {
         let mut ended = Vec::new();
         self.held.retain(|flow, held| {
-            if held.is_open() {
+            // The caller may have chosen another backend server for the others.
+            let is_here =
+                matches!(held.stage, Stage::Open | Stage::Closing | Stage::Lost);
+            if held.stage == Stage::Open {
                 ended.push(Ended { flow: *flow, sequence: held.acknowledged });
             }
             held.stage = Stage::Lost;
-            true
+            is_here
         });
         ended
     }
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -226,7 +226,7 @@
             () if member.stage() != beat.offer.as_ref().map(|o| o.stage) => Change::Stage,
             () => Change::None,
         };
-        if member.is_silent && role == Role::Agent {
+        if (member.is_silent || is_new) && role == Role::Agent {
             self.generation += 1;
         }
         member.role = role;
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -516,3 +516,37 @@
         Some(2_000)
     );
 }
+
+/// Guards against flows that cannot be found after their home restarted: it has lost its
+/// index, and the agents that hold flows saw no gap in its beats.
+#[test]
+fn a_home_that_restarted_is_told_again() {
+    let (mut agent, mut roster) = subject();
+    let key = foreign(&roster);
+    open(NOW, &mut agent, &roster, key, FIRST);
+    agent.news(&roster);
+    let home = homes(&roster, &key)[0].expect("a home");
+
+    let mut beat = agent_beat(1, "a", Stage::Ready, 0);
+    beat.node = 8;
+    roster.hear(NOW.after(300), home, &beat).expect("a new incarnation");
+
+    let told: Vec<_> = agent.news(&roster).iter().map(|news| news.to).collect();
+    assert_eq!(told, [home]);
+}
+
+/// Guards against a reset of a flow that lives at another backend server: this one was only
+/// offered a copy of its opening segment before it ended.
+#[test]
+fn a_flow_that_was_only_offered_here_is_not_lost_here() {
+    let (mut agent, roster) = subject();
+    let key = foreign(&roster);
+    let copy = arrival(opening(key, 1), Search::Open, 1);
+    agent.segment(NOW, &routing(1), &roster, &copy);
+    agent.report(NOW, Report { born: Some(9_000), ..report(1) });
+
+    let arrival = arrival(request(key, FIRST), Search::Known, 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &arrival);
+
+    assert_eq!(passed(step), (Cause::Elsewhere, Search::Home(0)));
+}
