Describe the metrics, share the start of both daemons, and shorten calls of the store

Metrics of the segment front end are constants with a page that a test compares. A call of the store ends after 1.5 s instead of 5 s, so that a lost store is logged and members are listed again within two seconds of its return.

--- a/crates/lentilreach/src/process/metric.rs
+++ b/crates/lentilreach/src/process/metric.rs
@@ -22,7 +22,7 @@
 pub struct Metric {
     /// The name, with the unit in it; counters end in `_total`.
     pub name: &'static str,
-    /// Counter or gauge.
+    /// Counter, gauge or histogram.
     pub form: Form,
     /// The unit of the value.
     pub unit: Unit,
@@ -39,6 +39,8 @@
     Counter,
     /// Rises and falls.
     Gauge,
+    /// How values are distributed.
+    Histogram,
 }
 
 impl Form {
@@ -47,6 +49,7 @@
         match self {
             Self::Counter => "counter",
             Self::Gauge => "gauge",
+            Self::Histogram => "histogram",
         }
     }
 }
@@ -79,7 +82,12 @@
 
 /// Gives the recorder the meaning of every metric.
 pub fn describe() {
-    for metric in ALL {
+    describe_all(ALL);
+}
+
+/// Gives the recorder the meaning of some metrics.
+pub fn describe_all(list: &[&Metric]) {
+    for metric in list {
         match metric.form {
             Form::Counter => {
                 metrics::describe_counter!(metric.name, metric.unit, metric.help);
@@ -87,6 +95,9 @@
             Form::Gauge => {
                 metrics::describe_gauge!(metric.name, metric.unit, metric.help);
             }
+            Form::Histogram => {
+                metrics::describe_histogram!(metric.name, metric.unit, metric.help);
+            }
         }
     }
 }
--- a/crates/steer/src/connection/held.rs
+++ b/crates/steer/src/connection/held.rs
@@ -9,6 +9,8 @@
 pub struct Held {
     /// How far it has come.
     pub stage: Stage,
+    /// When its opening segment was delivered, if this process did that.
+    pub offered: Option<Millis>,
     /// The backend server's first sequence number, if the agent saw it.
     pub first: Option<u32>,
     /// The last number that the caller acknowledged.
@@ -39,7 +41,19 @@
 impl Held {
     /// A flow at its start.
     pub fn new(stage: Stage) -> Self {
-        Self { stage, first: None, acknowledged: 0, homes: [None; 2], waiting: None }
+        Self {
+            stage,
+            offered: None,
+            first: None,
+            acknowledged: 0,
+            homes: [None; 2],
+            waiting: None,
+        }
+    }
+
+    /// A flow whose opening segment is delivered.
+    pub fn offered(now: Millis) -> Self {
+        Self { offered: Some(now), ..Self::new(Stage::Offered) }
     }
 
     /// Whether an acknowledgement of the caller can belong to this flow.
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -132,6 +132,8 @@
     Send {
         /// Whether it accepts a new flow.
         is_accept: bool,
+        /// Time since the opening segment that it accepts was delivered, in milliseconds.
+        opened_ms: Option<u64>,
         /// Time since the request that it answers was delivered, in milliseconds.
         after_ms: Option<u64>,
     },
@@ -320,7 +322,7 @@
             return self.decline(routing, roster, arrival, Cause::Held);
         }
         self.floor = self.floor.max(arrival.way.revision.max(routing.revision));
-        self.held.insert(now, flow, Held::new(Stage::Offered));
+        self.held.insert(now, flow, Held::offered(now));
         self.deliver(now, arrival, true)
     }
 
@@ -341,8 +343,10 @@
         }
         let held = self.held.get(now, &flow)?;
         let is_accept = segment.flags.open;
-        if is_accept {
+        let mut opened_ms = None;
+        if is_accept && held.first.is_none() {
             held.first = Some(segment.sequence);
+            opened_ms = held.offered.map(|offered| now.since(offered));
         }
         held.stage = match held.stage {
             _ if segment.flags.close || segment.flags.reset => Stage::Closing,
@@ -353,7 +357,7 @@
         };
         let waiting = if segment.length > 0 { held.waiting.take() } else { None };
         let after_ms = waiting.map(|since| now.since(since));
-        Some(Answer::Send { is_accept, after_ms })
+        Some(Answer::Send { is_accept, opened_ms, after_ms })
     }
 
     /// What homes are to be told since the last call.
@@ -461,7 +465,7 @@
             return self.decline(routing, roster, arrival, refusal.into());
         }
         self.floor = revision;
-        self.held.insert(now, flow, Held::new(Stage::Offered));
+        self.held.insert(now, flow, Held::offered(now));
         self.deliver(now, arrival, true)
     }
 
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -20,6 +20,7 @@
 use crate::process::agent::{self, Answer, Arrival, Ended, Step, Way};
 use crate::process::backend::{Bounds, Change, Report, TICK_MS};
 use crate::process::documents::Source;
+use crate::process::metric;
 use crate::process::roster::{BEAT_MS, Role};
 use crate::process::settings;
 use crate::request::message::{Envelope, MAX_TAKEN, Message, Offer};
@@ -256,8 +257,7 @@
     fn end(&self, flows: &[Ended], cause: &'static str) {
         for Ended { flow, sequence } in flows {
             self.send_caller(*flow.caller.ip(), &self.format.reset(flow, *sequence));
-            metrics::counter!("lentilreach_steer_ended_total", "reason" => cause)
-                .increment(1);
+            metric::count_as(&metric::ENDED, cause);
             log::info!(target: "ended", flow:% = flow, cause = cause; "flow ended with its backend server");
         }
     }
@@ -309,12 +309,16 @@
             self.pool.spawn(held).detach();
             return;
         }
+        if matches!(step, Step::Deliver { .. }) {
+            metric::record(&metric::HOPS, f64::from(envelope.hops));
+        }
         self.perform(&segment, step, envelope.bytes, routing.version);
     }
 
     /// Keeps an opening segment until its backend server bears it.
     async fn hold(self: Arc<Self>, until: Millis, arrival: Arrival, bytes: Vec<u8>) {
         let wait_ms = until.since(self.node.now());
+        metric::count(&metric::HELD);
         log::info!(
             target: "held", flow:% = arrival.segment.from_caller(), wait_ms = wait_ms;
             "opening waits for a cold backend server"
@@ -340,14 +344,16 @@
             self.flows.write().answer(self.node.now(), &routing, &roster, &segment)
         };
         match answer {
-            Some(Answer::Send { is_accept, after_ms }) => {
+            Some(Answer::Send { is_accept, opened_ms, after_ms }) => {
                 let flow = segment.from_backend();
+                if let Some(after_ms) = opened_ms {
+                    metric::record_ms(&metric::ACCEPT_SECONDS, after_ms);
+                }
                 if is_accept {
                     log::info!(target: "accepted", flow:% = flow; "flow accepted");
                 }
                 if let Some(after_ms) = after_ms {
-                    metrics::histogram!("lentilreach_steer_answer_seconds")
-                        .record(after_ms as f64 / 1_000.0);
+                    metric::record_ms(&metric::ANSWER_SECONDS, after_ms);
                 }
                 self.send_caller(*flow.caller.ip(), bytes);
             }
@@ -357,8 +363,7 @@
                 self.perform(&segment, step, bytes, routing.version);
             }
             None => {
-                metrics::counter!("lentilreach_steer_dropped_total", "reason" => "returned_late")
-                    .increment(1);
+                metric::count_as(&metric::DROPPED, "returned_late");
             }
         }
     }
@@ -377,17 +382,17 @@
                     self.node.send(origin, &Message::Here(flow));
                 }
                 if is_new {
+                    metric::count(&metric::OFFERED);
                     log::info!(target: "offered", flow:% = flow, version = version; "flow offered");
                 }
             }
             // Only openings are held, where they arrive.
             Step::Hold { .. } => {}
             Step::Pass { to, way, cause } => {
-                metrics::counter!("lentilreach_steer_passed_total", "reason" => cause.as_str())
-                    .increment(1);
+                metric::count_as(&metric::PASSED, cause.as_str());
                 log::info!(
                     target: "passed", flow:% = flow, agent:% = to, cause = cause.as_str(),
-                    search:? = way.search, hops = way.hops, version = version; "segment passed on"
+                    search = way.search.as_str(), hops = way.hops, version = version; "segment passed on"
                 );
                 let service =
                     if segment.is_opening() { self.service(segment) } else { None };
@@ -408,16 +413,14 @@
                 if let Some(origin) = tell {
                     self.node.send(origin, &Message::Nowhere(flow));
                 }
-                metrics::counter!("lentilreach_steer_refused_total", "reason" => cause.as_str())
-                    .increment(1);
+                metric::count_as(&metric::REFUSED, cause.as_str());
                 log::info!(
                     target: "refused", flow:% = flow, cause = cause.as_str(), version = version,
                     opening = segment.is_opening(); "flow refused"
                 );
             }
             Step::Drop(cause) => {
-                metrics::counter!("lentilreach_steer_dropped_total", "reason" => cause.as_str())
-                    .increment(1);
+                metric::count_as(&metric::DROPPED, cause.as_str());
                 log::info!(
                     target: "dropped", flow:% = flow, cause = cause.as_str(), version = version;
                     "segment dropped"
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -17,6 +17,7 @@
 use super::{Node, Outside, start};
 use crate::process::balancer::{self, Refusal, Step};
 use crate::process::documents::Source;
+use crate::process::metric;
 use crate::process::roster::{BEAT_MS, Role};
 use crate::process::settings;
 use crate::request::message::{Envelope, Message};
@@ -154,8 +155,9 @@
                 };
                 self.node.send(to, &Message::Segment(envelope));
                 if is_new {
+                    metric::count_as(&metric::SENT, search.as_str());
                     log::info!(
-                        target: "sent", flow:% = flow, agent:% = to, search:? = search,
+                        target: "sent", flow:% = flow, agent:% = to, search = search.as_str(),
                         service = service, version = routing.version; "flow sent"
                     );
                 }
@@ -164,8 +166,7 @@
                 self.refuse(&segment, sequence, cause, routing.version);
             }
             Step::Drop(reason) => {
-                metrics::counter!("lentilreach_steer_dropped_total", "reason" => reason.as_str())
-                    .increment(1);
+                metric::count_as(&metric::DROPPED, reason.as_str());
                 log::info!(
                     target: "dropped", flow:% = flow, cause = reason.as_str(),
                     version = routing.version; "segment dropped"
@@ -182,8 +183,7 @@
         if let Err(error) = self.callers.send(SocketAddr::V4(to), &bytes) {
             log::debug!(target: "send_failed", peer:% = to, cause:% = error; "not sent");
         }
-        metrics::counter!("lentilreach_steer_refused_total", "reason" => refusal.as_str())
-            .increment(1);
+        metric::count_as(&metric::REFUSED, refusal.as_str());
         log::info!(
             target: "refused", flow:% = flow, cause = refusal.as_str(), version = version;
             "flow refused"
@@ -213,7 +213,7 @@
 
 /// Counts a datagram that is dropped because it cannot be read.
 pub(super) fn invalid(reason: &'static str) {
-    metrics::counter!("lentilreach_steer_invalid_total", "reason" => reason).increment(1);
+    metric::count_as(&metric::INVALID, reason);
     log::warn!(target: "invalid", cause = reason; "datagram dropped");
 }
 
--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -15,7 +15,7 @@
 pub use node::{Node, Outside};
 
 use lentilreach::process::pool::Pool;
-use lentilreach::process::store::Store;
+use lentilreach::process::store::{self, Store};
 use smol::Task;
 
 use crate::process::documents::Source;
@@ -24,6 +24,22 @@
 use lentilreach::process::link::Link;
 use std::sync::Arc;
 
+/// Time for one call of the store with its attempts, in milliseconds. A slow store takes some
+/// hundred; what waits for the call is done again in the next round.
+const CALL_MS: u64 = 1_500;
+
+/// Delays between the attempts of one call, in milliseconds: the first and the longest.
+const ATTEMPT_BACKOFF_MS: (u64, u64) = (50, 400);
+
+/// How the store is called. Members must be listed again two seconds after its return.
+pub fn calls() -> store::Settings {
+    store::Settings::builder()
+        .attempt_ms(CALL_MS)
+        .call_ms(CALL_MS)
+        .backoff_ms(ATTEMPT_BACKOFF_MS.0, ATTEMPT_BACKOFF_MS.1)
+        .build()
+}
+
 /// Starts what both daemons do beside forwarding: following the operators' documents and
 /// being listed in the store.
 fn start<L: Link, S: Store, D: Source>(
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -11,6 +11,7 @@
 use lentilreach::process::lock::Ranked;
 use lentilreach::process::tables;
 
+use crate::process::metric;
 use crate::process::roster::{Change, Outdated, Role, Roster};
 use crate::process::settings;
 use crate::request::message::{Beat, Message, Offer};
@@ -115,7 +116,7 @@
     /// Sends a message.
     pub fn send(&self, to: SocketAddrV4, message: &Message<'_>) {
         if let Err(error) = self.link.send(SocketAddr::V4(to), &message.encode()) {
-            metrics::counter!("lentilreach_steer_send_errors_total").increment(1);
+            metric::count(&metric::SEND_ERRORS);
             log::debug!(target: "send_failed", peer:% = to, cause:% = error; "not sent");
         }
     }
@@ -185,7 +186,7 @@
                 incarnation = beat.node; "member changed"
             ),
             Err(Outdated) => {
-                metrics::counter!("lentilreach_steer_beats_outdated_total").increment(1);
+                metric::count(&metric::OUTDATED);
             }
         }
         let known = self.newest.fetch_max(beat.revision, Ordering::Relaxed);
--- a/crates/steer/src/process/lines.rs
+++ b/crates/steer/src/process/lines.rs
@@ -3,6 +3,7 @@
 //! Writing never blocks the path of a segment: lines go through a bounded queue to a thread,
 //! and lines of one event beyond a rate are counted instead of written.
 
+use crate::process::metric;
 use std::io::{self, Write};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
@@ -90,7 +91,7 @@
         let queue = self.queue.lock();
         let sent = queue.as_ref().map(|sender| sender.try_send(bytes.to_vec()));
         if !matches!(sent, Some(Ok(()))) {
-            metrics::counter!("lentilreach_steer_lines_dropped_total").increment(1);
+            metric::count(&metric::LINES_DROPPED);
         }
         Ok(bytes.len())
     }
--- /dev/null
+++ b/crates/steer/src/process/metric.rs
@@ -0,0 +1,159 @@
+//! The metrics of this front end.
+//!
+//! Segments that go their usual way are not counted one by one; what is out of the ordinary
+//! is, by its cause.
+
+use lentilreach::process::metric::{Form, Metric};
+use metrics::Unit;
+
+/// A counter.
+const fn counter(
+    name: &'static str,
+    labels: &'static [&'static str],
+    help: &'static str,
+) -> Metric {
+    Metric { name, form: Form::Counter, unit: Unit::Count, labels, help }
+}
+
+/// A distribution of times in seconds.
+const fn seconds(name: &'static str, help: &'static str) -> Metric {
+    Metric { name, form: Form::Histogram, unit: Unit::Seconds, labels: &[], help }
+}
+
+/// Flows whose first segment at this balancer was sent to an agent.
+pub const SENT: Metric = counter(
+    "lentilreach_steer_sent_total",
+    &["search"],
+    "Flows whose first segment at this balancer was sent to an agent.",
+);
+
+/// Flows that were offered to the backend server.
+pub const OFFERED: Metric = counter(
+    "lentilreach_steer_offered_total",
+    &[],
+    "Flows that the agent offered to its backend server.",
+);
+
+/// Segments that the agent passed on to another agent.
+pub const PASSED: Metric = counter(
+    "lentilreach_steer_passed_total",
+    &["reason"],
+    "Segments that the agent passed on to another agent.",
+);
+
+/// Openings that waited for a cold backend server.
+pub const HELD: Metric = counter(
+    "lentilreach_steer_held_total",
+    &[],
+    "Openings that waited for a cold backend server.",
+);
+
+/// Flows that were refused or ended with a reset.
+pub const REFUSED: Metric = counter(
+    "lentilreach_steer_refused_total",
+    &["reason"],
+    "Flows that the process refused or ended with a reset.",
+);
+
+/// Flows that ended with their backend server.
+pub const ENDED: Metric = counter(
+    "lentilreach_steer_ended_total",
+    &["reason"],
+    "Open flows that ended with their backend server.",
+);
+
+/// Segments that were dropped.
+pub const DROPPED: Metric = counter(
+    "lentilreach_steer_dropped_total",
+    &["reason"],
+    "Segments that the process dropped.",
+);
+
+/// Datagrams that could not be read.
+pub const INVALID: Metric = counter(
+    "lentilreach_steer_invalid_total",
+    &["reason"],
+    "Datagrams that the process could not read.",
+);
+
+/// Datagrams that the system did not take.
+pub const SEND_ERRORS: Metric = counter(
+    "lentilreach_steer_send_errors_total",
+    &[],
+    "Datagrams that the system did not take.",
+);
+
+/// Beats that came after a later one.
+pub const OUTDATED: Metric = counter(
+    "lentilreach_steer_beats_outdated_total",
+    &[],
+    "Beats that came after a later one of the same process.",
+);
+
+/// Log lines that were dropped.
+pub const LINES_DROPPED: Metric = counter(
+    "lentilreach_steer_lines_dropped_total",
+    &[],
+    "Log lines that were dropped because standard output was not read in time.",
+);
+
+/// Time from the opening segment to the acceptance by the backend server.
+pub const ACCEPT_SECONDS: Metric = seconds(
+    "lentilreach_steer_accept_seconds",
+    "Time from the delivery of an opening segment to its acceptance by the backend server.",
+);
+
+/// Time from a request to the first segment of its answer.
+pub const ANSWER_SECONDS: Metric = seconds(
+    "lentilreach_steer_answer_seconds",
+    "Time from the delivery of a request to the first segment of its answer.",
+);
+
+/// Nodes that a segment passed before it was delivered.
+pub const HOPS: Metric = Metric {
+    name: "lentilreach_steer_hops",
+    form: Form::Histogram,
+    unit: Unit::Count,
+    labels: &[],
+    help: "Agents that passed a segment on before it was delivered.",
+};
+
+/// All of them, in the order of the page for operators.
+pub const ALL: &[&Metric] = &[
+    &SENT,
+    &OFFERED,
+    &PASSED,
+    &HELD,
+    &REFUSED,
+    &ENDED,
+    &DROPPED,
+    &INVALID,
+    &SEND_ERRORS,
+    &OUTDATED,
+    &LINES_DROPPED,
+    &ACCEPT_SECONDS,
+    &ANSWER_SECONDS,
+    &HOPS,
+];
+
+/// Counts one event.
+pub fn count(metric: &Metric) {
+    metrics::counter!(metric.name).increment(1);
+}
+
+/// Counts one event with the value of the metric's label.
+pub fn count_as(metric: &Metric, value: &'static str) {
+    if let [label] = metric.labels {
+        metrics::counter!(metric.name, *label => value).increment(1);
+    }
+}
+
+/// Records a value.
+pub fn record(metric: &Metric, value: f64) {
+    metrics::histogram!(metric.name).record(value);
+}
+
+/// Records a time in milliseconds.
+pub fn record_ms(metric: &Metric, ms: u64) {
+    record(metric, ms as f64 / 1_000.0);
+}
--- a/crates/steer/src/process/mod.rs
+++ b/crates/steer/src/process/mod.rs
@@ -8,5 +8,6 @@
 pub mod driver;
 pub mod lines;
 pub mod membership;
+pub mod metric;
 pub mod roster;
 pub mod settings;
--- a/crates/steer/src/process/settings.rs
+++ b/crates/steer/src/process/settings.rs
@@ -9,6 +9,8 @@
 use lentilreach::Name;
 use lentilreach::process::input::{self, Errors, Reader};
 
+use crate::process::daemon::Settings;
+
 /// Longest time that a setting may state, in milliseconds: one hour.
 const MAX_MS: u64 = 3_600_000;
 
@@ -102,15 +104,17 @@
     pub drain_ms: u64,
 }
 
-impl Balancer {
-    /// Reads a settings file.
-    ///
-    /// # Errors
-    /// Every mistake in the file.
-    pub fn load(path: &Path) -> Result<Self, Errors> {
+impl Settings for Balancer {
+    fn load(path: &Path) -> Result<Self, Errors> {
         Self::parse(&path.display().to_string(), &input::load(path)?)
     }
 
+    fn node(&self) -> &Node {
+        &self.node
+    }
+}
+
+impl Balancer {
     /// Parses settings.
     ///
     /// # Errors
@@ -128,15 +132,17 @@
     }
 }
 
-impl Agent {
-    /// Reads a settings file.
-    ///
-    /// # Errors
-    /// Every mistake in the file.
-    pub fn load(path: &Path) -> Result<Self, Errors> {
+impl Settings for Agent {
+    fn load(path: &Path) -> Result<Self, Errors> {
         Self::parse(&path.display().to_string(), &input::load(path)?)
     }
 
+    fn node(&self) -> &Node {
+        &self.node
+    }
+}
+
+impl Agent {
     /// Parses settings.
     ///
     /// # Errors
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -71,6 +71,20 @@
     Walk,
 }
 
+impl Search {
+    /// The label in metrics and log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Known => "known",
+            Self::Home(0) => "home",
+            Self::Home(_) => "second_home",
+            Self::Told => "told",
+            Self::Walk => "walk",
+        }
+    }
+}
+
 /// What a node says of itself from time to time.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -492,7 +492,10 @@
     let mut answer = from_backend(flow(1), flags, FIRST + 1);
     answer.length = 600;
     let sent = agent.answer(NOW.after(30), &routing(1), &roster, &answer);
-    assert_eq!(sent, Some(Answer::Send { is_accept: false, after_ms: Some(30) }));
+    assert_eq!(
+        sent,
+        Some(Answer::Send { is_accept: false, opened_ms: None, after_ms: Some(30) })
+    );
     assert_eq!(agent.load(NOW.after(30)), (2, 0));
 
     let close = Flags { close: true, ..flags };
--- /dev/null
+++ b/crates/steer/tests/metric.rs
@@ -0,0 +1,48 @@
+//! Metrics: names, and the page for operators.
+
+use lentilreach::process::metric::Form;
+use lentilreach_steer::process::metric::ALL;
+
+/// Guards against a metric without advice to operators, and against advice on a metric that
+/// does not exist or has other labels or another meaning.
+#[test]
+fn page_and_constants_agree() {
+    let page = include_str!("../../../docs/metrics-segments.md");
+
+    let rows: Vec<&str> =
+        page.lines().filter(|line| line.starts_with("| `lentilreach_")).collect();
+
+    assert_eq!(rows.len(), ALL.len(), "one row for each metric");
+    for (row, metric) in rows.iter().zip(ALL) {
+        let labels: Vec<_> =
+            metric.labels.iter().map(|label| format!("`{label}`")).collect();
+        let start = format!(
+            "| `{}` | {} | {} | {} | ",
+            metric.name,
+            metric.form.as_str(),
+            labels.join(", "),
+            metric.help
+        );
+        let advice = row.strip_prefix(start.as_str());
+        let advice =
+            advice.unwrap_or_else(|| panic!("{row:?} must start with {start:?}"));
+        assert!(advice.trim_matches([' ', '|']).len() > 10, "advice missing in {row:?}");
+    }
+}
+
+/// Guards against two metrics of one name, and against names without their unit.
+#[test]
+fn names_are_unique_and_carry_their_unit() {
+    let mut names: Vec<&str> = ALL.iter().map(|metric| metric.name).collect();
+
+    names.sort_unstable();
+    names.dedup();
+
+    assert_eq!(names.len(), ALL.len());
+    for metric in ALL {
+        let total = metric.name.ends_with("_total");
+        assert_eq!(total, metric.form == Form::Counter, "{}", metric.name);
+        let seconds = metric.name.ends_with("_seconds");
+        assert_eq!(seconds, metric.unit == metrics::Unit::Seconds, "{}", metric.name);
+    }
+}
