--- a/crates/lentilreach-cli/src/command.rs
+++ b/crates/lentilreach-cli/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
 use lentilreach_cli::{status, timeline};
 
-use crate::{check, completions, demo, domain, measure, show, submit};
+use crate::{check, completions, demo, domain, explain, measure, show, submit};
 
 /// The name of the binary.
 pub const BINARY: &str = "lentilreach";
@@ -46,6 +46,7 @@
         measure::command(),
         status::command(),
         timeline::command(),
+        explain::command(),
     ]
 }
 
--- a/crates/lentilreach-cli/src/main.rs
+++ b/crates/lentilreach-cli/src/main.rs
@@ -10,6 +10,7 @@
 mod context;
 mod demo;
 mod domain;
+mod explain;
 mod measure;
 mod reply;
 mod show;
@@ -46,6 +47,7 @@
         Some((domain::NAME, matches)) => domain::run(context, matches),
         Some((completions::NAME, matches)) => completions::run(matches),
         Some((demo::NAME, matches)) => demo::run(matches),
+        Some((explain::NAME, matches)) => explain::run(matches),
         // clap requires one of the subcommands above.
         _ => Reply::input("no subcommand"),
     };
--- a/crates/steer/src/connection/cache.rs
+++ b/crates/steer/src/connection/cache.rs
@@ -100,14 +100,4 @@
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.flows.expire(now, idle_ms);
     }
-
-    /// Number of flows.
-    pub fn len(&self) -> usize {
-        self.flows.len()
-    }
-
-    /// Whether no flow is known.
-    pub fn is_empty(&self) -> bool {
-        self.flows.is_empty()
-    }
 }
--- a/crates/steer/src/connection/held.rs
+++ b/crates/steer/src/connection/held.rs
@@ -65,6 +65,11 @@
         self.first.is_none_or(|first| ack.wrapping_sub(first) <= most)
     }
 
+    /// Whether a request waits for its answer.
+    pub fn is_waiting(&self, now: Millis) -> bool {
+        self.waiting.is_some_and(|since| now.since(since) < WAITING_MS)
+    }
+
     /// Whether the flow counts as open load.
     pub fn is_open(&self) -> bool {
         matches!(self.stage, Stage::Accepted | Stage::Open)
@@ -87,3 +92,7 @@
 /// Bytes that a backend server sends in one flow at most, for [`Held::matches`]: 60 s at
 /// 1 MB/s. Random numbers of another backend server lie within with probability 1.5%.
 const MAX_SENT: u32 = 60_000_000;
+
+/// A request without an answer for this long is not counted as running any more, in
+/// milliseconds. Callers give up before.
+const WAITING_MS: u64 = 10_000;
--- a/crates/steer/src/connection/index.rs
+++ b/crates/steer/src/connection/index.rs
@@ -33,13 +33,6 @@
         self.flows.get(now, flow).copied()
     }
 
-    /// Forgets a flow if it is noted at `agent`.
-    pub fn forget(&mut self, now: Millis, flow: &Key, agent: SocketAddrV4) {
-        if self.get(now, flow) == Some(agent) {
-            self.flows.remove(flow);
-        }
-    }
-
     /// Forgets flows that were neither reported nor looked up for `idle_ms` milliseconds.
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.flows.expire(now, idle_ms);
--- a/crates/steer/src/connection/table.rs
+++ b/crates/steer/src/connection/table.rs
@@ -79,21 +79,6 @@
             bucket.retain(|slot| now.since(slot.used) <= idle_ms);
         }
     }
-
-    /// Removes all flows.
-    pub fn clear(&mut self) {
-        self.buckets.iter_mut().for_each(Vec::clear);
-    }
-
-    /// Number of flows.
-    pub fn len(&self) -> usize {
-        self.buckets.iter().map(Vec::len).sum()
-    }
-
-    /// Whether there is no flow.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
 }
 
 /// The bucket of a flow.
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -10,7 +10,7 @@
 use crate::connection::held::{Held, Home, Stage};
 use crate::connection::index::Index;
 use crate::connection::table::Table;
-use crate::process::backend::{self, Backend, Bounds, Report};
+use crate::process::backend::{self, Backend, Report};
 use crate::process::roster::Roster;
 use crate::request::message::Search;
 use crate::request::message::Stage::Closed;
@@ -19,6 +19,9 @@
 use crate::version::routing::Routing;
 
 mod pending;
+mod step;
+
+pub use step::{Answer, Arrival, Cause, Ended, Limits, News, Step, Way};
 
 use pending::{Pending, Ring};
 
@@ -28,10 +31,6 @@
 /// Nodes that pass a segment on at most. Bounds the damage of members that disagree.
 const MAX_HOPS: u8 = 200;
 
-/// A request without an answer for this long is not counted as running any more, in
-/// milliseconds. Callers give up before.
-const WAITING_MS: u64 = 10_000;
-
 /// The state of an agent that decisions need.
 #[derive(Debug)]
 pub struct Agent {
@@ -59,170 +58,17 @@
     told: u64,
 }
 
-/// A segment of a caller and what decided on its way so far.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Arrival {
-    /// The segment.
-    pub segment: Segment,
-    /// The way so far.
-    pub way: Way,
-    /// The service that the balancer chose for an opening.
-    pub service: Option<Name>,
-}
-
-/// The way of a segment so far.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Way {
-    /// Revision of the routes by which the balancer decided.
-    pub revision: u64,
-    /// How the segment looks for its place.
-    pub search: Search,
-    /// Number of nodes that passed it on.
-    pub hops: u8,
-    /// The balancer that it came through.
-    pub origin: SocketAddrV4,
-    /// Agents that did not take the flow that it opens.
-    pub tried: Vec<SocketAddrV4>,
-}
-
-/// What becomes of a segment of a caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Step {
-    /// The backend server gets it.
-    Deliver {
-        /// Mark that it returns with the segment.
-        mark: u32,
-        /// Whether the balancer is to learn that the flow is here.
-        tell: Option<SocketAddrV4>,
-        /// Whether it opens a flow that was not here.
-        is_new: bool,
-    },
-    /// The backend server gets it later, when it bears one more opening. Until then it is
-    /// kept; at that time [`Agent::release`] decides.
-    Hold {
-        /// When.
-        until: Millis,
-    },
-    /// Another agent gets it.
-    Pass {
-        /// The agent.
-        to: SocketAddrV4,
-        /// The way so far.
-        way: Way,
-        /// Why it is not delivered here.
-        cause: Cause,
-    },
-    /// The caller gets a reset with this sequence number.
-    Refuse {
-        /// Within the window of the caller.
-        sequence: u32,
-        /// The balancer that should forget the flow.
-        tell: Option<SocketAddrV4>,
-        /// Why.
-        cause: Cause,
-    },
-    /// It is dropped.
-    Drop(Cause),
-}
-
-/// What becomes of a segment of the backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Answer {
-    /// The caller gets it.
-    Send {
-        /// Whether it accepts a new flow.
-        is_accept: bool,
-        /// Time since the opening segment that it accepts was delivered, in milliseconds.
-        opened_ms: Option<u64>,
-        /// Time since the request that it answers was delivered, in milliseconds.
-        after_ms: Option<u64>,
-    },
-    /// A segment that the backend server did not take, and what becomes of it.
-    Returned(Step),
-}
-
-/// Why a segment is not delivered, or refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cause {
-    /// The backend server may not be given an opening.
-    Admission(backend::Refusal),
-    /// The backend server did not take the opening.
-    Returned,
-    /// The failure domain is out of service.
-    DomainOut,
-    /// The route does not lead to the service of the backend server.
-    Route,
-    /// The balancer decided by routes older than those that this agent has acted by.
-    Stale,
-    /// The opening waits for a cold backend server, or waited in vain.
-    Held,
-    /// The flow is somewhere else.
-    Elsewhere,
-    /// The flow ended with its backend server.
-    Lost,
-    /// No agent holds the flow.
-    Nowhere,
-    /// Agents that may hold the flow cannot be asked.
-    Unknown,
-    /// It was passed on too often.
-    Hops,
-}
-
-impl Cause {
-    /// The label in metrics and log lines.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Admission(refusal) => refusal.as_str(),
-            Self::Returned => "returned",
-            Self::DomainOut => "domain_out",
-            Self::Route => "route",
-            Self::Stale => "stale",
-            Self::Held => "held",
-            Self::Elsewhere => "elsewhere",
-            Self::Lost => "lost",
-            Self::Nowhere => "nowhere",
-            Self::Unknown => "unknown",
-            Self::Hops => "hops",
-        }
-    }
-}
-
-/// A flow that ended with its backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Ended {
-    /// The flow.
-    pub flow: flow::Key,
-    /// Sequence number of the reset for the caller.
-    pub sequence: u32,
-}
-
-/// Flows that homes are to be told of.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct News {
-    /// The home.
-    pub to: SocketAddrV4,
-    /// The flows.
-    pub flows: Vec<flow::Key>,
-}
-
 impl Agent {
-    /// An agent that knows nothing yet and remembers about `flows` flows.
-    pub fn new(
-        now: Millis,
-        address: SocketAddrV4,
-        domain: Name,
-        bounds: Bounds,
-        flow_ms: u64,
-        flows: usize,
-    ) -> Self {
+    /// An agent that knows nothing yet.
+    pub fn new(now: Millis, address: SocketAddrV4, domain: Name, limits: Limits) -> Self {
         Self {
             address,
             domain,
             start: now,
-            flow_ms,
-            backend: Backend::new(bounds),
-            held: Table::new(flows),
-            index: Index::new(flows),
+            flow_ms: limits.flow_ms,
+            backend: Backend::new(limits.bounds),
+            held: Table::new(limits.flows),
+            index: Index::new(limits.flows),
             pending: Ring::new(fastrand::u32(1..)),
             is_complete: false,
             floor: 0,
@@ -377,7 +223,7 @@
                 let added = homes.iter().flatten();
                 for home in added.filter(|home| !told.contains(&Some(**home))) {
                     if home.address != own {
-                        note(&mut list, home.address, *flow);
+                        News::add(&mut list, home.address, *flow);
                     }
                 }
                 held.homes = homes;
@@ -401,8 +247,7 @@
         let (mut open, mut busy) = (0, 0);
         self.held.retain(|_, held| {
             open += u32::from(held.is_open());
-            let is_busy = held.waiting.is_some_and(|at| now.since(at) < WAITING_MS);
-            busy += u32::from(is_busy && held.is_open());
+            busy += u32::from(held.is_open() && held.is_waiting(now));
             true
         });
         (open, busy)
@@ -650,17 +495,3 @@
         ended
     }
 }
-
-impl From<backend::Refusal> for Cause {
-    fn from(refusal: backend::Refusal) -> Self {
-        Self::Admission(refusal)
-    }
-}
-
-/// Adds a flow to the news for a home.
-fn note(list: &mut Vec<News>, to: SocketAddrV4, flow: flow::Key) {
-    match list.binary_search_by_key(&to, |news| news.to) {
-        Ok(place) => list[place].flows.push(flow),
-        Err(place) => list.insert(place, News { to, flows: vec![flow] }),
-    }
-}
--- /dev/null
+++ b/crates/steer/src/process/agent/step.rs
@@ -0,0 +1,184 @@
+//! What an agent is given, and what it decides.
+
+use std::net::SocketAddrV4;
+
+use lentilreach::Name;
+use lentilreach::process::clock::Millis;
+
+use crate::connection::flow;
+use crate::process::backend::{self, Bounds};
+use crate::request::message::Search;
+use crate::request::segment::Segment;
+
+/// What an agent keeps to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    /// What a cold backend server bears, and how often it reports.
+    pub bounds: Bounds,
+    /// Longest life of a flow, in milliseconds.
+    pub flow_ms: u64,
+    /// About how many flows are remembered.
+    pub flows: usize,
+}
+
+/// A segment of a caller and what decided on its way so far.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// The segment.
+    pub segment: Segment,
+    /// The way so far.
+    pub way: Way,
+    /// The service that the balancer chose for an opening.
+    pub service: Option<Name>,
+}
+
+/// The way of a segment so far.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Way {
+    /// Revision of the routes by which the balancer decided.
+    pub revision: u64,
+    /// How the segment looks for its place.
+    pub search: Search,
+    /// Number of nodes that passed it on.
+    pub hops: u8,
+    /// The balancer that it came through.
+    pub origin: SocketAddrV4,
+    /// Agents that did not take the flow that it opens.
+    pub tried: Vec<SocketAddrV4>,
+}
+
+/// What becomes of a segment of a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// The backend server gets it.
+    Deliver {
+        /// Mark that it returns with the segment.
+        mark: u32,
+        /// Whether the balancer is to learn that the flow is here.
+        tell: Option<SocketAddrV4>,
+        /// Whether it opens a flow that was not here.
+        is_new: bool,
+    },
+    /// The backend server gets it later, when it bears one more opening. Until then it is
+    /// kept; at that time [`Agent::release`] decides.
+    Hold {
+        /// When.
+        until: Millis,
+    },
+    /// Another agent gets it.
+    Pass {
+        /// The agent.
+        to: SocketAddrV4,
+        /// The way so far.
+        way: Way,
+        /// Why it is not delivered here.
+        cause: Cause,
+    },
+    /// The caller gets a reset with this sequence number.
+    Refuse {
+        /// Within the window of the caller.
+        sequence: u32,
+        /// The balancer that should forget the flow.
+        tell: Option<SocketAddrV4>,
+        /// Why.
+        cause: Cause,
+    },
+    /// It is dropped.
+    Drop(Cause),
+}
+
+/// What becomes of a segment of the backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// The caller gets it.
+    Send {
+        /// Whether it accepts a new flow.
+        is_accept: bool,
+        /// Time since the opening segment that it accepts was delivered, in milliseconds.
+        opened_ms: Option<u64>,
+        /// Time since the request that it answers was delivered, in milliseconds.
+        after_ms: Option<u64>,
+    },
+    /// A segment that the backend server did not take, and what becomes of it.
+    Returned(Step),
+}
+
+/// Why a segment is not delivered, or refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// The backend server may not be given an opening.
+    Admission(backend::Refusal),
+    /// The backend server did not take the opening.
+    Returned,
+    /// The failure domain is out of service.
+    DomainOut,
+    /// The route does not lead to the service of the backend server.
+    Route,
+    /// The balancer decided by routes older than those that this agent has acted by.
+    Stale,
+    /// The opening waits for a cold backend server, or waited in vain.
+    Held,
+    /// The flow is somewhere else.
+    Elsewhere,
+    /// The flow ended with its backend server.
+    Lost,
+    /// No agent holds the flow.
+    Nowhere,
+    /// Agents that may hold the flow cannot be asked.
+    Unknown,
+    /// It was passed on too often.
+    Hops,
+}
+
+impl Cause {
+    /// The label in metrics and log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Admission(refusal) => refusal.as_str(),
+            Self::Returned => "returned",
+            Self::DomainOut => "domain_out",
+            Self::Route => "route",
+            Self::Stale => "stale",
+            Self::Held => "held",
+            Self::Elsewhere => "elsewhere",
+            Self::Lost => "lost",
+            Self::Nowhere => "nowhere",
+            Self::Unknown => "unknown",
+            Self::Hops => "hops",
+        }
+    }
+}
+
+/// A flow that ended with its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ended {
+    /// The flow.
+    pub flow: flow::Key,
+    /// Sequence number of the reset for the caller.
+    pub sequence: u32,
+}
+
+/// Flows that homes are to be told of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct News {
+    /// The home.
+    pub to: SocketAddrV4,
+    /// The flows.
+    pub flows: Vec<flow::Key>,
+}
+
+impl News {
+    /// Adds a flow to the news for a home, in a list sorted by home.
+    pub(super) fn add(list: &mut Vec<Self>, to: SocketAddrV4, flow: flow::Key) {
+        match list.binary_search_by_key(&to, |news| news.to) {
+            Ok(place) => list[place].flows.push(flow),
+            Err(place) => list.insert(place, Self { to, flows: vec![flow] }),
+        }
+    }
+}
+
+impl From<backend::Refusal> for Cause {
+    fn from(refusal: backend::Refusal) -> Self {
+        Self::Admission(refusal)
+    }
+}
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -126,11 +126,6 @@
         self.cache.expire(now, idle_ms);
     }
 
-    /// Number of flows that it remembers.
-    pub fn flows(&self) -> usize {
-        self.cache.len()
-    }
-
     /// Places an opening segment; copies follow the first one while its agent lives.
     fn open(
         &mut self,
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -17,7 +17,7 @@
 
 use super::balancer::{broken, invalid};
 use super::{Node, Outside, start};
-use crate::process::agent::{self, Answer, Arrival, Ended, Step, Way};
+use crate::process::agent::{self, Answer, Arrival, Ended, Limits, Step, Way};
 use crate::process::backend::{Bounds, Change, Report, TICK_MS};
 use crate::process::documents::Source;
 use crate::process::metric;
@@ -85,14 +85,13 @@
             cold_slack: settings.cold_slack,
             report_ms: settings.report_ms,
         };
-        let flows = agent::Agent::new(
-            node.now(),
-            settings.node.nodes,
-            settings.node.domain.clone(),
+        let limits = Limits {
             bounds,
-            settings.node.flow.as_millis() as u64,
-            settings.node.memory_mb as usize * FLOWS_PER_MB,
-        );
+            flow_ms: settings.node.flow.as_millis() as u64,
+            flows: settings.node.memory_mb as usize * FLOWS_PER_MB,
+        };
+        let (address, domain) = (settings.node.nodes, settings.node.domain.clone());
+        let flows = agent::Agent::new(node.now(), address, domain, limits);
         let flows = Ranked::new(tables::CONNECTIONS, flows);
         let server = settings.server;
         let state = Arc::new(State {
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -56,8 +56,6 @@
     pub domain: Name,
     /// The backend server beside it; none for a balancer, and before the server reports.
     pub offer: Option<Offer<'static>>,
-    /// Revision of the operators' documents that it has read.
-    pub revision: u64,
     /// When it was heard or introduced last.
     pub heard: Millis,
     /// Whether it was not heard lately. Also set until it is heard for the first time.
@@ -193,7 +191,6 @@
             role,
             domain,
             offer: None,
-            revision: 0,
             heard: now,
             is_silent: true,
             placed: 0,
@@ -232,7 +229,6 @@
         member.role = role;
         member.node = beat.node;
         member.count = beat.count;
-        member.revision = beat.revision;
         member.heard = now;
         member.is_silent = false;
         member.placed = 0;
--- a/crates/steer/src/process/settings.rs
+++ b/crates/steer/src/process/settings.rs
@@ -35,8 +35,7 @@
 ];
 
 /// Keys of an agent besides.
-const AGENT: [&str; 5] =
-    ["server", "report_ms", "cold_overage", "cold_slack", "drain_ms"];
+const AGENT: [&str; 4] = ["server", "report_ms", "cold_overage", "cold_slack"];
 
 /// Value of the key `front_end` in settings of this front end.
 const FRONT_END: &str = "segments";
@@ -100,8 +99,6 @@
     pub cold_overage: f64,
     /// Requests a second above that.
     pub cold_slack: f64,
-    /// Time from the acknowledged drain to the last opening, in milliseconds.
-    pub drain_ms: u64,
 }
 
 impl Settings for Balancer {
@@ -160,7 +157,6 @@
             let report_ms = parser.integer("report_ms", 1, MAX_MS, "ms");
             let overage = parser.decimal("cold_overage", 0.0..=MAX_RATE);
             let slack = parser.decimal("cold_slack", 0.0..=MAX_RATE);
-            let drain_ms = parser.integer("drain_ms", 0, MAX_MS, "ms");
             let node = parser.node();
             Some(Self {
                 node: node?,
@@ -170,7 +166,6 @@
                 report_ms: report_ms?,
                 cold_overage: overage?,
                 cold_slack: slack?,
-                drain_ms: drain_ms?,
             })
         });
         reader.finish(settings)
--- a/crates/steer/src/request/segment.rs
+++ b/crates/steer/src/request/segment.rs
@@ -5,9 +5,6 @@
 
 use crate::connection::flow;
 
-/// Longest segment in bytes, header included.
-pub const MAX_BYTES: usize = 1_400;
-
 /// The header of a segment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Segment {
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -3,8 +3,9 @@
 mod fixture;
 
 use fixture::{
-    CALENDAR, COLD_LIMIT, INVOICES, agent, agent_address, agent_beat, arrival, bounds,
-    flow, from_backend, mark, open, opening, report, request, returned, roster, routing,
+    CALENDAR, COLD_LIMIT, INVOICES, agent, agent_address, agent_beat, arrival, flow,
+    from_backend, limits, mark, open, opening, report, request, returned, roster,
+    routing,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
@@ -151,8 +152,7 @@
 /// does not bear waits or goes elsewhere, and nothing is delivered before its time.
 #[test]
 fn a_cold_burst_waits_for_its_places() {
-    let mut agent =
-        Agent::new(NOW, agent_address(1), "a".into(), bounds(), 60_000, 1_000);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
     agent.report(NOW, Report { cold_ms: 5_000, ..report(1) });
     let alone = roster(NOW, 1, &["a"]);
     let routing = routing(1);
@@ -183,8 +183,7 @@
 /// Guards against an opening that waited for a backend server which drains meanwhile.
 #[test]
 fn a_held_opening_is_not_delivered_after_a_drain() {
-    let mut agent =
-        Agent::new(NOW, agent_address(1), "a".into(), bounds(), 60_000, 1_000);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
     agent.report(NOW, Report { cold_ms: 5_000, ..report(1) });
     let alone = roster(NOW, 1, &["a"]);
     let mut held = None;
@@ -305,8 +304,7 @@
 #[test]
 fn a_restarted_agent_delivers_what_it_does_not_know() {
     let roster = roster(NOW, 6, &["a", "b"]);
-    let mut agent =
-        Agent::new(NOW, agent_address(1), "a".into(), bounds(), 60_000, 1_000);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
     agent.report(NOW, report(17));
     let key = foreign(&roster);
     let segment = request(key, FIRST);
@@ -506,8 +504,7 @@
 /// Guards against an agent that is chosen for a service before its backend server reports.
 #[test]
 fn an_agent_without_a_report_takes_no_flow() {
-    let mut agent =
-        Agent::new(NOW, agent_address(1), "a".into(), bounds(), 60_000, 1_000);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
     let roster = roster(NOW, 6, &["a", "b"]);
 
     let arrival = arrival(opening(flow(1), 0), Search::Open, 1);
