End no flow after a walk that left out an agent

Cause: a node on the way of a walk that had just started did not know the flow's agent yet and passed the segment on to the next one; the last agent knew all members and answered with a reset.

Ruled out: a reset by a balancer, and by the flow's own agent (both are other nodes in the report).

Change: a walk counts the agents that it asked and the most that any node on the way knew in reach; it ends a flow only if none was left out. The test plays a walk with such a node: reset before, dropped after.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -347,25 +347,19 @@
     fn follow(&mut self, now: Millis, roster: &Roster, arrival: &Arrival) -> Step {
         let flow = arrival.segment.from_caller();
         let ack = arrival.segment.acknowledged;
+        let may_hold = !self.is_complete && self.backend.is_present(now, self.start);
         let found = self.held.get(now, &flow).filter(|held| held.matches(ack)).copied();
         match found.map(|held| held.stage) {
             Some(Stage::Lost) => self.end(arrival, Cause::Lost),
             Some(_) => self.deliver(now, arrival, false),
             // Until all flows are known, only the backend server can tell.
-            None if self.may_hold(now)
-                && !matches!(arrival.way.search, Search::Home(_)) =>
-            {
+            None if may_hold && !matches!(arrival.way.search, Search::Home(_)) => {
                 self.deliver(now, arrival, false)
             }
             None => self.seek(now, roster, arrival),
         }
     }
 
-    /// Whether the backend server may hold flows that this agent does not know.
-    fn may_hold(&self, now: Millis) -> bool {
-        !self.is_complete && self.backend.is_present(now, self.start)
-    }
-
     /// Delivers a segment.
     fn deliver(&mut self, now: Millis, arrival: &Arrival, is_new: bool) -> Step {
         let flow = arrival.segment.from_caller();
@@ -427,14 +421,21 @@
             }
         }
         let last = (way.search == Search::Walk).then_some(self.address);
+        if way.search == Search::Walk {
+            way.asked += 1;
+        }
+        way.known = way.known.max(roster.reachable());
         let mut next = place::next(roster, &flow, last);
         if next == Some(self.address) {
+            way.asked += 1;
             next = place::next(roster, &flow, next);
         }
+        // A node of the way that did not know all agents may have left out the right one.
+        let is_whole = way.asked >= way.known && roster.is_settled(now);
         way.search = Search::Walk;
         match next {
             Some(to) => Step::Pass { to, way, cause: Cause::Elsewhere },
-            None if roster.is_settled(now) => self.end(arrival, Cause::Nowhere),
+            None if is_whole => self.end(arrival, Cause::Nowhere),
             None => Step::Drop(Cause::Unknown),
         }
     }
--- a/crates/steer/src/process/agent/step.rs
+++ b/crates/steer/src/process/agent/step.rs
@@ -45,6 +45,10 @@
     pub origin: SocketAddrV4,
     /// Agents that did not take the flow that it opens.
     pub tried: Vec<SocketAddrV4>,
+    /// Agents that a walk has asked.
+    pub asked: u16,
+    /// The most agents in reach that a node of the walk knew.
+    pub known: u16,
 }
 
 /// What becomes of a segment of a caller.
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -296,6 +296,8 @@
             hops: envelope.hops,
             origin: envelope.origin,
             tried: envelope.tried.clone(),
+            asked: envelope.asked,
+            known: envelope.known,
         };
         let arrival = Arrival { segment, way, service };
         let step = {
@@ -402,6 +404,8 @@
                     origin: way.origin,
                     service: Cow::Borrowed(service.as_deref().unwrap_or_default()),
                     tried: way.tried,
+                    asked: way.asked,
+                    known: way.known,
                     bytes,
                 };
                 self.node.send(to, &Message::Segment(envelope));
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -151,6 +151,8 @@
                     origin: self.node.settings.nodes,
                     service: Cow::Borrowed(service),
                     tried: Vec::new(),
+                    asked: 0,
+                    known: 0,
                     bytes,
                 };
                 self.node.send(to, &Message::Segment(envelope));
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -167,6 +167,12 @@
         addresses.iter().filter(is_unheard).copied().collect()
     }
 
+    /// Number of agents that are heard.
+    pub fn reachable(&self) -> u16 {
+        let heard = self.agents().filter(|member| !member.is_silent).count();
+        u16::try_from(heard).unwrap_or(u16::MAX)
+    }
+
     /// Whether most agents are silent: this node is rather cut off than all of them gone.
     pub fn is_isolated(&self) -> bool {
         let silent = self.agents().filter(|member| member.is_silent).count();
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -50,6 +50,10 @@
     pub service: Cow<'a, str>,
     /// Agents that did not take the flow that it opens.
     pub tried: Vec<SocketAddrV4>,
+    /// Agents that a walk has asked.
+    pub asked: u16,
+    /// The most agents in reach that a node of the walk knew.
+    pub known: u16,
     /// The segment as its sender wrote it.
     #[serde(borrow)]
     pub bytes: &'a [u8],
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -423,7 +423,8 @@
             }
         }
     }
-    let end = arrival(request(key, FIRST), Search::Walk, 1);
+    let mut end = arrival(request(key, FIRST), Search::Walk, 1);
+    end.way.asked = roster.reachable() - 1;
     let step = agent.segment(NOW, &routing(1), &roster, &end);
     assert!(matches!(step, Step::Refuse { cause: Cause::Nowhere, .. }), "{step:?}");
 
@@ -550,3 +551,39 @@
 
     assert_eq!(passed(step), (Cause::Elsewhere, Search::Home(0)));
 }
+
+/// Guards against a reset of an open flow after a walk that left out its agent: one node on
+/// the way had just started and did not know that agent yet.
+#[test]
+fn a_walk_that_left_out_an_agent_ends_nothing() {
+    let full = roster(NOW, 6, &["a", "b"]);
+    for port in 1..60 {
+        let key = flow(port);
+        let mut order = Vec::new();
+        let mut last = None;
+        while let Some(next) = lentilreach_steer::request::place::next(&full, &key, last)
+        {
+            order.push(next);
+            last = Some(next);
+        }
+        // The node before the holder in the order of the walk does not know the holder.
+        let (newcomer, holder) = (order[2], order[3]);
+        let mut fewer = roster(NOW, 6, &["a", "b"]);
+        fewer.leave(holder);
+
+        let mut to = order[0];
+        let mut arrival = arrival(request(key, FIRST), Search::Walk, 1);
+        let end = loop {
+            assert_ne!(to, holder, "the walk leaves it out");
+            let number = to.ip().octets()[3];
+            let known = if to == newcomer { &fewer } else { &full };
+            let step = agent(NOW, number, "a").segment(NOW, &routing(1), known, &arrival);
+            match step {
+                Step::Pass { to: next, way, .. } => (to, arrival.way) = (next, way),
+                step => break step,
+            }
+        };
+
+        assert_eq!(end, Step::Drop(Cause::Unknown));
+    }
+}
