--- a/crates/lentilreach-cli/src/explain.rs
+++ b/crates/lentilreach-cli/src/explain.rs
@@ -28,6 +28,9 @@
 /// Events that end a flow, or a try to open one.
 const ENDS: [&str; 3] = ["refused", "dropped", "ended"];
 
+/// Events after which a flow goes on.
+const TURNS: [&str; 3] = ["offered", "accepted", "found"];
+
 /// The subcommand.
 pub fn command() -> Command {
     let flow = Arg::new("flow")
@@ -92,7 +95,12 @@
              were suppressed (events \"suppressed\" tell how many)"
         ));
     };
-    let end = records.iter().rev().find(|record| ENDS.contains(&text(record, "event")));
+    let is_telling = |record: &&Map<String, Value>| {
+        let event = text(record, "event");
+        ENDS.contains(&event) || TURNS.contains(&event)
+    };
+    let end = records.iter().rev().find(is_telling);
+    let end = end.filter(|record| ENDS.contains(&text(record, "event")));
     let cause = end.map_or("none", |record| text(record, "cause")).to_owned();
     let start = records[0].get("time_ms").and_then(Value::as_u64).unwrap_or_default();
     let mut lines: Vec<_> = records.iter().map(|record| line(record, start)).collect();
