--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -8,14 +8,14 @@
 
 use async_io::Timer;
 use lentilreach::process::clock::Millis;
-use lentilreach::process::link::{Link, MAX_DATAGRAM, is_passing};
+use lentilreach::process::link::Link;
 use lentilreach::process::lock::Ranked;
 use lentilreach::process::pool::Pool;
 use lentilreach::process::store::Store;
 use lentilreach::process::tables;
 use smol::Task;
 
-use super::balancer::{broken, invalid};
+use super::receive::{self, invalid};
 use super::{Node, Outside, start};
 use crate::process::agent::{self, Answer, Arrival, Ended, Limits, Step, Way};
 use crate::process::backend::{Bounds, Change, Report, TICK_MS};
@@ -106,8 +106,14 @@
         let mut tasks = start(pool, &node, outside, Role::Agent, move |before, after| {
             shared.flows.write().rerouted(before, after);
         });
-        tasks.push(pool.spawn(state.clone().receive_backend()));
-        tasks.push(pool.spawn(state.clone().receive_nodes()));
+        let (link, shared) = (state.backend.clone(), state.clone());
+        tasks.push(pool.spawn(receive::run(link, "backend", move |_, bytes| {
+            shared.answer(bytes);
+        })));
+        let (link, shared) = (node.link.clone(), state.clone());
+        tasks.push(pool.spawn(receive::run(link, "nodes", move |from, bytes| {
+            shared.handle(from, bytes);
+        })));
         tasks.push(pool.spawn(state.clone().tick()));
         Self { state, _tasks: tasks }
     }
@@ -179,33 +185,6 @@
 }
 
 impl<F: Format, L: Link> State<F, L> {
-    /// Forwards the segments of the backend server.
-    async fn receive_backend(self: Arc<Self>) {
-        let mut buffer = [0; MAX_DATAGRAM];
-        loop {
-            match self.backend.receive(&mut buffer).await {
-                Ok((length, _)) => self.answer(&mut buffer[..length]),
-                Err(error) if is_passing(&error) => {}
-                Err(error) => return broken("backend", &error),
-            }
-        }
-    }
-
-    /// Handles messages of other nodes.
-    async fn receive_nodes(self: Arc<Self>) {
-        let mut buffer = [0; MAX_DATAGRAM];
-        loop {
-            match self.node.link.receive(&mut buffer).await {
-                Ok((length, SocketAddr::V4(from))) => {
-                    self.handle(from, &buffer[..length])
-                }
-                Ok(_) => {}
-                Err(error) if is_passing(&error) => {}
-                Err(error) => return broken("nodes", &error),
-            }
-        }
-    }
-
     /// Sends beats and news of flows, and forgets idle flows.
     async fn tick(self: Arc<Self>) {
         let mut due = self.node.now();
@@ -262,7 +241,8 @@
     }
 
     /// Handles a message of another node.
-    fn handle(self: &Arc<Self>, from: SocketAddrV4, bytes: &[u8]) {
+    fn handle(self: &Arc<Self>, from: SocketAddr, bytes: &[u8]) {
+        let SocketAddr::V4(from) = from else { return invalid("sender") };
         match Message::decode(bytes) {
             Some(Message::Segment(envelope)) => self.clone().segment(&envelope),
             Some(Message::Beat(beat)) => {
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use lentilreach::process::link::{Link, MAX_DATAGRAM, is_passing};
+use lentilreach::process::link::Link;
 use lentilreach::process::lock::Ranked;
 use lentilreach::process::pool::Pool;
 use lentilreach::process::store::Store;
 use lentilreach::process::tables;
 use smol::Task;
 
+use super::receive::{self, invalid};
 use super::{Node, Outside, start};
 use crate::process::balancer::{self, Refusal, Step};
 use crate::process::documents::Source;
@@ -70,8 +71,14 @@
         let flows = Ranked::new(tables::CONNECTIONS, flows);
         let state = Arc::new(State { node: node.clone(), format, callers, flows });
         let mut tasks = start(pool, &node, outside, Role::Balancer, |_, _| {});
-        tasks.push(pool.spawn(state.clone().receive_callers()));
-        tasks.push(pool.spawn(state.clone().receive_nodes()));
+        let (link, shared) = (state.callers.clone(), state.clone());
+        tasks.push(pool.spawn(receive::run(link, "callers", move |_, bytes| {
+            shared.forward(bytes);
+        })));
+        let (link, shared) = (node.link.clone(), state.clone());
+        tasks.push(pool.spawn(receive::run(link, "nodes", move |from, bytes| {
+            shared.handle(from, bytes);
+        })));
         tasks.push(pool.spawn(state.clone().tick()));
         Self { state, _tasks: tasks }
     }
@@ -89,33 +96,6 @@
 }
 
 impl<F: Format, L: Link> State<F, L> {
-    /// Forwards the segments of callers.
-    async fn receive_callers(self: Arc<Self>) {
-        let mut buffer = [0; MAX_DATAGRAM];
-        loop {
-            match self.callers.receive(&mut buffer).await {
-                Ok((length, _)) => self.forward(&buffer[..length]),
-                Err(error) if is_passing(&error) => {}
-                Err(error) => return broken("callers", &error),
-            }
-        }
-    }
-
-    /// Handles messages of other nodes.
-    async fn receive_nodes(self: Arc<Self>) {
-        let mut buffer = [0; MAX_DATAGRAM];
-        loop {
-            match self.node.link.receive(&mut buffer).await {
-                Ok((length, SocketAddr::V4(from))) => {
-                    self.handle(from, &buffer[..length])
-                }
-                Ok(_) => {}
-                Err(error) if is_passing(&error) => {}
-                Err(error) => return broken("nodes", &error),
-            }
-        }
-    }
-
     /// Sends beats and forgets idle flows.
     async fn tick(self: Arc<Self>) {
         loop {
@@ -193,7 +173,8 @@
     }
 
     /// Handles a message of another node.
-    fn handle(&self, from: SocketAddrV4, bytes: &[u8]) {
+    fn handle(&self, from: SocketAddr, bytes: &[u8]) {
+        let SocketAddr::V4(from) = from else { return invalid("sender") };
         let now = self.node.now();
         match Message::decode(bytes) {
             Some(Message::Beat(beat)) => {
@@ -212,14 +193,3 @@
         }
     }
 }
-
-/// Counts a datagram that is dropped because it cannot be read.
-pub(super) fn invalid(reason: &'static str) {
-    metric::count_as(&metric::INVALID, reason);
-    log::warn!(target: "invalid", cause = reason; "datagram dropped");
-}
-
-/// Records that a socket does not work any more.
-pub(super) fn broken(side: &'static str, error: &std::io::Error) {
-    log::error!(target: "socket", side = side, cause:% = error; "socket failed");
-}
--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -8,12 +8,16 @@
 pub mod balancer;
 mod follow;
 mod node;
+mod receive;
 mod register;
 
 pub use agent::Agent;
 pub use balancer::Balancer;
 pub use node::{Node, Outside};
 
+use std::sync::Arc;
+
+use lentilreach::process::link::Link;
 use lentilreach::process::pool::Pool;
 use lentilreach::process::store::{self, Store};
 use smol::Task;
@@ -21,8 +25,6 @@
 use crate::process::documents::Source;
 use crate::process::roster::Role;
 use crate::version::routing::Routing;
-use lentilreach::process::link::Link;
-use std::sync::Arc;
 
 /// Time for one call of the store with its attempts, in milliseconds. A slow store takes some
 /// hundred; what waits for the call is done again in the next round.
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -12,7 +12,7 @@
 use lentilreach::process::tables;
 
 use crate::process::metric;
-use crate::process::roster::{Change, Outdated, Role, Roster};
+use crate::process::roster::{Change, Member, Outdated, Role, Roster};
 use crate::process::settings;
 use crate::request::message::{Beat, Message, Offer};
 use crate::version::routing::Routing;
@@ -126,9 +126,8 @@
     pub fn beat(&self, role: Role) {
         let to: Vec<_> = {
             let roster = self.roster.read();
-            let needs = |member: &&crate::process::roster::Member| {
-                role == Role::Agent || member.role == Role::Agent
-            };
+            let needs =
+                |member: &&Member| role == Role::Agent || member.role == Role::Agent;
             roster.members().iter().filter(needs).map(|member| member.address).collect()
         };
         self.beat_to(&to, role, false);
