Wait for five missing reports before flows end, and take them back

Cause, by reading: a report connection that goes silent costs a backend server about three reports until it opens another one; its open flows were ended, and after its next report its flows were still answered with resets although it held them.

Change: flows end after five missing reports; a backend server that reports again under the same lifetime gets the segments of its flows again.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -95,6 +95,8 @@
             self.is_complete = is_first;
             if is_replacement {
                 ended = self.lose();
+            } else {
+                self.held.retain(|_, held| held.stage != Stage::Lost);
             }
         }
         (change, ended)
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -11,6 +11,10 @@
 /// new flows. One report may be lost and another one late.
 const MISSED_REPORTS: u64 = 3;
 
+/// A backend server whose reports stay out for this many of their usual intervals has ended.
+/// A connection that went silent costs it about three until it opens another one.
+const ENDED_REPORTS: u64 = 5;
+
 /// Window in which openings of a cold backend server are counted, in milliseconds: the second
 /// of the limit, and the time that a segment may take to the backend server.
 const COLD_WINDOW_MS: u64 = 1_100;
@@ -171,6 +175,8 @@
                 Change::Started { is_replacement: true }
             }
             Some(last) if report.sequence <= last.sequence => return Change::Outdated,
+            // It had not ended after all.
+            Some(_) if self.is_gone => Change::Started { is_replacement: false },
             Some(_) => Change::None,
         };
         self.heard = now;
@@ -201,7 +207,7 @@
         self.ticks += 1;
         let has_ended = self.left.is_some_and(|left| now.since(left) >= END_MS);
         let is_draining = self.report.as_ref().is_none_or(|report| report.is_draining);
-        let is_silent = self.ticks * TICK_MS > self.bounds.report_ms * MISSED_REPORTS;
+        let is_silent = self.ticks * TICK_MS > self.bounds.report_ms * ENDED_REPORTS;
         let is_found = !self.is_gone && (has_ended || (is_silent && !is_draining));
         self.is_gone |= is_found;
         is_found
