Send, wait and place through one function each

Also less work on the path: a balancer locks the roster for writing only when it places a flow, the hash of a flow is computed once for a choice, and a beat of a known member copies no name.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -333,9 +333,7 @@
         if way.tried.len() > MAX_TRIED {
             return refuse;
         }
-        let route = routing.route(flow.service);
-        let service = route.and_then(|route| place::service(route, &flow));
-        let Some(service) = service else { return refuse };
+        let Some(service) = place::service(routing, &flow) else { return refuse };
         let domain =
             roster.get(way.origin).map_or(&*self.domain, |member| &*member.domain);
         let request = Request { flow: &flow, service, domain };
@@ -365,7 +363,9 @@
     /// Delivers a segment.
     fn deliver(&mut self, now: Millis, arrival: &Arrival, is_new: bool) -> Step {
         let flow = arrival.segment.from_caller();
-        if let Some(held) = self.held.get(now, &flow) {
+        let held = self.held.get(now, &flow);
+        let is_held = held.is_some();
+        if let Some(held) = held {
             if !arrival.segment.is_opening() {
                 held.acknowledged = arrival.segment.acknowledged;
                 if held.stage == Stage::Accepted {
@@ -385,7 +385,6 @@
             Search::Open => way.tried.is_empty(),
             _ => false,
         };
-        let is_held = self.held.get(now, &flow).is_some();
         let tell = (is_held && !is_known).then_some(way.origin);
         let mark = self.pending.push(Pending {
             flow,
--- a/crates/steer/src/process/agent/step.rs
+++ b/crates/steer/src/process/agent/step.rs
@@ -1,5 +1,6 @@
 //! What an agent is given, and what it decides.
 
+use std::borrow::Cow;
 use std::net::SocketAddrV4;
 
 use lentilreach::Name;
@@ -7,7 +8,7 @@
 
 use crate::connection::flow;
 use crate::process::backend::{self, Bounds};
-use crate::request::message::Search;
+use crate::request::message::{Envelope, Search};
 use crate::request::segment::Segment;
 
 /// What an agent keeps to.
@@ -51,6 +52,37 @@
     pub known: u16,
 }
 
+impl From<&Envelope<'_>> for Way {
+    fn from(envelope: &Envelope<'_>) -> Self {
+        Self {
+            revision: envelope.revision,
+            search: envelope.search,
+            hops: envelope.hops,
+            origin: envelope.origin,
+            tried: envelope.tried.clone(),
+            asked: envelope.asked,
+            known: envelope.known,
+        }
+    }
+}
+
+impl Way {
+    /// The envelope in which a segment goes on.
+    pub fn envelope<'a>(self, service: Cow<'a, str>, bytes: &'a [u8]) -> Envelope<'a> {
+        Envelope {
+            revision: self.revision,
+            search: self.search,
+            hops: self.hops,
+            origin: self.origin,
+            service,
+            tried: self.tried,
+            asked: self.asked,
+            known: self.known,
+            bytes,
+        }
+    }
+}
+
 /// What becomes of a segment of a caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Step {
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -35,7 +35,8 @@
         search: Search,
         /// The service that it opens a flow to.
         service: Option<Name>,
-        /// Whether it is the first segment that this balancer places there.
+        /// Whether it is the first segment of the flow that this balancer sends there. With
+        /// [`Search::Open`], the flow counts as placed, see [`Roster::place`].
         is_new: bool,
     },
     /// The caller gets a reset.
@@ -101,7 +102,7 @@
         &mut self,
         now: Millis,
         routing: &Routing,
-        roster: &mut Roster,
+        roster: &Roster,
         segment: &Segment,
     ) -> Step {
         if segment.is_opening() {
@@ -131,16 +132,14 @@
         &mut self,
         now: Millis,
         routing: &Routing,
-        roster: &mut Roster,
+        roster: &Roster,
         segment: &Segment,
     ) -> Step {
         if !routing.is_in_force() {
             return Step::Drop(Reason::NoConfig);
         }
         let flow = segment.from_caller();
-        let route = routing.route(flow.service);
-        let service = route.and_then(|route| place::service(route, &flow));
-        let Some(service) = service else {
+        let Some(service) = place::service(routing, &flow) else {
             return Step::Refuse { sequence: 0, cause: Refusal::NoRoute };
         };
         let name = routing.service(service).map(|service| service.name.clone());
@@ -174,7 +173,6 @@
             }
             return Step::Refuse { sequence: 0, cause: Refusal::NoAgent };
         };
-        roster.place(to);
         self.cache.place(now, flow, to);
         Step::Send { to, search: Search::Open, service: name, is_new: true }
     }
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -1,12 +1,13 @@
 //! The daemon beside a backend server.
 
 use std::borrow::Cow;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
+use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 use lentilreach::process::link::Link;
 use lentilreach::process::lock::Ranked;
@@ -16,7 +17,7 @@
 use smol::Task;
 
 use super::receive::{self, invalid};
-use super::{Node, Outside, start};
+use super::{Node, Outside, start, transmit};
 use crate::process::agent::{self, Answer, Arrival, Ended, Limits, Step, Way};
 use crate::process::backend::{Bounds, Change, Report, TICK_MS};
 use crate::process::documents::Source;
@@ -24,6 +25,7 @@
 use crate::process::roster::{BEAT_MS, Role};
 use crate::process::settings;
 use crate::request::message::{Envelope, MAX_TAKEN, Message, Offer};
+use crate::request::place;
 use crate::request::segment::{Format, Segment};
 
 /// Flows that the process remembers for each megabyte that it may use. An entry takes about
@@ -234,7 +236,8 @@
     /// Tells callers that their flows have ended with the backend server.
     fn end(&self, flows: &[Ended], cause: &'static str) {
         for Ended { flow, sequence } in flows {
-            self.send_caller(*flow.caller.ip(), &self.format.reset(flow, *sequence));
+            let bytes = self.format.reset(flow, *sequence);
+            transmit(&self.node.link, self.node.caller(flow), &bytes);
             metric::count_as(&metric::ENDED, cause);
             log::info!(target: "ended", flow:% = flow, cause = cause; "flow ended with its backend server");
         }
@@ -270,15 +273,7 @@
             let known = routing.service(&envelope.service);
             known.map_or_else(|| envelope.service.as_ref().into(), |s| s.name.clone())
         });
-        let way = Way {
-            revision: envelope.revision,
-            search: envelope.search,
-            hops: envelope.hops,
-            origin: envelope.origin,
-            tried: envelope.tried.clone(),
-            asked: envelope.asked,
-            known: envelope.known,
-        };
+        let way = Way::from(envelope);
         let arrival = Arrival { segment, way, service };
         let step = {
             let roster = self.node.roster.read();
@@ -336,7 +331,7 @@
                 if let Some(after_ms) = after_ms {
                     metric::record_ms(&metric::ANSWER_SECONDS, after_ms);
                 }
-                self.send_caller(*flow.caller.ip(), bytes);
+                transmit(&self.node.link, self.node.caller(&flow), bytes);
             }
             Some(Answer::Returned(step)) => {
                 // What the caller wrote goes on without the flag that it was returned.
@@ -356,9 +351,7 @@
             Step::Deliver { mark, tell, is_new } => {
                 let mut bytes = bytes.to_vec();
                 self.format.mark(&mut bytes, mark);
-                if let Err(error) = self.backend.send(self.server, &bytes) {
-                    log::debug!(target: "send_failed", peer:% = self.server, cause:% = error; "not sent");
-                }
+                transmit(&self.backend, self.server, &bytes);
                 if let Some(origin) = tell {
                     self.node.send(origin, &Message::Here(flow));
                 }
@@ -377,22 +370,13 @@
                 );
                 let service =
                     if segment.is_opening() { self.service(segment) } else { None };
-                let envelope = Envelope {
-                    revision: way.revision,
-                    search: way.search,
-                    hops: way.hops,
-                    origin: way.origin,
-                    service: Cow::Borrowed(service.as_deref().unwrap_or_default()),
-                    tried: way.tried,
-                    asked: way.asked,
-                    known: way.known,
-                    bytes,
-                };
+                let service = Cow::Borrowed(service.as_deref().unwrap_or_default());
+                let envelope = way.envelope(service, bytes);
                 self.node.send(to, &Message::Segment(envelope));
             }
             Step::Refuse { sequence, tell, cause } => {
                 let bytes = self.format.reset(&flow, sequence);
-                self.send_caller(*flow.caller.ip(), &bytes);
+                transmit(&self.node.link, self.node.caller(&flow), &bytes);
                 if let Some(origin) = tell {
                     self.node.send(origin, &Message::Nowhere(flow));
                 }
@@ -413,19 +397,9 @@
     }
 
     /// The service of an opening segment by the routing in force.
-    fn service(&self, segment: &Segment) -> Option<lentilreach::Name> {
+    fn service(&self, segment: &Segment) -> Option<Name> {
         let routing = self.node.routing();
-        let flow = segment.from_caller();
-        let route = routing.route(flow.service)?;
-        let service = crate::request::place::service(route, &flow)?;
+        let service = place::service(&routing, &segment.from_caller())?;
         routing.service(service).map(|service| service.name.clone())
     }
-
-    /// Sends a segment to a caller.
-    fn send_caller(&self, caller: std::net::Ipv4Addr, bytes: &[u8]) {
-        let to = SocketAddrV4::new(caller, self.node.settings.callers_port);
-        if let Err(error) = self.node.link.send(SocketAddr::V4(to), bytes) {
-            log::debug!(target: "send_failed", peer:% = to, cause:% = error; "not sent");
-        }
-    }
 }
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -1,7 +1,7 @@
 //! The daemon that receives the segments of callers.
 
 use std::borrow::Cow;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,13 +15,13 @@
 use smol::Task;
 
 use super::receive::{self, invalid};
-use super::{Node, Outside, start};
+use super::{Node, Outside, start, transmit};
 use crate::process::balancer::{self, Refusal, Step};
 use crate::process::documents::Source;
 use crate::process::metric;
 use crate::process::roster::{BEAT_MS, Role};
 use crate::process::settings;
-use crate::request::message::{Envelope, Message};
+use crate::request::message::{Envelope, Message, Search};
 use crate::request::segment::{Format, Segment};
 
 /// Flows that the process remembers for each megabyte that it may use. An entry takes about
@@ -117,8 +117,8 @@
         let now = self.node.now();
         let routing = self.node.routing();
         let step = {
-            let mut roster = self.node.roster.write();
-            self.flows.write().segment(now, &routing, &mut roster, &segment)
+            let roster = self.node.roster.read();
+            self.flows.write().segment(now, &routing, &roster, &segment)
         };
         let flow = segment.from_caller();
         match step {
@@ -136,6 +136,9 @@
                     bytes,
                 };
                 self.node.send(to, &Message::Segment(envelope));
+                if is_new && search == Search::Open {
+                    self.node.roster.write().place(to);
+                }
                 if is_new {
                     metric::count_as(&metric::SENT, search.as_str());
                     log::info!(
@@ -160,11 +163,8 @@
     /// Tells a caller that its flow is not opened, or has ended.
     fn refuse(&self, segment: &Segment, sequence: u32, refusal: Refusal, version: u64) {
         let flow = segment.from_caller();
-        let to = SocketAddrV4::new(*flow.caller.ip(), self.node.settings.callers_port);
         let bytes = self.format.reset(&flow, sequence);
-        if let Err(error) = self.callers.send(SocketAddr::V4(to), &bytes) {
-            log::debug!(target: "send_failed", peer:% = to, cause:% = error; "not sent");
-        }
+        transmit(&self.callers, self.node.caller(&flow), &bytes);
         metric::count_as(&metric::REFUSED, refusal.as_str());
         log::info!(
             target: "refused", flow:% = flow, cause = refusal.as_str(), version = version;
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -7,16 +7,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
-use async_io::Timer;
 use futures_lite::future::or;
 use lentilreach::process::link::Link;
 use lentilreach::process::store::backoff::Backoff;
 use lentilreach::process::store::follow::Update;
 use lentilreach::process::store::{Error, Store, Watch as _};
 
-use super::Node;
+use super::{Node, sleep};
 use crate::process::documents::{Documents, Source};
 use crate::process::roster::Role;
 use crate::version::routing::Routing;
@@ -189,8 +187,3 @@
         true
     }
 }
-
-/// Waits.
-async fn sleep(ms: u64) {
-    Timer::after(Duration::from_millis(ms)).await;
-}
--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -15,14 +15,18 @@
 pub use balancer::Balancer;
 pub use node::{Node, Outside};
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use async_io::Timer;
 use lentilreach::process::link::Link;
 use lentilreach::process::pool::Pool;
 use lentilreach::process::store::{self, Store};
 use smol::Task;
 
 use crate::process::documents::Source;
+use crate::process::metric;
 use crate::process::roster::Role;
 use crate::version::routing::Routing;
 
@@ -56,3 +60,16 @@
     let register = register::run(node.clone(), store, role);
     vec![pool.spawn(follow), pool.spawn(register)]
 }
+
+/// Waits.
+async fn sleep(ms: u64) {
+    Timer::after(Duration::from_millis(ms)).await;
+}
+
+/// Sends a datagram; one that the system does not take is counted.
+fn transmit<L: Link>(link: &L, to: SocketAddr, bytes: &[u8]) {
+    if let Err(error) = link.send(to, bytes) {
+        metric::count(&metric::SEND_ERRORS);
+        log::debug!(target: "send_failed", peer:% = to, cause:% = error; "not sent");
+    }
+}
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -11,6 +11,8 @@
 use lentilreach::process::lock::Ranked;
 use lentilreach::process::tables;
 
+use super::transmit;
+use crate::connection::flow;
 use crate::process::metric;
 use crate::process::roster::{Change, Member, Outdated, Role, Roster};
 use crate::process::settings;
@@ -115,10 +117,12 @@
 
     /// Sends a message.
     pub fn send(&self, to: SocketAddrV4, message: &Message<'_>) {
-        if let Err(error) = self.link.send(SocketAddr::V4(to), &message.encode()) {
-            metric::count(&metric::SEND_ERRORS);
-            log::debug!(target: "send_failed", peer:% = to, cause:% = error; "not sent");
-        }
+        transmit(&self.link, SocketAddr::V4(to), &message.encode());
+    }
+
+    /// Where a caller receives segments.
+    pub fn caller(&self, flow: &flow::Key) -> SocketAddr {
+        SocketAddr::from((*flow.caller.ip(), self.settings.callers_port))
     }
 
     /// Sends a beat to the members that need it: balancers need those of agents, and agents
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_io::Timer;
 use futures_lite::future::or;
 use lentilreach::process::clock::Millis;
 use lentilreach::process::link::Link;
 use lentilreach::process::store::backoff::Backoff;
 use lentilreach::process::store::{Error, Lease, Range, Store, Txn};
 
-use super::Node;
+use super::{Node, sleep};
 use crate::process::membership::{CHECK_MS, KEEP_MS, Listed, PREFIX, TTL_MS};
 use crate::process::roster::{ASK_MS, ASKS, Role};
 
@@ -168,8 +167,3 @@
         new
     }
 }
-
-/// Waits.
-async fn sleep(ms: u64) {
-    Timer::after(Duration::from_millis(ms)).await;
-}
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -73,16 +73,6 @@
     Agent,
 }
 
-impl Role {
-    /// The role's name in log lines and in the store.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Balancer => "balancer",
-            Self::Agent => "agent",
-        }
-    }
-}
-
 impl Member {
     /// Open flows for each slot, with those that this node placed lately.
     pub fn load(&self) -> f64 {
@@ -216,8 +206,13 @@
         beat: &Beat<'_>,
     ) -> Result<Change, Outdated> {
         let role = if beat.is_agent { Role::Agent } else { Role::Balancer };
-        self.introduce(now, from, role, beat.domain.as_ref().into());
-        let Ok(place) = self.find(from) else { return Err(Outdated) };
+        let place = match self.find(from) {
+            Ok(place) => place,
+            Err(place) => {
+                self.introduce(now, from, role, beat.domain.as_ref().into());
+                place
+            }
+        };
         let member = &mut self.members[place];
         let is_new = member.node != beat.node;
         if !is_new && beat.count <= member.count {
--- a/crates/steer/src/request/place.rs
+++ b/crates/steer/src/request/place.rs
@@ -27,8 +27,13 @@
     pub domain: &'a str,
 }
 
-/// The service of a flow, by the weights of its route.
-pub fn service<'r>(route: &'r Route, flow: &flow::Key) -> Option<&'r str> {
+/// The service of a new flow, by the weights of its route; none if there is no route.
+pub fn service<'r>(routing: &'r Routing, flow: &flow::Key) -> Option<&'r str> {
+    share(routing.route(flow.service)?, flow)
+}
+
+/// The service of a flow among the shares of a route.
+pub fn share<'r>(route: &'r Route, flow: &flow::Key) -> Option<&'r str> {
     let total: u64 = route.split.iter().map(|share| u64::from(share.weight)).sum();
     let mut point = flow.hash().checked_rem(total)?;
     for share in &route.split {
@@ -60,8 +65,9 @@
         .collect();
     let mean =
         usable.iter().map(|member| member.load()).sum::<f64>() / usable.len() as f64;
+    let hash = request.flow.hash();
     let rank = |member: &&&Member| {
-        let weight = weight(request.flow, member.address);
+        let weight = weight(hash, member.address);
         ((member.load() * LOAD_STEPS) as u64, u64::MAX - weight)
     };
     let near = usable.iter().filter(|member| *member.domain == *request.domain);
@@ -103,10 +109,10 @@
 ///
 /// They depend only on the flow and the members, so all nodes agree on them.
 pub fn homes(roster: &Roster, flow: &flow::Key) -> [Option<SocketAddrV4>; 2] {
-    let seed = flow.hash();
+    let hash = flow.hash();
     let mut best: [Option<(u64, SocketAddrV4)>; 2] = [None; 2];
     for member in roster.agents().filter(|member| !member.is_silent) {
-        let entry = Some((seeded(seed, member.address), member.address));
+        let entry = Some((weight(hash, member.address), member.address));
         if entry > best[0] {
             best = [entry, best[0]];
         } else if entry > best[1] {
@@ -125,7 +131,8 @@
     flow: &flow::Key,
     last: Option<SocketAddrV4>,
 ) -> Option<SocketAddrV4> {
-    let position = |address: SocketAddrV4| (u64::MAX - weight(flow, address), address);
+    let hash = flow.hash();
+    let position = |address: SocketAddrV4| (u64::MAX - weight(hash, address), address);
     let after = last.map(position);
     let agents = roster.agents().filter(|member| !member.is_silent);
     let positions = agents.map(|member| position(member.address));
@@ -133,15 +140,10 @@
     later.min().map(|(_, address)| address)
 }
 
-/// The rendezvous weight of an agent for a flow.
-fn weight(flow: &flow::Key, agent: SocketAddrV4) -> u64 {
-    seeded(flow.hash(), agent)
-}
-
-/// The rendezvous weight of an agent for a hash.
-fn seeded(seed: u64, agent: SocketAddrV4) -> u64 {
+/// The rendezvous weight of an agent for the hash of a flow.
+fn weight(hash: u64, agent: SocketAddrV4) -> u64 {
     let mut bytes = [0; 6];
     bytes[..4].copy_from_slice(&agent.ip().octets());
     bytes[4..].copy_from_slice(&agent.port().to_be_bytes());
-    xxh3_64_with_seed(&bytes, seed)
+    xxh3_64_with_seed(&bytes, hash)
 }
--- a/crates/steer/tests/place.rs
+++ b/crates/steer/tests/place.rs
@@ -6,7 +6,7 @@
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::process::roster::Roster;
 use lentilreach_steer::request::message::Stage;
-use lentilreach_steer::request::place::{Request, choose, homes, next, service};
+use lentilreach_steer::request::place::{Request, choose, homes, next, share};
 use lentilreach_steer::version::routing::{Route, Share};
 
 const NOW: Millis = Millis(10_000);
@@ -127,11 +127,11 @@
 /// Guards against shares that do not follow the weights, and against a service with weight 0.
 #[test]
 fn a_split_follows_its_weights() {
-    let share = |name: &str, weight| Share { service: name.into(), weight };
-    let split = vec![share("a", 90), share("b", 10), share("c", 0)];
+    let part = |name: &str, weight| Share { service: name.into(), weight };
+    let split = vec![part("a", 90), part("b", 10), part("c", 0)];
     let route = Route { address: fixture::calendar(), split };
 
-    let chosen: Vec<_> = (0..10_000).map(|port| service(&route, &flow(port))).collect();
+    let chosen: Vec<_> = (0..10_000).map(|port| share(&route, &flow(port))).collect();
 
     let count = |name| chosen.iter().filter(|chosen| **chosen == Some(name)).count();
     assert!((8_800..9_200).contains(&count("a")), "{}", count("a"));
