--- a/crates/steer/tests/balancer.rs
+++ b/crates/steer/tests/balancer.rs
@@ -39,11 +39,11 @@
 fn copies_follow_the_first_while_its_agent_is_heard() {
     let mut roster = roster(START, 6, &["a"]);
     let (mut balancer, routing) = (balancer(), routing(1));
-    let first = balancer.segment(START, &routing, &mut roster, &opening(flow(1), 0));
+    let first = balancer.segment(START, &routing, &roster, &opening(flow(1), 0));
     let later = START.after(200);
     hear(&mut roster, START.after(100), 2, &[]);
 
-    let copy = balancer.segment(later, &routing, &mut roster, &opening(flow(1), 1));
+    let copy = balancer.segment(later, &routing, &roster, &opening(flow(1), 1));
 
     assert_eq!(target(&copy), target(&first));
 }
@@ -51,13 +51,13 @@
 /// Guards against a caller that waits for an agent that died between two beats.
 #[test]
 fn copies_go_elsewhere_if_the_agent_was_not_heard_since() {
-    let mut roster = roster(START, 6, &["a"]);
+    let roster = roster(START, 6, &["a"]);
     let (mut balancer, routing) = (balancer(), routing(1));
     let now = START.after(500);
-    let first = balancer.segment(now, &routing, &mut roster, &opening(flow(1), 0));
+    let first = balancer.segment(now, &routing, &roster, &opening(flow(1), 0));
 
     let later = now.after(200);
-    let copy = balancer.segment(later, &routing, &mut roster, &opening(flow(1), 1));
+    let copy = balancer.segment(later, &routing, &roster, &opening(flow(1), 1));
 
     assert_ne!(target(&copy), target(&first));
 }
@@ -66,11 +66,11 @@
 /// home, not guess.
 #[test]
 fn an_unknown_flow_goes_to_its_home() {
-    let mut roster = roster(START, 6, &["a", "b"]);
+    let roster = roster(START, 6, &["a", "b"]);
     let mut balancer = balancer();
     let home = homes(&roster, &flow(1))[0].expect("a home");
 
-    let step = balancer.segment(START, &routing(1), &mut roster, &request(flow(1), 9));
+    let step = balancer.segment(START, &routing(1), &roster, &request(flow(1), 9));
 
     let expected =
         Step::Send { to: home, search: Search::Home(0), service: None, is_new: true };
@@ -80,11 +80,11 @@
 /// Guards against more than one detour: once found, a flow is known.
 #[test]
 fn a_found_flow_takes_no_detour() {
-    let mut roster = roster(START, 6, &["a", "b"]);
+    let roster = roster(START, 6, &["a", "b"]);
     let mut balancer = balancer();
     balancer.here(START, flow(1), agent_address(4));
 
-    let step = balancer.segment(START, &routing(1), &mut roster, &request(flow(1), 9));
+    let step = balancer.segment(START, &routing(1), &roster, &request(flow(1), 9));
 
     assert!(matches!(step, Step::Send { search: Search::Known, .. }), "{step:?}");
     assert_eq!(target(&step), 4);
@@ -105,7 +105,7 @@
 
     let now = START.after(1_100);
     roster.tick(now);
-    let step = balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9));
+    let step = balancer.segment(now, &routing(1), &roster, &request(flow(1), 9));
 
     assert_eq!(target(&step), 4);
 }
@@ -120,7 +120,7 @@
     hear(&mut roster, now, 2, &[4]);
     roster.tick(now);
 
-    let step = balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9));
+    let step = balancer.segment(now, &routing(1), &roster, &request(flow(1), 9));
 
     assert_eq!(step, Step::Refuse { sequence: 9, cause: Refusal::AgentSilent });
 }
@@ -135,7 +135,7 @@
     hear(&mut roster, now, 2, &[4]);
     roster.tick(now);
 
-    let step = balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9));
+    let step = balancer.segment(now, &routing(1), &roster, &request(flow(1), 9));
 
     assert_eq!(target(&step), 4);
 }
@@ -150,7 +150,7 @@
     hear(&mut roster, now, 2, &[1, 3, 4, 5]);
     roster.tick(now);
 
-    let step = balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9));
+    let step = balancer.segment(now, &routing(1), &roster, &request(flow(1), 9));
 
     assert_eq!(target(&step), 4);
 }
@@ -159,15 +159,14 @@
 /// configuration, and no agent only when they had time to answer.
 #[test]
 fn openings_are_refused_for_a_reason_or_dropped() {
-    let mut empty = Roster::new();
+    let empty = Roster::new();
     let mut balancer = Balancer::new(START, "a".into(), 1_000);
     let unknown = lentilreach_steer::version::routing::Routing::default();
     let mut other = opening(flow(1), 0);
     other.destination.set_port(9);
 
-    let mut decide = |now, routing: &_, segment: &_| {
-        balancer.segment(now, routing, &mut empty, segment)
-    };
+    let mut decide =
+        |now, routing: &_, segment: &_| balancer.segment(now, routing, &empty, segment);
 
     let segment = opening(flow(1), 0);
     assert_eq!(decide(START, &unknown, &segment), Step::Drop(Reason::NoConfig));
@@ -183,12 +182,12 @@
 /// go the same way into the void.
 #[test]
 fn a_home_that_does_not_answer_is_passed_over() {
-    let mut roster = roster(START, 6, &["a", "b"]);
+    let roster = roster(START, 6, &["a", "b"]);
     let mut balancer = balancer();
     let [first, second] = homes(&roster, &flow(1));
     let mut ask = |ms| {
         let now = START.after(ms);
-        match balancer.segment(now, &routing(1), &mut roster, &request(flow(1), 9)) {
+        match balancer.segment(now, &routing(1), &roster, &request(flow(1), 9)) {
             Step::Send { to, search, .. } => (Some(to), search),
             other => panic!("not sent: {other:?}"),
         }
