Keep the caller's connection open while its flow is counted

The test dropped its connection in the line before the count, which closes the flow; whether the agent had seen that yet was a race. With a pause of 300 ms in between the old form fails and the new one passes.

The check and its bound stay.

--- a/crates/standin/tests/control.rs
+++ b/crates/standin/tests/control.rs
@@ -217,7 +217,9 @@
         connecting.expect("a valid address").await
     });
 
-    assert_eq!(connection.expect("a handshake").remote_address(), fleet::address(port));
+    // Held until the end: a connection that is dropped closes its flow.
+    let connection = connection.expect("a handshake");
+    assert_eq!(connection.remote_address(), fleet::address(port));
     assert_eq!(fleet.backs[0].agent.body().shared().flows.read().open(), 1);
 }
 
