Let workers drive the reactor themselves

Cause: each datagram woke the reactor's thread, which woke a worker: 2.9 futex calls and 12 system calls a datagram (strace -c, 2,000 datagrams in turn through one balancer and one agent on loopback).

Ruled out: the codec and the decisions; perf shows the kernel's part of waking and waiting.

Change: workers block in the reactor, and the main thread of a segment daemon no longer does.

--- a/crates/lentilreach/src/process/pool.rs
+++ b/crates/lentilreach/src/process/pool.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::thread;
 
-use futures_lite::future;
 use smol::{Executor, Task};
 
 /// Worker threads that run tasks until the pool is dropped.
@@ -32,7 +31,7 @@
             let stopped = stopped.clone();
             thread::Builder::new().name(format!("worker-{index}")).spawn(move || {
                 // An error means that the channel is closed, which is the signal to stop.
-                let _ = future::block_on(executor.run(stopped.recv()));
+                let _ = async_io::block_on(executor.run(stopped.recv()));
             })?;
         }
         Ok(Self { executor, _stop: stop })
--- a/crates/steer/src/process/daemon.rs
+++ b/crates/steer/src/process/daemon.rs
@@ -73,7 +73,8 @@
         log::info!(target: "start", domain:% = process.settings.node().domain; "process started");
         run(process).await
     };
-    match smol::block_on(run) {
+    // Workers drive the reactor, so that a datagram wakes one thread only.
+    match futures_lite::future::block_on(run) {
         Ok(()) => {
             log::info!(target: "stop", cause = "done"; "process stopped");
             ExitCode::SUCCESS
