Let homes know whether they were told of every flow

The agent that the caller did not choose claimed the flow again when homes moved, 17 s later; its home believed the last claim, and the search ended with a reset of an open flow.

A second cause of the same log: homes were told of a flow up to 200 ms after it opened.

Change: an agent tells homes before the caller hears that its flow is open. Messages to homes are counted by epoch, beats between agents carry the counts and a fingerprint of the members; a home that received all asks nobody and answers at once, else it asks those agents that may not have told it. Lost messages are made up for. An index keeps two claims, unchosen flows are not claimed again, resets of unchosen backend servers stay at their agent, and a first copy follows its opening segment. A home ends flows of agents out of reach.

--- a/crates/steer/src/connection/cache.rs
+++ b/crates/steer/src/connection/cache.rs
@@ -11,7 +11,8 @@
 /// Segments of one burst come closer together, retransmissions after 200 ms or more.
 const ASK_MS: u64 = 100;
 
-/// The ways in which a flow is asked for: at its two homes, and at all agents in turn.
+/// The ways in which a flow is asked for: at each of its two homes, and at an agent that looks
+/// for it in their place.
 const WAYS: u8 = 3;
 
 /// What one balancer knows of flows. A hint: losing it costs a detour.
--- a/crates/steer/src/connection/held.rs
+++ b/crates/steer/src/connection/held.rs
@@ -17,6 +17,8 @@
     pub acknowledged: u32,
     /// The nodes that were told where the flow is.
     pub homes: [Option<Home>; 2],
+    /// Generation of the roster for which they were told.
+    pub told: Option<u64>,
     /// When the flow's last request segment was delivered and not yet answered.
     pub waiting: Option<Millis>,
 }
@@ -47,6 +49,7 @@
             first: None,
             acknowledged: 0,
             homes: [None; 2],
+            told: None,
             waiting: None,
         }
     }
@@ -70,6 +73,11 @@
         self.waiting.is_some_and(|since| now.since(since) < WAITING_MS)
     }
 
+    /// Whether the caller has chosen this backend server and may still send segments.
+    pub fn is_present(&self) -> bool {
+        matches!(self.stage, Stage::Open | Stage::Closing)
+    }
+
     /// Whether the flow counts as open load.
     pub fn is_open(&self) -> bool {
         matches!(self.stage, Stage::Accepted | Stage::Open)
@@ -77,7 +85,7 @@
 }
 
 /// A node that was told where a flow is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Home {
     /// Where it receives messages.
     pub address: SocketAddrV4,
--- a/crates/steer/src/connection/index.rs
+++ b/crates/steer/src/connection/index.rs
@@ -13,8 +13,9 @@
 /// the index can be lost.
 #[derive(Debug)]
 pub struct Index {
-    /// By flow.
-    flows: Table<SocketAddrV4>,
+    /// By flow: the agents that reported it last, the latest first. Two backend servers accept
+    /// a flow if its opening segment and a copy went to different ones.
+    flows: Table<[Option<SocketAddrV4>; 2]>,
 }
 
 impl Index {
@@ -25,12 +26,20 @@
 
     /// Notes that an agent holds a flow.
     pub fn insert(&mut self, now: Millis, flow: Key, agent: SocketAddrV4) {
-        self.flows.insert(now, flow, agent);
+        let before = self.flows.get(now, &flow).copied().unwrap_or_default();
+        let other = before.into_iter().flatten().find(|known| *known != agent);
+        self.flows.insert(now, flow, [Some(agent), other]);
     }
 
-    /// The agent of a flow.
-    pub fn get(&mut self, now: Millis, flow: &Key) -> Option<SocketAddrV4> {
-        self.flows.get(now, flow).copied()
+    /// The agent of a flow that is not among those asked in vain.
+    pub fn get(
+        &mut self,
+        now: Millis,
+        flow: &Key,
+        tried: &[SocketAddrV4],
+    ) -> Option<SocketAddrV4> {
+        let agents = self.flows.get(now, flow)?;
+        agents.iter().flatten().find(|agent| !tried.contains(agent)).copied()
     }
 
     /// Forgets flows that were neither reported nor looked up for `idle_ms` milliseconds.
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -11,18 +11,20 @@
 use crate::connection::index::Index;
 use crate::connection::table::Table;
 use crate::process::backend::{self, Backend, Report};
-use crate::process::roster::Roster;
-use crate::request::message::Search;
+use crate::process::roster::{Member, Roster};
 use crate::request::message::Stage::Closed;
+use crate::request::message::{Beat, Ledger, MAX_ASK, MAX_TAKEN, Search, Taken, Tally};
 use crate::request::place::{self, Request};
 use crate::request::segment::Segment;
 use crate::version::routing::Routing;
 
+mod ledger;
 mod pending;
 mod step;
 
 pub use step::{Answer, Arrival, Cause, Ended, Limits, News, Step, Way};
 
+use ledger::{Received, Sent};
 use pending::{Pending, Ring};
 
 /// Agents that an opening segment is offered to at most.
@@ -31,6 +33,10 @@
 /// Nodes that pass a segment on at most. Bounds the damage of members that disagree.
 const MAX_HOPS: u8 = 200;
 
+/// Nodes that pass a segment on to what they take for its home at most. For a second after a
+/// change, nodes may disagree on homes.
+const MAX_REDIRECTS: u8 = 3;
+
 /// The state of an agent that decisions need.
 #[derive(Debug)]
 pub struct Agent {
@@ -54,8 +60,14 @@
     is_complete: bool,
     /// The highest revision of routes by which an opening was delivered.
     floor: u64,
-    /// Generation of the roster for which homes were told.
-    told: u64,
+    /// What homes were told.
+    sent: Sent,
+    /// What this agent was told as a home.
+    received: Received,
+    /// Generation of the roster for which homes were told; none if they are to be told again.
+    told: Option<u64>,
+    /// Fingerprint of the agents among which homes were chosen.
+    view: u32,
 }
 
 impl Agent {
@@ -72,7 +84,10 @@
             pending: Ring::new(fastrand::u32(1..)),
             is_complete: false,
             floor: 0,
-            told: 0,
+            sent: Sent::default(),
+            received: Received::default(),
+            told: None,
+            view: 0,
         }
     }
 
@@ -130,10 +145,56 @@
     }
 
     /// Takes note that another agent holds flows whose home this agent is.
-    pub fn taken(&mut self, now: Millis, from: SocketAddrV4, flows: &[flow::Key]) {
-        for flow in flows {
+    pub fn taken(
+        &mut self,
+        now: Millis,
+        roster: &Roster,
+        from: SocketAddrV4,
+        taken: &Taken,
+    ) {
+        for flow in &taken.flows {
             self.index.insert(now, *flow, from);
         }
+        if taken.receiver == self.node(roster) {
+            self.received.count(from, taken);
+        }
+    }
+
+    /// Takes a beat of another agent. If a message to it was lost, [`Self::news`] tells it all
+    /// flows again.
+    pub fn beat(
+        &mut self,
+        now: Millis,
+        roster: &Roster,
+        from: SocketAddrV4,
+        beat: &Beat<'_>,
+    ) {
+        let Some(ledger) = beat.ledger else { return };
+        let home = Home { address: from, node: beat.node };
+        if ledger.receiver != self.node(roster)
+            || !self.sent.is_lost(now, home, ledger.received)
+        {
+            return;
+        }
+        self.told = None;
+        self.held.retain(|_, held| {
+            for slot in held.homes.iter_mut().filter(|slot| **slot == Some(home)) {
+                *slot = None;
+            }
+            true
+        });
+    }
+
+    /// What the next beat to another agent says of the flows that it was told.
+    pub fn ledger(&self, member: &Member) -> Ledger {
+        let home = Home { address: member.address, node: member.node };
+        Ledger {
+            receiver: member.node,
+            view: self.view,
+            is_complete: self.is_complete,
+            sent: self.sent.tally(home),
+            received: self.received.tally(member.address, member.node),
+        }
     }
 
     /// Decides on a segment of a caller.
@@ -150,7 +211,7 @@
         if arrival.segment.is_opening() {
             self.open(now, routing, roster, arrival)
         } else {
-            self.follow(now, roster, arrival)
+            self.follow(now, routing, roster, arrival)
         }
     }
 
@@ -190,6 +251,10 @@
             self.held.insert(now, flow, Held::new(Stage::Offered));
         }
         let held = self.held.get(now, &flow)?;
+        if segment.flags.reset && held.stage == Stage::Accepted {
+            // The caller may have chosen another backend server, whose flow goes on.
+            return Some(Answer::Drop(Cause::Elsewhere));
+        }
         let is_accept = segment.flags.open;
         let mut opened_ms = None;
         if is_accept && held.first.is_none() {
@@ -209,30 +274,48 @@
     }
 
     /// What homes are to be told since the last call.
-    pub fn news(&mut self, roster: &Roster) -> Vec<News> {
-        let is_changed = self.told != roster.generation();
-        self.told = roster.generation();
-        let mut list: Vec<News> = Vec::new();
+    pub fn news(&mut self, now: Millis, roster: &Roster) -> Vec<News> {
+        let generation = roster.generation();
+        let is_changed = self.told != Some(generation);
+        self.told = Some(generation);
+        self.view = roster.view();
+        let mut due: Vec<(Home, Vec<flow::Key>)> = Vec::new();
         let own = self.address;
         self.held.retain(|flow, held| {
-            let is_due = held.homes == [None; 2] || is_changed;
-            if is_due && held.is_open() {
-                let homes = place::homes(roster, flow).map(|home| {
-                    let member = roster.get(home?)?;
-                    Some(Home { address: member.address, node: member.node })
-                });
-                let told = held.homes;
-                let added = homes.iter().flatten();
-                for home in added.filter(|home| !told.contains(&Some(**home))) {
-                    if home.address != own {
-                        News::add(&mut list, home.address, *flow);
+            if (held.told != Some(generation) || is_changed) && held.is_present() {
+                for home in untold(roster, flow, held).filter(|home| home.address != own)
+                {
+                    match due.binary_search_by_key(&home, |(known, _)| *known) {
+                        Ok(place) => due[place].1.push(*flow),
+                        Err(place) => due.insert(place, (home, vec![*flow])),
                     }
                 }
-                held.homes = homes;
             }
             true
         });
-        list
+        let sender = self.node(roster);
+        let chunks = due.iter().flat_map(|(home, flows)| {
+            flows.chunks(MAX_TAKEN).map(|flows| (*home, flows.to_vec()))
+        });
+        chunks.map(|(home, flows)| self.sent_news(now, sender, home, flows)).collect()
+    }
+
+    /// What homes are to be told of one flow at once, so that it is found wherever the caller's
+    /// next segment goes.
+    pub fn announce(
+        &mut self,
+        now: Millis,
+        roster: &Roster,
+        flow: &flow::Key,
+    ) -> Vec<News> {
+        let held = self.held.get(now, flow);
+        let Some(held) = held.filter(|held| held.stage == Stage::Accepted) else {
+            return Vec::new();
+        };
+        let homes: Vec<_> = untold(roster, flow, held).collect();
+        let (own, sender) = (self.address, self.node(roster));
+        let others = homes.into_iter().filter(|home| home.address != own);
+        others.map(|home| self.sent_news(now, sender, home, vec![*flow])).collect()
     }
 
     /// Forgets flows that have been idle for `idle_ms` milliseconds.
@@ -344,19 +427,26 @@
     }
 
     /// Decides on a segment of a flow that should be open.
-    fn follow(&mut self, now: Millis, roster: &Roster, arrival: &Arrival) -> Step {
+    fn follow(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+        arrival: &Arrival,
+    ) -> Step {
         let flow = arrival.segment.from_caller();
         let ack = arrival.segment.acknowledged;
-        let may_hold = !self.is_complete && self.backend.is_present(now, self.start);
-        let found = self.held.get(now, &flow).filter(|held| held.matches(ack)).copied();
-        match found.map(|held| held.stage) {
-            Some(Stage::Lost) => self.end(arrival, Cause::Lost),
+        let may_hold = self.may_hold(now);
+        match self.held.get(now, &flow).copied() {
+            // The caller opened the flow elsewhere: the backend server would reset it.
+            Some(held) if !held.matches(ack) => self.seek(now, routing, roster, arrival),
+            Some(held) if held.stage == Stage::Lost => self.end(arrival, Cause::Lost),
             Some(_) => self.deliver(now, arrival, false),
             // Until all flows are known, only the backend server can tell.
             None if may_hold && !matches!(arrival.way.search, Search::Home(_)) => {
                 self.deliver(now, arrival, false)
             }
-            None => self.seek(now, roster, arrival),
+            None => self.seek(now, routing, roster, arrival),
         }
     }
 
@@ -394,51 +484,167 @@
         Step::Deliver { mark, tell, is_new }
     }
 
-    /// Passes a segment on to where its flow may be.
-    fn seek(&mut self, now: Millis, roster: &Roster, arrival: &Arrival) -> Step {
+    /// Passes a segment on to where its flow may be: first to its homes. The last one that does
+    /// not know the flow lets all agents be asked that may hold flows it was not told of.
+    fn seek(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+        arrival: &Arrival,
+    ) -> Step {
         if arrival.segment.flags.reset {
             return Step::Drop(Cause::Elsewhere);
         }
         let flow = arrival.segment.from_caller();
         let mut way = arrival.way.clone();
         way.hops += 1;
-        if let Search::Home(_) = way.search
-            && let Some(to) = self.index.get(now, &flow).filter(|to| *to != self.address)
-            && roster.get(to).is_some()
-        {
-            way.search = Search::Told;
-            return Step::Pass { to, way, cause: Cause::Elsewhere };
-        }
         let homes = place::homes(roster, &flow);
-        let first = match way.search {
-            Search::Open | Search::Known => Some(0),
-            Search::Home(0) => Some(1),
-            Search::Home(_) | Search::Told | Search::Walk => None,
-        };
-        for rank in first.into_iter().flat_map(|first| first..homes.len()) {
-            if let Some(to) = homes[rank].filter(|home| *home != self.address) {
-                way.search = Search::Home(rank as u8);
-                return Step::Pass { to, way, cause: Cause::Elsewhere };
+        let other = homes.iter().flatten().find(|home| **home != self.address).copied();
+        match way.search {
+            Search::Home(rank) => {
+                let known = self.index.get(now, &flow, &way.tried);
+                let known = known.filter(|to| *to != self.address);
+                if let Some(member) = known.and_then(|to| roster.get(to)) {
+                    if roster.is_unreachable(now, member) {
+                        return self.end(arrival, Cause::Unreachable);
+                    }
+                    way.search = Search::Told;
+                    return Step::Pass {
+                        to: member.address,
+                        way,
+                        cause: Cause::Elsewhere,
+                    };
+                }
+                let is_home = homes.contains(&Some(self.address));
+                match other {
+                    // The sender knows other members.
+                    Some(to) if !is_home && way.hops <= MAX_REDIRECTS => {
+                        Step::Pass { to, way, cause: Cause::Elsewhere }
+                    }
+                    Some(to) if is_home && rank == 0 => {
+                        way.search = Search::Home(1);
+                        Step::Pass { to, way, cause: Cause::Elsewhere }
+                    }
+                    _ => self.walk(now, routing, roster, arrival, way),
+                }
+            }
+            Search::Walk if way.known > 0 => self.walk_on(roster, arrival, way),
+            Search::Walk => self.walk(now, routing, roster, arrival, way),
+            Search::Open | Search::Known | Search::Told => {
+                // One of two homes was wrong about this agent; the other one decides.
+                let is_told = way.search == Search::Told;
+                if is_told {
+                    way.tried.push(self.address);
+                }
+                way.search = Search::Home(u8::from(is_told));
+                match other {
+                    Some(to) => Step::Pass { to, way, cause: Cause::Elsewhere },
+                    None => self.walk(now, routing, roster, arrival, way),
+                }
             }
         }
-        let last = (way.search == Search::Walk).then_some(self.address);
-        if way.search == Search::Walk {
-            way.asked += 1;
+    }
+
+    /// Begins to ask the agents that may hold a flow without this home knowing.
+    fn walk(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+        arrival: &Arrival,
+        mut way: Way,
+    ) -> Step {
+        let flow = arrival.segment.from_caller();
+        let domain = roster.get(way.origin).map_or(&*self.domain, |m| &*m.domain);
+        // Agents tell the nodes that they take for homes. Another node knows nothing, and looks
+        // for the flow because those did not answer.
+        let homes = place::homes(roster, &flow);
+        let is_home = homes.contains(&Some(self.address));
+        let others = roster.agents().filter(|member| member.address != self.address);
+        let unsettled = others.filter(|member| {
+            let is_asked = if is_home {
+                self.is_settled(roster, member)
+            } else {
+                homes.contains(&Some(member.address))
+            };
+            !is_asked && !way.tried.contains(&member.address)
+        });
+        way.known = roster.reachable();
+        way.is_whole = is_home && !roster.is_isolated();
+        way.ask.clear();
+        for member in unsettled {
+            if roster.is_awaited(now, member) {
+                way.is_whole = false;
+            } else if !member.is_silent {
+                way.ask.push(member.address);
+            }
         }
-        way.known = way.known.max(roster.reachable());
-        let mut next = place::next(roster, &flow, last);
-        if next == Some(self.address) {
-            way.asked += 1;
-            next = place::next(roster, &flow, next);
+        place::order(routing, roster, &flow, domain, &mut way.ask);
+        if way.ask.len() > MAX_ASK {
+            way.is_whole = false;
+            way.ask.truncate(MAX_ASK);
         }
-        // A node of the way that did not know all agents may have left out the right one.
-        let is_whole = way.asked >= way.known && roster.is_settled(now);
         way.search = Search::Walk;
-        match next {
-            Some(to) => Step::Pass { to, way, cause: Cause::Elsewhere },
-            None if is_whole => self.end(arrival, Cause::Nowhere),
-            None => Step::Drop(Cause::Unknown),
+        if self.may_hold(now) {
+            let arrival = Arrival { way, ..arrival.clone() };
+            return self.deliver(now, &arrival, false);
         }
+        self.walk_on(roster, arrival, way)
+    }
+
+    /// Passes a segment to the next agent of a walk, or ends a flow that none of them holds.
+    fn walk_on(&self, roster: &Roster, arrival: &Arrival, mut way: Way) -> Step {
+        let own = self.address;
+        way.ask.retain(|agent| *agent != own && roster.get(*agent).is_some());
+        // The node that began the walk may not know the right agent.
+        way.is_whole &= roster.reachable() <= way.known;
+        if !way.ask.is_empty() {
+            let to = way.ask.remove(0);
+            return Step::Pass { to, way, cause: Cause::Elsewhere };
+        }
+        if way.is_whole {
+            self.end(arrival, Cause::Nowhere)
+        } else {
+            Step::Drop(Cause::Unknown)
+        }
+    }
+
+    /// Whether another agent holds no flow whose home this agent is, other than those that it
+    /// has told.
+    fn is_settled(&self, roster: &Roster, member: &Member) -> bool {
+        let Some(ledger) = member.ledger else { return false };
+        let Tally { epoch, count } = self.received.tally(member.address, member.node);
+        let is_received = ledger.sent.count == 0
+            || (ledger.sent.epoch == epoch && ledger.sent.count <= count);
+        !member.is_silent
+            && ledger.is_complete
+            && ledger.view == roster.view()
+            && ledger.receiver == self.node(roster)
+            && is_received
+    }
+
+    /// Whether the backend server may hold flows that this agent does not know.
+    fn may_hold(&self, now: Millis) -> bool {
+        !self.is_complete && self.backend.is_present(now, self.start)
+    }
+
+    /// The incarnation of this process.
+    fn node(&self, roster: &Roster) -> u64 {
+        roster.get(self.address).map_or(0, |member| member.node)
+    }
+
+    /// A message to a home, which counts as sent.
+    fn sent_news(
+        &mut self,
+        now: Millis,
+        sender: u64,
+        home: Home,
+        flows: Vec<flow::Key>,
+    ) -> News {
+        let epoch = self.sent.count(now, home);
+        let taken = Taken { sender, receiver: home.node, epoch, flows };
+        News { to: home.address, taken }
     }
 
     /// Ends a flow that no backend server holds.
@@ -475,9 +681,9 @@
             }
             Some(Stage::Waiting | Stage::Offered | Stage::Accepted) => {
                 self.held.remove(&flow);
-                self.seek(now, roster, &arrival)
+                self.seek(now, routing, roster, &arrival)
             }
-            None => self.seek(now, roster, &arrival),
+            None => self.seek(now, routing, roster, &arrival),
         })
     }
 
@@ -497,3 +703,18 @@
         ended
     }
 }
+
+/// The homes of a flow that were not told of it yet; marks them as told.
+fn untold(
+    roster: &Roster,
+    flow: &flow::Key,
+    held: &mut Held,
+) -> impl Iterator<Item = Home> + use<> {
+    let homes = place::homes(roster, flow).map(|home| {
+        let member = roster.get(home?)?;
+        Some(Home { address: member.address, node: member.node })
+    });
+    held.told = Some(roster.generation());
+    let told = std::mem::replace(&mut held.homes, homes);
+    homes.into_iter().flatten().filter(move |home| !told.contains(&Some(*home)))
+}
--- a/crates/steer/src/process/agent/step.rs
+++ b/crates/steer/src/process/agent/step.rs
@@ -8,7 +8,7 @@
 
 use crate::connection::flow;
 use crate::process::backend::{self, Bounds};
-use crate::request::message::{Envelope, Search};
+use crate::request::message::{Envelope, Search, Taken};
 use crate::request::segment::Segment;
 
 /// What an agent keeps to.
@@ -44,12 +44,14 @@
     pub hops: u8,
     /// The balancer that it came through.
     pub origin: SocketAddrV4,
-    /// Agents that did not take the flow that it opens.
+    /// Agents that did not take the flow that it opens, or do not hold it.
     pub tried: Vec<SocketAddrV4>,
-    /// Agents that a walk has asked.
-    pub asked: u16,
-    /// The most agents in reach that a node of the walk knew.
+    /// Agents that a walk has still to ask, in this order.
+    pub ask: Vec<SocketAddrV4>,
+    /// Agents that the node that began the walk hears, itself included.
     pub known: u16,
+    /// Whether no agent other than those that the walk asks may hold the flow.
+    pub is_whole: bool,
 }
 
 impl From<&Envelope<'_>> for Way {
@@ -60,8 +62,9 @@
             hops: envelope.hops,
             origin: envelope.origin,
             tried: envelope.tried.clone(),
-            asked: envelope.asked,
+            ask: envelope.ask.clone(),
             known: envelope.known,
+            is_whole: envelope.is_whole,
         }
     }
 }
@@ -76,8 +79,9 @@
             origin: self.origin,
             service,
             tried: self.tried,
-            asked: self.asked,
+            ask: self.ask,
             known: self.known,
+            is_whole: self.is_whole,
             bytes,
         }
     }
@@ -137,6 +141,8 @@
     },
     /// A segment that the backend server did not take, and what becomes of it.
     Returned(Step),
+    /// The caller does not get it.
+    Drop(Cause),
 }
 
 /// Why a segment is not delivered, or refused.
@@ -162,6 +168,8 @@
     Nowhere,
     /// Agents that may hold the flow cannot be asked.
     Unknown,
+    /// The agent of the flow is out of reach.
+    Unreachable,
     /// It was passed on too often.
     Hops,
 }
@@ -180,6 +188,7 @@
             Self::Lost => "lost",
             Self::Nowhere => "nowhere",
             Self::Unknown => "unknown",
+            Self::Unreachable => "unreachable",
             Self::Hops => "hops",
         }
     }
@@ -194,23 +203,13 @@
     pub sequence: u32,
 }
 
-/// Flows that homes are to be told of.
+/// Flows that a home is to be told of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct News {
     /// The home.
     pub to: SocketAddrV4,
-    /// The flows.
-    pub flows: Vec<flow::Key>,
-}
-
-impl News {
-    /// Adds a flow to the news for a home, in a list sorted by home.
-    pub(super) fn add(list: &mut Vec<Self>, to: SocketAddrV4, flow: flow::Key) {
-        match list.binary_search_by_key(&to, |news| news.to) {
-            Ok(place) => list[place].flows.push(flow),
-            Err(place) => list.insert(place, Self { to, flows: vec![flow] }),
-        }
-    }
+    /// What it is told.
+    pub taken: Taken,
 }
 
 impl From<backend::Refusal> for Cause {
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -13,6 +13,11 @@
 use crate::request::segment::Segment;
 use crate::version::routing::Routing;
 
+/// The copy of an opening segment that goes to another agent if the one before it was not heard
+/// since. The first copy often follows a lost answer: at another agent, it would open the flow
+/// at two backend servers.
+const LATE_COPY: u32 = 2;
+
 /// The state of a balancer that decisions need.
 #[derive(Debug)]
 pub struct Balancer {
@@ -154,7 +159,7 @@
                 };
                 !member.is_silent && is_later
             });
-            if is_heard || !segment.is_copy() {
+            if is_heard || segment.copy() < LATE_COPY {
                 return Step::Send {
                     to,
                     search: Search::Open,
@@ -201,7 +206,7 @@
         let (to, search) = match self.cache.ask(now, flow) {
             0 => (first, Search::Home(0)),
             1 if second.is_some() => (second, Search::Home(1)),
-            _ => (place::next(roster, flow, None), Search::Walk),
+            _ => (place::substitute(roster, flow), Search::Walk),
         };
         match to {
             Some(to) => Step::Send { to, search, service: None, is_new: true },
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -18,13 +18,13 @@
 
 use super::receive::{self, invalid};
 use super::{Node, Outside, start, transmit};
-use crate::process::agent::{self, Answer, Arrival, Ended, Limits, Step, Way};
+use crate::process::agent::{self, Answer, Arrival, Ended, Limits, News, Step, Way};
 use crate::process::backend::{Bounds, Change, Report, TICK_MS};
 use crate::process::documents::Source;
 use crate::process::metric;
-use crate::process::roster::{BEAT_MS, Role};
+use crate::process::roster::{BEAT_MS, Member, Role};
 use crate::process::settings;
-use crate::request::message::{Envelope, MAX_TAKEN, Message, Offer};
+use crate::request::message::{Envelope, Ledger, Message, Offer};
 use crate::request::place;
 use crate::request::segment::{Format, Segment};
 
@@ -192,9 +192,9 @@
         let mut due = self.node.now();
         loop {
             let now = self.node.now();
-            if now >= due {
+            let is_due = now >= due;
+            if is_due {
                 due = now.after(BEAT_MS);
-                self.beat();
                 self.node.tick();
                 let idle_ms = self.node.settings.flow.as_millis() as u64;
                 self.flows.write().expire(now, idle_ms);
@@ -202,13 +202,12 @@
             let (ended, news) = {
                 let roster = self.node.roster.read();
                 let mut flows = self.flows.write();
-                (flows.tick(now), flows.news(&roster))
+                (flows.tick(now), flows.news(now, &roster))
             };
             self.end(&ended, "backend_gone");
-            for home in news {
-                for flows in home.flows.chunks(MAX_TAKEN) {
-                    self.node.send(home.to, &Message::Taken(flows.to_vec()));
-                }
+            self.tell(news);
+            if is_due {
+                self.beat();
             }
             Timer::after(Duration::from_millis(TICK_MS)).await;
         }
@@ -219,7 +218,20 @@
         let offer = self.offer();
         *self.node.offer.write() = offer;
         self.node.hear_itself(Role::Agent);
-        self.node.beat(Role::Agent);
+        self.node.beat(Role::Agent, |member| self.ledger(member));
+    }
+
+    /// What a beat to a member says of the flows that it was told.
+    fn ledger(&self, member: &Member) -> Option<Ledger> {
+        let is_home = member.role == Role::Agent && member.node != 0;
+        is_home.then(|| self.flows.read().ledger(member))
+    }
+
+    /// Tells homes of flows.
+    fn tell(&self, news: Vec<News>) {
+        for News { to, taken } in news {
+            self.node.send(to, &Message::Taken(taken));
+        }
     }
 
     /// What balancers are told of the backend server.
@@ -252,9 +264,12 @@
                 if self.node.hear(from, &beat) {
                     self.node.beat_to(&[from], Role::Agent, false);
                 }
+                let roster = self.node.roster.read();
+                self.flows.write().beat(self.node.now(), &roster, from, &beat);
             }
-            Some(Message::Taken(flows)) => {
-                self.flows.write().taken(self.node.now(), from, &flows);
+            Some(Message::Taken(taken)) => {
+                let roster = self.node.roster.read();
+                self.flows.write().taken(self.node.now(), &roster, from, &taken);
             }
             Some(Message::Leave) => self.node.left(from),
             Some(Message::Here(_) | Message::Nowhere(_)) => invalid("role"),
@@ -314,11 +329,18 @@
             Ok(segment) => segment,
             Err(fault) => return invalid(fault.as_str()),
         };
+        let now = self.node.now();
         let routing = self.node.routing();
-        let answer = {
+        let (answer, news) = {
             let roster = self.node.roster.read();
-            self.flows.write().answer(self.node.now(), &routing, &roster, &segment)
+            let mut flows = self.flows.write();
+            let answer = flows.answer(now, &routing, &roster, &segment);
+            let is_accept = matches!(answer, Some(Answer::Send { is_accept: true, .. }));
+            let flow = is_accept.then(|| segment.from_backend());
+            let news = flow.map(|flow| flows.announce(now, &roster, &flow));
+            (answer, news.unwrap_or_default())
         };
+        self.tell(news);
         match answer {
             Some(Answer::Send { is_accept, opened_ms, after_ms }) => {
                 let flow = segment.from_backend();
@@ -328,6 +350,10 @@
                 if is_accept {
                     log::info!(target: "accepted", flow:% = flow; "flow accepted");
                 }
+                if segment.flags.reset {
+                    metric::count_as(&metric::ENDED, "backend_reset");
+                    log::info!(target: "ended", flow:% = flow, cause = "backend_reset"; "backend server reset the flow");
+                }
                 if let Some(after_ms) = after_ms {
                     metric::record_ms(&metric::ANSWER_SECONDS, after_ms);
                 }
@@ -338,6 +364,13 @@
                 self.format.mark(bytes, 0);
                 self.perform(&segment, step, bytes, routing.version);
             }
+            Some(Answer::Drop(cause)) => {
+                metric::count_as(&metric::DROPPED, cause.as_str());
+                log::info!(
+                    target: "dropped", flow:% = segment.from_backend(), cause = cause.as_str(),
+                    version = routing.version; "answer dropped"
+                );
+            }
             None => {
                 metric::count_as(&metric::DROPPED, "returned_late");
             }
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -100,7 +100,7 @@
     async fn tick(self: Arc<Self>) {
         loop {
             self.node.tick();
-            self.node.beat(Role::Balancer);
+            self.node.beat(Role::Balancer, |_| None);
             let now = self.node.now();
             let idle_ms = self.node.settings.flow.as_millis() as u64;
             self.flows.write().expire(now, idle_ms);
@@ -131,8 +131,9 @@
                     origin: self.node.settings.nodes,
                     service: Cow::Borrowed(service),
                     tried: Vec::new(),
-                    asked: 0,
+                    ask: Vec::new(),
                     known: 0,
+                    is_whole: false,
                     bytes,
                 };
                 self.node.send(to, &Message::Segment(envelope));
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -175,7 +175,7 @@
         *self.node.routing.write() = Arc::new(after.clone());
         rerouted(&before, after);
         if self.watch.is_some() {
-            self.node.beat(self.role);
+            self.node.beat(self.role, |_| None);
         }
         let cold: Vec<_> =
             after.services.iter().map(|service| service.cold_per_s).collect();
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -16,7 +16,7 @@
 use crate::process::metric;
 use crate::process::roster::{Change, Member, Outdated, Role, Roster};
 use crate::process::settings;
-use crate::request::message::{Beat, Message, Offer};
+use crate::request::message::{Beat, Ledger, Message, Offer};
 use crate::version::routing::Routing;
 
 /// What a process needs of the outside: the store and how operators write there.
@@ -126,27 +126,42 @@
     }
 
     /// Sends a beat to the members that need it: balancers need those of agents, and agents
-    /// need all.
-    pub fn beat(&self, role: Role) {
+    /// need all. `ledger` is what it says to another agent of the flows that it was told.
+    pub fn beat(&self, role: Role, ledger: impl Fn(&Member) -> Option<Ledger>) {
         let to: Vec<_> = {
             let roster = self.roster.read();
             let needs =
                 |member: &&Member| role == Role::Agent || member.role == Role::Agent;
-            roster.members().iter().filter(needs).map(|member| member.address).collect()
+            let members = roster.members().iter().filter(needs);
+            members.map(|member| (member.address, ledger(member))).collect()
         };
-        self.beat_to(&to, role, false);
+        self.send_beats(to, role, false);
     }
 
     /// Sends a beat to some nodes.
     pub fn beat_to(&self, to: &[SocketAddrV4], role: Role, is_asking: bool) {
+        self.send_beats(to.iter().map(|address| (*address, None)), role, is_asking);
+    }
+
+    /// Sends one beat to nodes, each with its ledger.
+    fn send_beats(
+        &self,
+        to: impl IntoIterator<Item = (SocketAddrV4, Option<Ledger>)>,
+        role: Role,
+        is_asking: bool,
+    ) {
         if self.has_left.load(Ordering::Relaxed) {
             return;
         }
         let offer = self.offer.read();
-        let beat = self.next_beat(offer.as_ref(), role, is_asking);
-        let message = Message::Beat(beat);
-        for address in to.iter().filter(|address| **address != self.settings.nodes) {
-            self.send(*address, &message);
+        let mut message = Message::Beat(self.next_beat(offer.as_ref(), role, is_asking));
+        for (address, ledger) in to {
+            if let Message::Beat(beat) = &mut message {
+                beat.ledger = ledger;
+            }
+            if address != self.settings.nodes {
+                self.send(address, &message);
+            }
         }
     }
 
@@ -174,6 +189,7 @@
             is_asking,
             is_agent: role == Role::Agent,
             offer: offer.cloned(),
+            ledger: None,
         }
     }
 
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -4,8 +4,9 @@
 
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
+use xxhash_rust::xxh3::Xxh3Default;
 
-use crate::request::message::{Beat, Offer, Stage};
+use crate::request::message::{Beat, Ledger, Offer, Stage};
 
 /// Time between the beats of a node, in milliseconds. A member is missed after
 /// [`SILENT_MS`], and each beat costs bytes between failure domains.
@@ -39,6 +40,8 @@
     members: Vec<Member>,
     /// Rises when an agent joins, leaves, falls silent or is heard again.
     generation: u64,
+    /// Fingerprint of the agents that are heard. Changes with the generation only.
+    view: u32,
 }
 
 /// A node of the system.
@@ -62,6 +65,8 @@
     pub is_silent: bool,
     /// Flows that this node placed there since its last beat.
     pub placed: u32,
+    /// What an agent last said that it told this node of its flows.
+    pub ledger: Option<Ledger>,
 }
 
 /// What a node does.
@@ -135,26 +140,15 @@
         self.members.iter().filter(|member| member.role == Role::Agent)
     }
 
-    /// Whether every agent is heard, or known to be out of reach.
-    ///
-    /// Ending the flows of an agent out of reach lets callers go elsewhere.
-    pub fn is_settled(&self, now: Millis) -> bool {
-        let is_awaited =
-            |member: &Member| member.is_silent && !member.is_unreachable(now);
-        !self.is_isolated() && !self.agents().any(is_awaited)
-    }
-
     /// Whether the flows of an agent may end because it is out of reach.
     pub fn is_unreachable(&self, now: Millis, member: &Member) -> bool {
         member.node != 0 && member.is_unreachable(now) && !self.is_isolated()
     }
 
-    /// Members among `addresses` that have not been heard yet.
-    pub fn unheard(&self, addresses: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
-        let is_unheard = |address: &&SocketAddrV4| {
-            self.get(**address).is_some_and(|member| member.node == 0)
-        };
-        addresses.iter().filter(is_unheard).copied().collect()
+    /// Whether a silent agent may still be there with its flows: it is not out of reach yet, or
+    /// this node cannot tell.
+    pub fn is_awaited(&self, now: Millis, member: &Member) -> bool {
+        member.is_silent && (self.is_isolated() || !member.is_unreachable(now))
     }
 
     /// Number of agents that are heard.
@@ -163,6 +157,19 @@
         u16::try_from(heard).unwrap_or(u16::MAX)
     }
 
+    /// Fingerprint of the agents that are heard. Nodes with the same one choose the same homes.
+    pub fn view(&self) -> u32 {
+        self.view
+    }
+
+    /// Members among `addresses` that have not been heard yet.
+    pub fn unheard(&self, addresses: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
+        let is_unheard = |address: &&SocketAddrV4| {
+            self.get(**address).is_some_and(|member| member.node == 0)
+        };
+        addresses.iter().filter(is_unheard).copied().collect()
+    }
+
     /// Whether most agents are silent: this node is rather cut off than all of them gone.
     pub fn is_isolated(&self) -> bool {
         let silent = self.agents().filter(|member| member.is_silent).count();
@@ -190,6 +197,7 @@
             heard: now,
             is_silent: true,
             placed: 0,
+            ledger: None,
         };
         self.members.insert(place, member);
         true
@@ -224,8 +232,9 @@
             () if member.stage() != beat.offer.as_ref().map(|o| o.stage) => Change::Stage,
             () => Change::None,
         };
-        if (member.is_silent || is_new) && role == Role::Agent {
-            self.generation += 1;
+        let is_changed = (member.is_silent || is_new) && role == Role::Agent;
+        if is_new || beat.ledger.is_some() {
+            member.ledger = beat.ledger;
         }
         member.role = role;
         member.node = beat.node;
@@ -237,6 +246,9 @@
             member.domain = beat.domain.as_ref().into();
         }
         member.offer = beat.offer.as_ref().map(Offer::to_owned);
+        if is_changed {
+            self.advance();
+        }
         Ok(change)
     }
 
@@ -251,7 +263,7 @@
     pub fn leave(&mut self, address: SocketAddrV4) -> bool {
         let Ok(place) = self.find(address) else { return false };
         self.members.remove(place);
-        self.generation += 1;
+        self.advance();
         true
     }
 
@@ -268,11 +280,24 @@
         let before = self.members.len();
         self.members.retain(|member| now.since(member.heard) <= FORGET_MS);
         if !silent.is_empty() || self.members.len() != before {
-            self.generation += 1;
+            self.advance();
         }
         silent
     }
 
+    /// Takes note that the agents that are heard changed.
+    fn advance(&mut self) {
+        self.generation += 1;
+        let mut hash = Xxh3Default::new();
+        for member in
+            self.members.iter().filter(|m| m.role == Role::Agent && !m.is_silent)
+        {
+            hash.update(&member.address.ip().octets());
+            hash.update(&member.address.port().to_be_bytes());
+        }
+        self.view = hash.digest() as u32;
+    }
+
     /// The place of an address.
     fn find(&self, address: SocketAddrV4) -> Result<usize, usize> {
         self.members.binary_search_by_key(&address, |member| member.address)
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -8,11 +8,15 @@
 use crate::connection::flow;
 
 /// First byte of every message; changes with the encoding.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Most flows in one [`Message::Taken`], so that it fits into one datagram.
 pub const MAX_TAKEN: usize = 64;
 
+/// Most agents in [`Envelope::ask`]: with seven bytes each, a full segment still fits into one
+/// datagram.
+pub const MAX_ASK: usize = 40;
+
 /// A message from one node to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -24,8 +28,8 @@
     Here(flow::Key),
     /// No agent holds the flow.
     Nowhere(flow::Key),
-    /// The sender holds the flows; the receiver is the home of each.
-    Taken(Vec<flow::Key>),
+    /// The sender holds the flows; the receiver is a home of each.
+    Taken(Taken),
     /// The sender is alive.
     #[serde(borrow)]
     Beat(Beat<'a>),
@@ -48,12 +52,14 @@
     /// The service that it opens a flow to; empty if it opens none.
     #[serde(borrow)]
     pub service: Cow<'a, str>,
-    /// Agents that did not take the flow that it opens.
+    /// Agents that did not take the flow that it opens, or do not hold it.
     pub tried: Vec<SocketAddrV4>,
-    /// Agents that a walk has asked.
-    pub asked: u16,
-    /// The most agents in reach that a node of the walk knew.
+    /// Agents that a walk has still to ask, in this order.
+    pub ask: Vec<SocketAddrV4>,
+    /// Agents that the node that began the walk hears, itself included.
     pub known: u16,
+    /// Whether no agent other than those that the walk asks may hold the flow.
+    pub is_whole: bool,
     /// The segment as its sender wrote it.
     #[serde(borrow)]
     pub bytes: &'a [u8],
@@ -71,7 +77,7 @@
     Home(u8),
     /// The receiver is the home's best knowledge.
     Told,
-    /// All agents are asked in turn.
+    /// The agents that may hold the flow are asked in turn.
     Walk,
 }
 
@@ -109,6 +115,48 @@
     /// The backend server beside an agent, once that has reported.
     #[serde(borrow)]
     pub offer: Option<Offer<'a>>,
+    /// What an agent has told the receiver, another agent, of its flows.
+    pub ledger: Option<Ledger>,
+}
+
+/// Flows that an agent holds, for a home of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Taken {
+    /// Incarnation of the sender.
+    pub sender: u64,
+    /// Incarnation of the receiver that the sender means.
+    pub receiver: u64,
+    /// Which count of messages to this receiver it belongs to, see [`Tally`].
+    pub epoch: u32,
+    /// The flows, at most [`MAX_TAKEN`].
+    pub flows: Vec<flow::Key>,
+}
+
+/// Shows a home whether an agent has told it of all flows whose home it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Ledger {
+    /// Incarnation of the receiver that the sender means.
+    pub receiver: u64,
+    /// Fingerprint of the agents among which the sender chose homes.
+    pub view: u32,
+    /// Whether the sender knows all flows of its backend server.
+    pub is_complete: bool,
+    /// What the sender has sent to the receiver.
+    pub sent: Tally,
+    /// What the sender has received from the receiver.
+    pub received: Tally,
+}
+
+/// Messages [`Taken`] from one agent to another.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Tally {
+    /// Rises when the sender begins to tell all flows again.
+    pub epoch: u32,
+    /// Messages of this epoch.
+    pub count: u32,
 }
 
 /// The backend server beside an agent.
--- a/crates/steer/src/request/place.rs
+++ b/crates/steer/src/request/place.rs
@@ -1,4 +1,5 @@
-//! Chooses the agent for an opening segment, and the order in which agents are asked.
+//! Chooses the agent for an opening segment, the homes of a flow, and the order in which agents
+//! are asked.
 
 use std::net::SocketAddrV4;
 
@@ -109,35 +110,51 @@
 ///
 /// They depend only on the flow and the members, so all nodes agree on them.
 pub fn homes(roster: &Roster, flow: &flow::Key) -> [Option<SocketAddrV4>; 2] {
+    highest(roster, flow)
+}
+
+/// The agent that looks for a flow whose homes do not answer.
+pub fn substitute(roster: &Roster, flow: &flow::Key) -> Option<SocketAddrV4> {
+    let [first, _, third] = highest(roster, flow);
+    third.or(first)
+}
+
+/// The agents with the highest weights for a flow, in descending order.
+fn highest<const N: usize>(
+    roster: &Roster,
+    flow: &flow::Key,
+) -> [Option<SocketAddrV4>; N] {
     let hash = flow.hash();
-    let mut best: [Option<(u64, SocketAddrV4)>; 2] = [None; 2];
+    let mut best = [None; N];
     for member in roster.agents().filter(|member| !member.is_silent) {
-        let entry = Some((weight(hash, member.address), member.address));
-        if entry > best[0] {
-            best = [entry, best[0]];
-        } else if entry > best[1] {
-            best[1] = entry;
+        let mut entry = Some((weight(hash, member.address), member.address));
+        for known in &mut best {
+            if entry > *known {
+                std::mem::swap(&mut entry, known);
+            }
         }
     }
     best.map(|entry| entry.map(|(_, address)| address))
 }
 
-/// The agent to ask after `last` when all are asked in turn; the first one without it.
-///
-/// The order depends on the flow and the agents' addresses only, so it is the same at nodes
-/// that know different members, and a walk ends.
-pub fn next(
+/// Sorts agents that may hold a flow: those of its services first, then those of the failure
+/// domain where it came in, then by weight.
+pub fn order(
+    routing: &Routing,
     roster: &Roster,
     flow: &flow::Key,
-    last: Option<SocketAddrV4>,
-) -> Option<SocketAddrV4> {
+    domain: &str,
+    agents: &mut [SocketAddrV4],
+) {
     let hash = flow.hash();
-    let position = |address: SocketAddrV4| (u64::MAX - weight(hash, address), address);
-    let after = last.map(position);
-    let agents = roster.agents().filter(|member| !member.is_silent);
-    let positions = agents.map(|member| position(member.address));
-    let later = positions.filter(|position| after.is_none_or(|after| *position > after));
-    later.min().map(|(_, address)| address)
+    agents.sort_by_cached_key(|address| {
+        let member = roster.get(*address);
+        let offer = member.and_then(|member| member.offer.as_ref());
+        let is_other = offer
+            .is_some_and(|offer| !routing.allows(flow.service, offer.service.as_ref()));
+        let is_far = member.is_none_or(|member| *member.domain != *domain);
+        (is_other, is_far, u64::MAX - weight(hash, *address))
+    });
 }
 
 /// The rendezvous weight of an agent for the hash of a flow.
--- a/crates/steer/src/request/segment.rs
+++ b/crates/steer/src/request/segment.rs
@@ -40,10 +40,10 @@
         self.flags.open && !self.flags.acknowledge
     }
 
-    /// Whether it is a copy of an opening segment. Callers count copies in the number that
-    /// acknowledges nothing yet.
-    pub fn is_copy(&self) -> bool {
-        self.is_opening() && self.acknowledged > 0
+    /// The number of the copy of an opening segment; 0 for the segment itself. Callers count
+    /// copies in the number that acknowledges nothing yet.
+    pub fn copy(&self) -> u32 {
+        if self.is_opening() { self.acknowledged } else { 0 }
     }
 }
 
--- a/crates/steer/tests/balancer.rs
+++ b/crates/steer/tests/balancer.rs
@@ -48,9 +48,10 @@
     assert_eq!(target(&copy), target(&first));
 }
 
-/// Guards against a caller that waits for an agent that died between two beats.
+/// Guards against a flow that two backend servers accept because the first answer was lost: the
+/// one that the caller did not choose was taken for its place later.
 #[test]
-fn copies_go_elsewhere_if_the_agent_was_not_heard_since() {
+fn the_first_copy_follows_the_opening_segment() {
     let roster = roster(START, 6, &["a"]);
     let (mut balancer, routing) = (balancer(), routing(1));
     let now = START.after(500);
@@ -59,6 +60,20 @@
     let later = now.after(200);
     let copy = balancer.segment(later, &routing, &roster, &opening(flow(1), 1));
 
+    assert_eq!(target(&copy), target(&first));
+}
+
+/// Guards against a caller that waits for an agent that died between two beats.
+#[test]
+fn copies_go_elsewhere_if_the_agent_was_not_heard_since() {
+    let roster = roster(START, 6, &["a"]);
+    let (mut balancer, routing) = (balancer(), routing(1));
+    let now = START.after(500);
+    let first = balancer.segment(now, &routing, &roster, &opening(flow(1), 0));
+
+    let later = now.after(600);
+    let copy = balancer.segment(later, &routing, &roster, &opening(flow(1), 2));
+
     assert_ne!(target(&copy), target(&first));
 }
 
