Answer callers of dead flows while members come and go

Ruled out: lost messages to homes (all counts agreed), homes that were not certain (3% of the answers).

Change: a home decides also when members differ, if it is a home whichever of the members that were lost or left lately are counted; the first home passes its finding on. An agent knows all flows of a backend server that started with it (by its cold time) and after the idle time-out. A backend server that makes no report for two intervals is not there; its agent says so at once and leaves when it stops.

A refused call of an absent store is made again after 1 s, not 50 ms.

Tests: in a_home_asks_only_agents, the case of other members now also has a larger number of them, since other members alone do not matter to a certain home any more (next test).

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -30,6 +30,11 @@
 /// Agents that an opening segment is offered to at most.
 pub const MAX_TRIED: usize = 4;
 
+/// A backend server that started at most this long before its agent has no flows that an
+/// earlier process of the agent delivered, in milliseconds: a process that ends needs about as
+/// long to start again and read the configuration.
+const EARLIER_MS: u64 = 1_000;
+
 /// Nodes that pass a segment on at most. Bounds the damage of members that disagree.
 const MAX_HOPS: u8 = 200;
 
@@ -68,6 +73,8 @@
     told: Option<u64>,
     /// Fingerprint of the agents among which homes were chosen.
     view: u32,
+    /// Number of these agents.
+    known: u16,
 }
 
 impl Agent {
@@ -88,6 +95,7 @@
             received: Received::default(),
             told: None,
             view: 0,
+            known: 0,
         }
     }
 
@@ -117,6 +125,27 @@
         (change, ended)
     }
 
+    /// Finds out whether all flows of the backend server are known: it started too late to have
+    /// others, or none of them can have been idle for the life of this process.
+    pub fn assess(&mut self, now: Millis, routing: &Routing) {
+        let service = self.backend.report().and_then(|r| routing.service(&r.service));
+        let age_ms =
+            service.and_then(|service| self.backend.age_ms(now, service.cold_ms));
+        let own_ms = now.since(self.start);
+        self.is_complete |= age_ms.is_some_and(|age_ms| age_ms <= own_ms + EARLIER_MS)
+            || (routing.idle_ms > 0 && own_ms > routing.idle_ms);
+    }
+
+    /// Whether all flows of the backend server are known, or it is not there.
+    pub fn is_complete(&self, now: Millis) -> bool {
+        !self.may_hold(now)
+    }
+
+    /// Whether there is no backend server beside this agent.
+    pub fn is_alone(&self, now: Millis) -> bool {
+        self.backend.has_left() || !self.backend.is_present(now, self.start)
+    }
+
     /// Takes note that the backend server ends. Returns whether it is the current one.
     pub fn leave(&mut self, now: Millis, id: &str) -> bool {
         self.backend.leave(now, id)
@@ -186,12 +215,13 @@
     }
 
     /// What the next beat to another agent says of the flows that it was told.
-    pub fn ledger(&self, member: &Member) -> Ledger {
+    pub fn ledger(&self, now: Millis, member: &Member) -> Ledger {
         let home = Home { address: member.address, node: member.node };
         Ledger {
             receiver: member.node,
             view: self.view,
-            is_complete: self.is_complete,
+            known: self.known,
+            is_complete: self.is_complete(now),
             sent: self.sent.tally(home),
             received: self.received.tally(member.address, member.node),
         }
@@ -279,6 +309,7 @@
         let is_changed = self.told != Some(generation);
         self.told = Some(generation);
         self.view = roster.view();
+        self.known = roster.reachable();
         let mut due: Vec<(Home, Vec<flow::Key>)> = Vec::new();
         let own = self.address;
         self.held.retain(|flow, held| {
@@ -523,6 +554,7 @@
                         Step::Pass { to, way, cause: Cause::Elsewhere }
                     }
                     Some(to) if is_home && rank == 0 => {
+                        way.is_settled = self.unsettled(roster, &flow, &way).is_empty();
                         way.search = Search::Home(1);
                         Step::Pass { to, way, cause: Cause::Elsewhere }
                     }
@@ -557,21 +589,11 @@
     ) -> Step {
         let flow = arrival.segment.from_caller();
         let domain = roster.get(way.origin).map_or(&*self.domain, |m| &*m.domain);
-        // Agents tell the nodes that they take for homes. Another node knows nothing, and looks
-        // for the flow because those did not answer.
-        let homes = place::homes(roster, &flow);
-        let is_home = homes.contains(&Some(self.address));
-        let others = roster.agents().filter(|member| member.address != self.address);
-        let unsettled = others.filter(|member| {
-            let is_asked = if is_home {
-                self.is_settled(roster, member)
-            } else {
-                homes.contains(&Some(member.address))
-            };
-            !is_asked && !way.tried.contains(&member.address)
-        });
-        way.known = roster.reachable();
-        way.is_whole = is_home && !roster.is_isolated();
+        let is_home = place::homes(roster, &flow).contains(&Some(self.address));
+        let unsettled =
+            if way.is_settled { Vec::new() } else { self.unsettled(roster, &flow, &way) };
+        way.known = u16::try_from(roster.traces().count()).unwrap_or(u16::MAX);
+        way.is_whole = (is_home || way.is_settled) && !roster.is_isolated();
         way.ask.clear();
         for member in unsettled {
             if roster.is_awaited(now, member) {
@@ -610,18 +632,39 @@
         }
     }
 
-    /// Whether another agent holds no flow whose home this agent is, other than those that it
-    /// has told.
-    fn is_settled(&self, roster: &Roster, member: &Member) -> bool {
-        let Some(ledger) = member.ledger else { return false };
+    /// The other agents that may hold a flow without having told this one.
+    ///
+    /// Agents tell the nodes that they take for homes. Another node knows nothing: it looks for
+    /// the flow because the homes did not answer, and does not ask them again.
+    fn unsettled<'r>(
+        &self,
+        roster: &'r Roster,
+        flow: &flow::Key,
+        way: &Way,
+    ) -> Vec<&'r Member> {
+        let homes = place::homes(roster, flow);
+        let is_home = homes.contains(&Some(self.address));
+        let is_firm = is_home && place::is_firm_home(roster, flow, self.address);
+        let traces = roster.traces().count();
+        let others = roster.agents().filter(|member| member.address != self.address);
+        let untried = others.filter(|member| !way.tried.contains(&member.address));
+        let unsettled = untried.filter(|member| {
+            let Some(ledger) = member.ledger.filter(|_| is_home) else {
+                return is_home || !homes.contains(&Some(member.address));
+            };
+            let has_told = is_firm && usize::from(ledger.known) <= traces
+                || !member.is_silent && ledger.view == roster.view();
+            !(has_told && self.is_received(roster, member, ledger))
+        });
+        unsettled.collect()
+    }
+
+    /// Whether this agent has received all that another one sent to it of all of its flows.
+    fn is_received(&self, roster: &Roster, member: &Member, ledger: Ledger) -> bool {
         let Tally { epoch, count } = self.received.tally(member.address, member.node);
         let is_received = ledger.sent.count == 0
             || (ledger.sent.epoch == epoch && ledger.sent.count <= count);
-        !member.is_silent
-            && ledger.is_complete
-            && ledger.view == roster.view()
-            && ledger.receiver == self.node(roster)
-            && is_received
+        is_received && ledger.is_complete && ledger.receiver == self.node(roster)
     }
 
     /// Whether the backend server may hold flows that this agent does not know.
--- a/crates/steer/src/process/agent/step.rs
+++ b/crates/steer/src/process/agent/step.rs
@@ -48,8 +48,10 @@
     pub tried: Vec<SocketAddrV4>,
     /// Agents that a walk has still to ask, in this order.
     pub ask: Vec<SocketAddrV4>,
-    /// Agents that the node that began the walk hears, itself included.
+    /// Agents that the node that began the walk knows, itself and lost ones included.
     pub known: u16,
+    /// Whether the first home found that no agent holds the flow without having told it.
+    pub is_settled: bool,
     /// Whether no agent other than those that the walk asks may hold the flow.
     pub is_whole: bool,
 }
@@ -64,6 +66,7 @@
             tried: envelope.tried.clone(),
             ask: envelope.ask.clone(),
             known: envelope.known,
+            is_settled: envelope.is_settled,
             is_whole: envelope.is_whole,
         }
     }
@@ -81,6 +84,7 @@
             tried: self.tried,
             ask: self.ask,
             known: self.known,
+            is_settled: self.is_settled,
             is_whole: self.is_whole,
             bytes,
         }
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -11,6 +11,10 @@
 /// new flows. One report may be lost and another one late.
 const MISSED_REPORTS: u64 = 3;
 
+/// A backend server that makes no report for this many of their usual intervals after the start
+/// of its agent is not there. It calls again at once while calls fail.
+const FIRST_REPORT: u64 = 2;
+
 /// A backend server whose reports stay out for this many of their usual intervals has ended.
 /// A connection that went silent costs it about three until it opens another one.
 const ENDED_REPORTS: u64 = 5;
@@ -26,9 +30,10 @@
 /// ticks.
 const END_MS: u64 = 400;
 
-/// Time between openings that waited for the end of the cold time, in milliseconds. A backend
-/// server with 2 slots and requests of 20 ms keeps up and serves its open flows besides.
-const RAMP_MS: u64 = 25;
+/// Time between openings that waited for the end of the cold time, in milliseconds for each
+/// slot of the backend server. With requests of 20 ms to 40 ms it keeps up and serves its open
+/// flows besides.
+const RAMP_SLOT_MS: u64 = 50;
 
 /// Longest time that an opening waits for a cold backend server, in milliseconds. Callers
 /// give up after 1,400 ms, and the segment and its answer travel within that.
@@ -38,6 +43,10 @@
 /// its agent, as the number of reports it has made.
 const FIRST_REPORTS: u64 = 1;
 
+/// Reports that a backend server makes while it is cold after its start at most: about one each
+/// 0.8 s, and more while they are not answered.
+const EARLY_REPORTS: u64 = 8;
+
 /// What a backend server says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -242,10 +251,21 @@
         })
     }
 
+    /// Time since its start in milliseconds, with the time that backend servers of its service
+    /// are cold; none if it is not cold any more, or may have turned cold again.
+    pub fn age_ms(&self, now: Millis, cold_ms: u64) -> Option<u64> {
+        let is_early = self.report.as_ref().is_some_and(Report::is_early);
+        let left_ms = self.cold_until.since(now);
+        (is_early && left_ms > 0).then(|| cold_ms.saturating_sub(left_ms))
+    }
+
     /// Whether it may be running, as far as an agent that started at `start` can tell.
     pub fn is_present(&self, now: Millis, start: Millis) -> bool {
-        let heard = if self.report.is_some() { self.heard } else { start };
-        !self.has_left() && now.since(heard) <= self.bounds.report_ms * MISSED_REPORTS
+        let (heard, reports) = match self.report {
+            Some(_) => (self.heard, MISSED_REPORTS),
+            None => (start, FIRST_REPORT),
+        };
+        !self.has_left() && now.since(heard) <= self.bounds.report_ms * reports
     }
 
     /// Whether its reports stay out.
@@ -293,7 +313,9 @@
         let limit = self.cold_limit(cold_per_s);
         let place = self.openings.len().checked_sub(limit)?;
         let free = self.openings.get(place)?.after(COLD_WINDOW_MS);
-        let warm = self.cold_until.max(self.ramp.after(RAMP_MS));
+        let slots = self.report.as_ref().map_or(1, |report| report.slots.max(1));
+        let step_ms = RAMP_SLOT_MS.div_ceil(u64::from(slots));
+        let warm = self.cold_until.max(self.ramp.after(step_ms));
         let until = if self.is_suspect { free } else { free.min(warm) };
         if until > now.after(HOLD_MS) {
             return None;
@@ -321,6 +343,11 @@
         self.id == other.id && self.born == other.born
     }
 
+    /// Whether the backend server has started lately.
+    fn is_early(&self) -> bool {
+        self.sequence <= EARLY_REPORTS
+    }
+
     /// Whether it is among the first of its lifetime.
     pub fn is_first(&self) -> bool {
         self.sequence <= FIRST_REPORTS
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -135,7 +135,7 @@
         let state = &self.state;
         state.node.is_stopping.store(true, Ordering::Relaxed);
         state.flows.write().stop();
-        if state.flows.read().backend().has_left() {
+        if state.flows.read().is_alone(state.node.now()) {
             state.node.leave();
             Timer::after(GRACE_GONE).await;
             return;
@@ -166,7 +166,13 @@
         let (id, is_draining) = (report.id.clone(), report.is_draining);
         let (service, sequence) = (report.service.clone(), report.sequence);
         let cold_ms = report.cold_ms;
-        let (change, ended) = state.flows.write().report(state.node.now(), report);
+        let (now, routing) = (state.node.now(), state.node.routing());
+        let (change, ended) = {
+            let mut flows = state.flows.write();
+            let outcome = flows.report(now, report);
+            flows.assess(now, &routing);
+            outcome
+        };
         state.end(&ended, "replaced");
         if matches!(change, Change::Started { .. } | Change::Stage) {
             state.beat();
@@ -190,6 +196,7 @@
     /// Sends beats and news of flows, and forgets idle flows.
     async fn tick(self: Arc<Self>) {
         let mut due = self.node.now();
+        let mut was_complete = false;
         loop {
             let now = self.node.now();
             let is_due = now >= due;
@@ -197,16 +204,21 @@
                 due = now.after(BEAT_MS);
                 self.node.tick();
                 let idle_ms = self.node.settings.flow.as_millis() as u64;
-                self.flows.write().expire(now, idle_ms);
+                let routing = self.node.routing();
+                let mut flows = self.flows.write();
+                flows.expire(now, idle_ms);
+                flows.assess(now, &routing);
             }
-            let (ended, news) = {
+            let (ended, news, is_complete) = {
                 let roster = self.node.roster.read();
                 let mut flows = self.flows.write();
-                (flows.tick(now), flows.news(now, &roster))
+                (flows.tick(now), flows.news(now, &roster), flows.is_complete(now))
             };
             self.end(&ended, "backend_gone");
             self.tell(news);
-            if is_due {
+            // Homes ask this agent for flows until they hear that it knows all.
+            if is_due || was_complete != is_complete {
+                was_complete = is_complete;
                 self.beat();
             }
             Timer::after(Duration::from_millis(TICK_MS)).await;
@@ -224,7 +236,7 @@
     /// What a beat to a member says of the flows that it was told.
     fn ledger(&self, member: &Member) -> Option<Ledger> {
         let is_home = member.role == Role::Agent && member.node != 0;
-        is_home.then(|| self.flows.read().ledger(member))
+        is_home.then(|| self.flows.read().ledger(self.node.now(), member))
     }
 
     /// Tells homes of flows.
@@ -237,12 +249,13 @@
     /// What balancers are told of the backend server.
     fn offer(&self) -> Option<Offer<'static>> {
         let now = self.node.now();
+        let balancers = self.node.roster.read().balancers(&self.node.settings.domain);
         let mut flows = self.flows.write();
         let (open, busy) = flows.load(now);
         let stage = flows.backend().stage(now)?;
         let report = flows.backend().report()?;
         let service = Cow::Owned(report.service.to_string());
-        Some(Offer { service, stage, open, busy, slots: report.slots })
+        Some(Offer { service, stage, open, busy, slots: report.slots, balancers })
     }
 
     /// Tells callers that their flows have ended with the backend server.
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -72,9 +72,10 @@
         let state = Arc::new(State { node: node.clone(), format, callers, flows });
         let mut tasks = start(pool, &node, outside, Role::Balancer, |_, _| {});
         let (link, shared) = (state.callers.clone(), state.clone());
-        tasks.push(pool.spawn(receive::run(link, "callers", move |_, bytes| {
-            shared.forward(bytes);
-        })));
+        tasks.push(pool.spawn(async move {
+            shared.node.opening().await;
+            receive::run(link, "callers", move |_, bytes| shared.forward(bytes)).await;
+        }));
         let (link, shared) = (node.link.clone(), state.clone());
         tasks.push(pool.spawn(receive::run(link, "nodes", move |from, bytes| {
             shared.handle(from, bytes);
@@ -133,6 +134,7 @@
                     tried: Vec::new(),
                     ask: Vec::new(),
                     known: 0,
+                    is_settled: false,
                     is_whole: false,
                     bytes,
                 };
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -14,7 +14,7 @@
 use lentilreach::process::store::follow::Update;
 use lentilreach::process::store::{Error, Store, Watch as _};
 
-use super::{Node, sleep};
+use super::{BACKOFF_MS, Node, sleep};
 use crate::process::documents::{Documents, Source};
 use crate::process::roster::Role;
 use crate::version::routing::Routing;
@@ -33,9 +33,6 @@
 /// Time that the own watch gets to show what another node already knows, in milliseconds.
 const LAG_MS: u64 = 700;
 
-/// Delays after an error of the store, in milliseconds: the first and the longest.
-const BACKOFF_MS: (u64, u64) = (100, 1_000);
-
 /// Follows the documents until the task is cancelled.
 pub async fn run<L: Link, S: Store, D: Source>(
     node: Arc<Node<L>>,
--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -34,8 +34,13 @@
 /// hundred; what waits for the call is done again in the next round.
 const CALL_MS: u64 = 1_500;
 
-/// Delays between the attempts of one call, in milliseconds: the first and the longest.
-const ATTEMPT_BACKOFF_MS: (u64, u64) = (50, 400);
+/// Delays between the attempts of one call, in milliseconds: the first and the longest. Tasks
+/// call again by themselves, and while the store is away each refused call is paid for.
+const ATTEMPT_BACKOFF_MS: (u64, u64) = (1_000, 1_000);
+
+/// Delays of a task after an error of the store, in milliseconds: the first and the longest. An
+/// entry must be back within two seconds of the store's return.
+const BACKOFF_MS: (u64, u64) = (200, 1_500);
 
 /// How the store is called. Members must be listed again two seconds after its return.
 pub fn calls() -> store::Settings {
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -11,7 +11,7 @@
 use lentilreach::process::lock::Ranked;
 use lentilreach::process::tables;
 
-use super::transmit;
+use super::{sleep, transmit};
 use crate::connection::flow;
 use crate::process::metric;
 use crate::process::roster::{Change, Member, Outdated, Role, Roster};
@@ -19,6 +19,13 @@
 use crate::request::message::{Beat, Ledger, Message, Offer};
 use crate::version::routing::Routing;
 
+/// Longest time for which segments of callers wait for a process that starts, in milliseconds.
+/// Callers give up after 1,400 ms.
+const OPENING_MS: u64 = 1_200;
+
+/// Time between looks whether it can forward, in milliseconds.
+const OPENING_STEP_MS: u64 = 10;
+
 /// What a process needs of the outside: the store and how operators write there.
 #[derive(Debug, Clone)]
 pub struct Outside<S, D> {
@@ -115,6 +122,15 @@
         Ok(())
     }
 
+    /// Waits until the process can forward, but not for long. Segments wait in the socket
+    /// meanwhile: one that is dropped comes again after hundreds of milliseconds.
+    pub async fn opening(&self) {
+        let start = self.now();
+        while self.ready().is_err() && self.now().since(start) < OPENING_MS {
+            sleep(OPENING_STEP_MS).await;
+        }
+    }
+
     /// Sends a message.
     pub fn send(&self, to: SocketAddrV4, message: &Message<'_>) {
         transmit(&self.link, SocketAddr::V4(to), &message.encode());
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -10,14 +10,10 @@
 use lentilreach::process::store::backoff::Backoff;
 use lentilreach::process::store::{Error, Lease, Range, Store, Txn};
 
-use super::{Node, sleep};
+use super::{BACKOFF_MS, Node, sleep};
 use crate::process::membership::{CHECK_MS, KEEP_MS, Listed, PREFIX, TTL_MS};
 use crate::process::roster::{ASK_MS, ASKS, Role};
 
-/// Delays after an error of the store, in milliseconds: the first and the longest. An entry
-/// must be back within two seconds of the store's return.
-const BACKOFF_MS: (u64, u64) = (100, 1_000);
-
 /// Registers until the task is cancelled, or until the entry is withdrawn.
 pub async fn run<L: Link, S: Store>(node: Arc<Node<L>>, store: S, role: Role) {
     let address = node.settings.nodes;
--- a/crates/steer/src/process/lines.rs
+++ b/crates/steer/src/process/lines.rs
@@ -28,6 +28,10 @@
 /// Lines of one event at once: what follows a change of all flows of a small deployment.
 const BURST: u32 = 200;
 
+/// Most bytes in one write, unless a line is longer: what a pipe takes as a whole. Lines of
+/// processes that share a pipe do not mix, and readers with small buffers lose none.
+pub const PIECE: usize = 4_096;
+
 /// Time between two writes. Bounds how often the thread wakes.
 const FLUSH: Duration = Duration::from_millis(200);
 
@@ -120,11 +124,27 @@
             buffer.extend(next);
         }
         // Nobody is left to tell if standard output is closed.
-        let _ = out.write_all(&buffer).and_then(|()| out.flush());
+        let _ = pieces(&buffer).try_for_each(|piece| {
+            out.write_all(piece)?;
+            out.flush()
+        });
         buffer.clear();
     }
 }
 
+/// Cuts lines into pieces of whole lines of at most [`PIECE`] bytes.
+pub fn pieces(mut lines: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let end = |bytes: &[u8]| bytes.iter().position(|byte| *byte == b'\n');
+        let whole = lines.len().min(PIECE);
+        let last = lines[..whole].iter().rposition(|byte| *byte == b'\n');
+        let last = if whole == lines.len() { None } else { last.or_else(|| end(lines)) };
+        let (piece, rest) = lines.split_at(last.map_or(lines.len(), |last| last + 1));
+        lines = rest;
+        (!piece.is_empty()).then_some(piece)
+    })
+}
+
 /// Rates of events.
 #[derive(Debug)]
 struct Limits {
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -33,6 +33,10 @@
 /// A silent member is forgotten after this long, in milliseconds. No flow is older.
 pub const FORGET_MS: u64 = 60_000;
 
+/// A member that said that it leaves may be in the rosters of others for this long, in
+/// milliseconds: until it is silent there, and until the next beats say so.
+const LEFT_MS: u64 = 2 * SILENT_MS;
+
 /// All members, sorted by address.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -42,6 +46,8 @@
     generation: u64,
     /// Fingerprint of the agents that are heard. Changes with the generation only.
     view: u32,
+    /// Agents that left lately, and when.
+    left: Vec<(SocketAddrV4, Millis)>,
 }
 
 /// A node of the system.
@@ -79,10 +85,12 @@
 }
 
 impl Member {
-    /// Open flows for each slot, with those that this node placed lately.
+    /// Open flows for each slot, with those placed lately. Other balancers are taken to place
+    /// as many as this node: routers spread flows over them evenly.
     pub fn load(&self) -> f64 {
         let Some(offer) = &self.offer else { return f64::INFINITY };
-        f64::from(offer.open + self.placed) / f64::from(offer.slots.max(1))
+        let placed = self.placed * offer.balancers.max(1);
+        f64::from(offer.open + placed) / f64::from(offer.slots.max(1))
     }
 
     /// Whether it has been silent for long enough to be out of reach.
@@ -151,6 +159,13 @@
         member.is_silent && (self.is_isolated() || !member.is_unreachable(now))
     }
 
+    /// The agents that may be in the rosters of others: those that are heard, are silent, or
+    /// left lately.
+    pub fn traces(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let left = self.left.iter().map(|(address, _)| *address);
+        self.agents().map(|member| member.address).chain(left)
+    }
+
     /// Number of agents that are heard.
     pub fn reachable(&self) -> u16 {
         let heard = self.agents().filter(|member| !member.is_silent).count();
@@ -170,6 +185,16 @@
         addresses.iter().filter(is_unheard).copied().collect()
     }
 
+    /// Number of balancers of a failure domain that are heard.
+    pub fn balancers(&self, domain: &str) -> u32 {
+        let is_near = |member: &&Member| {
+            member.role == Role::Balancer
+                && !member.is_silent
+                && *member.domain == *domain
+        };
+        self.members.iter().filter(is_near).count() as u32
+    }
+
     /// Whether most agents are silent: this node is rather cut off than all of them gone.
     pub fn is_isolated(&self) -> bool {
         let silent = self.agents().filter(|member| member.is_silent).count();
@@ -262,7 +287,10 @@
     /// Removes a member that says that it leaves. Returns whether it was there.
     pub fn leave(&mut self, address: SocketAddrV4) -> bool {
         let Ok(place) = self.find(address) else { return false };
-        self.members.remove(place);
+        let member = self.members.remove(place);
+        if member.role == Role::Agent {
+            self.left.push((address, member.heard));
+        }
         self.advance();
         true
     }
@@ -277,6 +305,7 @@
                 silent.push(member.address);
             }
         }
+        self.left.retain(|(_, heard)| now.since(*heard) <= LEFT_MS);
         let before = self.members.len();
         self.members.retain(|member| now.since(member.heard) <= FORGET_MS);
         if !silent.is_empty() || self.members.len() != before {
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -56,8 +56,10 @@
     pub tried: Vec<SocketAddrV4>,
     /// Agents that a walk has still to ask, in this order.
     pub ask: Vec<SocketAddrV4>,
-    /// Agents that the node that began the walk hears, itself included.
+    /// Agents that the node that began the walk knows, itself and lost ones included.
     pub known: u16,
+    /// Whether the first home found that no agent holds the flow without having told it.
+    pub is_settled: bool,
     /// Whether no agent other than those that the walk asks may hold the flow.
     pub is_whole: bool,
     /// The segment as its sender wrote it.
@@ -141,6 +143,8 @@
     pub receiver: u64,
     /// Fingerprint of the agents among which the sender chose homes.
     pub view: u32,
+    /// Number of these agents.
+    pub known: u16,
     /// Whether the sender knows all flows of its backend server.
     pub is_complete: bool,
     /// What the sender has sent to the receiver.
@@ -174,6 +178,9 @@
     pub busy: u32,
     /// Requests that it runs at the same time.
     pub slots: u32,
+    /// Balancers of the failure domain that the agent hears. Each of them places flows here
+    /// between two beats.
+    pub balancers: u32,
 }
 
 impl Offer<'_> {
--- a/crates/steer/src/request/place.rs
+++ b/crates/steer/src/request/place.rs
@@ -110,24 +110,36 @@
 ///
 /// They depend only on the flow and the members, so all nodes agree on them.
 pub fn homes(roster: &Roster, flow: &flow::Key) -> [Option<SocketAddrV4>; 2] {
-    highest(roster, flow)
+    highest(flow, heard(roster))
+}
+
+/// Whether an agent is a home of a flow at every node, whichever of the members that come and go
+/// the node knows.
+pub fn is_firm_home(roster: &Roster, flow: &flow::Key, agent: SocketAddrV4) -> bool {
+    let [first, second] = highest(flow, roster.traces());
+    [first, second].contains(&Some(agent))
 }
 
 /// The agent that looks for a flow whose homes do not answer.
 pub fn substitute(roster: &Roster, flow: &flow::Key) -> Option<SocketAddrV4> {
-    let [first, _, third] = highest(roster, flow);
+    let [first, _, third] = highest(flow, heard(roster));
     third.or(first)
 }
 
+/// The agents that are heard.
+fn heard(roster: &Roster) -> impl Iterator<Item = SocketAddrV4> {
+    roster.agents().filter(|member| !member.is_silent).map(|member| member.address)
+}
+
 /// The agents with the highest weights for a flow, in descending order.
 fn highest<const N: usize>(
-    roster: &Roster,
     flow: &flow::Key,
+    agents: impl Iterator<Item = SocketAddrV4>,
 ) -> [Option<SocketAddrV4>; N] {
     let hash = flow.hash();
     let mut best = [None; N];
-    for member in roster.agents().filter(|member| !member.is_silent) {
-        let mut entry = Some((weight(hash, member.address), member.address));
+    for agent in agents {
+        let mut entry = Some((weight(hash, agent), agent));
         for known in &mut best {
             if entry > *known {
                 std::mem::swap(&mut entry, known);
--- a/crates/steer/src/version/routing.rs
+++ b/crates/steer/src/version/routing.rs
@@ -79,4 +79,6 @@
     pub connections: u32,
     /// Requests a second that a cold backend server bears.
     pub cold_per_s: f64,
+    /// How long a backend server is cold after its start, in milliseconds.
+    pub cold_ms: u64,
 }
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -13,7 +13,7 @@
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Agent, Answer, Cause, Ended, News, Step};
 use lentilreach_steer::process::backend::{Change, Refusal, Report};
-use lentilreach_steer::process::roster::Roster;
+use lentilreach_steer::process::roster::{Member, Roster};
 use lentilreach_steer::request::message::{Ledger, Search, Stage};
 use lentilreach_steer::request::place::homes;
 use lentilreach_steer::request::segment::Flags;
@@ -321,6 +321,51 @@
     assert_eq!(passed(step), (Cause::Elsewhere, Search::Home(0)));
 }
 
+/// Guards against walks through agents for a minute after a loss of power: a backend server that
+/// started with its agent has no flows that the agent does not know, whatever the number of its
+/// first report that arrives.
+#[test]
+fn an_agent_knows_all_flows_of_a_backend_server_that_just_started() {
+    let known = |report: Report, started_ms: u64| {
+        let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+        let now = NOW.after(started_ms);
+        agent.report(now, report);
+        agent.assess(now, &routing(1));
+        agent.ledger(now, member(&roster(NOW, 6, &["a"]), 2)).is_complete
+    };
+
+    assert!(known(Report { cold_ms: 1_400, ..report(3) }, 100));
+    // It was cold for 1.5 s before the agent started, which may have done so before.
+    assert!(!known(Report { cold_ms: 400, ..report(3) }, 100));
+    // It turned cold again.
+    assert!(!known(Report { cold_ms: 1_400, ..report(90) }, 100));
+    assert!(!known(report(3), 100));
+    // No flow may be idle for so long.
+    assert!(known(report(90), 15_100));
+}
+
+/// Guards against segments that end at an agent without a backend server: nobody returns them.
+#[test]
+fn an_agent_without_a_backend_server_holds_up_no_walk() {
+    let (_, roster) = subject();
+    let agent_of = || Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut walk = arrival(request(foreign(&roster), FIRST), Search::Walk, 1);
+    (walk.way.ask, walk.way.known) = (vec![agent_address(2)], 6);
+
+    let step = agent_of().segment(NOW.after(1_900), &routing(1), &roster, &walk);
+    assert!(matches!(step, Step::Deliver { .. }), "{step:?}");
+
+    let later = NOW.after(2_100);
+    let step = agent_of().segment(later, &routing(1), &roster, &walk);
+    assert_eq!(passed(step), (Cause::Elsewhere, Search::Walk));
+    assert!(agent_of().is_alone(later) && agent_of().is_complete(later));
+}
+
+/// A member of a roster.
+fn member(roster: &Roster, number: u8) -> &Member {
+    roster.get(agent_address(number)).expect("a member")
+}
+
 /// Guards against segments delivered to a backend server that cannot hold their flow.
 #[test]
 fn an_agent_that_knows_all_flows_delivers_no_other() {
@@ -456,11 +501,53 @@
     // A message was lost; it chose homes among others; it does not know all flows of its
     // backend server; it means an earlier process.
     assert_eq!(asked(&|ledger| ledger.sent.count = 1), third);
-    assert_eq!(asked(&|ledger| ledger.view += 1), third);
+    let elsewhere = |ledger: &mut Ledger| (ledger.view, ledger.known) = (0, 7);
+    assert_eq!(asked(&elsewhere), third);
     assert_eq!(asked(&|ledger| ledger.is_complete = false), third);
     assert_eq!(asked(&|ledger| ledger.receiver += 1), third);
 }
 
+/// Guards against callers that wait for a reset while members come and go: nodes never know
+/// quite the same ones, but that does not matter for flows whose home is certain.
+#[test]
+fn other_members_elsewhere_do_not_matter_to_a_certain_home() {
+    let (mut agent, mut roster) = subject();
+    let key = own(&roster);
+    settle(NOW, &mut roster, agent_address(1));
+    // It leaves; the others do not know that yet.
+    let gone = (2..=6)
+        .map(agent_address)
+        .find(|agent| !homes(&roster, &key).contains(&Some(*agent)));
+    roster.leave(gone.expect("four agents are no homes"));
+
+    let last = arrival(request(key, FIRST), Search::Home(1), 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &last);
+
+    assert!(matches!(step, Step::Refuse { cause: Cause::Nowhere, .. }), "{step:?}");
+}
+
+/// Guards against a reset of an open flow by an agent that became its home a moment ago: the
+/// agent of the flow has told the home before.
+#[test]
+fn a_new_home_asks_agents_that_have_not_seen_the_change() {
+    let (mut agent, mut roster) = subject();
+    let becomes_own = |key: &flow::Key| {
+        let mut after = subject().1;
+        after.leave(homes(&roster, key)[0].expect("a home"));
+        !homes(&roster, key).contains(&Some(agent_address(1)))
+            && homes(&after, key).contains(&Some(agent_address(1)))
+    };
+    let key = (1..).map(flow).find(becomes_own).expect("some flows move here");
+    settle(NOW, &mut roster, agent_address(1));
+    roster.leave(homes(&roster, &key)[0].expect("a home"));
+    assert!(homes(&roster, &key).contains(&Some(agent_address(1))));
+
+    let last = arrival(request(key, FIRST), Search::Home(1), 1);
+    let step = agent.segment(NOW, &routing(1), &roster, &last);
+
+    assert_eq!(passed(step), (Cause::Elsewhere, Search::Walk));
+}
+
 /// Guards against flows that stay unknown to their home because a message was lost: it is sent
 /// again once the home has not confirmed it.
 #[test]
@@ -687,8 +774,7 @@
     for port in 1..60 {
         let key = flow(port);
         for holder in (1..=6).map(agent_address) {
-            let mut fewer = roster(NOW, 6, &["a", "b"]);
-            fewer.leave(holder);
+            let fewer = roster_without(holder);
             let home = homes(&fewer, &key)[0].expect("a home");
 
             let (end, asked) = walk(key, home, |node| {
@@ -723,6 +809,16 @@
     }
 }
 
+/// The members of [`subject`] without an agent that was never heard.
+fn roster_without(unheard: SocketAddrV4) -> Roster {
+    let mut roster = Roster::new();
+    for agent in (1..=6).map(agent_address).filter(|agent| *agent != unheard) {
+        let beat = agent_beat(1, "a", Stage::Ready, 0);
+        roster.hear(NOW, agent, &beat).expect("a first beat");
+    }
+    roster
+}
+
 /// Sends a segment of a flow to its last home and on until it is passed to no other; returns
 /// what became of it and the agents that it passed, each once.
 ///
--- a/crates/steer/tests/backend.rs
+++ b/crates/steer/tests/backend.rs
@@ -77,6 +77,24 @@
     assert_eq!(backend.reserve(NOW, 0.0), Some(NOW.after(400)));
 }
 
+/// Guards against a burst at the end of the cold time that exceeds what the backend server can
+/// run, and against a needless wait for one with many slots.
+#[test]
+fn waiting_openings_follow_each_other_by_slots() {
+    for (slots, step_ms) in [(2, 25), (5, 10)] {
+        let mut backend = backend(Report { cold_ms: 400, slots, ..report(1) });
+        for _ in 0..COLD_LIMIT {
+            admit(&mut backend, NOW).expect("within the limit");
+        }
+
+        let places: Vec<_> = (0..3).map(|_| backend.reserve(NOW, 0.0)).collect();
+
+        let warm = NOW.after(400);
+        let expected = [0, 1, 2].map(|place| Some(warm.after(place * step_ms)));
+        assert_eq!(places, expected);
+    }
+}
+
 /// Guards against new work on a backend server that drains, has left or is not heard.
 #[test]
 fn closed_ones_get_nothing() {
--- a/crates/steer/tests/place.rs
+++ b/crates/steer/tests/place.rs
@@ -119,6 +119,29 @@
     assert_eq!(placed, [10, 10, 10, 10]);
 }
 
+/// Guards against a crowd at the least loaded agent: all balancers of its failure domain place
+/// flows there until its next beat.
+#[test]
+fn flows_that_other_balancers_place_count() {
+    let mut roster = Roster::new();
+    for (number, open) in [(1, 0), (2, 20)] {
+        let mut beat = agent_beat(1, "a", Stage::Ready, open);
+        beat.offer.as_mut().expect("an offer").balancers = 5;
+        roster.hear(NOW, agent_address(number), &beat).expect("a first beat");
+    }
+
+    for port in 0..8 {
+        let key = flow(port);
+        let request = Request { flow: &key, service: CALENDAR, domain: "a" };
+        let agent = choose(&routing(1), &roster, request, &[]).expect("an agent");
+        roster.place(agent);
+    }
+
+    // Five balancers place 40 flows, so that each of the two agents has 30.
+    let placed: Vec<_> = roster.agents().map(|member| member.placed).collect();
+    assert_eq!(placed, [6, 2]);
+}
+
 /// Guards against shares that do not follow the weights, and against a service with weight 0.
 #[test]
 fn a_split_follows_its_weights() {
