--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -6,20 +6,21 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
-use crate::connection::flow;
-use crate::connection::held::{Held, Home, Stage};
+use crate::connection::held::{Held, Stage};
 use crate::connection::index::Index;
 use crate::connection::table::Table;
 use crate::process::backend::{self, Backend, Report};
-use crate::process::roster::{Member, Roster};
+use crate::process::roster::Roster;
+use crate::request::message::Search;
 use crate::request::message::Stage::Closed;
-use crate::request::message::{Beat, Ledger, MAX_ASK, MAX_TAKEN, Search, Taken, Tally};
 use crate::request::place::{self, Request};
 use crate::request::segment::Segment;
 use crate::version::routing::Routing;
 
 mod ledger;
+mod news;
 mod pending;
+mod seek;
 mod step;
 
 pub use step::{Answer, Arrival, Cause, Ended, Limits, News, Step, Way};
@@ -38,10 +39,6 @@
 /// Nodes that pass a segment on at most. Bounds the damage of members that disagree.
 const MAX_HOPS: u8 = 200;
 
-/// Nodes that pass a segment on to what they take for its home at most. For a second after a
-/// change, nodes may disagree on homes.
-const MAX_REDIRECTS: u8 = 3;
-
 /// The state of an agent that decisions need.
 #[derive(Debug)]
 pub struct Agent {
@@ -173,60 +170,6 @@
         }
     }
 
-    /// Takes note that another agent holds flows whose home this agent is.
-    pub fn taken(
-        &mut self,
-        now: Millis,
-        roster: &Roster,
-        from: SocketAddrV4,
-        taken: &Taken,
-    ) {
-        for flow in &taken.flows {
-            self.index.insert(now, *flow, from);
-        }
-        if taken.receiver == self.node(roster) {
-            self.received.count(from, taken);
-        }
-    }
-
-    /// Takes a beat of another agent. If a message to it was lost, [`Self::news`] tells it all
-    /// flows again.
-    pub fn beat(
-        &mut self,
-        now: Millis,
-        roster: &Roster,
-        from: SocketAddrV4,
-        beat: &Beat<'_>,
-    ) {
-        let Some(ledger) = beat.ledger else { return };
-        let home = Home { address: from, node: beat.node };
-        if ledger.receiver != self.node(roster)
-            || !self.sent.is_lost(now, home, ledger.received)
-        {
-            return;
-        }
-        self.told = None;
-        self.held.retain(|_, held| {
-            for slot in held.homes.iter_mut().filter(|slot| **slot == Some(home)) {
-                *slot = None;
-            }
-            true
-        });
-    }
-
-    /// What the next beat to another agent says of the flows that it was told.
-    pub fn ledger(&self, now: Millis, member: &Member) -> Ledger {
-        let home = Home { address: member.address, node: member.node };
-        Ledger {
-            receiver: member.node,
-            view: self.view,
-            known: self.known,
-            is_complete: self.is_complete(now),
-            sent: self.sent.tally(home),
-            received: self.received.tally(member.address, member.node),
-        }
-    }
-
     /// Decides on a segment of a caller.
     pub fn segment(
         &mut self,
@@ -303,52 +246,6 @@
         Some(Answer::Send { is_accept, opened_ms, after_ms })
     }
 
-    /// What homes are to be told since the last call.
-    pub fn news(&mut self, now: Millis, roster: &Roster) -> Vec<News> {
-        let generation = roster.generation();
-        let is_changed = self.told != Some(generation);
-        self.told = Some(generation);
-        self.view = roster.view();
-        self.known = roster.reachable();
-        let mut due: Vec<(Home, Vec<flow::Key>)> = Vec::new();
-        let own = self.address;
-        self.held.retain(|flow, held| {
-            if (held.told != Some(generation) || is_changed) && held.is_present() {
-                for home in untold(roster, flow, held).filter(|home| home.address != own)
-                {
-                    match due.binary_search_by_key(&home, |(known, _)| *known) {
-                        Ok(place) => due[place].1.push(*flow),
-                        Err(place) => due.insert(place, (home, vec![*flow])),
-                    }
-                }
-            }
-            true
-        });
-        let sender = self.node(roster);
-        let chunks = due.iter().flat_map(|(home, flows)| {
-            flows.chunks(MAX_TAKEN).map(|flows| (*home, flows.to_vec()))
-        });
-        chunks.map(|(home, flows)| self.sent_news(now, sender, home, flows)).collect()
-    }
-
-    /// What homes are to be told of one flow at once, so that it is found wherever the caller's
-    /// next segment goes.
-    pub fn announce(
-        &mut self,
-        now: Millis,
-        roster: &Roster,
-        flow: &flow::Key,
-    ) -> Vec<News> {
-        let held = self.held.get(now, flow);
-        let Some(held) = held.filter(|held| held.stage == Stage::Accepted) else {
-            return Vec::new();
-        };
-        let homes: Vec<_> = untold(roster, flow, held).collect();
-        let (own, sender) = (self.address, self.node(roster));
-        let others = homes.into_iter().filter(|home| home.address != own);
-        others.map(|home| self.sent_news(now, sender, home, vec![*flow])).collect()
-    }
-
     /// Forgets flows that have been idle for `idle_ms` milliseconds.
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.held.expire(now, idle_ms);
@@ -515,158 +412,6 @@
         Step::Deliver { mark, tell, is_new }
     }
 
-    /// Passes a segment on to where its flow may be: first to its homes. The last one that does
-    /// not know the flow lets all agents be asked that may hold flows it was not told of.
-    fn seek(
-        &mut self,
-        now: Millis,
-        routing: &Routing,
-        roster: &Roster,
-        arrival: &Arrival,
-    ) -> Step {
-        if arrival.segment.flags.reset {
-            return Step::Drop(Cause::Elsewhere);
-        }
-        let flow = arrival.segment.from_caller();
-        let mut way = arrival.way.clone();
-        way.hops += 1;
-        let homes = place::homes(roster, &flow);
-        let other = homes.iter().flatten().find(|home| **home != self.address).copied();
-        match way.search {
-            Search::Home(rank) => {
-                let known = self.index.get(now, &flow, &way.tried);
-                let known = known.filter(|to| *to != self.address);
-                if let Some(member) = known.and_then(|to| roster.get(to)) {
-                    if roster.is_unreachable(now, member) {
-                        return self.end(arrival, Cause::Unreachable);
-                    }
-                    way.search = Search::Told;
-                    return Step::Pass {
-                        to: member.address,
-                        way,
-                        cause: Cause::Elsewhere,
-                    };
-                }
-                let is_home = homes.contains(&Some(self.address));
-                match other {
-                    // The sender knows other members.
-                    Some(to) if !is_home && way.hops <= MAX_REDIRECTS => {
-                        Step::Pass { to, way, cause: Cause::Elsewhere }
-                    }
-                    Some(to) if is_home && rank == 0 => {
-                        way.is_settled = self.unsettled(roster, &flow, &way).is_empty();
-                        way.search = Search::Home(1);
-                        Step::Pass { to, way, cause: Cause::Elsewhere }
-                    }
-                    _ => self.walk(now, routing, roster, arrival, way),
-                }
-            }
-            Search::Walk if way.known > 0 => self.walk_on(roster, arrival, way),
-            Search::Walk => self.walk(now, routing, roster, arrival, way),
-            Search::Open | Search::Known | Search::Told => {
-                // One of two homes was wrong about this agent; the other one decides.
-                let is_told = way.search == Search::Told;
-                if is_told {
-                    way.tried.push(self.address);
-                }
-                way.search = Search::Home(u8::from(is_told));
-                match other {
-                    Some(to) => Step::Pass { to, way, cause: Cause::Elsewhere },
-                    None => self.walk(now, routing, roster, arrival, way),
-                }
-            }
-        }
-    }
-
-    /// Begins to ask the agents that may hold a flow without this home knowing.
-    fn walk(
-        &mut self,
-        now: Millis,
-        routing: &Routing,
-        roster: &Roster,
-        arrival: &Arrival,
-        mut way: Way,
-    ) -> Step {
-        let flow = arrival.segment.from_caller();
-        let domain = roster.get(way.origin).map_or(&*self.domain, |m| &*m.domain);
-        let is_home = place::homes(roster, &flow).contains(&Some(self.address));
-        let unsettled =
-            if way.is_settled { Vec::new() } else { self.unsettled(roster, &flow, &way) };
-        way.known = u16::try_from(roster.traces().count()).unwrap_or(u16::MAX);
-        way.is_whole = (is_home || way.is_settled) && !roster.is_isolated();
-        way.ask.clear();
-        for member in unsettled {
-            if roster.is_awaited(now, member) {
-                way.is_whole = false;
-            } else if !member.is_silent {
-                way.ask.push(member.address);
-            }
-        }
-        place::order(routing, roster, &flow, domain, &mut way.ask);
-        if way.ask.len() > MAX_ASK {
-            way.is_whole = false;
-            way.ask.truncate(MAX_ASK);
-        }
-        way.search = Search::Walk;
-        if self.may_hold(now) {
-            let arrival = Arrival { way, ..arrival.clone() };
-            return self.deliver(now, &arrival, false);
-        }
-        self.walk_on(roster, arrival, way)
-    }
-
-    /// Passes a segment to the next agent of a walk, or ends a flow that none of them holds.
-    fn walk_on(&self, roster: &Roster, arrival: &Arrival, mut way: Way) -> Step {
-        let own = self.address;
-        way.ask.retain(|agent| *agent != own && roster.get(*agent).is_some());
-        // The node that began the walk may not know the right agent.
-        way.is_whole &= roster.reachable() <= way.known;
-        if !way.ask.is_empty() {
-            let to = way.ask.remove(0);
-            return Step::Pass { to, way, cause: Cause::Elsewhere };
-        }
-        if way.is_whole {
-            self.end(arrival, Cause::Nowhere)
-        } else {
-            Step::Drop(Cause::Unknown)
-        }
-    }
-
-    /// The other agents that may hold a flow without having told this one.
-    ///
-    /// Agents tell the nodes that they take for homes. Another node knows nothing: it looks for
-    /// the flow because the homes did not answer, and does not ask them again.
-    fn unsettled<'r>(
-        &self,
-        roster: &'r Roster,
-        flow: &flow::Key,
-        way: &Way,
-    ) -> Vec<&'r Member> {
-        let homes = place::homes(roster, flow);
-        let is_home = homes.contains(&Some(self.address));
-        let is_firm = is_home && place::is_firm_home(roster, flow, self.address);
-        let traces = roster.traces().count();
-        let others = roster.agents().filter(|member| member.address != self.address);
-        let untried = others.filter(|member| !way.tried.contains(&member.address));
-        let unsettled = untried.filter(|member| {
-            let Some(ledger) = member.ledger.filter(|_| is_home) else {
-                return is_home || !homes.contains(&Some(member.address));
-            };
-            let has_told = is_firm && usize::from(ledger.known) <= traces
-                || !member.is_silent && ledger.view == roster.view();
-            !(has_told && self.is_received(roster, member, ledger))
-        });
-        unsettled.collect()
-    }
-
-    /// Whether this agent has received all that another one sent to it of all of its flows.
-    fn is_received(&self, roster: &Roster, member: &Member, ledger: Ledger) -> bool {
-        let Tally { epoch, count } = self.received.tally(member.address, member.node);
-        let is_received = ledger.sent.count == 0
-            || (ledger.sent.epoch == epoch && ledger.sent.count <= count);
-        is_received && ledger.is_complete && ledger.receiver == self.node(roster)
-    }
-
     /// Whether the backend server may hold flows that this agent does not know.
     fn may_hold(&self, now: Millis) -> bool {
         !self.is_complete && self.backend.is_present(now, self.start)
@@ -677,19 +422,6 @@
         roster.get(self.address).map_or(0, |member| member.node)
     }
 
-    /// A message to a home, which counts as sent.
-    fn sent_news(
-        &mut self,
-        now: Millis,
-        sender: u64,
-        home: Home,
-        flows: Vec<flow::Key>,
-    ) -> News {
-        let epoch = self.sent.count(now, home);
-        let taken = Taken { sender, receiver: home.node, epoch, flows };
-        News { to: home.address, taken }
-    }
-
     /// Ends a flow that no backend server holds.
     fn end(&self, arrival: &Arrival, cause: Cause) -> Step {
         if arrival.segment.flags.reset {
@@ -746,18 +478,3 @@
         ended
     }
 }
-
-/// The homes of a flow that were not told of it yet; marks them as told.
-fn untold(
-    roster: &Roster,
-    flow: &flow::Key,
-    held: &mut Held,
-) -> impl Iterator<Item = Home> + use<> {
-    let homes = place::homes(roster, flow).map(|home| {
-        let member = roster.get(home?)?;
-        Some(Home { address: member.address, node: member.node })
-    });
-    held.told = Some(roster.generation());
-    let told = std::mem::replace(&mut held.homes, homes);
-    homes.into_iter().flatten().filter(move |home| !told.contains(&Some(*home)))
-}
