--- a/crates/steer/src/process/agent/seek.rs
+++ b/crates/steer/src/process/agent/seek.rs
@@ -91,7 +91,7 @@
         let is_home = place::homes(roster, &flow).contains(&Some(self.address));
         let unsettled =
             if way.is_settled { Vec::new() } else { self.unsettled(roster, &flow, &way) };
-        way.known = u16::try_from(roster.traces().count()).unwrap_or(u16::MAX);
+        way.known = u16::try_from(roster.all_known().count()).unwrap_or(u16::MAX);
         way.is_whole = (is_home || way.is_settled) && !roster.is_isolated();
         way.ask.clear();
         for member in unsettled {
@@ -143,15 +143,15 @@
     ) -> Vec<&'r Member> {
         let homes = place::homes(roster, flow);
         let is_home = homes.contains(&Some(self.address));
-        let is_firm = is_home && place::is_firm_home(roster, flow, self.address);
-        let traces = roster.traces().count();
+        let is_certain = is_home && place::is_certain_home(roster, flow, self.address);
+        let all_known = roster.all_known().count();
         let others = roster.agents().filter(|member| member.address != self.address);
         let untried = others.filter(|member| !way.tried.contains(&member.address));
         let unsettled = untried.filter(|member| {
             let Some(ledger) = member.ledger.filter(|_| is_home) else {
                 return is_home || !homes.contains(&Some(member.address));
             };
-            let has_told = is_firm && usize::from(ledger.known) <= traces
+            let has_told = is_certain && usize::from(ledger.known) <= all_known
                 || !member.is_silent && ledger.view == roster.view();
             !(has_told && self.is_received(roster, member, ledger))
         });
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -73,7 +73,7 @@
         let mut tasks = start(pool, &node, outside, Role::Balancer, |_, _| {});
         let (link, shared) = (state.callers.clone(), state.clone());
         tasks.push(pool.spawn(async move {
-            shared.node.opening().await;
+            shared.node.wait_until_ready().await;
             receive::run(link, "callers", move |_, bytes| shared.forward(bytes)).await;
         }));
         let (link, shared) = (node.link.clone(), state.clone());
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -21,10 +21,10 @@
 
 /// Longest time for which segments of callers wait for a process that starts, in milliseconds.
 /// Callers give up after 1,400 ms.
-const OPENING_MS: u64 = 1_200;
+const READY_WAIT_MS: u64 = 1_200;
 
 /// Time between looks whether it can forward, in milliseconds.
-const OPENING_STEP_MS: u64 = 10;
+const READY_STEP_MS: u64 = 10;
 
 /// What a process needs of the outside: the store and how operators write there.
 #[derive(Debug, Clone)]
@@ -124,10 +124,10 @@
 
     /// Waits until the process can forward, but not for long. Segments wait in the socket
     /// meanwhile: one that is dropped comes again after hundreds of milliseconds.
-    pub async fn opening(&self) {
+    pub async fn wait_until_ready(&self) {
         let start = self.now();
-        while self.ready().is_err() && self.now().since(start) < OPENING_MS {
-            sleep(OPENING_STEP_MS).await;
+        while self.ready().is_err() && self.now().since(start) < READY_WAIT_MS {
+            sleep(READY_STEP_MS).await;
         }
     }
 
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -161,7 +161,7 @@
 
     /// The agents that may be in the rosters of others: those that are heard, are silent, or
     /// left lately.
-    pub fn traces(&self) -> impl Iterator<Item = SocketAddrV4> {
+    pub fn all_known(&self) -> impl Iterator<Item = SocketAddrV4> {
         let left = self.left.iter().map(|(address, _)| *address);
         self.agents().map(|member| member.address).chain(left)
     }
--- a/crates/steer/src/request/place.rs
+++ b/crates/steer/src/request/place.rs
@@ -115,8 +115,8 @@
 
 /// Whether an agent is a home of a flow at every node, whichever of the members that come and go
 /// the node knows.
-pub fn is_firm_home(roster: &Roster, flow: &flow::Key, agent: SocketAddrV4) -> bool {
-    let [first, second] = highest(flow, roster.traces());
+pub fn is_certain_home(roster: &Roster, flow: &flow::Key, agent: SocketAddrV4) -> bool {
+    let [first, second] = highest(flow, roster.all_known());
     [first, second].contains(&Some(agent))
 }
 
