Say each rule of the agent's flows once

From a read of the whole change; behaviour stays as it is, and no test changes.

- Whether all flows of a backend server are known was decided in two functions that always run together; both rules are in assess now.
- A returned segment's flow was looked up, then removed in each branch; it is removed once.
- Both callers of untold left out the agent itself; untold does.
- The failure domain of a segment's origin was derived at two places, and flows that the caller chose were listed by hand beside Held::is_present.
- The count of received messages has one way to begin anew instead of two.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -123,14 +123,15 @@
     }
 
     /// Finds out whether all flows of the backend server are known: it started too late to have
-    /// others, or none of them can have been idle for the life of this process.
+    /// others, or none of them can have been idle, or lived, for the life of this process.
     pub fn assess(&mut self, now: Millis, routing: &Routing) {
         let service = self.backend.report().and_then(|r| routing.service(&r.service));
         let age_ms =
             service.and_then(|service| self.backend.age_ms(now, service.cold_ms));
         let own_ms = now.since(self.start);
         self.is_complete |= age_ms.is_some_and(|age_ms| age_ms <= own_ms + EARLIER_MS)
-            || (routing.idle_ms > 0 && own_ms > routing.idle_ms);
+            || (routing.idle_ms > 0 && own_ms > routing.idle_ms)
+            || own_ms > self.flow_ms;
     }
 
     /// Whether all flows of the backend server are known, or it is not there.
@@ -250,9 +251,6 @@
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.held.expire(now, idle_ms);
         self.index.expire(now, idle_ms);
-        if now.since(self.start) > self.flow_ms {
-            self.is_complete = true;
-        }
     }
 
     /// Open flows, and how many of them wait for an answer.
@@ -345,8 +343,7 @@
             return refuse;
         }
         let Some(service) = place::service(routing, &flow) else { return refuse };
-        let domain =
-            roster.get(way.origin).map_or(&*self.domain, |member| &*member.domain);
+        let domain = self.origin_domain(roster, &way);
         let request = Request { flow: &flow, service, domain };
         match place::choose(routing, roster, request, &way.tried) {
             Some(to) => Step::Pass { to, way, cause },
@@ -417,6 +414,12 @@
         !self.is_complete && self.backend.is_present(now, self.start)
     }
 
+    /// The failure domain of the balancer that a segment came through; the own one if that is
+    /// not known.
+    fn origin_domain<'a>(&'a self, roster: &'a Roster, way: &Way) -> &'a str {
+        roster.get(way.origin).map_or(&self.domain, |member| &member.domain)
+    }
+
     /// The incarnation of this process.
     fn node(&self, roster: &Roster) -> u64 {
         roster.get(self.address).map_or(0, |member| member.node)
@@ -443,22 +446,18 @@
         let pending = self.pending.take(segment.mark, &flow)?;
         let arrival =
             Arrival { segment: *segment, way: pending.way, service: pending.service };
-        let held = self.held.get(now, &flow).map(|held| held.stage);
+        let held = self.held.remove(&flow).map(|held| held.stage);
         if segment.is_opening() {
-            self.held.remove(&flow);
             return Some(self.decline(routing, roster, &arrival, Cause::Returned));
         }
         Some(match held {
             // The backend server held it before: it started again, or dropped the flow.
             Some(Stage::Open | Stage::Closing | Stage::Lost) => {
-                self.held.remove(&flow);
                 self.end(&arrival, Cause::Lost)
             }
-            Some(Stage::Waiting | Stage::Offered | Stage::Accepted) => {
-                self.held.remove(&flow);
+            Some(Stage::Waiting | Stage::Offered | Stage::Accepted) | None => {
                 self.seek(now, routing, roster, &arrival)
             }
-            None => self.seek(now, routing, roster, &arrival),
         })
     }
 
@@ -467,8 +466,7 @@
         let mut ended = Vec::new();
         self.held.retain(|flow, held| {
             // The caller may have chosen another backend server for the others.
-            let is_here =
-                matches!(held.stage, Stage::Open | Stage::Closing | Stage::Lost);
+            let is_here = held.is_present() || held.stage == Stage::Lost;
             if held.stage == Stage::Open {
                 ended.push(Ended { flow: *flow, sequence: held.acknowledged });
             }
--- a/crates/steer/src/process/agent/ledger.rs
+++ b/crates/steer/src/process/agent/ledger.rs
@@ -119,21 +119,21 @@
         let new = Sender { address: from, node: taken.sender, tally };
         let place = match self.senders.binary_search_by_key(&from, |known| known.address)
         {
-            Ok(place) => place,
+            Ok(place) => {
+                let known = &self.senders[place];
+                if known.node != new.node || known.tally.epoch < taken.epoch {
+                    self.senders[place] = new;
+                } else if known.tally.epoch > taken.epoch {
+                    return;
+                }
+                place
+            }
             Err(place) => {
                 self.senders.insert(place, new);
                 place
             }
         };
-        let known = &mut self.senders[place];
-        if known.node != taken.sender {
-            *known = Sender { address: from, node: taken.sender, tally };
-        } else if taken.epoch > known.tally.epoch {
-            known.tally = tally;
-        } else if taken.epoch < known.tally.epoch {
-            return;
-        }
-        known.tally.count += 1;
+        self.senders[place].tally.count += 1;
     }
 
     /// What was received from an incarnation of a node.
--- a/crates/steer/src/process/agent/news.rs
+++ b/crates/steer/src/process/agent/news.rs
@@ -77,8 +77,7 @@
         let own = self.address;
         self.held.retain(|flow, held| {
             if (held.told != Some(generation) || is_changed) && held.is_present() {
-                for home in untold(roster, flow, held).filter(|home| home.address != own)
-                {
+                for home in untold(roster, own, flow, held) {
                     match due.binary_search_by_key(&home, |(known, _)| *known) {
                         Ok(place) => due[place].1.push(*flow),
                         Err(place) => due.insert(place, (home, vec![*flow])),
@@ -106,10 +105,9 @@
         let Some(held) = held.filter(|held| held.stage == Stage::Accepted) else {
             return Vec::new();
         };
-        let homes: Vec<_> = untold(roster, flow, held).collect();
-        let (own, sender) = (self.address, self.node(roster));
-        let others = homes.into_iter().filter(|home| home.address != own);
-        others.map(|home| self.sent_news(now, sender, home, vec![*flow])).collect()
+        let homes = untold(roster, self.address, flow, held);
+        let sender = self.node(roster);
+        homes.map(|home| self.sent_news(now, sender, home, vec![*flow])).collect()
     }
 
     /// A message to a home, which counts as sent.
@@ -126,9 +124,10 @@
     }
 }
 
-/// The homes of a flow that were not told of it yet; marks them as told.
+/// The homes of a flow other than `own` that were not told of it yet; marks them as told.
 fn untold(
     roster: &Roster,
+    own: SocketAddrV4,
     flow: &flow::Key,
     held: &mut Held,
 ) -> impl Iterator<Item = Home> + use<> {
@@ -138,5 +137,6 @@
     });
     held.told = Some(roster.generation());
     let told = std::mem::replace(&mut held.homes, homes);
-    homes.into_iter().flatten().filter(move |home| !told.contains(&Some(*home)))
+    let others = homes.into_iter().flatten().filter(move |home| home.address != own);
+    others.filter(move |home| !told.contains(&Some(*home)))
 }
--- a/crates/steer/src/process/agent/seek.rs
+++ b/crates/steer/src/process/agent/seek.rs
@@ -87,7 +87,6 @@
         mut way: Way,
     ) -> Step {
         let flow = arrival.segment.from_caller();
-        let domain = roster.get(way.origin).map_or(&*self.domain, |m| &*m.domain);
         let is_home = place::homes(roster, &flow).contains(&Some(self.address));
         let unsettled =
             if way.is_settled { Vec::new() } else { self.unsettled(roster, &flow, &way) };
@@ -101,6 +100,7 @@
                 way.ask.push(member.address);
             }
         }
+        let domain = self.origin_domain(roster, &way);
         place::order(routing, roster, &flow, domain, &mut way.ask);
         if way.ask.len() > MAX_ASK {
             way.is_whole = false;
