--- /dev/null
+++ b/crates/steer/src/connection/in_flight.rs
@@ -0,0 +1,118 @@
+//! The work that a backend server has been given and has not finished.
+
+use lentilreach::process::clock::Millis;
+
+use super::flow::Key;
+
+/// Time within which the first request of a flow is expected after its opening segment
+/// was delivered, in milliseconds. A flow without one in this time was opened for later,
+/// or its caller chose another backend server.
+const FIRST_REQUEST_MS: u64 = 300;
+
+/// Time after which an unanswered request no longer counts as running, in milliseconds.
+/// Callers give up earlier.
+const REQUEST_TIMEOUT_MS: u64 = 10_000;
+
+/// Openings and requests that a backend server has not answered yet.
+///
+/// The number of entries is bounded by the flows with a request in progress, not by the
+/// flows that are open.
+#[derive(Debug, Default)]
+pub struct InFlight {
+    /// Sorted by flow, without duplicates.
+    entries: Vec<Entry>,
+}
+
+/// An opening or a request in progress.
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    /// The flow that it belongs to.
+    flow: Key,
+    /// When it was delivered.
+    since: Millis,
+    /// Whether it is a request; otherwise the first request is still expected.
+    is_request: bool,
+    /// Whether fewer requests were running than the backend server has slots when this
+    /// one was delivered. Only then does its duration not include time in a queue.
+    is_unqueued: bool,
+}
+
+/// The duration of a request that was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// Time from the delivery of the request to its answer, in milliseconds.
+    pub ms: u64,
+    /// Whether a slot was free when the request was delivered.
+    pub is_unqueued: bool,
+}
+
+impl InFlight {
+    /// Records that an opening segment was delivered, so that a request is expected.
+    pub fn open(&mut self, now: Millis, flow: Key) {
+        let entry = Entry { flow, since: now, is_request: false, is_unqueued: false };
+        match self.find(&flow) {
+            Ok(_) => {}
+            Err(index) => self.entries.insert(index, entry),
+        }
+    }
+
+    /// Records that a request was delivered to a backend server with a number of slots.
+    /// Further segments of the same request don't change its start.
+    pub fn request(&mut self, now: Millis, flow: Key, slots: u32) {
+        let is_unqueued = self.requests(now) < slots;
+        let entry = Entry { flow, since: now, is_request: true, is_unqueued };
+        match self.find(&flow) {
+            Ok(index) if self.entries[index].is_request => {}
+            Ok(index) => self.entries[index] = entry,
+            Err(index) => self.entries.insert(index, entry),
+        }
+    }
+
+    /// Records that the backend server has begun to answer a request.
+    pub fn answer(&mut self, now: Millis, flow: &Key) -> Option<Answer> {
+        let index = self.find(flow).ok()?;
+        if !self.entries[index].is_request {
+            return None;
+        }
+        let Entry { since, is_unqueued, .. } = self.entries.remove(index);
+        Some(Answer { ms: now.since(since), is_unqueued })
+    }
+
+    /// Records that a flow has ended.
+    pub fn remove(&mut self, flow: &Key) {
+        if let Ok(index) = self.find(flow) {
+            self.entries.remove(index);
+        }
+    }
+
+    /// Records that all flows have ended.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+    }
+
+    /// Number of requests that are in progress or expected.
+    pub fn count(&mut self, now: Millis) -> u32 {
+        self.expire(now);
+        self.entries.len() as u32
+    }
+
+    /// Number of requests that are in progress.
+    pub fn requests(&mut self, now: Millis) -> u32 {
+        self.expire(now);
+        self.entries.iter().filter(|entry| entry.is_request).count() as u32
+    }
+
+    /// Removes entries that no answer is expected for any more.
+    fn expire(&mut self, now: Millis) {
+        self.entries.retain(|entry| {
+            let limit_ms =
+                if entry.is_request { REQUEST_TIMEOUT_MS } else { FIRST_REQUEST_MS };
+            now.since(entry.since) < limit_ms
+        });
+    }
+
+    /// The index of a flow, or the index at which to insert it.
+    fn find(&self, flow: &Key) -> Result<usize, usize> {
+        self.entries.binary_search_by(|entry| entry.flow.cmp(flow))
+    }
+}
--- a/crates/steer/src/connection/state.rs
+++ b/crates/steer/src/connection/state.rs
@@ -20,14 +20,15 @@
     pub homes: [Option<Home>; 2],
     /// Generation of the roster for which the home nodes were last informed.
     pub announced_generation: Option<u64>,
-    /// When the oldest unanswered request was delivered.
-    pub request_since: Option<Millis>,
+    /// Sequence number after the last byte of the caller that was delivered; `None`
+    /// until there is one. Tells requests from retransmissions.
+    pub requested_to: Option<u32>,
 }
 
 /// The stages of a flow's life cycle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
-    /// The opening segment is held back until the cold backend server can accept it.
+    /// The opening segment waits until the backend server has room for it.
     Held,
     /// The opening segment was delivered.
     Offered,
@@ -51,7 +52,7 @@
             acknowledged: 0,
             homes: [None; 2],
             announced_generation: None,
-            request_since: None,
+            requested_to: None,
         }
     }
 
@@ -74,9 +75,17 @@
             .is_none_or(|first_sequence| ack.wrapping_sub(first_sequence) <= max)
     }
 
-    /// Whether a request is still waiting for its answer.
-    pub fn is_awaiting_answer(&self, now: Millis) -> bool {
-        self.request_since.is_some_and(|since| now.since(since) < REQUEST_TIMEOUT_MS)
+    /// Records that a segment with data was delivered to the backend server. Returns
+    /// whether the data is new.
+    pub fn record_request(&mut self, sequence: u32, length: u16) -> bool {
+        let end = sequence.wrapping_add(u32::from(length));
+        // Compares sequence numbers modulo 2^32.
+        let is_new =
+            self.requested_to.is_none_or(|known| end.wrapping_sub(known) as i32 > 0);
+        if is_new {
+            self.requested_to = Some(end);
+        }
+        is_new
     }
 
     /// Whether the caller has chosen this backend server and may still send segments.
@@ -107,7 +116,3 @@
 /// [`State::accepts_ack`]: 60 s at 1 MB/s. An unrelated random sequence number lies in
 /// this range with a probability of 1.5%.
 const MAX_SENT_BYTES: u32 = 60_000_000;
-
-/// Time after which an unanswered request no longer counts as running, in milliseconds.
-/// Callers give up earlier.
-const REQUEST_TIMEOUT_MS: u64 = 10_000;
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -6,25 +6,28 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
+use crate::connection::in_flight::InFlight;
 use crate::connection::index::Index;
+use crate::connection::lifetime::Lifetime;
 use crate::connection::state::{Stage, State};
 use crate::connection::table::Table;
+use crate::process::admission::Admission;
 use crate::process::backend::{self, Backend, Report};
 use crate::process::roster::Roster;
 use crate::request::message::Search;
-use crate::request::message::Stage::Closed;
-use crate::request::placement::{self, Request};
 use crate::request::segment::Segment;
 use crate::version::routing::Routing;
 
 mod action;
+mod admit;
 mod announce;
 mod delivered;
 mod locate;
 mod sync;
 
 pub use action::{
-    Action, Arrival, BackendAction, Cause, Ended, Forwarding, Limits, Outgoing,
+    Action, Arrival, BackendAction, Cause, Ended, Forwarding, Limits, Outgoing, Release,
+    Waiting,
 };
 
 use delivered::{Delivered, Ring};
@@ -59,6 +62,16 @@
     backend: Backend,
     /// The known flows of the backend server.
     flows: Table<State>,
+    /// Upper bound of the number of open flows: their number when it was last counted,
+    /// and all openings since.
+    open: u32,
+    /// What the backend server has been given and has not answered.
+    in_flight: InFlight,
+    /// Openings that wait for the backend server. Each has an entry in `flows` with the
+    /// stage [`Stage::Held`].
+    admission: Admission<Waiting>,
+    /// Estimates how long flows stay open.
+    lifetime: Lifetime,
     /// Which agents hold the flows that this agent is a home node of.
     index: Index,
     /// Recently delivered segments, which the backend server may return.
@@ -91,6 +104,10 @@
             max_flow_age_ms: limits.max_flow_age_ms,
             backend: Backend::new(limits.bounds),
             flows: Table::new(limits.flows),
+            open: 0,
+            in_flight: InFlight::default(),
+            admission: Admission::default(),
+            lifetime: Lifetime::default(),
             index: Index::new(limits.flows),
             delivered: Ring::new(fastrand::u32(1..)),
             knows_all_flows: false,
@@ -164,6 +181,8 @@
     /// Detects whether the backend server is gone. Returns the flows that ended with it,
     /// each of them once.
     pub fn tick(&mut self, now: Millis) -> Vec<Ended> {
+        self.count_open();
+        self.lifetime.tick(self.open);
         if !self.backend.tick(now) {
             return Vec::new();
         }
@@ -202,27 +221,6 @@
         }
     }
 
-    /// Decides on an opening segment that was held back until now.
-    pub fn release(
-        &mut self,
-        now: Millis,
-        routing: &Routing,
-        roster: &Roster,
-        arrival: &Arrival,
-    ) -> Action {
-        let flow = arrival.segment.flow_from_caller();
-        let is_held =
-            self.flows.remove(&flow).is_some_and(|state| state.stage == Stage::Held);
-        let is_open = self.backend.stage(now).is_some_and(|stage| stage != Closed);
-        if !is_held || !is_open || routing.is_out(&self.domain) {
-            return self.redirect_or_refuse(routing, roster, arrival, Cause::Held);
-        }
-        self.min_revision =
-            self.min_revision.max(arrival.forwarding.revision.max(routing.revision));
-        self.flows.insert(now, flow, State::offered(now));
-        self.deliver(now, arrival, true)
-    }
-
     /// Decides on a segment from the backend server.
     pub fn handle_backend_segment(
         &mut self,
@@ -260,9 +258,16 @@
             Stage::Offered if segment.length > 0 => Stage::Open,
             stage => stage,
         };
-        let request_since =
-            if segment.length > 0 { state.request_since.take() } else { None };
-        let answer_ms = request_since.map(|since| now.since(since));
+        let is_closing = state.stage == Stage::Closing;
+        let answer =
+            if segment.length > 0 { self.in_flight.answer(now, &flow) } else { None };
+        if let Some(answer) = answer.filter(|answer| answer.is_unqueued) {
+            self.admission.observe(answer.ms);
+        }
+        if is_closing {
+            self.in_flight.remove(&flow);
+        }
+        let answer_ms = answer.map(|answer| answer.ms);
         Some(BackendAction::Send { is_accept, accept_ms, answer_ms })
     }
 
@@ -272,107 +277,20 @@
         self.index.expire(now, idle_ms);
     }
 
-    /// The number of open flows, and how many of them have an unanswered request.
+    /// The number of open flows, and of requests in progress.
     pub fn load(&mut self, now: Millis) -> (u32, u32) {
-        let (mut open, mut busy) = (0, 0);
+        self.count_open();
+        (self.open, self.in_flight.requests(now))
+    }
+
+    /// Counts the open flows.
+    fn count_open(&mut self) {
+        let mut open = 0;
         self.flows.retain(|_, state| {
             open += u32::from(state.is_open());
-            busy += u32::from(state.is_open() && state.is_awaiting_answer(now));
             true
         });
-        (open, busy)
-    }
-
-    /// Decides on an opening segment.
-    fn handle_opening(
-        &mut self,
-        now: Millis,
-        routing: &Routing,
-        roster: &Roster,
-        arrival: &Arrival,
-    ) -> Action {
-        let flow = arrival.segment.flow_from_caller();
-        let forwarding = &arrival.forwarding;
-        match self.flows.get(now, &flow).map(|state| state.stage) {
-            Some(Stage::Held) => return Action::Drop(Cause::Held),
-            Some(_) => return self.deliver(now, arrival, false),
-            None => {}
-        }
-        let revision = forwarding.revision.max(routing.revision);
-        if revision < self.min_revision {
-            return Action::Drop(Cause::Stale);
-        }
-        let service = self.backend.report().map(|report| report.service.clone());
-        let Some(service) = service else {
-            return self.redirect_or_refuse(
-                routing,
-                roster,
-                arrival,
-                backend::Refusal::Unknown.into(),
-            );
-        };
-        // The newer of the two routing revisions, the agent's and the balancer's,
-        // decides.
-        let is_allowed = if routing.revision >= forwarding.revision {
-            routing.allows(flow.service, &service)
-        } else {
-            arrival.service.as_ref() == Some(&service)
-        };
-        if !is_allowed {
-            return self.redirect_or_refuse(routing, roster, arrival, Cause::Route);
-        }
-        if routing.is_out(&self.domain) {
-            return self.redirect_or_refuse(routing, roster, arrival, Cause::DomainOut);
-        }
-        let limits = routing.service(&service);
-        let connections = limits.map_or(u32::MAX, |service| service.connections);
-        let cold_per_s = limits.map_or(0.0, |service| service.cold_per_s);
-        let (open, _) = self.load(now);
-        if let Err(refusal) = self.backend.admit(now, open, connections, cold_per_s) {
-            let own = [self.address];
-            let has_alternative =
-                placement::has_ready_agent(routing, roster, &service, &own);
-            if refusal == backend::Refusal::Cold
-                && !has_alternative
-                && let Some(until) = self.backend.reserve(now, cold_per_s)
-            {
-                self.flows.insert(now, flow, State::new(Stage::Held));
-                return Action::Hold { until };
-            }
-            return self.redirect_or_refuse(routing, roster, arrival, refusal.into());
-        }
-        self.min_revision = revision;
-        self.flows.insert(now, flow, State::offered(now));
-        self.deliver(now, arrival, true)
-    }
-
-    /// Forwards an opening segment to another agent, or refuses it if there is none left.
-    fn redirect_or_refuse(
-        &self,
-        routing: &Routing,
-        roster: &Roster,
-        arrival: &Arrival,
-        cause: Cause,
-    ) -> Action {
-        let flow = arrival.segment.flow_from_caller();
-        let mut forwarding = arrival.forwarding.clone();
-        forwarding.tried.push(self.address);
-        forwarding.hops += 1;
-        forwarding.revision = forwarding.revision.max(routing.revision);
-        let refuse =
-            Action::Refuse { sequence: 0, notify: Some(forwarding.origin), cause };
-        if forwarding.tried.len() > MAX_OPENING_FORWARDS {
-            return refuse;
-        }
-        let Some(service) = placement::choose_service(routing, &flow) else {
-            return refuse;
-        };
-        let domain = self.origin_domain(roster, &forwarding);
-        let request = Request { flow: &flow, service, domain };
-        match placement::choose_agent(routing, roster, request, &forwarding.tried) {
-            Some(to) => Action::Forward { to, forwarding, cause },
-            None => refuse,
-        }
+        self.open = open;
     }
 
     /// Decides on a segment of a flow that should already be open.
@@ -410,6 +328,7 @@
         let flow = arrival.segment.flow_from_caller();
         let state = self.flows.get(now, &flow);
         let is_tracked = state.is_some();
+        let mut is_request = arrival.segment.length > 0;
         if let Some(state) = state {
             if !arrival.segment.is_opening() {
                 state.acknowledged = arrival.segment.acknowledged;
@@ -417,13 +336,19 @@
                     state.stage = Stage::Open;
                 }
             }
-            if arrival.segment.length > 0 {
-                state.request_since.get_or_insert(now);
-            }
+            let Segment { sequence, length, .. } = arrival.segment;
+            is_request = length > 0 && state.record_request(sequence, length);
             if arrival.segment.flags.close || arrival.segment.flags.reset {
                 state.stage = Stage::Closing;
             }
         }
+        if is_request {
+            let slots = self.backend.report().map_or(1, |report| report.slots);
+            self.in_flight.request(now, flow, slots);
+        }
+        if arrival.segment.flags.reset {
+            self.in_flight.remove(&flow);
+        }
         let forwarding = &arrival.forwarding;
         let balancer_knows = match forwarding.search {
             Search::Known => true,
@@ -484,8 +409,10 @@
             service: delivered.service,
         };
         let stage = self.flows.remove(&flow).map(|state| state.stage);
+        self.in_flight.remove(&flow);
         if segment.is_opening() {
             return Some(self.redirect_or_refuse(
+                now,
                 routing,
                 roster,
                 &arrival,
@@ -507,7 +434,11 @@
     /// Marks all flows as ended with their backend server. Returns those that were open.
     fn end_all(&mut self) -> Vec<Ended> {
         let mut ended = Vec::new();
+        self.in_flight.clear();
         self.flows.retain(|flow, state| {
+            if state.stage == Stage::Held {
+                return true;
+            }
             // The callers of all other flows may have chosen another backend server.
             let is_kept = state.is_established() || state.stage == Stage::Lost;
             if state.stage == Stage::Open {
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -105,11 +105,11 @@
         /// Whether the segment opens a flow that was not known here.
         is_new: bool,
     },
-    /// Hold it back until the cold backend server can accept another opening, then call
-    /// [`Agent::release`](super::Agent::release).
+    /// Pass it to [`Agent::hold`](super::Agent::hold), which lets it wait until the backend
+    /// server has room for it.
     Hold {
-        /// When to release it.
-        until: Millis,
+        /// The balancer to inform, so that it sends retransmissions to this agent.
+        notify: SocketAddrV4,
     },
     /// Forward it to another agent.
     Forward {
@@ -166,8 +166,8 @@
     /// The balancer's decision is based on older routes than an opening that was already
     /// delivered.
     Stale,
-    /// The opening is held back for a cold backend server, or could not be delivered
-    /// after that.
+    /// The opening is waiting for the backend server, or could not be delivered after
+    /// that.
     Held,
     /// Another agent holds the flow.
     Elsewhere,
@@ -203,6 +203,26 @@
     }
 }
 
+/// An opening that no longer waits, and what to do with it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Release {
+    /// The opening.
+    pub waiting: Waiting,
+    /// What to do with it; never [`Action::Hold`].
+    pub action: Action,
+}
+
+/// An opening that waits for the backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Waiting {
+    /// The opening.
+    pub arrival: Arrival,
+    /// The unmodified segment.
+    pub bytes: Vec<u8>,
+    /// Since when it has been waiting.
+    pub since: Millis,
+}
+
 /// A flow that ended with its backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ended {
--- /dev/null
+++ b/crates/steer/src/process/agent/admit.rs
@@ -0,0 +1,307 @@
+//! Admits openings: delivers them, lets them wait, offers them to another agent, or refuses
+//! them.
+
+use lentilreach::process::clock::Millis;
+
+use super::{
+    Action, Agent, Arrival, Cause, MAX_OPENING_FORWARDS, Release, Stage, State, Waiting,
+};
+use crate::process::admission::{Capacity, Opening, Verdict};
+use crate::process::backend;
+use crate::process::roster::Roster;
+use crate::request::message::{self, BackendStatus};
+use crate::request::placement::{self, Request};
+use crate::version::routing::Routing;
+
+impl Agent {
+    /// Decides on an opening segment.
+    pub(super) fn handle_opening(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+        arrival: &Arrival,
+    ) -> Action {
+        let flow = arrival.segment.flow_from_caller();
+        match self.flows.get(now, &flow).map(|state| state.stage) {
+            Some(Stage::Held) => return Action::Drop(Cause::Held),
+            Some(_) => return self.deliver(now, arrival, false),
+            None => {}
+        }
+        let revision = arrival.forwarding.revision.max(routing.revision);
+        if revision < self.min_revision {
+            return Action::Drop(Cause::Stale);
+        }
+        if let Err(cause) = self.check(now, routing, arrival) {
+            return self.redirect_or_refuse(now, routing, roster, arrival, cause);
+        }
+        match self.admit(now, routing, roster, arrival) {
+            Ok(Verdict::Deliver) => self.deliver_opening(now, routing, arrival),
+            Ok(_) => Action::Hold { notify: arrival.forwarding.origin },
+            Err(refusal) => {
+                self.redirect_or_refuse(now, routing, roster, arrival, refusal.into())
+            }
+        }
+    }
+
+    /// Lets an opening wait for which [`Action::Hold`] was returned. Must be called before
+    /// any other segment is processed.
+    pub fn hold(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        arrival: Arrival,
+        bytes: Vec<u8>,
+    ) {
+        let opening = opening(now, routing, &arrival);
+        self.flows.insert(now, opening.flow, State::new(Stage::Held));
+        self.admission.insert(opening, Waiting { arrival, bytes, since: now });
+    }
+
+    /// Returns the next opening that no longer waits. Must be called until it returns
+    /// `None` whenever the backend server has answered, and at the time that
+    /// [`Self::next_release`] returns.
+    pub fn release(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+    ) -> Option<Release> {
+        if self.admission.is_empty() {
+            return None;
+        }
+        if let Some((_, waiting)) = self.admission.next_expired(now) {
+            self.end_hold(&waiting.arrival);
+            let action = self.refuse_opening(&waiting.arrival, Cause::Held);
+            return Some(Release { waiting, action });
+        }
+        // All of them leave if the backend server can't be given any.
+        let is_closed =
+            self.backend.stage(now).is_none_or(|s| s == message::Stage::Closed);
+        if is_closed || routing.is_out(&self.domain) {
+            let (_, waiting) = self.admission.pop()?;
+            self.end_hold(&waiting.arrival);
+            let arrival = &waiting.arrival;
+            let action =
+                self.redirect_or_refuse(now, routing, roster, arrival, Cause::Held);
+            return Some(Release { waiting, action });
+        }
+        let rate = self.cold_rate(routing);
+        if self.backend.opening_at(now, 0, rate).is_none_or(|at| at > now) {
+            return None;
+        }
+        let capacity = self.capacity(now);
+        let (_, waiting) = self.admission.next(now, capacity)?;
+        let action = match self.check(now, routing, &waiting.arrival) {
+            Ok(()) => self.deliver_opening(now, routing, &waiting.arrival),
+            Err(cause) => {
+                self.end_hold(&waiting.arrival);
+                self.redirect_or_refuse(now, routing, roster, &waiting.arrival, cause)
+            }
+        };
+        Some(Release { waiting, action })
+    }
+
+    /// The latest time at which [`Self::release`] must be called again; `None` if no
+    /// opening waits.
+    pub fn next_release(&mut self, now: Millis, routing: &Routing) -> Option<Millis> {
+        let expiry = self.admission.next_expiry()?;
+        let rate = self.cold_rate(routing);
+        let allowed_at = self.backend.opening_at(now, 0, rate);
+        Some(allowed_at.filter(|at| *at > now).map_or(expiry, |at| at.min(expiry)))
+    }
+
+    /// The state of the backend server to advertise; `None` before its first report.
+    pub fn backend_status(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        balancers: u32,
+    ) -> Option<BackendStatus<'static>> {
+        let (open, busy) = self.load(now);
+        let is_limited = self.cold_rate(routing).is_some();
+        let stage = match self.backend.stage(now)? {
+            message::Stage::Cold if !is_limited => message::Stage::Ready,
+            stage => stage,
+        };
+        let report = self.backend.report()?;
+        // How much slower a cold backend server is isn't known.
+        let is_slow = self.backend.is_cold(now) && !is_limited;
+        let slots = if is_slow { report.slots.div_ceil(2) } else { report.slots };
+        Some(BackendStatus {
+            service: report.service.to_string().into(),
+            stage,
+            open: open + self.admission.len() as u32,
+            busy,
+            slots,
+            lifetime_ms: self.lifetime.ms(),
+            balancers,
+        })
+    }
+
+    /// Checks whether the backend server may get an opening at all.
+    fn check(
+        &self,
+        now: Millis,
+        routing: &Routing,
+        arrival: &Arrival,
+    ) -> Result<(), Cause> {
+        let flow = arrival.segment.flow_from_caller();
+        let forwarding = &arrival.forwarding;
+        let Some(report) = self.backend.report() else {
+            return Err(backend::Refusal::Unknown.into());
+        };
+        // The newer of the two routing revisions, the agent's and the balancer's,
+        // decides.
+        let is_allowed = if routing.revision >= forwarding.revision {
+            routing.allows(flow.service, &report.service)
+        } else {
+            arrival.service.as_ref() == Some(&report.service)
+        };
+        if !is_allowed {
+            return Err(Cause::Route);
+        }
+        if routing.is_out(&self.domain) {
+            return Err(Cause::DomainOut);
+        }
+        let service = routing.service(&report.service);
+        let connections = service.map_or(u32::MAX, |service| service.connections);
+        Ok(self.backend.check(now, self.open, connections)?)
+    }
+
+    /// Decides whether an opening is delivered now or waits.
+    ///
+    /// # Errors
+    /// If it should be offered to another agent, or refused if there is none.
+    fn admit(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+        arrival: &Arrival,
+    ) -> Result<Verdict, backend::Refusal> {
+        let opening = opening(now, routing, arrival);
+        let rate = self.cold_rate(routing);
+        let allowed_at = self.backend.opening_at(now, self.admission.len(), rate);
+        if allowed_at.is_none_or(|at| at > now) {
+            let can_wait = allowed_at.is_some_and(|at| at <= opening.give_up_at());
+            return if can_wait && !self.has_ready_alternative(routing, roster) {
+                Ok(Verdict::Wait)
+            } else {
+                Err(backend::Refusal::Cold)
+            };
+        }
+        let capacity = self.capacity(now);
+        match self.admission.decide(now, &opening, capacity, true) {
+            Verdict::Offer if !self.can_redirect(now, routing, roster, arrival) => {
+                match self.admission.decide(now, &opening, capacity, false) {
+                    Verdict::Refuse => Err(backend::Refusal::Busy),
+                    verdict => Ok(verdict),
+                }
+            }
+            Verdict::Offer | Verdict::Refuse => Err(backend::Refusal::Busy),
+            verdict => Ok(verdict),
+        }
+    }
+
+    /// Delivers an opening and counts it.
+    fn deliver_opening(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        arrival: &Arrival,
+    ) -> Action {
+        let flow = arrival.segment.flow_from_caller();
+        let revision = arrival.forwarding.revision.max(routing.revision);
+        self.min_revision = self.min_revision.max(revision);
+        self.backend.record_opening(now);
+        self.lifetime.record_opening();
+        self.open += 1;
+        self.in_flight.open(now, flow);
+        self.flows.insert(now, flow, State::offered(now));
+        self.deliver(now, arrival, true)
+    }
+
+    /// Removes the flow of an opening that waited.
+    fn end_hold(&mut self, arrival: &Arrival) {
+        self.flows.remove(&arrival.segment.flow_from_caller());
+    }
+
+    /// The load of the backend server.
+    fn capacity(&mut self, now: Millis) -> Capacity {
+        let slots = self.backend.report().map_or(1, |report| report.slots);
+        Capacity { slots, in_flight: self.in_flight.count(now) }
+    }
+
+    /// Requests per second that the backend server can handle while it is cold; `None` if
+    /// no rate is stated.
+    fn cold_rate(&self, routing: &Routing) -> Option<f64> {
+        let report = self.backend.report()?;
+        let rate =
+            routing.service(&report.service).map_or(0.0, |service| service.cold_per_s);
+        (rate > 0.0 || self.backend.bounds().limits_zero_rate).then_some(rate)
+    }
+
+    /// Whether another agent accepts flows of the same service without a rate limit.
+    fn has_ready_alternative(&self, routing: &Routing, roster: &Roster) -> bool {
+        let service = self.backend.report().map(|report| &*report.service);
+        service.is_some_and(|service| {
+            placement::has_ready_agent(routing, roster, service, &[self.address])
+        })
+    }
+
+    /// Whether an opening can be offered to another agent.
+    fn can_redirect(
+        &self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+        arrival: &Arrival,
+    ) -> bool {
+        let refuse = self.redirect_or_refuse(now, routing, roster, arrival, Cause::Held);
+        matches!(refuse, Action::Forward { .. })
+    }
+
+    /// Forwards an opening segment to another agent, or refuses it if there is none left.
+    pub(super) fn redirect_or_refuse(
+        &self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+        arrival: &Arrival,
+        cause: Cause,
+    ) -> Action {
+        let flow = arrival.segment.flow_from_caller();
+        let mut forwarding = arrival.forwarding.clone();
+        forwarding.tried.push(self.address);
+        forwarding.hops += 1;
+        forwarding.revision = forwarding.revision.max(routing.revision);
+        if forwarding.tried.len() > MAX_OPENING_FORWARDS {
+            return self.refuse_opening(arrival, cause);
+        }
+        let Some(service) = placement::choose_service(routing, &flow) else {
+            return self.refuse_opening(arrival, cause);
+        };
+        let domain = self.origin_domain(roster, &forwarding);
+        let request = Request { flow: &flow, service, domain };
+        match placement::choose_agent(now, routing, roster, request, &forwarding.tried) {
+            Some(to) => Action::Forward { to, forwarding, cause },
+            None => self.refuse_opening(arrival, cause),
+        }
+    }
+
+    /// Refuses an opening that no backend server has received.
+    fn refuse_opening(&self, arrival: &Arrival, cause: Cause) -> Action {
+        Action::Refuse { sequence: 0, notify: Some(arrival.forwarding.origin), cause }
+    }
+}
+
+/// Describes an opening for [`crate::process::admission`].
+fn opening(now: Millis, routing: &Routing, arrival: &Arrival) -> Opening {
+    let flow = arrival.segment.flow_from_caller();
+    let sent_at = Millis(now.0.saturating_sub(arrival.segment.age_ms));
+    let route = routing.route(flow.service);
+    let (goal_ms, priority) =
+        route.map_or((0, u8::MAX), |route| (route.goal_ms, route.priority));
+    Opening { flow, priority, sent_at, goal_at: sent_at.after(goal_ms) }
+}
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -33,16 +33,6 @@
 /// milliseconds: two ticks.
 const LEAVE_DELAY_MS: u64 = 400;
 
-/// Interval between openings that are released when the backend server becomes warm, in
-/// milliseconds per slot: a server with `n` slots gets `n` openings in this time. With
-/// requests that take 20 ms to 40 ms, it can still serve its open flows as well.
-const RAMP_MS_PER_SLOT: u64 = 50;
-
-/// Maximum time that an opening is held back for a cold backend server, in milliseconds.
-/// Callers give up after 1,400 ms, which includes the travel time of the segment and its
-/// answer.
-const MAX_HOLD_MS: u64 = 1_250;
-
 /// Sequence number up to which a report shows that the backend server started after its
 /// agent.
 const INITIAL_REPORTS: u64 = 1;
@@ -98,6 +88,8 @@
     Cold,
     /// The backend server holds its maximum number of flows.
     Full,
+    /// The backend server can't answer in time, since it has been given too much.
+    Busy,
     /// The agent is stopping.
     Stopping,
 }
@@ -110,6 +102,7 @@
             Self::Draining => "draining",
             Self::Cold => "cold",
             Self::Full => "full",
+            Self::Busy => "busy",
             Self::Stopping => "stopping",
         }
     }
@@ -122,6 +115,9 @@
     pub cold_factor: f64,
     /// Requests per second that are allowed in addition.
     pub cold_slack: f64,
+    /// Whether the limits also apply to services whose configured rate is zero. Otherwise
+    /// zero means that no rate is stated.
+    pub limits_zero_rate: bool,
     /// Usual interval between reports, in milliseconds.
     pub report_ms: u64,
 }
@@ -146,10 +142,8 @@
     cold_until: Millis,
     /// Whether it may have become cold since its last report.
     may_be_cold: bool,
-    /// Delivery times of openings within [`COLD_WINDOW_MS`], including reserved ones.
+    /// Delivery times of openings within [`COLD_WINDOW_MS`].
     openings: VecDeque<Millis>,
-    /// Delivery time of the last opening that waits until the backend server is warm.
-    ramp_until: Millis,
     /// Whether the agent's process is about to stop.
     is_stopping: bool,
 }
@@ -167,11 +161,15 @@
             cold_until: Millis(0),
             may_be_cold: true,
             openings: VecDeque::new(),
-            ramp_until: Millis(0),
             is_stopping: false,
         }
     }
 
+    /// Limits while it is cold, and its report interval.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
     /// The last report.
     pub fn report(&self) -> Option<&Report> {
         self.report.as_ref()
@@ -285,17 +283,12 @@
         now.since(self.last_report) > self.bounds.report_ms * OVERDUE_REPORTS
     }
 
-    /// Admits an opening, given the number of open flows and the limits of the service.
+    /// Checks whether it may be given an opening, apart from the rate limit of a cold one.
+    /// `open` is the number of open flows, `connections` their maximum.
     ///
     /// # Errors
-    /// If the backend server can't be given another opening now.
-    pub fn admit(
-        &mut self,
-        now: Millis,
-        open: u32,
-        connections: u32,
-        cold_per_s: f64,
-    ) -> Result<(), Refusal> {
+    /// If it can't be given another opening now.
+    pub fn check(&self, now: Millis, open: u32, connections: u32) -> Result<(), Refusal> {
         let Some(report) = &self.report else { return Err(Refusal::Unknown) };
         if self.is_stopping {
             return Err(Refusal::Stopping);
@@ -306,37 +299,40 @@
         if self.is_overdue(now) {
             return Err(Refusal::Unknown);
         }
-        if open >= connections {
-            return Err(Refusal::Full);
-        }
+        if open >= connections { Err(Refusal::Full) } else { Ok(()) }
+    }
+
+    /// The time from which an opening may be delivered that `ahead` others precede, if a
+    /// cold backend server can handle `cold_per_s` requests per second; `None` stands for
+    /// no limit. Returns `None` if that time isn't known yet.
+    pub fn opening_at(
+        &mut self,
+        now: Millis,
+        ahead: usize,
+        cold_per_s: Option<f64>,
+    ) -> Option<Millis> {
+        let Some(rate) = cold_per_s.filter(|_| self.is_cold(now)) else {
+            return Some(now);
+        };
         while self.openings.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW_MS) {
             self.openings.pop_front();
         }
-        if self.is_cold(now) && self.openings.len() >= self.cold_limit(cold_per_s) {
-            return Err(Refusal::Cold);
-        }
-        self.openings.push_back(now);
-        Ok(())
+        let limit = self.cold_limit(rate);
+        let Some(index) = (self.openings.len() + ahead).checked_sub(limit) else {
+            return Some(now);
+        };
+        let free_at = self.openings.get(index).map(|at| at.after(COLD_WINDOW_MS));
+        let warm_at = (!self.may_be_cold).then_some(self.cold_until);
+        free_at.into_iter().chain(warm_at).min()
     }
 
-    /// Reserves the next time at which a cold backend server can accept another opening.
-    /// Returns `None` if that is later than an opening may be held back.
-    pub fn reserve(&mut self, now: Millis, cold_per_s: f64) -> Option<Millis> {
-        let limit = self.cold_limit(cold_per_s);
-        let index = self.openings.len().checked_sub(limit)?;
-        let free_at = self.openings.get(index)?.after(COLD_WINDOW_MS);
-        let slots = self.report.as_ref().map_or(1, |report| report.slots.max(1));
-        let interval_ms = RAMP_MS_PER_SLOT.div_ceil(u64::from(slots));
-        let warm_at = self.cold_until.max(self.ramp_until.after(interval_ms));
-        let until = if self.may_be_cold { free_at } else { free_at.min(warm_at) };
-        if until > now.after(MAX_HOLD_MS) {
-            return None;
+    /// Counts a delivered opening towards the rate limit.
+    pub fn record_opening(&mut self, now: Millis) {
+        self.openings.push_back(now);
+        // Warm backend servers have no limit, so older entries are not needed.
+        while self.openings.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW_MS) {
+            self.openings.pop_front();
         }
-        self.ramp_until = if until == warm_at { warm_at } else { self.ramp_until };
-        // Keeps `openings` sorted: `free_at` never decreases, and openings that wait
-        // until the backend server is warm are the last ones.
-        self.openings.push_back(until);
-        Some(until)
     }
 
     /// Number of openings in [`COLD_WINDOW_MS`] that a cold backend server can accept.
@@ -345,7 +341,7 @@
     }
 
     /// Whether it must be treated as cold.
-    fn is_cold(&self, now: Millis) -> bool {
+    pub fn is_cold(&self, now: Millis) -> bool {
         self.may_be_cold || now < self.cold_until
     }
 }
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -173,7 +173,8 @@
             tried = Some(to);
         }
         let request = Request { flow: &flow, service, domain: &self.domain };
-        let agent = placement::choose_agent(routing, roster, request, tried.as_slice());
+        let agent =
+            placement::choose_agent(now, routing, roster, request, tried.as_slice());
         let Some(to) = agent.or(tried) else {
             // Shortly after the start, agents may not have answered yet. The caller will
             // retransmit soon.
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -6,9 +6,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use lentilreach::Name;
-use lentilreach::process::clock::Millis;
 use lentilreach::process::link::Link;
 use lentilreach::process::lock::Ranked;
 use lentilreach::process::pool::Pool;
@@ -19,7 +19,7 @@
 use super::receive::{self, count_invalid};
 use super::{Dependencies, Node, send_datagram, start};
 use crate::process::agent::{
-    self, Action, Arrival, BackendAction, Ended, Forwarding, Limits, Outgoing,
+    self, Action, Arrival, BackendAction, Ended, Forwarding, Limits, Outgoing, Release,
 };
 use crate::process::backend::{Bounds, Change, Report, TICK_MS};
 use crate::process::documents::Source;
@@ -41,6 +41,10 @@
 /// Interval at which a stopping agent checks whether requests are running.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Longest pause between two checks whether waiting openings can be released. The room of
+/// the backend server also changes when a request that was expected doesn't arrive.
+const RELEASE_INTERVAL_MS: u64 = 50;
+
 /// Time for which a stopping agent still forwards segments, until balancers send no more
 /// openings to it.
 const FORWARDING_GRACE: Duration = Duration::from_millis(300);
@@ -61,8 +65,6 @@
 /// State shared by the tasks of an agent.
 #[derive(Debug)]
 struct State<F, L> {
-    /// Executor of the tasks.
-    pool: Pool,
     /// The part of the state that both daemons have.
     node: Arc<Node<L>>,
     /// Parses segments.
@@ -73,6 +75,8 @@
     server: SocketAddr,
     /// Decides on segments and tracks flows.
     flows: Ranked<agent::Agent>,
+    /// Signals that an opening has begun to wait.
+    hold_signal: (Sender<()>, Receiver<()>),
 }
 
 impl<F: Format, L: Link> Agent<F, L> {
@@ -89,6 +93,7 @@
         let bounds = Bounds {
             cold_factor: settings.cold_overage,
             cold_slack: settings.cold_slack,
+            limits_zero_rate: settings.limits_zero_rate,
             report_ms: settings.report_ms,
         };
         let limits = Limits {
@@ -101,12 +106,12 @@
         let flows = Ranked::new(tables::CONNECTIONS, flows);
         let server = settings.server;
         let state = Arc::new(State {
-            pool: pool.clone(),
             node: node.clone(),
             format,
             backend,
             server,
             flows,
+            hold_signal: async_channel::bounded(1),
         });
         let shared = state.clone();
         let mut tasks =
@@ -122,6 +127,7 @@
             shared.handle_message(from, bytes);
         })));
         tasks.push(pool.spawn(state.clone().tick()));
+        tasks.push(pool.spawn(state.clone().release_in_time()));
         Self { state, _tasks: tasks }
     }
 
@@ -180,6 +186,7 @@
             outcome
         };
         state.reset_callers(&ended, "replaced");
+        state.release();
         if matches!(change, Change::Started { .. } | Change::Stage) {
             state.broadcast_heartbeat();
             log::info!(
@@ -226,6 +233,7 @@
                 )
             };
             self.reset_callers(&ended, "backend_gone");
+            self.release();
             self.send_announcements(announcements);
             // Home nodes send searches to this agent until they learn that it knows all
             // of its flows.
@@ -260,14 +268,9 @@
 
     /// The state of the backend server to advertise to balancers.
     fn backend_status(&self) -> Option<BackendStatus<'static>> {
-        let now = self.node.now();
+        let routing = self.node.routing();
         let balancers = self.node.roster.read().balancers(&self.node.settings.domain);
-        let mut flows = self.flows.write();
-        let (open, busy) = flows.load(now);
-        let stage = flows.backend().stage(now)?;
-        let report = flows.backend().report()?;
-        let service = Cow::Owned(report.service.to_string());
-        Some(BackendStatus { service, stage, open, busy, slots: report.slots, balancers })
+        self.flows.write().backend_status(self.node.now(), &routing, balancers)
     }
 
     /// Sends resets to the callers of flows that ended with the backend server.
@@ -327,42 +330,58 @@
         });
         let forwarding = Forwarding::from(envelope);
         let arrival = Arrival { segment, forwarding, service };
+        let now = self.node.now();
         let action = {
             let roster = self.node.roster.read();
-            self.flows.write().handle_caller_segment(
-                self.node.now(),
-                &routing,
-                &roster,
-                &arrival,
-            )
+            let mut flows = self.flows.write();
+            let action = flows.handle_caller_segment(now, &routing, &roster, &arrival);
+            if matches!(action, Action::Hold { .. }) {
+                flows.hold(now, &routing, arrival, envelope.bytes.to_vec());
+            }
+            action
         };
-        if let Action::Hold { until } = action {
-            let bytes = envelope.bytes.to_vec();
-            let held = self.clone().hold(until, arrival, bytes);
-            self.pool.spawn(held).detach();
-            return;
-        }
         if matches!(action, Action::Deliver { .. }) {
             metric::record(&metric::HOPS, f64::from(envelope.hops));
         }
         self.perform(&segment, action, envelope.bytes, routing.version);
     }
 
-    /// Holds back an opening segment until the cold backend server can accept it.
-    async fn hold(self: Arc<Self>, until: Millis, arrival: Arrival, bytes: Vec<u8>) {
-        let wait_ms = until.since(self.node.now());
-        metric::count(&metric::HELD);
-        log::info!(
-            target: "held", flow:% = arrival.segment.flow_from_caller(), wait_ms = wait_ms;
-            "opening held back for a cold backend server"
-        );
-        Timer::after(Duration::from_millis(wait_ms)).await;
+    /// Releases waiting openings that are due at a certain time.
+    async fn release_in_time(self: Arc<Self>) {
+        // Never fails: the sender lives as long as the state, so the channel is not
+        // closed.
+        while self.hold_signal.1.recv().await.is_ok() {
+            loop {
+                let routing = self.node.routing();
+                let now = self.node.now();
+                let due = self.flows.write().next_release(now, &routing);
+                let Some(due) = due else { break };
+                let wait_ms = due.since(now).clamp(1, RELEASE_INTERVAL_MS);
+                Timer::after(Duration::from_millis(wait_ms)).await;
+                self.release();
+            }
+        }
+    }
+
+    /// Performs the actions for all openings that no longer wait.
+    fn release(&self) {
         let routing = self.node.routing();
-        let action = {
-            let roster = self.node.roster.read();
-            self.flows.write().release(self.node.now(), &routing, &roster, &arrival)
-        };
-        self.perform(&arrival.segment, action, &bytes, routing.version);
+        loop {
+            let now = self.node.now();
+            let released = {
+                let roster = self.node.roster.read();
+                self.flows.write().release(now, &routing, &roster)
+            };
+            let Some(Release { waiting, action }) = released else { return };
+            let segment = &waiting.arrival.segment;
+            let wait_ms = now.since(waiting.since);
+            metric::record_ms(&metric::WAIT_SECONDS, wait_ms);
+            log::info!(
+                target: "released", flow:% = segment.flow_from_caller(), wait_ms = wait_ms,
+                delivered = matches!(action, Action::Deliver { .. }); "opening no longer waits"
+            );
+            self.perform(segment, action, &waiting.bytes, routing.version);
+        }
     }
 
     /// Processes a segment from the backend server.
@@ -401,6 +420,9 @@
                     metric::record_ms(&metric::ANSWER_SECONDS, answer_ms);
                 }
                 send_datagram(&self.node.link, self.node.caller_address(&flow), bytes);
+                if answer_ms.is_some() || segment.flags.reset || segment.flags.close {
+                    self.release();
+                }
             }
             Some(BackendAction::Returned(action)) => {
                 // Clear the flag that marks the caller's segment as returned before it is
@@ -437,9 +459,12 @@
                     log::info!(target: "offered", flow:% = flow, version = version; "flow offered to the backend server");
                 }
             }
-            // Only arriving openings are held, and those are handled by
-            // `handle_caller_segment`.
-            Action::Hold { .. } => {}
+            Action::Hold { notify } => {
+                self.node.send(notify, &Message::Found(flow));
+                metric::count(&metric::HELD);
+                // If the channel is full, the task has already been signalled.
+                let _ = self.hold_signal.0.try_send(());
+            }
             Action::Forward { to, forwarding, cause } => {
                 metric::count_labelled(&metric::PASSED, cause.as_str());
                 log::info!(
@@ -451,6 +476,9 @@
                 let service = Cow::Borrowed(service.as_deref().unwrap_or_default());
                 let envelope = forwarding.envelope(service, bytes);
                 self.node.send(to, &Message::Segment(envelope));
+                if segment.is_opening() {
+                    self.node.roster.write().record_offer(self.node.now(), to);
+                }
             }
             Action::Refuse { sequence, notify, cause } => {
                 let bytes = self.format.reset(&flow, sequence);
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -143,7 +143,7 @@
                 };
                 self.node.send(to, &Message::Segment(envelope));
                 if is_newly_selected && search == Search::Open {
-                    self.node.roster.write().record_placement(to);
+                    self.node.roster.write().record_placement(now, to);
                 }
                 if is_newly_selected {
                     metric::count_labelled(&metric::SENT, search.as_str());
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -42,11 +42,11 @@
     "Segments that the agent passed on to another agent.",
 );
 
-/// Openings that were held back for a cold backend server.
+/// Openings that waited until the backend server had room for them.
 pub const HELD: Metric = counter(
     "lentilreach_steer_held_total",
     &[],
-    "Openings that waited for a cold backend server.",
+    "Openings that waited until the backend server had room for them.",
 );
 
 /// Flows that were refused or ended with a reset.
@@ -104,6 +104,12 @@
     "Time from the delivery of an opening segment to its acceptance by the backend server.",
 );
 
+/// Time for which openings waited.
+pub const WAIT_SECONDS: Metric = seconds(
+    "lentilreach_steer_wait_seconds",
+    "Time for which openings waited until the backend server had room for them.",
+);
+
 /// Time from a request to the first segment of its answer.
 pub const ANSWER_SECONDS: Metric = seconds(
     "lentilreach_steer_answer_seconds",
@@ -133,6 +139,7 @@
     &HEARTBEATS_OUTDATED,
     &LINES_DROPPED,
     &ACCEPT_SECONDS,
+    &WAIT_SECONDS,
     &ANSWER_SECONDS,
     &HOPS,
 ];
--- a/crates/steer/src/process/mod.rs
+++ b/crates/steer/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! State that lives as long as the process.
 
+pub mod admission;
 pub mod agent;
 pub mod backend;
 pub mod balancer;
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -74,8 +74,10 @@
     pub last_heard: Millis,
     /// Whether its heartbeats are overdue. Also set until its first heartbeat arrives.
     pub is_silent: bool,
-    /// Number of flows that this node placed on it since its last heartbeat.
-    pub placed: u32,
+    /// Estimated number of its open flows at `estimated_at`.
+    open: f64,
+    /// When its last heartbeat arrived or a flow was last placed on it.
+    estimated_at: Millis,
     /// Which announcements it has exchanged with this node, as it last reported; set if
     /// both are agents.
     pub sync_status: Option<SyncStatus>,
@@ -91,13 +93,23 @@
 }
 
 impl Member {
-    /// Number of open flows per slot, including flows placed since the last heartbeat.
-    /// Assumes that other balancers place as many flows as this node, since routers
-    /// distribute flows evenly among them.
-    pub fn load(&self) -> f64 {
+    /// Estimated number of open flows per slot: those of the last heartbeat and those
+    /// placed since, less those that have ended meanwhile.
+    pub fn load(&self, now: Millis) -> f64 {
         let Some(backend_status) = &self.backend_status else { return f64::INFINITY };
-        let placed = self.placed * backend_status.balancers.max(1);
-        f64::from(backend_status.open + placed) / f64::from(backend_status.slots.max(1))
+        self.open_at(now, backend_status) / f64::from(backend_status.slots.max(1))
+    }
+
+    /// Estimated number of open flows. Flows end at a rate given by their mean lifetime.
+    /// Without that, flows that are shorter than the interval between heartbeats would
+    /// add up, and the agent with the latest heartbeat would get all flows.
+    fn open_at(&self, now: Millis, backend_status: &BackendStatus<'_>) -> f64 {
+        let lifetime_ms = backend_status.lifetime_ms;
+        if lifetime_ms == 0 {
+            return self.open;
+        }
+        let age = now.since(self.estimated_at) as f64 / f64::from(lifetime_ms);
+        self.open * (-age).exp()
     }
 
     /// Whether it has been silent for long enough to be considered unreachable.
@@ -231,7 +243,8 @@
             backend_status: None,
             last_heard: now,
             is_silent: true,
-            placed: 0,
+            open: 0.0,
+            estimated_at: now,
             sync_status: None,
         };
         self.members.insert(index, member);
@@ -280,7 +293,8 @@
         member.sequence = heartbeat.sequence;
         member.last_heard = now;
         member.is_silent = false;
-        member.placed = 0;
+        member.open = f64::from(heartbeat.backend_status.as_ref().map_or(0, |b| b.open));
+        member.estimated_at = now;
         if *member.domain != *heartbeat.domain {
             member.domain = heartbeat.domain.as_ref().into();
         }
@@ -292,11 +306,28 @@
         Ok(change)
     }
 
-    /// Counts a flow that this node placed on an agent.
-    pub fn record_placement(&mut self, address: SocketAddrV4) {
-        if let Ok(index) = self.find(address) {
-            self.members[index].placed += 1;
-        }
+    /// Counts a flow that a balancer placed on an agent. Assumes that the other balancers
+    /// of the agent's failure domain place as many, since routers distribute flows evenly
+    /// among them.
+    pub fn record_placement(&mut self, now: Millis, address: SocketAddrV4) {
+        let balancers = self.get(address).and_then(|member| {
+            member.backend_status.as_ref().map(|backend_status| backend_status.balancers)
+        });
+        self.add_flows(now, address, balancers.unwrap_or(1).max(1));
+    }
+
+    /// Counts an opening that an agent offered to another one.
+    pub fn record_offer(&mut self, now: Millis, address: SocketAddrV4) {
+        self.add_flows(now, address, 1);
+    }
+
+    /// Adds a number of flows to the estimate for an agent.
+    fn add_flows(&mut self, now: Millis, address: SocketAddrV4, flows: u32) {
+        let Ok(index) = self.find(address) else { return };
+        let member = &mut self.members[index];
+        let open = member.backend_status.as_ref().map(|b| member.open_at(now, b));
+        member.open = open.unwrap_or(member.open) + f64::from(flows);
+        member.estimated_at = now;
     }
 
     /// Removes a member that announced its departure. Returns whether it was known.
--- a/crates/steer/src/process/settings.rs
+++ b/crates/steer/src/process/settings.rs
@@ -35,7 +35,14 @@
 ];
 
 /// Additional keys of an agent.
-const AGENT_KEYS: [&str; 4] = ["server", "report_ms", "cold_overage", "cold_slack"];
+const AGENT_KEYS: [&str; 5] =
+    ["server", "report_ms", "cold_overage", "cold_slack", "zero_cold_rate"];
+
+/// Value of the key `zero_cold_rate` by which a rate of zero is a limit.
+const ZERO_IS_LIMIT: &str = "limit";
+
+/// Value of the key `zero_cold_rate` by which a rate of zero means that none is stated.
+const ZERO_IS_UNSTATED: &str = "unstated";
 
 /// Value of the key `front_end` that selects this front end.
 const FRONT_END: &str = "segments";
@@ -100,6 +107,9 @@
     pub cold_overage: f64,
     /// Requests per second that are allowed in addition.
     pub cold_slack: f64,
+    /// Whether the limits also apply to services whose configured rate is zero. Otherwise
+    /// a cold backend server of such a service gets what its slots take.
+    pub limits_zero_rate: bool,
 }
 
 impl Settings for Balancer {
@@ -158,6 +168,7 @@
             let report_ms = parser.integer("report_ms", 1, MAX_MS, "ms");
             let overage = parser.decimal("cold_overage", 0.0..=MAX_RATE);
             let slack = parser.decimal("cold_slack", 0.0..=MAX_RATE);
+            let limits_zero_rate = parser.limits_zero_rate();
             let node = parser.node();
             Some(Self {
                 node: node?,
@@ -167,6 +178,7 @@
                 report_ms: report_ms?,
                 cold_overage: overage?,
                 cold_slack: slack?,
+                limits_zero_rate: limits_zero_rate?,
             })
         });
         reader.finish(settings)
@@ -229,6 +241,22 @@
         self.reader.address(value, &format!("listen.{key}"))
     }
 
+    /// Reads what a cold rate of zero means.
+    fn limits_zero_rate(&mut self) -> Option<bool> {
+        let key = "zero_cold_rate";
+        let value = self.reader.require(self.root, "the file", key)?;
+        match self.reader.string(value, key)? {
+            ZERO_IS_LIMIT => Some(true),
+            ZERO_IS_UNSTATED => Some(false),
+            other => {
+                let message = format!("{key} is {other:?}");
+                let hint = format!("use \"{ZERO_IS_UNSTATED}\" or \"{ZERO_IS_LIMIT}\"");
+                self.reader.error(value, message, Some(hint));
+                None
+            }
+        }
+    }
+
     /// Reads a name.
     fn name(&mut self, key: &str) -> Option<Name> {
         let value = self.reader.require(self.root, "the file", key)?;
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -8,7 +8,7 @@
 use crate::connection::flow;
 
 /// First byte of every message. Incremented whenever the encoding changes.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// Maximum number of flows in one [`Message::Announcement`], so that it fits into one
 /// datagram.
@@ -177,12 +177,14 @@
     pub service: Cow<'a, str>,
     /// Whether it accepts new flows.
     pub stage: Stage,
-    /// Number of open flows.
+    /// Number of open flows and waiting openings.
     pub open: u32,
     /// Number of flows with an unanswered request.
     pub busy: u32,
-    /// Number of requests that it can run concurrently.
+    /// Number of requests that it can run concurrently; half of them while it is cold.
     pub slots: u32,
+    /// Mean lifetime of its flows, in milliseconds; 0 if it is unknown.
+    pub lifetime_ms: u32,
     /// Number of live balancers in the agent's failure domain. Each of them may place
     /// flows on this agent between two heartbeats.
     pub balancers: u32,
--- a/crates/steer/src/request/placement.rs
+++ b/crates/steer/src/request/placement.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddrV4;
 
+use lentilreach::process::clock::Millis;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::connection::flow;
@@ -55,6 +56,7 @@
 ///
 /// Skips the agents in `tried`.
 pub fn choose_agent(
+    now: Millis,
     routing: &Routing,
     roster: &Roster,
     request: Request<'_>,
@@ -69,15 +71,15 @@
         .filter(|member| member.stage() == Some(best) && !tried.contains(&member.address))
         .collect();
     let mean =
-        usable.iter().map(|member| member.load()).sum::<f64>() / usable.len() as f64;
+        usable.iter().map(|member| member.load(now)).sum::<f64>() / usable.len() as f64;
     let hash = request.flow.hash();
     let rank = |member: &&&Member| {
         let weight = rendezvous_weight(hash, member.address);
-        ((member.load() * LOAD_RESOLUTION) as u64, u64::MAX - weight)
+        ((member.load(now) * LOAD_RESOLUTION) as u64, u64::MAX - weight)
     };
     let same_domain = usable.iter().filter(|member| *member.domain == *request.domain);
     if let Some(member) = same_domain.min_by_key(rank)
-        && member.load() <= mean * OVERLOAD_FACTOR + OVERLOAD_SLACK
+        && member.load(now) <= mean * OVERLOAD_FACTOR + OVERLOAD_SLACK
     {
         return Some(member.address);
     }
--- a/crates/steer/src/request/segment.rs
+++ b/crates/steer/src/request/segment.rs
@@ -22,6 +22,9 @@
     pub length: u16,
     /// Mark that an agent set when it delivered the segment, see [`Format::mark`].
     pub mark: u32,
+    /// Minimum time since the caller sent the first copy of an opening segment, in
+    /// milliseconds; 0 for any other segment.
+    pub age_ms: u64,
 }
 
 impl Segment {
--- a/crates/steer/src/version/routing.rs
+++ b/crates/steer/src/version/routing.rs
@@ -59,6 +59,10 @@
     pub address: SocketAddrV4,
     /// The services with their weights. Never empty.
     pub split: Vec<Share>,
+    /// Time within which a request should be answered, in milliseconds.
+    pub goal_ms: u64,
+    /// Priority of its flows while backend servers are overloaded; 0 is the highest.
+    pub priority: u8,
 }
 
 /// A service's share of a route.
@@ -77,7 +81,8 @@
     pub name: Name,
     /// Maximum number of flows on one backend server.
     pub connections: u32,
-    /// Requests per second that a cold backend server can handle.
+    /// Requests per second that a cold backend server can handle. Operators leave it at
+    /// zero if they state no rate.
     pub cold_per_s: f64,
     /// Time for which a backend server is cold after its start, in milliseconds.
     pub cold_ms: u64,
