Serve the latest of the openings that can be in time first

Cause: in the seconds after an outage more openings seem fresh than can be served, since callers that gave up try again on a new flow. Served by the earliest goal, each is only just in time or just late.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod plot;
 pub mod record;
 pub mod report;
+pub mod rush;
 pub mod store;
 pub mod target;
 pub mod tls;
--- /dev/null
+++ b/crates/standin/src/rush/server.rs
@@ -0,0 +1,90 @@
+//! A backend server with slots and a bounded queue.
+
+use std::collections::VecDeque;
+
+use fastrand::Rng;
+
+use super::{Load, Tick};
+
+/// Requests that a backend server queues for each of its slots before it rejects more.
+const QUEUE_PER_SLOT: usize = 4;
+
+/// Factor by which requests take longer on a cold backend server.
+const COLD_FACTOR: f64 = 1.6;
+
+/// A backend server.
+#[derive(Debug)]
+pub(super) struct Server {
+    /// Number of requests that it runs concurrently.
+    slots: usize,
+    /// Until when it is cold.
+    cold_until: Tick,
+    /// Whether it rejects every request.
+    is_failing: bool,
+    /// Number of requests in slots.
+    running: usize,
+    /// Requests that wait for a slot, oldest first, with their work.
+    queue: VecDeque<(usize, f64)>,
+    /// Number of requests that it rejected because its queue was full.
+    pub rejected: u32,
+}
+
+/// What a backend server does with a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Outcome {
+    /// It ends at this time.
+    Runs(Tick),
+    /// It waits for a slot.
+    Queued,
+    /// It is rejected and has not run.
+    Rejected,
+}
+
+impl Server {
+    /// Creates a backend server that is cold until a time.
+    pub fn new(load: &Load, cold_until: Tick, is_failing: bool) -> Self {
+        Self {
+            slots: load.slots as usize,
+            cold_until,
+            is_failing,
+            running: 0,
+            queue: VecDeque::new(),
+            rejected: 0,
+        }
+    }
+
+    /// Processes a request that takes `work_ms` on a warm backend server.
+    pub fn request(&mut self, now: Tick, request: usize, work_ms: f64) -> Outcome {
+        if self.is_failing {
+            return Outcome::Rejected;
+        }
+        if self.running < self.slots {
+            return Outcome::Runs(self.start(now, work_ms));
+        }
+        if self.queue.len() >= QUEUE_PER_SLOT * self.slots {
+            self.rejected += 1;
+            return Outcome::Rejected;
+        }
+        self.queue.push_back((request, work_ms));
+        Outcome::Queued
+    }
+
+    /// Ends a request. Returns the next one with the time at which it ends.
+    pub fn end(&mut self, now: Tick) -> Option<(usize, Tick)> {
+        self.running -= 1;
+        let (request, work_ms) = self.queue.pop_front()?;
+        Some((request, self.start(now, work_ms)))
+    }
+
+    /// Starts a request. Returns when it ends.
+    fn start(&mut self, now: Tick, work_ms: f64) -> Tick {
+        self.running += 1;
+        let factor = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
+        now + (work_ms * factor).ceil() as Tick
+    }
+}
+
+/// Draws the work of a request: half to one and a half times the mean.
+pub(super) fn work_ms(rng: &mut Rng, load: &Load) -> f64 {
+    load.work_ms * (0.5 + rng.f64())
+}
--- a/crates/steer/src/process/admission.rs
+++ b/crates/steer/src/process/admission.rs
@@ -8,11 +8,15 @@
 //! - A backend server receives as many openings as it has slots, and a few more that
 //!   cover the time until their requests arrive. It never has to reject one.
 //! - Openings that can still be answered within the response-time goal of their route go
-//!   first, by priority and then by the time that is left. Openings that are late are
-//!   served with what is left over.
+//!   first, by priority. Among those of the same priority the latest goes first: while
+//!   more arrive than can be served, the earliest would only just be in time or just late,
+//!   and every other one after it.
+//! - Openings that are late are served with what is left over, the oldest first.
 //! - An opening that can't be answered in time here is offered to another agent. One that
 //!   can't be delivered before its caller gives up is refused at once.
 
+use std::cmp::Reverse;
+
 use lentilreach::process::clock::Millis;
 
 use crate::connection::flow;
@@ -51,9 +55,9 @@
         self.sent_at.after(MAX_OPENING_AGE_MS)
     }
 
-    /// The order in which waiting openings are served, apart from late ones.
-    fn rank(&self) -> (u8, Millis, flow::Key) {
-        (self.priority, self.goal_at, self.flow)
+    /// The order in which waiting openings are served while they are in time.
+    fn rank(&self) -> (u8, Reverse<Millis>, flow::Key) {
+        (self.priority, Reverse(self.goal_at), self.flow)
     }
 }
 
@@ -73,10 +77,11 @@
         self.slots.saturating_add((self.slots / 2).max(1))
     }
 
-    /// Whether it can be given another opening. The additional ones are reserved for
-    /// openings that can still be answered in time.
+    /// Whether it can be given another opening. Half of the additional ones are reserved
+    /// for openings that can still be answered in time.
     fn has_room(&self, is_timely: bool) -> bool {
-        self.in_flight < if is_timely { self.limit() } else { self.slots.max(1) }
+        let late_limit = self.slots.saturating_add(self.slots / 4).max(1);
+        self.in_flight < if is_timely { self.limit() } else { late_limit }
     }
 }
 
@@ -158,8 +163,8 @@
     pub fn next(&mut self, now: Millis, capacity: Capacity) -> Option<(Opening, T)> {
         let timely =
             self.waiting.iter().position(|(opening, _)| self.is_timely(now, opening));
-        let is_due = !self.waiting.is_empty() && capacity.has_room(timely.is_some());
-        is_due.then(|| self.waiting.remove(timely.unwrap_or(0)))
+        let index = timely.or_else(|| self.oldest())?;
+        capacity.has_room(timely.is_some()).then(|| self.waiting.remove(index))
     }
 
     /// Removes and returns an opening that can't be delivered any more before its caller
@@ -180,11 +185,22 @@
         self.waiting.iter().map(|(opening, _)| opening.give_up_at().after(1)).min()
     }
 
-    /// Number of waiting openings that are served before another one.
+    /// The index of the opening whose caller gives up first.
+    fn oldest(&self) -> Option<usize> {
+        (0..self.waiting.len()).min_by_key(|index| self.waiting[*index].0.sent_at)
+    }
+
+    /// Number of waiting openings that are served before another one, or in its place:
+    /// later ones of the same priority will overtake it as it would overtake these.
     fn ahead(&self, now: Millis, opening: &Opening) -> usize {
-        let rank = |other: &Opening| (!self.is_timely(now, other), other.rank());
-        let own = rank(opening);
-        self.waiting.iter().filter(|(other, _)| rank(other) < own).count()
+        let is_timely = self.is_timely(now, opening);
+        let precedes = |other: &Opening| match (self.is_timely(now, other), is_timely) {
+            (true, true) => other.priority <= opening.priority,
+            (true, false) => true,
+            (false, true) => false,
+            (false, false) => other.sent_at <= opening.sent_at,
+        };
+        self.waiting.iter().filter(|(other, _)| precedes(other)).count()
     }
 
     /// Whether an opening that is delivered at `start` can be answered in time.
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -464,6 +464,7 @@
                 metric::count(&metric::HELD);
                 // If the channel is full, the task has already been signalled.
                 let _ = self.hold_signal.0.try_send(());
+                self.release();
             }
             Action::Forward { to, forwarding, cause } => {
                 metric::count_labelled(&metric::PASSED, cause.as_str());
