Report readiness only after the list of members was read

Ruled out: the store.

Change: readiness needs the list. It is read once before registration, from stale data, so that probes leave before the two calls of the registration. Members that were listed and never answered are asked at each check, not only when they are new.

--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -54,6 +54,8 @@
     pub revision: AtomicU64,
     /// Highest revision of a document that another node has reported.
     newest_revision: AtomicU64,
+    /// Whether the list of members has been read since the start.
+    has_read_members: AtomicBool,
     /// Whether the process was asked to stop.
     pub is_stopping: AtomicBool,
     /// Whether the node has announced its final departure. It sends no heartbeats after
@@ -81,6 +83,7 @@
             backend_status: Ranked::new(tables::SLOTS, None),
             revision: AtomicU64::new(0),
             newest_revision: AtomicU64::new(0),
+            has_read_members: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             has_left: AtomicBool::new(false),
             incarnation: fastrand::u64(1..),
@@ -116,6 +119,10 @@
         if !self.routing.read().is_loaded() {
             return Err("no configuration has been read".into());
         }
+        // Without the list, a single heartbeat would make all agents seem to be heard.
+        if !self.has_read_members.load(Ordering::Relaxed) {
+            return Err("the list of members has not been read".into());
+        }
         let roster = self.roster.read();
         if roster.is_isolated() || roster.agents().next().is_none() {
             return Err("most agents are silent".into());
@@ -123,6 +130,11 @@
         Ok(())
     }
 
+    /// Records that the roster contains the listed members.
+    pub fn record_members_read(&self) {
+        self.has_read_members.store(true, Ordering::Relaxed);
+    }
+
     /// Waits until the process is ready, for a limited time. Segments remain in the
     /// socket's buffer meanwhile; if they were dropped, callers would retransmit them
     /// only after hundreds of milliseconds.
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -27,6 +27,7 @@
         listed: Listed { address, role, domain },
         lease: None,
         checked: None,
+        has_probed: false,
     };
     let mut backoff = Backoff::new(TASK_BACKOFF_MS.0, TASK_BACKOFF_MS.1);
     let mut is_lost = false;
@@ -69,13 +70,18 @@
     listed: Listed,
     /// The lease that the entry is attached to; `None` while there is no entry.
     lease: Option<Lease>,
-    /// When the list was last read.
+    /// When the list was last read after the entry had been written.
     checked: Option<Millis>,
+    /// Whether the members that were listed at the start have been asked for heartbeats.
+    has_probed: bool,
 }
 
 impl<L: Link, S: Store> Registration<L, S> {
     /// Renews the lease, and checks the list if that is due.
     async fn renew(&mut self) -> Result<(), Error> {
+        if self.checked.is_none() && !self.has_probed {
+            self.probe_early().await?;
+        }
         match self.lease {
             None => self.register_entry().await?,
             Some(lease) => match self.store.keep(lease).await {
@@ -108,6 +114,16 @@
         Ok(())
     }
 
+    /// Requests heartbeats from the members that are listed already. Registration takes
+    /// two more calls, and segments of callers wait meanwhile.
+    async fn probe_early(&mut self) -> Result<(), Error> {
+        let range = self.store.range_stale(PREFIX).await?;
+        self.has_probed = true;
+        let listed = self.add_members(&range);
+        self.node.send_heartbeat(&listed, self.listed.role, true);
+        Ok(())
+    }
+
     /// Writes the process's own entry under a new lease.
     async fn register_entry(&mut self) -> Result<(), Error> {
         let lease = self.store.grant(Duration::from_millis(LEASE_TTL_MS)).await?;
@@ -126,11 +142,12 @@
         }
     }
 
-    /// Adds listed members to the roster and requests heartbeats from new ones.
+    /// Adds listed members to the roster and requests heartbeats from those that have not
+    /// sent any.
     async fn discover(&self, range: &Range) {
-        let new = self.add_members(range);
+        let listed = self.add_members(range);
         for _ in 0..PROBES {
-            let unheard = self.node.roster.read().unheard(&new);
+            let unheard = self.node.roster.read().unheard(&listed);
             if unheard.is_empty() {
                 return;
             }
@@ -139,10 +156,11 @@
         }
     }
 
-    /// Adds listed members to the roster. Returns the new ones.
+    /// Adds listed members to the roster. Returns all that this node exchanges messages
+    /// with.
     fn add_members(&self, range: &Range) -> Vec<SocketAddrV4> {
         let now = self.node.now();
-        let mut new = Vec::new();
+        let mut listed = Vec::new();
         {
             let mut roster = self.node.roster.write();
             for entry in &range.entries {
@@ -154,9 +172,8 @@
                             && member.role == Role::Balancer => {}
                     Ok(member) => {
                         let Listed { address, role, domain } = member;
-                        if roster.insert_unheard(now, address, role, domain) {
-                            new.push(address);
-                        }
+                        roster.insert_unheard(now, address, role, domain);
+                        listed.push(address);
                     }
                     Err(_) => {
                         log::warn!(target: "membership", key:% = entry.key; "membership entry is invalid");
@@ -164,6 +181,7 @@
                 }
             }
         }
-        new
+        self.node.record_members_read();
+        listed
     }
 }
--- /dev/null
+++ b/crates/steer/tests/node.rs
@@ -0,0 +1,86 @@
+//! Tests of the state that the drivers of both daemons share.
+
+mod fixture;
+
+use std::future::pending;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use fixture::{agent_address, agent_heartbeat, balancer_address, routing};
+use lentilreach::process::link::Link;
+use lentilreach_steer::process::driver::Node;
+use lentilreach_steer::process::roster::Role;
+use lentilreach_steer::process::settings;
+use lentilreach_steer::request::message::Stage;
+
+/// A link on which nothing arrives.
+#[derive(Debug, Clone)]
+struct Silent;
+
+impl Link for Silent {
+    async fn receive(&self, _: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        pending().await
+    }
+
+    fn send(&self, _: SocketAddr, _: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn local_addr(&self) -> SocketAddr {
+        balancer_address(1).into()
+    }
+}
+
+/// A node that has read the configuration.
+fn node() -> Arc<Node<Silent>> {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let settings = settings::Node {
+        name: "balancer-1".into(),
+        domain: "a".into(),
+        nodes: balancer_address(1),
+        ready: any,
+        store: any,
+        callers_port: 1,
+        memory_mb: 1,
+        max_flow_age: Duration::from_secs(60),
+        stop_timeout: Duration::from_secs(6),
+        threads: 1,
+    };
+    let node = Node::new(settings, Silent);
+    *node.routing.write() = Arc::new(routing(1));
+    node
+}
+
+/// Lets a node hear an agent.
+fn hear(node: &Node<Silent>, number: u8) {
+    let heartbeat = agent_heartbeat(1, "a", Stage::Ready, 0);
+    node.handle_heartbeat(agent_address(number), &heartbeat);
+}
+
+/// A balancer that has only heard one agent can't place the flows of other services, and
+/// would drop their openings.
+#[test]
+fn a_node_is_not_ready_before_it_knows_the_members() {
+    let node = node();
+
+    hear(&node, 1);
+    assert!(node.ready().is_err());
+
+    let now = node.now();
+    for number in 1..=4 {
+        let domain = "a".into();
+        node.roster.write().insert_unheard(
+            now,
+            agent_address(number),
+            Role::Agent,
+            domain,
+        );
+    }
+    node.record_members_read();
+    assert!(node.ready().is_err(), "three of four agents are silent");
+
+    hear(&node, 2);
+    assert_eq!(node.ready(), Ok(()));
+}
