Free the slots of openings whose callers have given up

Cause: in the seconds after a loss of power, callers with a short deadline give up while their opening waits. An opening that is delivered then counted as in flight for 300 ms, on backend servers with two slots, and the oldest of the late openings went first, which are the most likely to be dead.

Change: the first request is expected for four times the mean that was observed (20 to 300 ms), and the latest of the late openings goes first. Waiting openings that others overtake count as ahead, so that what can't be served is refused or offered at once.

--- a/crates/steer/src/connection/in_flight.rs
+++ b/crates/steer/src/connection/in_flight.rs
@@ -4,10 +4,16 @@
 
 use super::flow::Key;
 
-/// Time within which the first request of a flow is expected after its opening segment
-/// was delivered, in milliseconds. A flow without one in this time was opened for later,
-/// or its caller chose another backend server.
-const FIRST_REQUEST_MS: u64 = 300;
+/// Bounds of the time within which the first request of a flow is expected after its
+/// opening segment was delivered, in milliseconds. A flow without one in this time was
+/// opened for later, its caller chose another backend server, or has given up.
+const FIRST_REQUEST_MS: (f64, f64) = (20.0, 300.0);
+
+/// Multiple of the mean time to the first request that is waited for.
+const FIRST_REQUEST_FACTOR: f64 = 4.0;
+
+/// Weight of one observed time in the moving average.
+const WEIGHT: f64 = 0.1;
 
 /// Time after which an unanswered request no longer counts as running, in milliseconds.
 /// Callers give up earlier.
@@ -17,10 +23,19 @@
 ///
 /// The number of entries is bounded by the flows with a request in progress, not by the
 /// flows that are open.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct InFlight {
     /// Sorted by flow, without duplicates.
     entries: Vec<Entry>,
+    /// Moving average of the time from an opening to its first request, in milliseconds.
+    first_request_ms: f64,
+}
+
+impl Default for InFlight {
+    fn default() -> Self {
+        let first_request_ms = FIRST_REQUEST_MS.1 / FIRST_REQUEST_FACTOR;
+        Self { entries: Vec::new(), first_request_ms }
+    }
 }
 
 /// An opening or a request in progress.
@@ -63,7 +78,11 @@
         let entry = Entry { flow, since: now, is_request: true, is_unqueued };
         match self.find(&flow) {
             Ok(index) if self.entries[index].is_request => {}
-            Ok(index) => self.entries[index] = entry,
+            Ok(index) => {
+                let took_ms = now.since(self.entries[index].since) as f64;
+                self.first_request_ms += (took_ms - self.first_request_ms) * WEIGHT;
+                self.entries[index] = entry;
+            }
             Err(index) => self.entries.insert(index, entry),
         }
     }
@@ -104,9 +123,12 @@
 
     /// Removes entries that no answer is expected for any more.
     fn expire(&mut self, now: Millis) {
+        let expected_ms = self.first_request_ms * FIRST_REQUEST_FACTOR;
+        let expected_ms =
+            expected_ms.clamp(FIRST_REQUEST_MS.0, FIRST_REQUEST_MS.1) as u64;
         self.entries.retain(|entry| {
             let limit_ms =
-                if entry.is_request { REQUEST_TIMEOUT_MS } else { FIRST_REQUEST_MS };
+                if entry.is_request { REQUEST_TIMEOUT_MS } else { expected_ms };
             now.since(entry.since) < limit_ms
         });
     }
--- a/crates/steer/src/process/admission.rs
+++ b/crates/steer/src/process/admission.rs
@@ -11,7 +11,8 @@
 //!   first, by priority. Among those of the same priority the latest goes first: while
 //!   more arrive than can be served, the earliest would only just be in time or just late,
 //!   and every other one after it.
-//! - Openings that are late are served with what is left over, the oldest first.
+//! - Openings that are late are served with what is left over, the latest first as well:
+//!   the older one is, the less likely its caller still waits for it.
 //! - An opening that can't be answered in time here is offered to another agent. One that
 //!   can't be delivered before its caller gives up is refused at once.
 
@@ -163,7 +164,8 @@
     pub fn next(&mut self, now: Millis, capacity: Capacity) -> Option<(Opening, T)> {
         let timely =
             self.waiting.iter().position(|(opening, _)| self.is_timely(now, opening));
-        let index = timely.or_else(|| self.oldest())?;
+        let latest = (0..self.waiting.len()).max_by_key(|i| self.waiting[*i].0.sent_at);
+        let index = timely.or(latest)?;
         capacity.has_room(timely.is_some()).then(|| self.waiting.remove(index))
     }
 
@@ -185,11 +187,6 @@
         self.waiting.iter().map(|(opening, _)| opening.give_up_at().after(1)).min()
     }
 
-    /// The index of the opening whose caller gives up first.
-    fn oldest(&self) -> Option<usize> {
-        (0..self.waiting.len()).min_by_key(|index| self.waiting[*index].0.sent_at)
-    }
-
     /// Number of waiting openings that are served before another one, or in its place:
     /// later ones of the same priority will overtake it as it would overtake these.
     fn ahead(&self, now: Millis, opening: &Opening) -> usize {
@@ -198,7 +195,7 @@
             (true, true) => other.priority <= opening.priority,
             (true, false) => true,
             (false, true) => false,
-            (false, false) => other.sent_at <= opening.sent_at,
+            (false, false) => true,
         };
         self.waiting.iter().filter(|(other, _)| precedes(other)).count()
     }
--- /dev/null
+++ b/crates/steer/tests/in_flight.rs
@@ -0,0 +1,62 @@
+//! Tests of what counts as given to a backend server and not finished.
+
+mod fixture;
+
+use fixture::{NOW, flow};
+use lentilreach_steer::connection::in_flight::{Answer, InFlight};
+
+/// Number of slots of the backend server.
+const SLOTS: u32 = 2;
+
+/// A request counts from its opening until the answer begins.
+#[test]
+fn an_opening_counts_until_its_request_is_answered() {
+    let mut in_flight = InFlight::default();
+
+    in_flight.open(NOW, flow(1));
+    assert_eq!((in_flight.count(NOW), in_flight.requests(NOW)), (1, 0));
+
+    in_flight.request(NOW.after(10), flow(1), SLOTS);
+    in_flight.request(NOW.after(12), flow(1), SLOTS);
+    assert_eq!((in_flight.count(NOW), in_flight.requests(NOW)), (1, 1));
+
+    let answer = in_flight.answer(NOW.after(40), &flow(1));
+    assert_eq!(answer, Some(Answer { ms: 30, is_unqueued: true }));
+    assert_eq!(in_flight.count(NOW), 0);
+    assert_eq!(in_flight.answer(NOW.after(41), &flow(1)), None);
+}
+
+/// Requests that wait in the backend server's own queue would make it seem slower than it
+/// is.
+#[test]
+fn queued_requests_are_no_measure_of_durations() {
+    let mut in_flight = InFlight::default();
+    for port in 1..=3 {
+        in_flight.request(NOW, flow(port), SLOTS);
+    }
+
+    let unqueued = [1, 2, 3]
+        .map(|port| in_flight.answer(NOW, &flow(port)).map(|answer| answer.is_unqueued));
+
+    assert_eq!(unqueued, [Some(true), Some(true), Some(false)]);
+}
+
+/// An opening whose caller has given up must not occupy a slot for long: it is idle
+/// meanwhile.
+#[test]
+fn an_opening_without_a_request_counts_for_a_short_time() {
+    let mut in_flight = InFlight::default();
+    in_flight.open(NOW, flow(1));
+    assert_eq!(in_flight.count(NOW.after(299)), 1);
+    assert_eq!(in_flight.count(NOW.after(300)), 0);
+
+    // Callers usually send their request 10 ms later.
+    for port in 2..=100 {
+        in_flight.open(NOW, flow(port));
+        in_flight.request(NOW.after(10), flow(port), SLOTS);
+        in_flight.remove(&flow(port));
+    }
+    in_flight.open(NOW, flow(1));
+    assert_eq!(in_flight.count(NOW.after(30)), 1);
+    assert_eq!(in_flight.count(NOW.after(50)), 0);
+}
