Leave out entries that can't be decoded, and use the others

Cause: other operators reported that one odd entry of another writer stopped the machines that read the list. It can happen here: a deeply nested value, a number out of range, a wrong type or bytes that are no text in one item failed the whole page or batch of events, which was then asked for again and again; one invalid route kept a whole configuration from being in force.

Ruled out: a crash. Decoding of nested values is limited, so processes did not end.

Change: elements of lists are decoded one by one. One that can't be decoded is counted, logged and left out; a key whose value can't be decoded still exists, so that an evacuation with an odd value holds. Goals and priorities of another type take their defaults.

--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -70,11 +70,11 @@
     "Segments that the process dropped.",
 );
 
-/// Datagrams that could not be parsed.
+/// Datagrams and entries that could not be parsed.
 pub const INVALID: Metric = counter(
     "lentilreach_steer_invalid_total",
     &["reason"],
-    "Datagrams that the process could not read.",
+    "Datagrams and entries that the process could not read.",
 );
 
 /// Datagrams that the operating system did not accept for sending.
