--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -525,7 +525,7 @@
         let key = key(self.requests[number].class, number, attempt);
         let flags = Flags { open: true, acknowledge: true, ..Flags::default() };
         let first = (key.hash() as u32).wrapping_add(index as u32);
-        self.from_server(now, index, from_backend(key, flags, first, 0));
+        self.server_segment(now, index, from_backend(key, flags, first, 0));
         let request = &mut self.requests[number];
         if request.attempt == attempt && !request.is_open {
             request.is_open = true;
@@ -589,7 +589,7 @@
         let key = key(self.requests[number].class, number, attempt);
         let flags = Flags { acknowledge: true, close: true, ..Flags::default() };
         let first = (key.hash() as u32).wrapping_add(index as u32);
-        self.from_server(
+        self.server_segment(
             now,
             index,
             from_backend(key, flags, first.wrapping_add(1), 600),
@@ -597,7 +597,7 @@
     }
 
     /// Lets an agent process a segment of its backend server.
-    fn from_server(&mut self, now: Tick, index: usize, segment: Segment) {
+    fn server_segment(&mut self, now: Tick, index: usize, segment: Segment) {
         let side = &mut self.sides[index];
         let action = side.agent.handle_backend_segment(
             Millis(now),
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -129,6 +129,19 @@
         &self.backend
     }
 
+    /// Whether a report would replace a backend server that reports in time by another one
+    /// with a service that the configuration doesn't have. Other writers may send anything,
+    /// and a replacement ends all flows.
+    pub fn is_foreign(&self, now: Millis, routing: &Routing, report: &Report) -> bool {
+        let is_replacement =
+            self.backend.report().is_some_and(|last| !last.is_same_instance(report));
+        is_replacement
+            && !self.backend.is_overdue(now)
+            && !self.backend.is_leaving()
+            && routing.is_loaded()
+            && routing.service(&report.service).is_none()
+    }
+
     /// Processes a report of the backend server. Returns the flows that ended with a
     /// previous instance of it.
     pub fn report(
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -131,6 +131,8 @@
     report: Option<Report>,
     /// When the last report arrived.
     last_report: Millis,
+    /// Sequence number of the last outdated report since then.
+    outdated: Option<u64>,
     /// When the backend server said that it is shutting down.
     leaving_since: Option<Millis>,
     /// Whether [`Self::tick`] has detected that it is gone.
@@ -155,6 +157,7 @@
             bounds,
             report: None,
             last_report: Millis(0),
+            outdated: None,
             leaving_since: None,
             is_gone: false,
             ticks_since_report: 0,
@@ -178,7 +181,7 @@
     /// Processes a report.
     pub fn record_report(&mut self, now: Millis, report: Report) -> Change {
         let before = self.stage(now);
-        let change = match &self.report {
+        let change = match self.report.clone() {
             None => Change::Started { is_replacement: false },
             Some(last) if !last.is_same_instance(&report) => {
                 if report.started_ms < last.started_ms {
@@ -186,12 +189,18 @@
                 }
                 Change::Started { is_replacement: true }
             }
-            Some(last) if report.sequence <= last.sequence => return Change::Outdated,
+            Some(last)
+                if report.sequence <= last.sequence
+                    && !self.has_restarted_count(now, report.sequence) =>
+            {
+                return Change::Outdated;
+            }
             // It was considered gone by mistake.
             Some(_) if self.is_gone => Change::Started { is_replacement: false },
             Some(_) => Change::None,
         };
         self.last_report = now;
+        self.outdated = None;
         self.leaving_since = None;
         self.is_gone = false;
         self.ticks_since_report = 0;
@@ -204,6 +213,15 @@
         change
     }
 
+    /// Whether reports with lower sequence numbers have to be taken for current ones: the
+    /// last report is overdue, and a second one arrives that follows the first. The higher
+    /// number was then no valid one, and waiting for a higher one would never end.
+    fn has_restarted_count(&mut self, now: Millis, sequence: u64) -> bool {
+        let follows = self.outdated.is_some_and(|outdated| sequence > outdated);
+        self.outdated = Some(sequence);
+        follows && self.is_overdue(now)
+    }
+
     /// Records that a backend server is shutting down. Returns whether it is the current
     /// one.
     pub fn record_leave(&mut self, now: Millis, id: &str) -> bool {
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -170,10 +170,21 @@
     state: Arc<State<F, L>>,
 }
 
+/// A report of another instance names a service that the configuration doesn't have, while
+/// the reports of the current one are up to date.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Foreign {
+    /// The unknown service.
+    pub service: Name,
+}
+
 impl<F: Format, L: Link> ReportHandler<F, L> {
     /// Processes a report. If the state of the backend server changed, balancers are
     /// informed before this returns.
-    pub fn report(&self, report: Report) {
+    ///
+    /// # Errors
+    /// If the report can't come from the backend server. It is ignored.
+    pub fn report(&self, report: Report) -> Result<(), Foreign> {
         let state = &self.state;
         let (id, is_draining) = (report.id.clone(), report.is_draining);
         let (service, sequence) = (report.service.clone(), report.sequence);
@@ -181,6 +192,9 @@
         let (now, routing) = (state.node.now(), state.node.routing());
         let (change, ended) = {
             let mut flows = state.flows.write();
+            if flows.is_foreign(now, &routing, &report) {
+                return Err(Foreign { service });
+            }
             let outcome = flows.report(now, report);
             flows.update_knows_all_flows(now, &routing);
             outcome
@@ -195,6 +209,7 @@
                 "backend server changed"
             );
         }
+        Ok(())
     }
 
     /// Records that a backend server is shutting down.
--- a/crates/steer/src/process/membership.rs
+++ b/crates/steer/src/process/membership.rs
@@ -59,7 +59,12 @@
 
     fn try_from(entry: &Entry) -> Result<Self, Invalid> {
         let address = entry.key.strip_prefix(PREFIX).ok_or(Invalid)?;
-        let address = address.parse().map_err(|_| Invalid)?;
+        let address: SocketAddrV4 = address.parse().map_err(|_| Invalid)?;
+        let ip = address.ip();
+        let is_usable = !(ip.is_unspecified() || ip.is_broadcast() || ip.is_multicast());
+        if address.port() == 0 || !is_usable {
+            return Err(Invalid);
+        }
         let record: Record<'_> =
             postcard::from_bytes(&entry.value).map_err(|_| Invalid)?;
         let role = if record.is_agent { Role::Agent } else { Role::Balancer };
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -533,3 +533,24 @@
 
     assert_eq!(ended, 0);
 }
+
+/// A report of another writer with a service that nobody configured must not end the flows
+/// of the backend server.
+#[test]
+fn a_report_of_an_unknown_service_replaces_nothing() {
+    let (agent, _) = agent_and_roster();
+    let foreign = Report {
+        id: "i-2".into(),
+        service: "unknown".into(),
+        started_ms: Some(9_000),
+        ..report(1)
+    };
+    let replacement = Report { service: INVOICES.into(), ..foreign.clone() };
+
+    assert!(agent.is_foreign(NOW, &routing(1), &foreign));
+    assert!(!agent.is_foreign(NOW, &routing(1), &replacement));
+    // Nothing is lost if the current one has stopped reporting or there is no
+    // configuration yet.
+    assert!(!agent.is_foreign(NOW.after(10_000), &routing(1), &foreign));
+    assert!(!agent.is_foreign(NOW, &Routing::default(), &foreign));
+}
--- a/crates/steer/tests/backend.rs
+++ b/crates/steer/tests/backend.rs
@@ -171,3 +171,22 @@
 
     assert_eq!(admit(&mut backend, NOW), Ok(()));
 }
+
+/// One report with an odd sequence number must not make all later ones outdated, and a
+/// late report must not revoke a drain either.
+#[test]
+fn an_odd_sequence_number_does_not_end_the_reports() {
+    let mut backend = backend(report(4));
+    let odd = Report { sequence: u64::MAX, ..report(4) };
+    backend.record_report(NOW, odd);
+
+    let mut changes = Vec::new();
+    for sequence in 5..12 {
+        let at = NOW.after((sequence - 4) * REPORT_MS);
+        changes.push(backend.record_report(at, report(sequence)));
+    }
+
+    assert_eq!(changes[..3], [Change::Outdated; 3]);
+    assert_eq!(changes[4..], [Change::None; 3]);
+    assert_eq!(backend.stage(NOW.after(7 * REPORT_MS)), Some(Stage::Ready));
+}
