--- a/crates/steer/src/connection/state.rs
+++ b/crates/steer/src/connection/state.rs
@@ -12,6 +12,10 @@
     /// When the opening segment was delivered; `None` if another process of the agent did
     /// that.
     pub offered_at: Option<Millis>,
+    /// Sequence number of the opening segment; `None` if another process of the agent
+    /// delivered it. Tells a retransmission from the opening of another flow between the
+    /// same addresses.
+    pub opening_sequence: Option<u32>,
     /// The first sequence number of the backend server, if the agent has seen it.
     pub first_sequence: Option<u32>,
     /// The last sequence number that the caller acknowledged.
@@ -48,6 +52,7 @@
         Self {
             stage,
             offered_at: None,
+            opening_sequence: None,
             first_sequence: None,
             acknowledged: 0,
             homes: [None; 2],
@@ -57,8 +62,22 @@
     }
 
     /// Creates a flow whose opening segment was just delivered.
-    pub fn offered(now: Millis) -> Self {
-        Self { offered_at: Some(now), ..Self::new(Stage::Offered) }
+    pub fn offered(now: Millis, opening_sequence: u32) -> Self {
+        Self {
+            offered_at: Some(now),
+            opening_sequence: Some(opening_sequence),
+            ..Self::new(Stage::Offered)
+        }
+    }
+
+    /// Whether an opening segment is a retransmission of the one that opened this flow.
+    /// Before the caller has chosen a backend server, it may be one although this process
+    /// hasn't seen the first.
+    pub fn is_opened_by(&self, sequence: u32) -> bool {
+        match self.opening_sequence {
+            Some(known) => known == sequence,
+            None => matches!(self.stage, Stage::Offered | Stage::Accepted),
+        }
     }
 
     /// Whether an acknowledgement of the caller is plausible for this flow.
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -304,6 +304,11 @@
         (self.open, self.in_flight.requests(now))
     }
 
+    /// Whether the backend server has answered all that it was given, and no opening waits.
+    pub fn is_idle(&mut self, now: Millis) -> bool {
+        self.in_flight.count(now) == 0 && self.admission.is_empty()
+    }
+
     /// Counts the open flows.
     fn count_open(&mut self) {
         let mut open = 0;
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -23,9 +23,19 @@
         arrival: &Arrival,
     ) -> Action {
         let flow = arrival.segment.flow_from_caller();
-        match self.flows.get(now, &flow).map(|state| state.stage) {
-            Some(Stage::Held) => return Action::Drop(Cause::Held),
-            Some(_) => return self.deliver(now, arrival, false),
+        let sequence = arrival.segment.sequence;
+        match self.flows.get(now, &flow) {
+            Some(state) if state.stage == Stage::Held => {
+                return Action::Drop(Cause::Held);
+            }
+            Some(state) if state.is_opened_by(sequence) => {
+                return self.deliver(now, arrival, false);
+            }
+            // The caller uses the port again, so the flow before has ended for it.
+            Some(_) => {
+                self.flows.remove(&flow);
+                self.in_flight.remove(&flow);
+            }
             None => {}
         }
         let revision = arrival.forwarding.revision.max(routing.revision);
@@ -219,7 +229,7 @@
         self.lifetime.record_opening();
         self.open += 1;
         self.in_flight.open(now, flow);
-        self.flows.insert(now, flow, State::offered(now));
+        self.flows.insert(now, flow, State::offered(now, arrival.segment.sequence));
         self.deliver(now, arrival, true)
     }
 
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -131,8 +131,8 @@
     report: Option<Report>,
     /// When the last report arrived.
     last_report: Millis,
-    /// Sequence number of the last outdated report since then.
-    outdated: Option<u64>,
+    /// Sequence number and arrival of the first outdated report since then.
+    outdated: Option<(u64, Millis)>,
     /// When the backend server said that it is shutting down.
     leaving_since: Option<Millis>,
     /// Whether [`Self::tick`] has detected that it is gone.
@@ -190,8 +190,8 @@
                 Change::Started { is_replacement: true }
             }
             Some(last)
-                if report.sequence <= last.sequence
-                    && !self.has_restarted_count(now, report.sequence) =>
+                if (report.sequence <= last.sequence || self.is_leaving())
+                    && !self.is_alive_after_all(now, report.sequence) =>
             {
                 return Change::Outdated;
             }
@@ -213,13 +213,17 @@
         change
     }
 
-    /// Whether reports with lower sequence numbers have to be taken for current ones: the
-    /// last report is overdue, and a second one arrives that follows the first. The higher
-    /// number was then no valid one, and waiting for a higher one would never end.
-    fn has_restarted_count(&mut self, now: Millis, sequence: u64) -> bool {
-        let follows = self.outdated.is_some_and(|outdated| sequence > outdated);
-        self.outdated = Some(sequence);
-        follows && self.is_overdue(now)
+    /// Whether an outdated report has to be taken for a current one: no other report
+    /// counts, and it follows an earlier outdated one as reports of a running backend
+    /// server do. Reports that were delayed arrive together.
+    ///
+    /// The last sequence number was not a valid one then, or somebody else said that the
+    /// backend server was leaving.
+    fn is_alive_after_all(&mut self, now: Millis, sequence: u64) -> bool {
+        let &mut (first, since) = self.outdated.get_or_insert((sequence, now));
+        let is_periodic =
+            sequence > first && now.since(since) >= self.bounds.report_ms / 2;
+        is_periodic && (self.is_overdue(now) || self.is_leaving())
     }
 
     /// Records that a backend server is shutting down. Returns whether it is the current
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -34,7 +34,7 @@
 /// 150 bytes, so most of the memory remains free.
 const FLOWS_PER_MB: usize = 500;
 
-/// Maximum time that a stopping agent waits for a moment in which no request is running. The
+/// Maximum time that a stopping agent waits for a moment in which nothing is in flight. The
 /// remaining time until the process is killed is a reserve for slow machines.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -141,7 +141,8 @@
         ReportHandler { state: self.state.clone() }
     }
 
-    /// Stops admitting flows and waits for a moment in which no request is running.
+    /// Stops admitting flows, offers waiting openings to other agents, and waits for a
+    /// moment in which the backend server has answered all that it was given.
     pub async fn finish(&self) {
         let state = &self.state;
         state.node.is_stopping.store(true, Ordering::Relaxed);
@@ -152,10 +153,11 @@
             return;
         }
         state.broadcast_heartbeat();
+        state.release();
         Timer::after(FORWARDING_GRACE).await;
         let limit = DRAIN_TIMEOUT.min(state.node.settings.stop_timeout / 2);
         let start = state.node.now();
-        while state.flows.write().load(state.node.now()).1 > 0
+        while !state.flows.write().is_idle(state.node.now())
             && state.node.now().since(start) < limit.as_millis() as u64
         {
             Timer::after(DRAIN_POLL_INTERVAL).await;
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -128,9 +128,20 @@
     async fn register_entry(&mut self) -> Result<(), Error> {
         let lease = self.store.grant(Duration::from_millis(LEASE_TTL_MS)).await?;
         let txn = Txn::new().lease(self.listed.key(), self.listed.value(), lease);
-        self.store.write(txn).await?;
-        self.lease = Some(lease);
-        Ok(())
+        match self.store.write(txn).await {
+            Ok(_) => {
+                self.lease = Some(lease);
+                Ok(())
+            }
+            Err(error) => {
+                // The call may still take effect, after a later one or after this process
+                // has left. Without its lease it can't.
+                if let Err(cause) = self.store.revoke(lease).await {
+                    log::warn!(target: "membership", change = "unknown", cause:% = cause; "lease of a failed registration could not be ended; it remains until it expires");
+                }
+                Err(error)
+            }
+        }
     }
 
     /// Removes the process's own entry, so that new nodes don't wait for an answer from
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -7,13 +7,14 @@
     agent_and_roster, arrival, flow, flow_homed_elsewhere, forwarded, from_backend,
     limits, mark, open, opening, report, request, returned, roster, routing,
 };
+use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{
     Action, Agent, Arrival, BackendAction, Cause, Ended,
 };
 use lentilreach_steer::process::backend::{Change, Refusal, Report};
 use lentilreach_steer::process::roster::Roster;
 use lentilreach_steer::request::message::Search;
-use lentilreach_steer::request::segment::Flags;
+use lentilreach_steer::request::segment::{Flags, Segment};
 use lentilreach_steer::version::routing::Routing;
 
 /// A flow must not reach a backend server of another service that reuses the address,
@@ -554,3 +555,92 @@
     assert!(!agent.is_foreign(NOW.after(10_000), &routing(1), &foreign));
     assert!(!agent.is_foreign(NOW, &Routing::default(), &foreign));
 }
+
+/// Opens a flow at an agent and closes it from both sides.
+fn open_and_close(agent: &mut Agent, roster: &Roster, key: flow::Key) {
+    open(NOW, agent, roster, key, FIRST_SEQUENCE);
+    let close = Flags { acknowledge: true, close: true, ..Flags::default() };
+    let segment = from_backend(key, close, FIRST_SEQUENCE + 1);
+    agent.handle_backend_segment(NOW, &routing(1), roster, &segment);
+}
+
+/// A caller that uses a port again opens a new flow. It must not be taken for a copy of the
+/// opening before, which would reach a backend server that is draining.
+#[test]
+fn a_port_that_is_used_again_opens_a_new_flow() {
+    let (mut agent, roster) = agent_and_roster();
+    open_and_close(&mut agent, &roster, flow(1));
+    open(NOW, &mut agent, &roster, flow(2), FIRST_SEQUENCE);
+    agent.report(NOW, Report { is_draining: true, ..report(2) });
+
+    for key in [flow(1), flow(2)] {
+        let again = Segment { sequence: 900, ..opening(key, 0) };
+        let arrival = arrival(again, Search::Open, 1);
+        let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival);
+
+        assert_eq!(forwarded(action).0, Cause::Admission(Refusal::Draining));
+    }
+}
+
+/// A copy of an opening that was delivered must be delivered as well, even if the backend
+/// server has begun to drain: the first one may have been lost.
+#[test]
+fn a_copy_of_a_delivered_opening_is_delivered() {
+    let (mut agent, roster) = agent_and_roster();
+    let first = arrival(opening(flow(1), 0), Search::Open, 1);
+    agent.handle_caller_segment(NOW, &routing(1), &roster, &first);
+    agent.report(NOW, Report { is_draining: true, ..report(2) });
+
+    let copy = arrival(opening(flow(1), 1), Search::Open, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &copy);
+
+    assert!(matches!(action, Action::Deliver { is_new: false, .. }), "{action:?}");
+}
+
+/// During a planned stop, a flow that was just accepted must still get its answer.
+#[test]
+fn an_agent_is_not_idle_before_accepted_flows_are_answered() {
+    let (mut agent, roster) = agent_and_roster();
+    let first = arrival(opening(flow(1), 0), Search::Open, 1);
+    agent.handle_caller_segment(NOW, &routing(1), &roster, &first);
+    agent.handle_backend_segment(
+        NOW,
+        &routing(1),
+        &roster,
+        &accept(flow(1), FIRST_SEQUENCE),
+    );
+    agent.stop();
+    assert!(!agent.is_idle(NOW.after(5)));
+
+    let known = arrival(request(flow(1), FIRST_SEQUENCE + 1), Search::Known, 1);
+    agent.handle_caller_segment(NOW.after(10), &routing(1), &roster, &known);
+    assert!(!agent.is_idle(NOW.after(1_000)));
+
+    let flags = Flags { acknowledge: true, ..Flags::default() };
+    let answer =
+        Segment { length: 9, ..from_backend(flow(1), flags, FIRST_SEQUENCE + 1) };
+    agent.handle_backend_segment(NOW.after(1_000), &routing(1), &roster, &answer);
+    assert!(agent.is_idle(NOW.after(1_000)));
+}
+
+/// Openings that wait when an agent is told to stop must be offered to others at once.
+#[test]
+fn a_stopping_agent_hands_on_its_waiting_openings() {
+    let (mut agent, roster) = agent_and_roster();
+    for port in 1..=12 {
+        let arrival = arrival(opening(flow(port), 0), Search::Open, 1);
+        let _ = offer(&mut agent, &roster, &arrival);
+    }
+    assert!(!agent.is_idle(NOW.after(400)));
+
+    agent.stop();
+    let released: Vec<_> =
+        std::iter::from_fn(|| agent.release(NOW, &routing(1), &roster)).collect();
+
+    assert_eq!(released.len(), 5);
+    for release in released {
+        let action = &release.action;
+        assert!(matches!(action, Action::Forward { .. }), "{action:?}");
+    }
+    assert!(agent.is_idle(NOW.after(400)));
+}
--- a/crates/steer/tests/backend.rs
+++ b/crates/steer/tests/backend.rs
@@ -186,7 +186,26 @@
         changes.push(backend.record_report(at, report(sequence)));
     }
 
+    // Three report intervals pass until the last valid report is overdue.
     assert_eq!(changes[..3], [Change::Outdated; 3]);
     assert_eq!(changes[4..], [Change::None; 3]);
     assert_eq!(backend.stage(NOW.after(7 * REPORT_MS)), Some(Stage::Ready));
 }
+
+/// A report that was delayed must not bring back a backend server that has left. One that
+/// goes on reporting is alive, whoever said that it left.
+#[test]
+fn a_late_report_does_not_bring_back_a_backend_server_that_left() {
+    let mut backend = backend(report(4));
+    assert!(backend.record_leave(NOW, "i-1"));
+
+    for (after_ms, sequence) in [(100, 5), (110, 6)] {
+        let change = backend.record_report(NOW.after(after_ms), report(sequence));
+        assert_eq!(change, Change::Outdated);
+        assert_eq!(backend.stage(NOW.after(after_ms)), Some(Stage::Closed));
+    }
+
+    let change = backend.record_report(NOW.after(REPORT_MS + 100), report(7));
+    assert_ne!(change, Change::Outdated);
+    assert_eq!(backend.stage(NOW.after(REPORT_MS + 100)), Some(Stage::Ready));
+}
