Send heartbeats of balancers to other failure domains every tenth time only

Those of balancers to agents of other domains tell them nothing but that the balancer exists, which they need to know once in the 60 s after which it is removed.

Ruled out: longer intervals of agents, whose load, liveness and announcements other nodes act on.

Change: one of ten heartbeats of a balancer goes to other domains.

--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -23,6 +23,10 @@
 /// milliseconds. Callers give up after 1,400 ms.
 const READY_WAIT_MS: u64 = 1_200;
 
+/// Number of heartbeats of a balancer of which one goes to agents in other failure domains.
+/// Agents only need the others of balancers in their own one, which they count.
+const FOREIGN_ROUNDS: u32 = 10;
+
 /// Interval between checks whether the process is ready, in milliseconds.
 const READY_POLL_MS: u64 = 10;
 
@@ -65,6 +69,8 @@
     incarnation: u64,
     /// Sequence number of the last heartbeat.
     sequence: AtomicU32,
+    /// Number of heartbeats sent to members.
+    rounds: AtomicU32,
     /// Signals to the document follower that another node knows newer documents.
     newer_signal: (Sender<()>, Receiver<()>),
     /// Signals to the registration that the node is leaving for good.
@@ -88,6 +94,7 @@
             has_left: AtomicBool::new(false),
             incarnation: fastrand::u64(1..),
             sequence: AtomicU32::new(0),
+            rounds: AtomicU32::new(0),
             newer_signal: async_channel::bounded(1),
             leave_signal: async_channel::bounded(1),
         })
@@ -155,17 +162,24 @@
         SocketAddr::from((*flow.caller.ip(), self.settings.callers_port))
     }
 
-    /// Sends a heartbeat to all members that need it: balancers only need those of
-    /// agents, agents need all. `sync_status` returns the status to include for a member.
+    /// Sends a heartbeat to all members that need it: balancers only need those of agents,
+    /// and agents seldom need those of balancers in other failure domains. `sync_status`
+    /// returns the status to include for a member.
     pub fn broadcast_heartbeat(
         &self,
         role: Role,
         sync_status: impl Fn(&Member) -> Option<SyncStatus>,
     ) {
+        let round = self.rounds.fetch_add(1, Ordering::Relaxed);
         let to: Vec<_> = {
             let roster = self.roster.read();
-            let needs =
-                |member: &&Member| role == Role::Agent || member.role == Role::Agent;
+            let is_near = |member: &Member| {
+                round.is_multiple_of(FOREIGN_ROUNDS)
+                    || member.domain == self.settings.domain
+            };
+            let needs = |member: &&Member| {
+                role == Role::Agent || (member.role == Role::Agent && is_near(member))
+            };
             let members = roster.members().iter().filter(needs);
             members.map(|member| (member.address, sync_status(member))).collect()
         };
--- a/crates/steer/tests/node.rs
+++ b/crates/steer/tests/node.rs
@@ -5,7 +5,7 @@
 use std::future::pending;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use fixture::{agent_address, agent_heartbeat, balancer_address, routing};
@@ -15,16 +15,20 @@
 use lentilreach_steer::process::settings;
 use lentilreach_steer::request::message::Stage;
 
-/// A link on which nothing arrives.
-#[derive(Debug, Clone)]
-struct Silent;
+/// A link on which nothing arrives. Records the receivers of all datagrams.
+#[derive(Debug, Default, Clone)]
+struct Silent {
+    /// The receivers.
+    sent: Arc<Mutex<Vec<SocketAddr>>>,
+}
 
 impl Link for Silent {
     async fn receive(&self, _: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
         pending().await
     }
 
-    fn send(&self, _: SocketAddr, _: &[u8]) -> io::Result<()> {
+    fn send(&self, to: SocketAddr, _: &[u8]) -> io::Result<()> {
+        self.sent.lock().expect("no panic").push(to);
         Ok(())
     }
 
@@ -48,7 +52,7 @@
         stop_timeout: Duration::from_secs(6),
         threads: 1,
     };
-    let node = Node::new(settings, Silent);
+    let node = Node::new(settings, Silent::default());
     *node.routing.write() = Arc::new(routing(1));
     node
 }
@@ -84,3 +88,25 @@
     hear(&node, 2);
     assert_eq!(node.ready(), Ok(()));
 }
+
+/// Heartbeats between failure domains cost money, and most of those of balancers tell
+/// their receivers nothing that they use.
+#[test]
+fn balancers_seldom_send_heartbeats_to_other_domains() {
+    let node = node();
+    for (number, domain) in [(1, "a"), (2, "b"), (3, "b")] {
+        let heartbeat = agent_heartbeat(1, domain, Stage::Ready, 0);
+        node.handle_heartbeat(agent_address(number), &heartbeat);
+    }
+
+    for _ in 0..20 {
+        node.broadcast_heartbeat(Role::Balancer, |_| None);
+    }
+
+    let sent = node.link.sent.lock().expect("no panic").clone();
+    let count = |number| {
+        let address = SocketAddr::from(agent_address(number));
+        sent.iter().filter(|to| **to == address).count()
+    };
+    assert_eq!([1, 2, 3].map(count), [20, 2, 2]);
+}
