Add the command measure rush

Change: `lentilreach measure rush` plays a load with one of three policies, prints what callers and backend servers saw, and draws it. The plot shares its drawing with the demo's report.

--- a/crates/lentilreach-cli/src/measure.rs
+++ b/crates/lentilreach-cli/src/measure.rs
@@ -3,7 +3,10 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use lentilreach_standin::measure::{self, Plan, Report, Settings};
+use lentilreach_standin::measure::{self, Plan, Settings};
+use lentilreach_standin::plot;
+use lentilreach_standin::rush::{self, Load, Policy};
+use serde::Serialize;
 
 /// Exit status if the report cannot be printed.
 const EXIT_FAILED: u8 = 1;
@@ -31,38 +34,119 @@
                 .value_parser(Plan::ALL.map(Plan::as_str))
                 .help("What happens during the measurement"),
         )
-        .arg(
-            Arg::new("report")
-                .long("report")
-                .default_value("text")
-                .value_parser(["text", "json"])
-                .help("Format of the report"),
-        );
+        .arg(report_arg());
     Command::new("measure")
         .about("Measure parts of the load balancer at a given scale")
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(control)
+        .subcommand(rush_command())
 }
 
 /// Runs the subcommand and prints its report.
 pub fn run(matches: &ArgMatches) -> ExitCode {
-    let Some(("control", matches)) = matches.subcommand() else {
-        return ExitCode::from(2);
+    let outcome = match matches.subcommand() {
+        Some(("control", matches)) => {
+            format_report(&measure::run(&settings(matches)), matches)
+                .map_err(|error| format!("the report cannot be printed: {error}"))
+        }
+        Some(("rush", matches)) => run_rush(matches),
+        _ => return ExitCode::from(2),
     };
-    let report = measure::run(&settings(matches));
-    match format_report(&report, matches) {
+    match outcome {
         Ok(text) => {
             println!("{text}");
             ExitCode::SUCCESS
         }
         Err(error) => {
-            eprintln!("lentilreach measure: the report cannot be printed: {error}");
+            eprintln!("lentilreach measure: {error}");
             ExitCode::from(EXIT_FAILED)
         }
     }
 }
 
+/// Builds the subcommand `rush`.
+fn rush_command() -> Command {
+    let policies = Policy::ALL.map(Policy::as_str);
+    Command::new("rush")
+        .about("Play the openings after an outage, in virtual time without a network")
+        .arg(positive_arg("servers", "N", "10", "Backend servers, each with an agent"))
+        .arg(positive_arg("slots", "N", "7", "Requests that each of them runs at once"))
+        .arg(positive_arg("work-ms", "MS", "43", "Mean duration of a request"))
+        .arg(positive_arg("per-s", "N", "400", "Requests a second"))
+        .arg(positive_arg("crowd", "N", "1", "Factor of requests after the outage"))
+        .arg(number_arg("outage-ms", "MS", "1400", "Duration of the outage"))
+        .arg(number_arg("cold-ms", "MS", "2000", "Time that backend servers are cold"))
+        .arg(number_arg("failing", "N", "0", "Backend servers that reject all requests"))
+        .arg(number_arg("silent", "N", "0", "Agents that don't return"))
+        .arg(positive_arg("seed", "N", "1", "Seed of all random choices"))
+        .arg(
+            Arg::new("policy")
+                .long("policy")
+                .default_value(Policy::Goal.as_str())
+                .value_parser(policies)
+                .help("How agents admit openings"),
+        )
+        .arg(
+            Arg::new("svg").long("svg").value_name("FILE").help("Write a plot to a file"),
+        )
+        .arg(report_arg())
+}
+
+/// Plays a rush and formats its outcome.
+fn run_rush(matches: &ArgMatches) -> Result<String, String> {
+    let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let small = |name| u8::try_from(number(name)).unwrap_or(u8::MAX);
+    let policy = matches.get_one::<String>("policy");
+    let policy =
+        Policy::ALL.into_iter().find(|p| policy.is_some_and(|name| name == p.as_str()));
+    let load = Load {
+        servers: small("servers"),
+        slots: u32::try_from(number("slots")).unwrap_or(u32::MAX),
+        work_ms: number("work-ms") as f64,
+        per_s: number("per-s") as f64,
+        crowd: number("crowd") as f64,
+        outage_ms: number("outage-ms"),
+        cold_ms: number("cold-ms"),
+        failing: small("failing"),
+        silent: small("silent").min(small("servers")),
+        policy: policy.unwrap_or(Policy::Goal),
+        seed: number("seed"),
+        ..Load::default()
+    };
+    let outcome = rush::run(&load);
+    if let Some(path) = matches.get_one::<String>("svg") {
+        let svg = plot::rush(&outcome.seconds).svg;
+        std::fs::write(path, svg).map_err(|error| format!("{path}: {error}"))?;
+    }
+    format_report(&outcome, matches)
+        .map_err(|error| format!("the report cannot be printed: {error}"))
+}
+
+/// Builds the option `--report`.
+fn report_arg() -> Arg {
+    Arg::new("report")
+        .long("report")
+        .default_value("text")
+        .value_parser(["text", "json"])
+        .help("Format of the report")
+}
+
+/// Builds an option that takes a number, which may be zero.
+fn number_arg(
+    name: &'static str,
+    value: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name(value)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
+}
+
 /// Builds an option that takes a positive number.
 fn positive_arg(
     name: &'static str,
@@ -102,7 +186,10 @@
 }
 
 /// Formats the report as given by `--report`.
-fn format_report(report: &Report, matches: &ArgMatches) -> serde_json::Result<String> {
+fn format_report(
+    report: &impl Serialize,
+    matches: &ArgMatches,
+) -> serde_json::Result<String> {
     if matches.get_one::<String>("report").is_some_and(|format| format == "json") {
         return serde_json::to_string_pretty(report);
     }
--- a/crates/lentilreach-cli/tests/measure.rs
+++ b/crates/lentilreach-cli/tests/measure.rs
@@ -22,6 +22,9 @@
         &["control", "--loss", "101"],
         &["control", "--plan", "unknown"],
         &["control", "--report", "xml"],
+        &["rush", "--policy", "unknown"],
+        &["rush", "--servers", "0"],
+        &["rush", "--silent", "-1"],
         &[],
     ] {
         assert!(parse(arguments).is_err(), "{arguments:?}");
@@ -38,3 +41,19 @@
 
     assert_eq!(format!("{status:?}"), format!("{:?}", std::process::ExitCode::SUCCESS));
 }
+
+/// Guards against a plot or a report that can't be written.
+#[test]
+fn a_rush_is_played_and_plotted() {
+    let file = std::env::temp_dir().join(format!("rush-{}.svg", std::process::id()));
+    let path = file.to_str().expect("a path in UTF-8");
+    let matches = parse(&["rush", "--servers", "3", "--per-s", "50", "--svg", path])
+        .expect("the arguments are valid");
+
+    let status = measure::run(&matches);
+
+    let svg = std::fs::read_to_string(&file).expect("a plot was written");
+    std::fs::remove_file(&file).expect("the file exists");
+    assert_eq!(format!("{status:?}"), format!("{:?}", std::process::ExitCode::SUCCESS));
+    assert!(svg.starts_with("<svg"), "{:.40}", svg);
+}
--- a/crates/standin/src/plot.rs
+++ b/crates/standin/src/plot.rs
@@ -6,6 +6,7 @@
 use plotters::style::text_anchor::{HPos, Pos, VPos};
 
 use crate::report::{Row, Series};
+use crate::rush;
 
 /// Size of a figure in pixels.
 const SIZE: (u32, u32) = (960, 320);
@@ -34,7 +35,10 @@
         let value = move |row: &Row| row.open.get(index).copied().unwrap_or(0);
         Curve::new(server, Palette99::pick(index).to_rgba(), series, value)
     };
-    draw(series, &series.servers.iter().enumerate().map(curve).collect::<Vec<_>>())
+    draw(
+        &series.changes,
+        &series.servers.iter().enumerate().map(curve).collect::<Vec<_>>(),
+    )
 }
 
 /// Draws answered, refused and unknown requests per second.
@@ -47,7 +51,28 @@
         curve("refused", RGBColor(230, 159, 0), |row| row.refused),
         curve("unknown", RGBColor(213, 94, 0), |row| row.unknown),
     ];
-    draw(series, &curves)
+    draw(&series.changes, &curves)
+}
+
+/// Draws the requests of a rush by the second in which they were made: in time, late, and
+/// not answered. A mark shows the end of the outage.
+pub fn rush(seconds: &[rush::Second]) -> Figure {
+    let first = seconds.first().map_or(0, |second| second.second);
+    let curve = |name: &str, colour: RGBColor, value: fn(&rush::Second) -> [u32; 2]| {
+        let point = |second: &rush::Second| {
+            let count: u32 = value(second).iter().sum();
+            ((second.second - first) as u32, f64::from(count))
+        };
+        let points = seconds.iter().map(point).collect();
+        Curve { name: name.into(), colour: colour.to_rgba(), points }
+    };
+    let curves = [
+        curve("in time", RGBColor(0, 114, 178), |second| second.in_time),
+        curve("late", RGBColor(230, 159, 0), |second| second.late),
+        curve("not answered", RGBColor(213, 94, 0), |second| second.failed),
+    ];
+    let end_of_outage = u32::try_from(-first).unwrap_or_default();
+    draw(&[(end_of_outage, "end of the outage".to_owned())], &curves)
 }
 
 /// A line of a figure.
@@ -81,11 +106,11 @@
     }
 }
 
-/// Draws curves over time and marks the changes of a series.
-fn draw(series: &Series, curves: &[Curve]) -> Figure {
+/// Draws curves over time and marks changes: second and description.
+fn draw(changes: &[(u32, String)], curves: &[Curve]) -> Figure {
     let mut svg = String::new();
     let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-    let drawn = draw_chart(&area, series, curves).and_then(|()| area.present());
+    let drawn = draw_chart(&area, changes, curves).and_then(|()| area.present());
     drop(area);
     drawn.expect("drawing to a string cannot fail");
     Figure { svg, legend: curves.iter().map(Curve::legend_entry).collect() }
@@ -103,11 +128,15 @@
     ChartContext<'b, SVGBackend<'a>, Cartesian2d<RangedCoordu32, RangedCoordf64>>;
 
 /// Draws axes, curves and change marks.
-fn draw_chart<'a>(area: &Area<'a>, series: &Series, curves: &[Curve]) -> DrawResult<'a> {
+fn draw_chart<'a>(
+    area: &Area<'a>,
+    changes: &[(u32, String)],
+    curves: &[Curve],
+) -> DrawResult<'a> {
     let values = curves.iter().flat_map(|curve| &curve.points).map(|(_, value)| *value);
     let max_value = values.fold(0.0, f64::max).max(1.0) * 1.08;
-    let last = series.rows.iter().map(|row| row.second);
-    let last = last.chain(series.changes.iter().map(|(at, _)| *at)).max();
+    let last = curves.iter().flat_map(|curve| &curve.points).map(|(second, _)| *second);
+    let last = last.chain(changes.iter().map(|(at, _)| *at)).max();
     let seconds = 0..last.unwrap_or(0).max(1);
     area.fill(&WHITE)?;
     let mut chart = ChartBuilder::on(area)
@@ -126,23 +155,22 @@
         let style = curve.colour.stroke_width(2);
         chart.draw_series(LineSeries::new(curve.points.iter().copied(), style))?;
     }
-    draw_change_marks(&mut chart, series, max_value)
+    draw_change_marks(&mut chart, changes, max_value)
 }
 
 /// Draws a numbered vertical line for each change.
 fn draw_change_marks<'a>(
     chart: &mut Chart<'a, '_>,
-    series: &Series,
+    changes: &[(u32, String)],
     max_value: f64,
 ) -> DrawResult<'a> {
     let style = TextStyle::from(("sans-serif", 14).into_font());
     let style = style.pos(Pos::new(HPos::Center, VPos::Bottom));
-    let lines = series
-        .changes
+    let lines = changes
         .iter()
         .map(|(at, _)| PathElement::new([(*at, 0.0), (*at, max_value)], BLACK.mix(0.45)));
     chart.draw_series(lines)?;
-    let numbers = series.changes.iter().enumerate().map(|(index, (at, _))| {
+    let numbers = changes.iter().enumerate().map(|(index, (at, _))| {
         Text::new((index + 1).to_string(), (*at, max_value), style.clone())
     });
     chart.draw_series(numbers)?;
