Avoid backend servers that leave requests unanswered

From 12 s to 18 s seven backend servers ran requests without answering them. Their agents counted each of these as in flight for 10 s, so that after a few of them openings waited for room that never came.

Ruled out: placement.

Change: a request is overdue after eight mean durations (500 ms at least), takes no slot then, and counts as a failure; an agent with many of them is avoided like one whose backend server resets flows.

--- a/crates/lentilreach-cli/src/measure.rs
+++ b/crates/lentilreach-cli/src/measure.rs
@@ -78,6 +78,12 @@
         .arg(number_arg("outage-ms", "MS", "1400", "Duration of the outage"))
         .arg(number_arg("cold-ms", "MS", "2000", "Time that backend servers are cold"))
         .arg(number_arg("failing", "N", "0", "Backend servers that reject all requests"))
+        .arg(number_arg(
+            "mute",
+            "N",
+            "0",
+            "Backend servers that answer half of all requests",
+        ))
         .arg(number_arg("silent", "N", "0", "Agents that don't return"))
         .arg(positive_arg("seed", "N", "1", "Seed of all random choices"))
         .arg(
@@ -109,6 +115,7 @@
         outage_ms: number("outage-ms"),
         cold_ms: number("cold-ms"),
         failing: small("failing"),
+        mute: small("mute"),
         silent: small("silent").min(small("servers")),
         policy: policy.unwrap_or(Policy::Goal),
         seed: number("seed"),
--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -579,6 +579,10 @@
         if let Some((next, end)) = self.sides[index].server.end(now) {
             self.at(end, Event::End(index, next, self.incarnation));
         }
+        let is_mute = index < usize::from(self.load.mute) && self.rng.bool();
+        if is_mute {
+            return;
+        }
         let attempt = self.requests[number].attempt;
         self.answer(now, index, number, attempt);
         self.at(now + CALLER_DELAY_MS, Event::Answer(number));
--- a/crates/standin/src/rush/mod.rs
+++ b/crates/standin/src/rush/mod.rs
@@ -63,6 +63,8 @@
     pub cold_ms: Tick,
     /// Number of backend servers that reject every request.
     pub failing: u8,
+    /// Number of backend servers that run half of their requests without an answer.
+    pub mute: u8,
     /// Number of agents that don't return after the outage.
     pub silent: u8,
     /// How agents admit openings.
@@ -85,6 +87,7 @@
             outage_ms: 1_400,
             cold_ms: 2_000,
             failing: 0,
+            mute: 0,
             silent: 0,
             policy: Policy::Goal,
             seed: 1,
--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -105,6 +105,19 @@
     }
 }
 
+/// Backend servers that leave requests unanswered must be avoided but for tries, and
+/// openings must not wait for them.
+#[test]
+fn mute_backend_servers_are_avoided() {
+    let load = Load { mute: 3, outage_ms: 0, ..Load::default() };
+    for outcome in play(&load) {
+        check_promises(&outcome);
+        let shares = (0..6).map(|number| second(&outcome, number).share_in_time());
+        let mean = shares.sum::<f64>() / 6.0;
+        assert!(mean >= 0.93, "{mean} {:?}", outcome.requests);
+    }
+}
+
 /// A backend server that rejects every request is empty at all times. It must not attract
 /// more than its share.
 #[test]
--- a/crates/steer/src/connection/in_flight.rs
+++ b/crates/steer/src/connection/in_flight.rs
@@ -47,6 +47,8 @@
     since: Millis,
     /// Whether it is a request; otherwise the first request is still expected.
     is_request: bool,
+    /// Whether it was found to be overdue.
+    is_overdue: bool,
     /// Whether fewer requests were running than the backend server has slots when this
     /// one was delivered. Only then does its duration not include time in a queue.
     is_unqueued: bool,
@@ -64,7 +66,13 @@
 impl InFlight {
     /// Records that an opening segment was delivered, so that a request is expected.
     pub fn open(&mut self, now: Millis, flow: Key) {
-        let entry = Entry { flow, since: now, is_request: false, is_unqueued: false };
+        let entry = Entry {
+            flow,
+            since: now,
+            is_request: false,
+            is_overdue: false,
+            is_unqueued: false,
+        };
         match self.find(&flow) {
             Ok(_) => {}
             Err(index) => self.entries.insert(index, entry),
@@ -75,7 +83,8 @@
     /// Further segments of the same request don't change its start.
     pub fn request(&mut self, now: Millis, flow: Key, slots: u32) {
         let is_unqueued = self.requests(now) < slots;
-        let entry = Entry { flow, since: now, is_request: true, is_unqueued };
+        let entry =
+            Entry { flow, since: now, is_request: true, is_overdue: false, is_unqueued };
         match self.find(&flow) {
             Ok(index) if self.entries[index].is_request => {}
             Ok(index) => {
@@ -109,10 +118,24 @@
         self.entries.clear();
     }
 
-    /// Number of requests that are in progress or expected.
+    /// Number of requests that are in progress or expected. Those that are overdue don't
+    /// count: they will hardly be answered, whether they take a slot or not.
     pub fn count(&mut self, now: Millis) -> u32 {
         self.expire(now);
-        self.entries.len() as u32
+        self.entries.iter().filter(|entry| !entry.is_overdue).count() as u32
+    }
+
+    /// Marks requests that have been in progress for more than `limit_ms` milliseconds as
+    /// overdue. Returns how many there are that were not marked before.
+    pub fn mark_overdue(&mut self, now: Millis, limit_ms: u64) -> u32 {
+        let mut marked = 0;
+        for entry in self.entries.iter_mut().filter(|entry| entry.is_request) {
+            if !entry.is_overdue && now.since(entry.since) > limit_ms {
+                entry.is_overdue = true;
+                marked += 1;
+            }
+        }
+        marked
     }
 
     /// Number of requests that are in progress.
--- a/crates/steer/src/process/admission.rs
+++ b/crates/steer/src/process/admission.rs
@@ -99,6 +99,12 @@
     Refuse,
 }
 
+/// Minimum time after which a request is overdue, in milliseconds.
+const MIN_OVERDUE_MS: f64 = 500.0;
+
+/// Multiple of the mean duration after which a request is overdue.
+const OVERDUE_FACTOR: f64 = 8.0;
+
 /// Openings that wait for a backend server, each with a value `T`.
 #[derive(Debug)]
 pub struct Admission<T> {
@@ -120,6 +126,11 @@
         self.service_ms += (service_ms as f64 - self.service_ms) * SERVICE_WEIGHT;
     }
 
+    /// Time after which a request without an answer is overdue, in milliseconds.
+    pub fn overdue_ms(&self) -> u64 {
+        (self.service_ms * OVERDUE_FACTOR).max(MIN_OVERDUE_MS) as u64
+    }
+
     /// Number of waiting openings.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -200,6 +200,9 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Ended> {
         self.count_open();
         self.lifetime.tick(self.open);
+        let overdue_ms = self.admission.overdue_ms();
+        let overdue = self.in_flight.mark_overdue(now, overdue_ms);
+        self.health.record_unanswered(overdue);
         self.health.tick(now);
         if !self.backend.tick(now) {
             return Vec::new();
@@ -282,8 +285,11 @@
         let is_closing = state.stage == Stage::Closing;
         let answer =
             if segment.length > 0 { self.in_flight.answer(now, &flow) } else { None };
-        if let Some(answer) = answer.filter(|answer| answer.is_unqueued) {
-            self.admission.observe(answer.ms);
+        if let Some(answer) = answer {
+            self.health.record_answer();
+            if answer.is_unqueued {
+                self.admission.observe(answer.ms);
+            }
         }
         if is_closing {
             self.in_flight.remove(&flow);
@@ -306,7 +312,8 @@
 
     /// Whether the backend server has answered all that it was given, and no opening waits.
     pub fn is_idle(&mut self, now: Millis) -> bool {
-        self.in_flight.count(now) == 0 && self.admission.is_empty()
+        let is_expecting = self.in_flight.count(now) + self.in_flight.requests(now) > 0;
+        !is_expecting && self.admission.is_empty()
     }
 
     /// Counts the open flows.
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -185,7 +185,7 @@
     pub slots: u32,
     /// Mean lifetime of its flows, in milliseconds; 0 if it is unknown.
     pub lifetime_ms: u32,
-    /// Whether it resets most of the flows that it has accepted.
+    /// Whether it resets or doesn't answer many of the flows that it has accepted.
     pub is_failing: bool,
     /// Number of live balancers in the agent's failure domain. Each of them may place
     /// flows on this agent between two heartbeats.
--- a/crates/steer/tests/health.rs
+++ b/crates/steer/tests/health.rs
@@ -17,6 +17,7 @@
 /// Records a number of flows that ended in the second before `now`.
 fn end_flows(health: &mut Health, now: Millis, closes: u32, resets: u32) {
     (0..closes).for_each(|_| health.record_end(false));
+    (0..closes).for_each(|_| health.record_answer());
     (0..resets).for_each(|_| health.record_end(true));
     health.tick(now);
 }
@@ -51,6 +52,22 @@
     assert!(!health.is_failing(NOW.after(11_000)));
 }
 
+/// A backend server that leaves a part of its requests unanswered is as bad as one that
+/// resets them.
+#[test]
+fn unanswered_requests_are_a_failure() {
+    let mut health = Health::default();
+    (0..20).for_each(|_| health.record_answer());
+    health.record_unanswered(3);
+    health.tick(NOW);
+    assert!(!health.is_failing(NOW));
+
+    (0..20).for_each(|_| health.record_answer());
+    health.record_unanswered(7);
+    health.tick(NOW.after(1_000));
+    assert!(health.is_failing(NOW.after(1_000)));
+}
+
 /// Opens flows at an agent and lets its backend server reset them.
 fn open_and_reset(agent: &mut Agent, roster: &Roster, flows: u16) {
     for port in 1..=flows {
--- a/crates/steer/tests/in_flight.rs
+++ b/crates/steer/tests/in_flight.rs
@@ -41,6 +41,22 @@
     assert_eq!(unqueued, [Some(true), Some(true), Some(false)]);
 }
 
+/// Requests without an answer must not keep others away for ever: the backend server may
+/// have forgotten them.
+#[test]
+fn overdue_requests_take_no_slot() {
+    let mut in_flight = InFlight::default();
+    in_flight.request(NOW, flow(1), SLOTS);
+    in_flight.request(NOW.after(400), flow(2), SLOTS);
+
+    assert_eq!(in_flight.mark_overdue(NOW.after(500), 500), 0);
+    assert_eq!(in_flight.mark_overdue(NOW.after(501), 500), 1);
+    assert_eq!(in_flight.mark_overdue(NOW.after(600), 500), 0);
+
+    let later = NOW.after(600);
+    assert_eq!((in_flight.count(later), in_flight.requests(later)), (1, 2));
+}
+
 /// An opening whose caller has given up must not occupy a slot for long: it is idle
 /// meanwhile.
 #[test]
