Pass the operators' documents from node to node

Ruled out: longer waits before a stale read, which may be seconds old; the exchange of the first front end, which needs keys that the platform does not give.

Change: a process that hears of a change asks the agent of its failure domain that reported it, and gets the documents in up to 20 datagrams. After 300 ms without an answer, for longer documents, or if the change was reported from another domain, it reads the store as before.

--- a/crates/steer/src/process/documents.rs
+++ b/crates/steer/src/process/documents.rs
@@ -4,7 +4,7 @@
 
 use lentilreach::Name;
 use lentilreach::process::store::follow::Update;
-use lentilreach::process::store::{Change, Entry};
+use lentilreach::process::store::{Change, Entry, Range};
 
 use crate::version::routing::{Route, Routing, Service};
 
@@ -69,6 +69,8 @@
 pub struct Documents<S> {
     /// Decodes documents.
     source: S,
+    /// All documents as they are in the store, sorted by key.
+    entries: Vec<Entry>,
     /// The active routing.
     routing: Routing,
     /// Store revision up to which all changes are known.
@@ -80,7 +82,8 @@
 impl<S: Source> Documents<S> {
     /// Creates a collection without documents.
     pub fn new(source: S) -> Self {
-        Self { source, routing: Routing::default(), revision: 0, last_change: 0 }
+        let (entries, routing) = (Vec::new(), Routing::default());
+        Self { source, entries, routing, revision: 0, last_change: 0 }
     }
 
     /// Prefix of the store keys that hold the documents.
@@ -103,6 +106,11 @@
         self.revision
     }
 
+    /// All documents as they are in the store, for other nodes.
+    pub fn snapshot(&self) -> Range {
+        Range { revision: self.revision, entries: self.entries.clone() }
+    }
+
     /// Applies an update from the store. Returns the documents that were rejected.
     pub fn apply(&mut self, update: Update) -> Vec<Error> {
         let mut errors = Vec::new();
@@ -118,14 +126,19 @@
                 for entry in &range.entries {
                     errors.extend(self.put(entry).err());
                 }
+                self.entries = range.entries;
             }
             Update::Changes(batch) => {
                 for change in &batch.changes {
                     match change {
-                        Change::Put(entry) => errors.extend(self.put(entry).err()),
+                        Change::Put(entry) => {
+                            errors.extend(self.put(entry).err());
+                            self.store_entry(entry);
+                        }
                         Change::Delete { key, revision } => {
                             self.last_change = self.last_change.max(*revision);
                             self.delete(key);
+                            self.entries.retain(|entry| entry.key != *key);
                         }
                     }
                 }
@@ -157,6 +170,14 @@
         Ok(())
     }
 
+    /// Keeps a document as it is in the store.
+    fn store_entry(&mut self, entry: &Entry) {
+        match self.entries.binary_search_by(|known| known.key.cmp(&entry.key)) {
+            Ok(index) => self.entries[index] = entry.clone(),
+            Err(index) => self.entries.insert(index, entry.clone()),
+        }
+    }
+
     /// Applies the deletion of a document. A deleted configuration remains active.
     fn delete(&mut self, key: &str) {
         if let Kind::DomainOut(domain) = self.source.kind(key) {
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -329,6 +329,8 @@
                 );
             }
             Some(Message::Leave) => self.node.handle_leave(from),
+            Some(Message::DocumentsRequest) => self.node.send_documents(from),
+            Some(Message::Documents(chunk)) => self.node.handle_documents(&chunk),
             Some(Message::Found(_) | Message::NotFound(_)) => count_invalid("role"),
             None => count_invalid("message"),
         }
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -2,9 +2,9 @@
 //!
 //! Calls of the store cost money, and if every process watched the store, every change
 //! would cause a call per process. Therefore only the first agents of each failure domain
-//! watch. Their heartbeats tell the other processes that there is a new revision, which
-//! those then read. The other processes also poll at intervals, in case there is no
-//! watching agent left.
+//! watch. Their heartbeats tell the other processes that there is a new revision, and those
+//! ask the agent for it. Only if that fails, they read the store. They also poll at
+//! intervals, in case there is no watching agent left.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,6 +17,7 @@
 
 use super::{Node, TASK_BACKOFF_MS, sleep};
 use crate::process::documents::{Documents, Source};
+use crate::process::metric;
 use crate::process::roster::Role;
 use crate::version::routing::Routing;
 
@@ -103,7 +104,18 @@
             return self.next_watched_change().await;
         }
         self.watch = None;
-        or(self.node.wait_for_newer(), sleep(POLL_INTERVAL_MS)).await;
+        let newer = async {
+            self.node.wait_for_newer().await;
+            self.node.fetch_documents().await
+        };
+        let poll = async {
+            sleep(POLL_INTERVAL_MS).await;
+            None
+        };
+        if let Some(range) = or(newer, poll).await {
+            metric::count(&metric::DOCUMENTS_RECEIVED);
+            return Ok(Some(Update::Snapshot(range)));
+        }
         let range = self.store.range_stale(prefix).await?;
         let is_old = range.revision < self.node.newest_revision();
         let range = if is_old { self.store.range(prefix).await? } else { range };
@@ -168,6 +180,7 @@
         for error in self.documents.apply(update) {
             log::warn!(target: "document", key:% = error.key, cause = error.cause.as_str(); "document rejected");
         }
+        self.node.share_documents(&self.documents.snapshot());
         let changed = self.documents.last_change();
         self.node.revision.store(changed, Ordering::Relaxed);
         let before = self.node.routing();
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -6,9 +6,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use async_channel::{Receiver, Sender};
+use futures_lite::future::or;
 use lentilreach::process::clock::{Clock, Millis};
 use lentilreach::process::link::Link;
 use lentilreach::process::lock::Ranked;
+use lentilreach::process::store::Range;
 use lentilreach::process::tables;
 
 use super::{send_datagram, sleep};
@@ -16,7 +18,8 @@
 use crate::process::metric;
 use crate::process::roster::{Change, Member, Outdated, Role, Roster};
 use crate::process::settings;
-use crate::request::message::{BackendStatus, Heartbeat, Message, SyncStatus};
+use crate::process::share::{Assembly, Encoded};
+use crate::request::message::{BackendStatus, Chunk, Heartbeat, Message, SyncStatus};
 use crate::version::routing::Routing;
 
 /// Maximum time for which segments wait until a starting process is ready, in
@@ -27,6 +30,10 @@
 /// Agents only need the others of balancers in their own one, which they count.
 const FOREIGN_ROUNDS: u32 = 10;
 
+/// Time within which another node must have sent its documents, in milliseconds. The rest of
+/// the time within which a change must be in force remains for reading the store.
+const DOCUMENTS_TIMEOUT_MS: u64 = 300;
+
 /// Interval between checks whether the process is ready, in milliseconds.
 const READY_POLL_MS: u64 = 10;
 
@@ -58,6 +65,15 @@
     pub revision: AtomicU64,
     /// Highest revision of a document that another node has reported.
     newest_revision: AtomicU64,
+    /// The node in this failure domain that reported it first; `None` if it is in another
+    /// one.
+    newest_source: Ranked<Option<SocketAddrV4>>,
+    /// The documents to send to other nodes; `None` while there are none or too many.
+    shared: Ranked<Option<Encoded>>,
+    /// Documents that are arriving from another node.
+    assembly: Ranked<Assembly>,
+    /// Documents that have arrived from another node.
+    documents: (Sender<Range>, Receiver<Range>),
     /// Whether the list of members has been read since the start.
     has_read_members: AtomicBool,
     /// Whether the process was asked to stop.
@@ -89,6 +105,10 @@
             backend_status: Ranked::new(tables::SLOTS, None),
             revision: AtomicU64::new(0),
             newest_revision: AtomicU64::new(0),
+            newest_source: Ranked::new(tables::VIEW, None),
+            shared: Ranked::new(tables::KEYS, None),
+            assembly: Ranked::new(tables::DIRECTORY, Assembly::default()),
+            documents: async_channel::bounded(1),
             has_read_members: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
             has_left: AtomicBool::new(false),
@@ -274,12 +294,57 @@
         }
         let known = self.newest_revision.fetch_max(heartbeat.revision, Ordering::Relaxed);
         if heartbeat.revision > known {
+            let is_near = *heartbeat.domain == *self.settings.domain;
+            *self.newest_source.write() = is_near.then_some(from);
             // If the channel is full, the follower has already been signalled.
             let _ = self.newer_signal.0.try_send(());
         }
         heartbeat.wants_reply || change == Ok(Change::Joined)
     }
 
+    /// Sets the documents to send to other nodes.
+    pub fn share_documents(&self, range: &Range) {
+        *self.shared.write() = Encoded::new(range);
+    }
+
+    /// Sends the documents to a node that asked for them.
+    pub fn send_documents(&self, to: SocketAddrV4) {
+        let shared = self.shared.read();
+        for chunk in shared.iter().flat_map(Encoded::chunks) {
+            self.send(to, &Message::Documents(chunk));
+        }
+    }
+
+    /// Processes a part of the documents that this node has asked for.
+    pub fn handle_documents(&self, chunk: &Chunk<'_>) {
+        if let Some(range) = self.assembly.write().insert(chunk) {
+            // If the channel is full, nobody waits for them.
+            let _ = self.documents.0.try_send(range);
+        }
+    }
+
+    /// Asks the node that reported the newest revision for the documents. Returns `None` if
+    /// it is in another failure domain, or if the answer doesn't arrive in time.
+    pub async fn fetch_documents(&self) -> Option<Range> {
+        let wanted = self.newest_revision();
+        let source = (*self.newest_source.read())?;
+        while self.documents.1.try_recv().is_ok() {}
+        self.send(source, &Message::DocumentsRequest);
+        let answer = async {
+            loop {
+                let range = self.documents.1.recv().await.ok()?;
+                if range.revision >= wanted {
+                    return Some(range);
+                }
+            }
+        };
+        let timeout = async {
+            sleep(DOCUMENTS_TIMEOUT_MS).await;
+            None
+        };
+        or(answer, timeout).await
+    }
+
     /// Processes the departure of a member.
     pub fn handle_leave(&self, from: SocketAddrV4) {
         if self.roster.write().remove(from) {
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -91,6 +91,13 @@
     "Beats that came after a later one of the same process.",
 );
 
+/// Changes of the documents that came from another node.
+pub const DOCUMENTS_RECEIVED: Metric = counter(
+    "lentilreach_steer_documents_received_total",
+    &[],
+    "Changes of the operators' documents that came from another node.",
+);
+
 /// Log lines that were dropped.
 pub const LINES_DROPPED: Metric = counter(
     "lentilreach_steer_lines_dropped_total",
@@ -137,6 +144,7 @@
     &INVALID,
     &SEND_ERRORS,
     &HEARTBEATS_OUTDATED,
+    &DOCUMENTS_RECEIVED,
     &LINES_DROPPED,
     &ACCEPT_SECONDS,
     &WAIT_SECONDS,
--- a/crates/steer/src/process/mod.rs
+++ b/crates/steer/src/process/mod.rs
@@ -13,3 +13,4 @@
 pub mod metric;
 pub mod roster;
 pub mod settings;
+pub mod share;
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -36,6 +36,11 @@
     Heartbeat(Heartbeat<'a>),
     /// The sender is shutting down, and its backend server has already stopped.
     Leave,
+    /// Asks a node for the operators' documents as it knows them.
+    DocumentsRequest,
+    /// A part of the operators' documents.
+    #[serde(borrow)]
+    Documents(Chunk<'a>),
 }
 
 /// A caller's segment with the forwarding state that it carries between nodes.
@@ -200,6 +205,21 @@
     }
 }
 
+/// A part of the operators' documents, see [`crate::process::share`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Chunk<'a> {
+    /// Store revision up to which the sender knows all changes.
+    pub revision: u64,
+    /// Number of this part, below `count`.
+    pub index: u16,
+    /// Number of parts.
+    pub count: u16,
+    /// The encoded documents from this part.
+    #[serde(borrow)]
+    pub bytes: &'a [u8],
+}
+
 /// Whether a backend server accepts new flows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
--- a/crates/steer/tests/node.rs
+++ b/crates/steer/tests/node.rs
@@ -10,10 +10,13 @@
 
 use fixture::{agent_address, agent_heartbeat, balancer_address, routing};
 use lentilreach::process::link::Link;
+use lentilreach::process::store::Range;
 use lentilreach_steer::process::driver::Node;
 use lentilreach_steer::process::roster::Role;
 use lentilreach_steer::process::settings;
-use lentilreach_steer::request::message::Stage;
+use lentilreach_steer::process::share::Encoded;
+use lentilreach_steer::request::message::{Heartbeat, Stage};
+use smol::Timer;
 
 /// A link on which nothing arrives. Records the receivers of all datagrams.
 #[derive(Debug, Default, Clone)]
@@ -110,3 +113,49 @@
     };
     assert_eq!([1, 2, 3].map(count), [20, 2, 2]);
 }
+
+/// Lets a node hear from an agent that a document has changed.
+fn hear_change(node: &Node<Silent>, domain: &str, revision: u64) {
+    let heartbeat = Heartbeat { revision, ..agent_heartbeat(1, domain, Stage::Ready, 0) };
+    node.handle_heartbeat(agent_address(1), &heartbeat);
+}
+
+/// Lets documents of a revision arrive while a node waits for them.
+fn fetch(node: &Node<Silent>, revision: u64) -> Option<Range> {
+    let range = Range { revision, entries: Vec::new() };
+    let encoded = Encoded::new(&range).expect("short");
+    let arrive = async {
+        Timer::after(Duration::from_millis(10)).await;
+        encoded.chunks().for_each(|chunk| node.handle_documents(&chunk));
+    };
+    smol::block_on(async {
+        let (fetched, ()) =
+            futures_lite::future::zip(node.fetch_documents(), arrive).await;
+        fetched
+    })
+}
+
+/// A change must be asked for where it was reported, and only the reported revision or a
+/// later one will do: an older one would leave the node behind.
+#[test]
+fn documents_come_from_the_node_that_reported_the_change() {
+    let node = node();
+    hear_change(&node, "a", 9);
+
+    assert_eq!(fetch(&node, 8), None);
+    let fetched = fetch(&node, 9).expect("the reported revision");
+
+    assert_eq!(fetched.revision, 9);
+    let sent = node.link.sent.lock().expect("no panic").clone();
+    assert_eq!(sent, [agent_address(1).into(), agent_address(1).into()]);
+}
+
+/// Documents are long, and bytes between failure domains cost money.
+#[test]
+fn documents_are_not_asked_for_in_other_domains() {
+    let node = node();
+    hear_change(&node, "b", 9);
+
+    assert_eq!(fetch(&node, 9), None);
+    assert_eq!(*node.link.sent.lock().expect("no panic"), []);
+}
