Let processes that don't watch the store wait for their poll after an error

Cause: while the store is down, every process tried to read the documents again after 0.2 s to 1.5 s, and refused calls are paid for. Processes that don't watch learn of a change from those that do.

Change: after an error they wait for their next poll or for news. Processes that start, and those that watch, try again as before.

--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -68,7 +68,11 @@
                 if !std::mem::replace(&mut is_lost, true) {
                     log::warn!(target: "store", change = "lost", call = "documents", cause:% = error; "store is unreachable");
                 }
-                sleep(backoff.next(fastrand::u64(..))).await;
+                // A process that doesn't watch waits for its next poll anyway, or for news of
+                // one that does.
+                if !follower.is_loaded || follower.is_watcher() {
+                    sleep(backoff.next(fastrand::u64(..))).await;
+                }
             }
         }
     }
