--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -2,28 +2,22 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::{Ipv4Addr, SocketAddrV4};
 
 use fastrand::Rng;
-use lentilreach::Name;
 use lentilreach::process::clock::Millis;
-use lentilreach_steer::connection::flow;
-use lentilreach_steer::process::agent::{
-    Action, Agent, Arrival, BackendAction, Forwarding, Limits, Release,
-};
+use lentilreach_steer::process::agent::{Agent, Limits};
 use lentilreach_steer::process::backend::{Bounds, Report};
-use lentilreach_steer::process::balancer::{self, Balancer};
+use lentilreach_steer::process::balancer::Balancer;
 use lentilreach_steer::process::roster::Roster;
-use lentilreach_steer::request::message::{Heartbeat, Search};
-use lentilreach_steer::request::segment::{Flags, Segment};
+use lentilreach_steer::request::message::Heartbeat;
 use lentilreach_steer::version::routing::{Route, Routing, Service, Share};
 
-use super::server::{self, Outcome as Served, Server};
+use super::segment::{
+    Attempt, Envelope, SERVICE, agent_address, domain, service_address,
+};
+use super::server::{self, Server};
 use super::{CLASSES, Class, FIRST_CLASS_PERCENT, Load, Outcome, Policy, Second, Tick};
 
-/// The service.
-const SERVICE: &str = "calendar";
-
 /// Time of the first request, in milliseconds.
 const START: Tick = 10_000;
 
@@ -36,21 +30,9 @@
 /// Time after which every request has ended.
 const SETTLE_MS: Tick = 5_000;
 
-/// One-way delay between callers and nodes.
-const CALLER_DELAY_MS: Tick = 3;
-
 /// One-way delay between nodes of different failure domains.
 const DOMAIN_DELAY_MS: Tick = 4;
 
-/// Times at which a caller sends copies of an opening segment after the first one.
-const COPIES_MS: [Tick; 3] = [0, 200, 600];
-
-/// Time after which a caller gives up an opening.
-const OPENING_TIMEOUT_MS: Tick = 1_400;
-
-/// Number of tries that a caller makes.
-const TRIES: u8 = 3;
-
 /// Interval between reports of a backend server and between heartbeats.
 const HEARTBEAT_MS: Tick = 1_000;
 
@@ -69,7 +51,7 @@
 
 /// Something that happens.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
+pub(super) enum Event {
     /// All nodes lose power.
     Outage,
     /// All nodes have power again.
@@ -80,108 +62,97 @@
     Tick,
     /// A caller makes a request.
     Request(usize),
-    /// A caller sends a copy of an opening segment: request, try, copy.
-    Open(usize, u8, u32),
-    /// A caller gives up the opening of a try.
-    GiveUp(usize, u8),
-    /// A segment of a try arrives at an agent: agent, request, try, envelope.
-    Arrive(usize, usize, u8, Envelope),
-    /// A backend server accepts an opening: agent, request, try.
-    Accept(usize, usize, u8),
-    /// The request of a try arrives at an agent: agent, request, try.
-    Data(usize, usize, u8),
-    /// A request ends at a backend server: agent, request, incarnation.
+    /// A caller sends a copy of an opening segment.
+    Open(Attempt, u32),
+    /// A caller gives up an attempt if its flow has not opened.
+    GiveUp(Attempt),
+    /// An opening segment arrives at an agent.
+    Arrive(usize, Attempt, Envelope),
+    /// The backend server of an agent accepts a flow.
+    Accept(usize, Attempt),
+    /// The request of an attempt arrives at an agent.
+    Data(usize, Attempt),
+    /// A request ends at the backend server of an agent: agent, request, incarnation.
     End(usize, usize, u32),
     /// An answer arrives at its caller.
     Answer(usize),
-    /// A refusal or rejection arrives at a caller: request, try.
-    Refused(usize, u8),
+    /// A refusal or rejection arrives at a caller.
+    Refused(Attempt),
     /// An agent checks its waiting openings.
     Release(usize),
 }
 
-/// The forwarding state of an opening segment.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Envelope {
-    /// Number of the copy.
-    copy: u32,
-    /// The balancer.
-    origin: SocketAddrV4,
-    /// Agents that rejected it.
-    tried: Vec<SocketAddrV4>,
-}
-
 /// A request of a caller.
 #[derive(Debug)]
-struct Request {
+pub(super) struct Request {
     /// When it was made.
-    made: Tick,
+    pub made: Tick,
     /// Index in [`CLASSES`].
-    class: usize,
+    pub class: usize,
     /// Its work in milliseconds.
-    work_ms: f64,
-    /// The current try.
-    attempt: u8,
-    /// Whether the current try has opened its flow.
-    is_open: bool,
+    pub work_ms: f64,
+    /// Number of the current attempt; one more than the last one if the caller has given up.
+    pub attempt: u8,
+    /// Whether the current attempt has opened its flow.
+    pub is_open: bool,
     /// When its answer arrived.
-    answered: Option<Tick>,
+    pub answered: Option<Tick>,
     /// How often it was started by a backend server.
-    runs: u32,
-    /// Tries that were refused, as bits.
-    refused: u8,
-    /// Tries that ran, as bits.
-    ran: u8,
+    pub runs: u32,
+    /// Attempts that were refused, as bits.
+    pub refused: u8,
+    /// Attempts that ran, as bits.
+    pub ran: u8,
 }
 
 /// A balancer with its view of the members.
-struct Front {
+pub(super) struct Front {
     /// Its decisions.
-    balancer: Balancer,
+    pub balancer: Balancer,
     /// Its view.
-    roster: Roster,
+    pub roster: Roster,
 }
 
 /// An agent with its view of the members and its backend server.
-struct Side {
+pub(super) struct Side {
     /// Its decisions.
-    agent: Agent,
+    pub agent: Agent,
     /// Its view.
-    roster: Roster,
+    pub roster: Roster,
     /// The backend server.
-    server: Server,
+    pub server: Server,
     /// Number of reports of the backend server.
-    reports: u64,
+    pub reports: u64,
     /// Number of requests that reached the backend server.
-    requests: u32,
+    pub requests: u32,
     /// Whether it has no power.
-    is_silent: bool,
+    pub is_silent: bool,
 }
 
 /// All parts of a run.
-struct Fleet<'a> {
+pub(super) struct Fleet<'a> {
     /// The load.
-    load: &'a Load,
+    pub load: &'a Load,
     /// Random choices.
-    rng: Rng,
+    pub rng: Rng,
     /// Future events with their order of creation.
-    events: BinaryHeap<Reverse<(Tick, u64, Event)>>,
+    pub events: BinaryHeap<Reverse<(Tick, u64, Event)>>,
     /// Number of events created.
-    created: u64,
+    pub created: u64,
     /// The active routes.
-    routing: Routing,
+    pub routing: Routing,
     /// Balancers.
-    fronts: Vec<Front>,
+    pub fronts: Vec<Front>,
     /// Agents.
-    sides: Vec<Side>,
+    pub sides: Vec<Side>,
     /// Whether there is no power.
-    is_out: bool,
+    pub is_out: bool,
     /// Number of starts of all nodes.
-    incarnation: u32,
+    pub incarnation: u32,
     /// Requests by number.
-    requests: Vec<Request>,
+    pub requests: Vec<Request>,
     /// What was seen.
-    outcome: Outcome,
+    pub outcome: Outcome,
 }
 
 impl<'a> Fleet<'a> {
@@ -246,7 +217,7 @@
     }
 
     /// Schedules an event.
-    fn at(&mut self, at: Tick, event: Event) {
+    pub fn at(&mut self, at: Tick, event: Event) {
         self.created += 1;
         self.events.push(Reverse((at, self.created, event)));
     }
@@ -357,21 +328,14 @@
             }
             Event::Heartbeat | Event::Tick => {}
             Event::Request(request) => self.try_again(now, request),
-            Event::Open(request, attempt, copy) => self.open(now, request, attempt, copy),
-            Event::GiveUp(request, attempt) => {
-                let state = &mut self.requests[request];
-                if state.attempt == attempt && !state.is_open {
-                    self.try_again(now, request);
-                }
-            }
+            Event::Open(attempt, copy) => self.open(now, attempt, copy),
+            Event::GiveUp(attempt) => self.give_up(now, attempt),
             _ if self.is_out => {}
-            Event::Arrive(side, request, attempt, envelope) => {
-                self.arrive(now, side, request, attempt, &envelope);
+            Event::Arrive(side, attempt, envelope) => {
+                self.arrive(now, side, attempt, &envelope);
             }
-            Event::Accept(side, request, attempt) => {
-                self.accept(now, side, request, attempt);
-            }
-            Event::Data(side, request, attempt) => self.data(now, side, request, attempt),
+            Event::Accept(side, attempt) => self.accept(now, side, attempt),
+            Event::Data(side, attempt) => self.data(now, side, attempt),
             Event::End(side, request, incarnation) => {
                 if incarnation == self.incarnation {
                     self.end(now, side, request);
@@ -380,275 +344,13 @@
             Event::Answer(request) => {
                 self.requests[request].answered.get_or_insert(now);
             }
-            Event::Refused(request, attempt) => {
-                if self.requests[request].attempt == attempt {
-                    self.try_again(now, request);
-                }
-            }
+            Event::Refused(attempt) => self.refused(now, attempt),
             Event::Release(side) => self.release(now, side),
         }
     }
 
-    /// Lets a caller begin its next try.
-    fn try_again(&mut self, now: Tick, number: usize) {
-        let request = &mut self.requests[number];
-        let class = CLASSES[request.class];
-        let is_over = now >= request.made + class.deadline_ms;
-        if request.answered.is_some() || request.attempt >= TRIES || is_over {
-            request.attempt = TRIES + 1;
-            return;
-        }
-        request.attempt += 1;
-        request.is_open = false;
-        let attempt = request.attempt;
-        for (copy, delay_ms) in COPIES_MS.into_iter().enumerate() {
-            self.at(now + delay_ms, Event::Open(number, attempt, copy as u32));
-        }
-        self.at(now + OPENING_TIMEOUT_MS, Event::GiveUp(number, attempt));
-    }
-
-    /// Lets a caller send a copy of an opening segment to its balancer.
-    fn open(&mut self, now: Tick, number: usize, attempt: u8, copy: u32) {
-        let request = &self.requests[number];
-        if self.is_out || request.attempt != attempt || request.is_open {
-            return;
-        }
-        let key = key(request.class, number, attempt);
-        let index = key.hash() as usize % self.fronts.len();
-        let front = &mut self.fronts[index];
-        let segment = opening(key, copy);
-        let time = Millis(now + CALLER_DELAY_MS);
-        let action =
-            front.balancer.handle_segment(time, &self.routing, &front.roster, &segment);
-        match action {
-            balancer::Action::Send { to, is_newly_selected, .. } => {
-                if is_newly_selected {
-                    front.roster.record_placement(time, to);
-                }
-                let envelope = Envelope {
-                    copy,
-                    origin: balancer_address(index as u8),
-                    tried: Vec::new(),
-                };
-                let delay_ms =
-                    CALLER_DELAY_MS + self.delay_ms(index as u8, side_number(to));
-                let event =
-                    Event::Arrive(side_number(to).into(), number, attempt, envelope);
-                self.at(now + delay_ms, event);
-            }
-            balancer::Action::Refuse { .. } => {
-                self.at(now + 2 * CALLER_DELAY_MS, Event::Refused(number, attempt));
-            }
-            balancer::Action::Drop(_) => {}
-        }
-    }
-
-    /// Lets an agent decide on an opening segment.
-    fn arrive(
-        &mut self,
-        now: Tick,
-        index: usize,
-        number: usize,
-        attempt: u8,
-        envelope: &Envelope,
-    ) {
-        if self.sides[index].is_silent {
-            return;
-        }
-        let key = key(self.requests[number].class, number, attempt);
-        let arrival = arrival(opening(key, envelope.copy), envelope);
-        let side = &mut self.sides[index];
-        let action = side.agent.handle_caller_segment(
-            Millis(now),
-            &self.routing,
-            &side.roster,
-            &arrival,
-        );
-        if matches!(action, Action::Hold { .. }) {
-            side.agent.hold(Millis(now), &self.routing, arrival, Vec::new());
-            self.found(now, index, key, envelope.origin);
-            return self.release(now, index);
-        }
-        self.perform(now, index, number, attempt, envelope, action);
-    }
-
-    /// Performs an agent's action for an opening segment.
-    fn perform(
-        &mut self,
-        now: Tick,
-        index: usize,
-        number: usize,
-        attempt: u8,
-        envelope: &Envelope,
-        action: Action,
-    ) {
-        let copied_ms = COPIES_MS[envelope.copy as usize];
-        match action {
-            Action::Deliver { notify, is_new, .. } => {
-                if is_new {
-                    let waited_ms = copied_ms;
-                    self.outcome.longest_wait_ms =
-                        self.outcome.longest_wait_ms.max(waited_ms);
-                }
-                if let Some(origin) = notify {
-                    let key = key(self.requests[number].class, number, attempt);
-                    self.found(now, index, key, origin);
-                }
-                self.at(now, Event::Accept(index, number, attempt));
-            }
-            Action::Forward { to, forwarding, .. } => {
-                self.outcome.forwards += 1;
-                self.sides[index].roster.record_offer(Millis(now), to);
-                let delay_ms = self.delay_ms(index as u8, side_number(to));
-                let envelope = Envelope { tried: forwarding.tried, ..envelope.clone() };
-                let event =
-                    Event::Arrive(side_number(to).into(), number, attempt, envelope);
-                self.at(now + delay_ms, event);
-            }
-            Action::Refuse { .. } => {
-                self.requests[number].refused |= 1 << attempt;
-                self.at(now + CALLER_DELAY_MS, Event::Refused(number, attempt));
-            }
-            Action::Hold { .. } | Action::Drop(_) => {}
-        }
-    }
-
-    /// Informs a balancer that an agent holds a flow.
-    fn found(&mut self, now: Tick, index: usize, key: flow::Key, origin: SocketAddrV4) {
-        let front = usize::from(origin.ip().octets()[3]);
-        let agent = agent_address(index as u8);
-        self.fronts[front].balancer.flow_found(Millis(now), key, agent);
-    }
-
-    /// Lets a backend server accept an opening, and its caller answer with the request.
-    fn accept(&mut self, now: Tick, index: usize, number: usize, attempt: u8) {
-        let key = key(self.requests[number].class, number, attempt);
-        let flags = Flags { open: true, acknowledge: true, ..Flags::default() };
-        let first = (key.hash() as u32).wrapping_add(index as u32);
-        self.server_segment(now, index, from_backend(key, flags, first, 0));
-        let request = &mut self.requests[number];
-        if request.attempt == attempt && !request.is_open {
-            request.is_open = true;
-            let round_trip_ms = 2 * CALLER_DELAY_MS;
-            self.at(now + round_trip_ms, Event::Data(index, number, attempt));
-        }
-    }
-
-    /// Delivers a request to a backend server.
-    fn data(&mut self, now: Tick, index: usize, number: usize, attempt: u8) {
-        let key = key(self.requests[number].class, number, attempt);
-        let first = (key.hash() as u32).wrapping_add(index as u32);
-        let flags = Flags { acknowledge: true, ..Flags::default() };
-        let segment =
-            Segment { length: 100, ..from_caller(key, flags, first.wrapping_add(1)) };
-        let envelope =
-            Envelope { copy: 0, origin: balancer_address(0), tried: Vec::new() };
-        let mut arrival = arrival(segment, &envelope);
-        arrival.forwarding.search = Search::Known;
-        let side = &mut self.sides[index];
-        let action = side.agent.handle_caller_segment(
-            Millis(now),
-            &self.routing,
-            &side.roster,
-            &arrival,
-        );
-        if !matches!(action, Action::Deliver { .. }) {
-            return;
-        }
-        let request = &mut self.requests[number];
-        side.requests += 1;
-        match side.server.request(now, number, request.work_ms) {
-            Served::Runs(end) => {
-                request.runs += 1;
-                request.ran |= 1 << attempt;
-                self.at(end, Event::End(index, number, self.incarnation));
-            }
-            Served::Queued => {
-                request.runs += 1;
-                request.ran |= 1 << attempt;
-            }
-            Served::Rejected => {
-                self.answer(now, index, number, attempt);
-                self.at(now + CALLER_DELAY_MS, Event::Refused(number, attempt));
-            }
-        }
-    }
-
-    /// Ends a request at a backend server and answers it.
-    fn end(&mut self, now: Tick, index: usize, number: usize) {
-        if let Some((next, end)) = self.sides[index].server.end(now) {
-            self.at(end, Event::End(index, next, self.incarnation));
-        }
-        let is_mute = index < usize::from(self.load.mute) && self.rng.bool();
-        if is_mute {
-            return;
-        }
-        let attempt = self.requests[number].attempt;
-        self.answer(now, index, number, attempt);
-        self.at(now + CALLER_DELAY_MS, Event::Answer(number));
-    }
-
-    /// Lets a backend server answer a request and close its flow.
-    fn answer(&mut self, now: Tick, index: usize, number: usize, attempt: u8) {
-        let key = key(self.requests[number].class, number, attempt);
-        let flags = Flags { acknowledge: true, close: true, ..Flags::default() };
-        let first = (key.hash() as u32).wrapping_add(index as u32);
-        self.server_segment(
-            now,
-            index,
-            from_backend(key, flags, first.wrapping_add(1), 600),
-        );
-    }
-
-    /// Lets an agent process a segment of its backend server.
-    fn server_segment(&mut self, now: Tick, index: usize, segment: Segment) {
-        let side = &mut self.sides[index];
-        let action = side.agent.handle_backend_segment(
-            Millis(now),
-            &self.routing,
-            &side.roster,
-            &segment,
-        );
-        if matches!(action, Some(BackendAction::Send { answer_ms: Some(_), .. })) {
-            self.release(now, index);
-        }
-    }
-
-    /// Performs the actions for openings that no longer wait.
-    fn release(&mut self, now: Tick, index: usize) {
-        loop {
-            let side = &mut self.sides[index];
-            let release = side.agent.release(Millis(now), &self.routing, &side.roster);
-            let Some(Release { waiting, action }) = release else { break };
-            let (number, attempt) = number(&waiting.arrival.segment);
-            let envelope = Envelope {
-                copy: waiting.arrival.segment.acknowledged,
-                origin: waiting.arrival.forwarding.origin,
-                tried: waiting.arrival.forwarding.tried.clone(),
-            };
-            if matches!(action, Action::Deliver { .. }) {
-                let copied_ms = COPIES_MS[envelope.copy as usize];
-                let waited_ms = copied_ms + now - waiting.since.0;
-                self.outcome.longest_wait_ms =
-                    self.outcome.longest_wait_ms.max(waited_ms);
-            }
-            self.perform(now, index, number, attempt, &envelope, action);
-        }
-        if let Some(due) =
-            self.sides[index].agent.next_release(Millis(now), &self.routing)
-        {
-            let due = due.0.clamp(now + 1, now + 50);
-            let is_first = !self.events.iter().any(|Reverse((at, _, event))| {
-                *event == Event::Release(index) && *at <= due
-            });
-            if is_first {
-                self.at(due, Event::Release(index));
-            }
-        }
-    }
-
     /// One-way delay between two nodes, given their numbers.
-    fn delay_ms(&self, a: u8, b: u8) -> Tick {
+    pub fn delay_ms(&self, a: u8, b: u8) -> Tick {
         let is_same = a % self.load.domains == b % self.load.domains;
         if is_same { 0 } else { DOMAIN_DELAY_MS }
     }
@@ -720,91 +422,3 @@
         flows: 10_000,
     }
 }
-
-/// The failure domain of a node.
-fn domain(load: &Load, number: u8) -> Name {
-    format!("domain-{}", number % load.domains).into()
-}
-
-/// The address of an agent.
-fn agent_address(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), 7_700)
-}
-
-/// The address of a balancer.
-fn balancer_address(number: u8) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, number), 7_700)
-}
-
-/// The number of the agent with an address.
-fn side_number(address: SocketAddrV4) -> u8 {
-    address.ip().octets()[3]
-}
-
-/// The address that callers use for a class.
-fn service_address(class: usize) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, class as u8), 443)
-}
-
-/// The flow of a try. The caller's address holds the number of its request, and its port
-/// that of the try.
-fn key(class: usize, number: usize, attempt: u8) -> flow::Key {
-    let ip = Ipv4Addr::from(0x6440_0000 | number as u32);
-    let caller = SocketAddrV4::new(ip, 40_000 + u16::from(attempt));
-    flow::Key { caller, service: service_address(class) }
-}
-
-/// The number of the request and of the try that an opening belongs to.
-fn number(segment: &Segment) -> (usize, u8) {
-    let caller = segment.source;
-    let number = u32::from(*caller.ip()) & 0x003f_ffff;
-    (number as usize, (caller.port() - 40_000) as u8)
-}
-
-/// A segment from a caller.
-fn from_caller(key: flow::Key, flags: Flags, acknowledged: u32) -> Segment {
-    Segment {
-        source: key.caller,
-        destination: key.service,
-        flags,
-        sequence: 1,
-        acknowledged,
-        length: 0,
-        mark: 0,
-        age_ms: 0,
-    }
-}
-
-/// A copy of an opening segment.
-fn opening(key: flow::Key, copy: u32) -> Segment {
-    let flags = Flags { open: true, ..Flags::default() };
-    Segment { age_ms: COPIES_MS[copy as usize], ..from_caller(key, flags, copy) }
-}
-
-/// A segment from a backend server.
-fn from_backend(key: flow::Key, flags: Flags, sequence: u32, length: u16) -> Segment {
-    Segment {
-        source: key.service,
-        destination: key.caller,
-        length,
-        sequence,
-        ..from_caller(key, flags, 2)
-    }
-}
-
-/// A segment with its forwarding state.
-fn arrival(segment: Segment, envelope: &Envelope) -> Arrival {
-    let forwarding = Forwarding {
-        revision: 1,
-        search: Search::Open,
-        hops: envelope.tried.len() as u8,
-        delay_ms: 0,
-        origin: envelope.origin,
-        tried: envelope.tried.clone(),
-        to_visit: Vec::new(),
-        known_agents: 0,
-        is_index_complete: false,
-        is_exhaustive: false,
-    };
-    Arrival { segment, forwarding, service: Some(SERVICE.into()) }
-}
--- a/crates/standin/src/rush/mod.rs
+++ b/crates/standin/src/rush/mod.rs
@@ -6,6 +6,8 @@
 //! result is what callers and backend servers see.
 
 mod fleet;
+mod path;
+mod segment;
 mod server;
 
 use serde::Serialize;
--- /dev/null
+++ b/crates/standin/src/rush/path.rs
@@ -0,0 +1,283 @@
+//! The way of a request: from its caller through a balancer and agents to a backend server,
+//! and back.
+
+use std::cmp::Reverse;
+use std::net::SocketAddrV4;
+
+use lentilreach::process::clock::Millis;
+use lentilreach_steer::connection::flow;
+use lentilreach_steer::process::agent::{Action, BackendAction, Release};
+use lentilreach_steer::process::balancer;
+use lentilreach_steer::request::message::Search;
+use lentilreach_steer::request::segment::Segment;
+
+use super::fleet::{Event, Fleet, Request};
+use super::segment::{
+    Attempt, COPIES_MS, Envelope, agent_address, arrival, balancer_address, side_number,
+};
+use super::server::Outcome as Served;
+use super::{CLASSES, Tick};
+
+/// One-way delay between callers and nodes.
+const CALLER_DELAY_MS: Tick = 3;
+
+/// Time after which a caller gives up an opening.
+const OPENING_TIMEOUT_MS: Tick = 1_400;
+
+/// Number of attempts that a caller makes.
+const ATTEMPTS: u8 = 3;
+
+/// Longest pause between two checks whether waiting openings can be released.
+const RELEASE_INTERVAL_MS: Tick = 50;
+
+impl Fleet<'_> {
+    /// Lets a caller begin its next attempt.
+    pub(super) fn try_again(&mut self, now: Tick, number: usize) {
+        let request = &mut self.requests[number];
+        let class = CLASSES[request.class];
+        let is_over = now >= request.made + class.deadline_ms;
+        if request.answered.is_some() || request.attempt >= ATTEMPTS || is_over {
+            request.attempt = ATTEMPTS + 1;
+            return;
+        }
+        request.attempt += 1;
+        request.is_open = false;
+        let attempt = self.current_attempt(number);
+        for (copy, delay_ms) in COPIES_MS.into_iter().enumerate() {
+            self.at(now + delay_ms, Event::Open(attempt, copy as u32));
+        }
+        self.at(now + OPENING_TIMEOUT_MS, Event::GiveUp(attempt));
+    }
+
+    /// The current attempt of a request.
+    pub(super) fn current_attempt(&self, number: usize) -> Attempt {
+        let Request { class, attempt, .. } = self.requests[number];
+        Attempt { class, request: number, number: attempt }
+    }
+
+    /// Lets a caller give up an attempt whose flow did not open.
+    pub(super) fn give_up(&mut self, now: Tick, attempt: Attempt) {
+        if self.is_current(attempt) && !self.requests[attempt.request].is_open {
+            self.try_again(now, attempt.request);
+        }
+    }
+
+    /// Lets a caller process a refusal or rejection.
+    pub(super) fn refused(&mut self, now: Tick, attempt: Attempt) {
+        if self.is_current(attempt) {
+            self.try_again(now, attempt.request);
+        }
+    }
+
+    /// Whether a caller still waits for an attempt.
+    fn is_current(&self, attempt: Attempt) -> bool {
+        self.requests[attempt.request].attempt == attempt.number
+    }
+
+    /// Lets a caller send a copy of an opening segment to its balancer.
+    pub(super) fn open(&mut self, now: Tick, attempt: Attempt, copy: u32) {
+        let is_open = self.requests[attempt.request].is_open;
+        if self.is_out || !self.is_current(attempt) || is_open {
+            return;
+        }
+        let index = attempt.key().hash() as usize % self.fronts.len();
+        let front = &mut self.fronts[index];
+        let segment = attempt.opening(copy);
+        let time = Millis(now + CALLER_DELAY_MS);
+        let action =
+            front.balancer.handle_segment(time, &self.routing, &front.roster, &segment);
+        match action {
+            balancer::Action::Send { to, is_newly_selected, .. } => {
+                if is_newly_selected {
+                    front.roster.record_placement(time, to);
+                }
+                let envelope = Envelope {
+                    copy,
+                    origin: balancer_address(index as u8),
+                    tried: Vec::new(),
+                };
+                let delay_ms =
+                    CALLER_DELAY_MS + self.delay_ms(index as u8, side_number(to));
+                let event = Event::Arrive(side_number(to).into(), attempt, envelope);
+                self.at(now + delay_ms, event);
+            }
+            balancer::Action::Refuse { .. } => {
+                self.at(now + 2 * CALLER_DELAY_MS, Event::Refused(attempt));
+            }
+            balancer::Action::Drop(_) => {}
+        }
+    }
+
+    /// Lets an agent decide on an opening segment.
+    pub(super) fn arrive(
+        &mut self,
+        now: Tick,
+        index: usize,
+        attempt: Attempt,
+        envelope: &Envelope,
+    ) {
+        if self.sides[index].is_silent {
+            return;
+        }
+        let arrival = arrival(attempt.opening(envelope.copy), envelope);
+        let side = &mut self.sides[index];
+        let action = side.agent.handle_caller_segment(
+            Millis(now),
+            &self.routing,
+            &side.roster,
+            &arrival,
+        );
+        if matches!(action, Action::Hold { .. }) {
+            side.agent.hold(Millis(now), &self.routing, arrival, Vec::new());
+            self.found(now, index, attempt.key(), envelope.origin);
+            return self.release(now, index);
+        }
+        self.perform(now, index, attempt, envelope, action);
+    }
+
+    /// Performs an agent's action for an opening segment.
+    fn perform(
+        &mut self,
+        now: Tick,
+        index: usize,
+        attempt: Attempt,
+        envelope: &Envelope,
+        action: Action,
+    ) {
+        match action {
+            Action::Deliver { notify, .. } => {
+                if let Some(origin) = notify {
+                    self.found(now, index, attempt.key(), origin);
+                }
+                self.at(now, Event::Accept(index, attempt));
+            }
+            Action::Forward { to, forwarding, .. } => {
+                self.outcome.forwards += 1;
+                self.sides[index].roster.record_offer(Millis(now), to);
+                let delay_ms = self.delay_ms(index as u8, side_number(to));
+                let envelope = Envelope { tried: forwarding.tried, ..envelope.clone() };
+                let event = Event::Arrive(side_number(to).into(), attempt, envelope);
+                self.at(now + delay_ms, event);
+            }
+            Action::Refuse { .. } => {
+                self.requests[attempt.request].refused |= 1 << attempt.number;
+                self.at(now + CALLER_DELAY_MS, Event::Refused(attempt));
+            }
+            Action::Hold { .. } | Action::Drop(_) => {}
+        }
+    }
+
+    /// Informs a balancer that an agent holds a flow.
+    fn found(&mut self, now: Tick, index: usize, key: flow::Key, origin: SocketAddrV4) {
+        let front = usize::from(origin.ip().octets()[3]);
+        let agent = agent_address(index as u8);
+        self.fronts[front].balancer.flow_found(Millis(now), key, agent);
+    }
+
+    /// Lets a backend server accept an opening, and its caller answer with the request.
+    pub(super) fn accept(&mut self, now: Tick, index: usize, attempt: Attempt) {
+        self.server_segment(now, index, attempt.acceptance(index));
+        if self.is_current(attempt) && !self.requests[attempt.request].is_open {
+            self.requests[attempt.request].is_open = true;
+            let round_trip_ms = 2 * CALLER_DELAY_MS;
+            self.at(now + round_trip_ms, Event::Data(index, attempt));
+        }
+    }
+
+    /// Delivers a request to a backend server.
+    pub(super) fn data(&mut self, now: Tick, index: usize, attempt: Attempt) {
+        let envelope =
+            Envelope { copy: 0, origin: balancer_address(0), tried: Vec::new() };
+        let mut arrival = arrival(attempt.request(index), &envelope);
+        arrival.forwarding.search = Search::Known;
+        let side = &mut self.sides[index];
+        let action = side.agent.handle_caller_segment(
+            Millis(now),
+            &self.routing,
+            &side.roster,
+            &arrival,
+        );
+        if !matches!(action, Action::Deliver { .. }) {
+            return;
+        }
+        let number = attempt.request;
+        let request = &mut self.requests[number];
+        side.requests += 1;
+        match side.server.request(now, number, request.work_ms) {
+            Served::Runs(end) => {
+                request.runs += 1;
+                request.ran |= 1 << attempt.number;
+                self.at(end, Event::End(index, number, self.incarnation));
+            }
+            Served::Queued => {
+                request.runs += 1;
+                request.ran |= 1 << attempt.number;
+            }
+            Served::Rejected => {
+                self.server_segment(now, index, attempt.answer(index));
+                self.at(now + CALLER_DELAY_MS, Event::Refused(attempt));
+            }
+        }
+    }
+
+    /// Ends a request at a backend server and answers it.
+    pub(super) fn end(&mut self, now: Tick, index: usize, number: usize) {
+        if let Some((next, end)) = self.sides[index].server.end(now) {
+            self.at(end, Event::End(index, next, self.incarnation));
+        }
+        let is_mute = index < usize::from(self.load.mute) && self.rng.bool();
+        if is_mute {
+            return;
+        }
+        let attempt = self.current_attempt(number);
+        self.server_segment(now, index, attempt.answer(index));
+        self.at(now + CALLER_DELAY_MS, Event::Answer(number));
+    }
+
+    /// Lets an agent process a segment of its backend server.
+    fn server_segment(&mut self, now: Tick, index: usize, segment: Segment) {
+        let side = &mut self.sides[index];
+        let action = side.agent.handle_backend_segment(
+            Millis(now),
+            &self.routing,
+            &side.roster,
+            &segment,
+        );
+        if matches!(action, Some(BackendAction::Send { answer_ms: Some(_), .. })) {
+            self.release(now, index);
+        }
+    }
+
+    /// Performs the actions for openings that no longer wait.
+    pub(super) fn release(&mut self, now: Tick, index: usize) {
+        loop {
+            let side = &mut self.sides[index];
+            let release = side.agent.release(Millis(now), &self.routing, &side.roster);
+            let Some(Release { waiting, action }) = release else { break };
+            let attempt = Attempt::from(&waiting.arrival.segment);
+            let envelope = Envelope {
+                copy: waiting.arrival.segment.acknowledged,
+                origin: waiting.arrival.forwarding.origin,
+                tried: waiting.arrival.forwarding.tried.clone(),
+            };
+            if matches!(action, Action::Deliver { .. }) {
+                let copied_ms = COPIES_MS[envelope.copy as usize];
+                let waited_ms = copied_ms + now - waiting.since.0;
+                self.outcome.longest_wait_ms =
+                    self.outcome.longest_wait_ms.max(waited_ms);
+            }
+            self.perform(now, index, attempt, &envelope, action);
+        }
+        if let Some(due) =
+            self.sides[index].agent.next_release(Millis(now), &self.routing)
+        {
+            let due = due.0.clamp(now + 1, now + RELEASE_INTERVAL_MS);
+            let is_first = !self.events.iter().any(|Reverse((at, _, event))| {
+                *event == Event::Release(index) && *at <= due
+            });
+            if is_first {
+                self.at(due, Event::Release(index));
+            }
+        }
+    }
+}
