--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -132,6 +132,7 @@
                     revision: routing.revision,
                     search,
                     hops: 0,
+                    delay_ms: self.node.delay_ms(now),
                     origin: self.node.settings.nodes,
                     service: Cow::Borrowed(service),
                     tried: Vec::new(),
@@ -194,6 +195,8 @@
             }
             Some(Message::NotFound(flow)) => self.flows.write().flow_not_found(&flow),
             Some(Message::Leave) => self.node.handle_leave(from),
+            Some(Message::DocumentsRequest) => self.node.send_documents(from),
+            Some(Message::Documents(chunk)) => self.node.handle_documents(&chunk),
             Some(Message::Segment(_) | Message::Announcement(_)) => count_invalid("role"),
             None => count_invalid("message"),
         }
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -36,6 +36,11 @@
     Heartbeat(Heartbeat<'a>),
     /// The sender is shutting down, and its backend server has already stopped.
     Leave,
+    /// Asks a node for the operators' documents as it knows them.
+    DocumentsRequest,
+    /// A part of the operators' documents.
+    #[serde(borrow)]
+    Documents(Chunk<'a>),
 }
 
 /// A caller's segment with the forwarding state that it carries between nodes.
@@ -48,6 +53,8 @@
     pub search: Search,
     /// Number of nodes that have forwarded the segment.
     pub hops: u8,
+    /// Time for which the segment may have waited in sockets, in milliseconds.
+    pub delay_ms: u32,
     /// The balancer that received the segment from the caller.
     pub origin: SocketAddrV4,
     /// The service to open a flow to; empty unless the segment opens a flow.
@@ -200,6 +207,21 @@
     }
 }
 
+/// A part of the operators' documents, see [`crate::process::share`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Chunk<'a> {
+    /// Store revision up to which the sender knows all changes.
+    pub revision: u64,
+    /// Number of this part, below `count`.
+    pub index: u16,
+    /// Number of parts.
+    pub count: u16,
+    /// The encoded documents from this part.
+    #[serde(borrow)]
+    pub bytes: &'a [u8],
+}
+
 /// Whether a backend server accepts new flows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
