Check the configuration again when a waiting opening is released

Cause, found by reading: an opening that waits may be based on an older configuration than one that was delivered meanwhile. Released, it would be handled as only the older one allows.

Change: the check that precedes the delivery of every opening compares revisions as well. The test failed before.

--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -38,15 +38,16 @@
             }
             None => {}
         }
-        let revision = arrival.forwarding.revision.max(routing.revision);
-        if revision < self.min_revision {
-            return Action::Drop(Cause::Stale);
-        }
         if now > opening(now, routing, arrival).give_up_at() {
             return self.refuse_opening(arrival, backend::Refusal::Expired.into());
         }
-        if let Err(cause) = self.check(now, routing, arrival) {
-            return self.redirect_or_refuse(now, routing, roster, arrival, cause);
+        match self.check(now, routing, arrival) {
+            Ok(()) => {}
+            // The balancer catches up before the caller's next copy.
+            Err(Cause::Stale) => return Action::Drop(Cause::Stale),
+            Err(cause) => {
+                return self.redirect_or_refuse(now, routing, roster, arrival, cause);
+            }
         }
         match self.admit(now, routing, roster, arrival) {
             Ok(Verdict::Deliver) => self.deliver_opening(now, routing, arrival),
@@ -162,6 +163,9 @@
     ) -> Result<(), Cause> {
         let flow = arrival.segment.flow_from_caller();
         let forwarding = &arrival.forwarding;
+        if forwarding.revision.max(routing.revision) < self.min_revision {
+            return Err(Cause::Stale);
+        }
         let Some(report) = self.backend.report() else {
             return Err(backend::Refusal::Unknown.into());
         };
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -644,3 +644,39 @@
     }
     assert!(agent.is_idle(NOW.after(400)));
 }
+
+/// An opening that waited must not be delivered by an older configuration than one that was
+/// delivered meanwhile.
+#[test]
+fn a_waiting_opening_does_not_follow_an_older_configuration() {
+    let (mut agent, roster) = agent_and_roster();
+    for port in 1..=8 {
+        let arrival = arrival(opening(flow(port), 0), Search::Open, 1);
+        let _ = offer(&mut agent, &roster, &arrival);
+    }
+    let newer = arrival(opening(flow(9), 0), Search::Open, 2);
+    let action = agent.handle_caller_segment(NOW.after(5), &routing(1), &roster, &newer);
+    assert!(matches!(action, Action::Hold { .. }), "{action:?}");
+    agent.hold(NOW.after(5), &routing(1), newer.clone(), Vec::new());
+    let close = |agent: &mut Agent, port| {
+        let reset = Flags { reset: true, ..Flags::default() };
+        let segment = from_backend(flow(port), reset, FIRST_SEQUENCE);
+        agent.handle_backend_segment(NOW, &routing(1), &roster, &segment);
+    };
+
+    // The latest one waits with the newer configuration and goes first.
+    close(&mut agent, 1);
+    close(&mut agent, 2);
+    let later = NOW.after(10);
+    let released: Vec<_> =
+        std::iter::from_fn(|| agent.release(later, &routing(1), &roster)).collect();
+
+    let flows: Vec<_> =
+        released.iter().map(|r| r.waiting.arrival.segment.flow_from_caller()).collect();
+    assert_eq!(flows.len(), 2, "{flows:?}");
+    for release in &released {
+        let is_newer = release.waiting.arrival == newer;
+        let is_delivered = matches!(release.action, Action::Deliver { .. });
+        assert_eq!(is_delivered, is_newer, "{:?}", release.action);
+    }
+}
