--- a/crates/lentilreach/tests/admin.rs
+++ b/crates/lentilreach/tests/admin.rs
@@ -1,18 +1,20 @@
 //! The admin endpoint over loopback.
 
+#[path = "fixture/status.rs"]
+mod fixture;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_channel::Sender;
+use fixture::status;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use lentilreach::id::node;
-use lentilreach::process::admin::status::{Member, Service, Status};
-use lentilreach::process::admin::{self, Admin, Error, Server, Source, fetch};
-use lentilreach::process::clock::{Millis, Stamp};
-use lentilreach::process::event::{Kind, Label, Recorder, Role};
+use lentilreach::process::admin::status::Status;
+use lentilreach::process::admin::{Admin, Error, Server, Source, fetch};
+use lentilreach::process::clock::Stamp;
+use lentilreach::process::event::{Kind, Label, Recorder};
 use lentilreach::process::metric;
-use lentilreach::version::view::{Load, Stage};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use smol::Task;
 use smol::net::{TcpListener, TcpStream};
@@ -97,16 +99,6 @@
     });
 }
 
-/// Guards against changes of the JSON form, which operators' scripts read.
-#[test]
-fn status_json_is_stable() {
-    let form = admin::wire::Status::new(&status(), None);
-
-    let text = serde_json::to_string(&form).expect("a status is JSON");
-
-    insta::assert_snapshot!(text, @r#"{"name":"b1","role":"balancer","incarnation":"000000000000feed","domain":"belper","ready":true,"revision":12,"services":[{"name":"peakline/ropeledger","members":[{"name":"rope-1","domain":"matlock","stage":"active","open":41,"limit":2000,"busy":1,"slots":2},{"name":"rope-2","domain":"matlock","stage":"silent","open":0,"limit":2000,"busy":1,"slots":2}]}]}"#);
-}
-
 /// Guards against undefined responses to invalid requests.
 #[test]
 fn invalid_requests_get_error_statuses() {
@@ -274,23 +266,3 @@
         status()
     }
 }
-
-/// The status of a balancer that knows one service with two members.
-fn status() -> Status {
-    let member = |name: &str, stage, open| Member {
-        name: name.into(),
-        domain: "matlock".into(),
-        stage,
-        load: Load { open, limit: 2_000, busy: 1, slots: 2, at: Millis::default() },
-    };
-    let members =
-        vec![member("rope-1", Stage::Active, 41), member("rope-2", Stage::Silent, 0)];
-    Status {
-        name: "b1".into(),
-        role: Role::Balancer,
-        node: node::Id(0xfeed),
-        domain: "belper".into(),
-        revision: Some(12),
-        services: vec![Service { name: "peakline/ropeledger".into(), members }],
-    }
-}
