--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -483,6 +483,10 @@
             Action::Hold { notify } => {
                 self.node.send(notify, &Message::Found(flow));
                 metric::count(&metric::HELD);
+                log::info!(
+                    target: "held", flow:% = flow, version = version;
+                    "opening waits for the backend server"
+                );
                 // If the channel is full, the task has already been signalled.
                 let _ = self.hold_signal.0.try_send(());
                 self.release();
