--- a/crates/lentilreach-cli/src/measure.rs
+++ b/crates/lentilreach-cli/src/measure.rs
@@ -126,8 +126,44 @@
         let svg = plot::rush(&outcome.seconds).svg;
         std::fs::write(path, svg).map_err(|error| format!("{path}: {error}"))?;
     }
-    format_report(&outcome, matches)
-        .map_err(|error| format!("the report cannot be printed: {error}"))
+    if is_json(matches) {
+        return format_report(&outcome, matches)
+            .map_err(|error| format!("the report cannot be printed: {error}"));
+    }
+    Ok(format_rush(&outcome))
+}
+
+/// Formats the outcome of a rush as text: a line for each second, counted from the end of the
+/// outage, then the totals.
+fn format_rush(outcome: &rush::Outcome) -> String {
+    let header = "second  in time  late  not answered  share in time".to_owned();
+    let line = |second: &rush::Second| {
+        let [in_time, late, failed]: [u32; 3] =
+            [second.in_time, second.late, second.failed].map(|count| count.iter().sum());
+        let share = second.share_in_time();
+        format!(
+            "{:>6}  {in_time:>7}  {late:>4}  {failed:>12}  {share:>13.3}",
+            second.second
+        )
+    };
+    let totals = format!(
+        "rejected by backend servers: {}; run twice: {}; refused although run: {}\n\
+         longest wait before delivery: {} ms; openings forwarded: {}\n\
+         requests by backend server: {:?}",
+        outcome.rejected,
+        outcome.run_twice,
+        outcome.refused_but_run,
+        outcome.longest_wait_ms,
+        outcome.forwards,
+        outcome.requests,
+    );
+    let lines = outcome.seconds.iter().map(line);
+    std::iter::once(header).chain(lines).chain([totals]).collect::<Vec<_>>().join("\n")
+}
+
+/// Whether the report is printed as JSON.
+fn is_json(matches: &ArgMatches) -> bool {
+    matches.get_one::<String>("report").is_some_and(|format| format == "json")
 }
 
 /// Builds the option `--report`.
@@ -197,7 +233,7 @@
     report: &impl Serialize,
     matches: &ArgMatches,
 ) -> serde_json::Result<String> {
-    if matches.get_one::<String>("report").is_some_and(|format| format == "json") {
+    if is_json(matches) {
         return serde_json::to_string_pretty(report);
     }
     let value = serde_json::to_value(report)?;
