--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -21,7 +21,7 @@
 use crate::process::agent::{
     self, Action, Arrival, BackendAction, Ended, Forwarding, Limits, Outgoing, Release,
 };
-use crate::process::backend::{Bounds, Change, Report, TICK_MS};
+use crate::process::backend::{Bounds, TICK_MS};
 use crate::process::documents::Source;
 use crate::process::metric;
 use crate::process::roster::{HEARTBEAT_INTERVAL_MS, Member, Role};
@@ -30,6 +30,10 @@
 use crate::request::placement;
 use crate::request::segment::{Format, Segment};
 
+mod report;
+
+pub use report::{Foreign, ReportHandler};
+
 /// Number of flows to track per megabyte of the memory limit. A table entry takes about
 /// 150 bytes, so most of the memory remains free.
 const FLOWS_PER_MB: usize = 500;
@@ -138,7 +142,7 @@
 
     /// Returns a handle that accepts reports of the backend server.
     pub fn report_handler(&self) -> ReportHandler<F, L> {
-        ReportHandler { state: self.state.clone() }
+        ReportHandler::new(self.state.clone())
     }
 
     /// Stops admitting flows, offers waiting openings to other agents, and waits for a
@@ -165,63 +169,6 @@
     }
 }
 
-/// Accepts reports of a backend server, whose encoding is defined outside this crate.
-#[derive(Debug)]
-pub struct ReportHandler<F, L> {
-    /// State of the agent.
-    state: Arc<State<F, L>>,
-}
-
-/// A report of another instance names a service that the configuration doesn't have, while
-/// the reports of the current one are up to date.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Foreign {
-    /// The unknown service.
-    pub service: Name,
-}
-
-impl<F: Format, L: Link> ReportHandler<F, L> {
-    /// Processes a report. If the state of the backend server changed, balancers are
-    /// informed before this returns.
-    ///
-    /// # Errors
-    /// If the report can't come from the backend server. It is ignored.
-    pub fn report(&self, report: Report) -> Result<(), Foreign> {
-        let state = &self.state;
-        let (id, is_draining) = (report.id.clone(), report.is_draining);
-        let (service, sequence) = (report.service.clone(), report.sequence);
-        let cold_ms = report.cold_ms;
-        let (now, routing) = (state.node.now(), state.node.routing());
-        let (change, ended) = {
-            let mut flows = state.flows.write();
-            if flows.is_foreign(now, &routing, &report) {
-                return Err(Foreign { service });
-            }
-            let outcome = flows.report(now, report);
-            flows.update_knows_all_flows(now, &routing);
-            outcome
-        };
-        state.reset_callers(&ended, "replaced");
-        state.release();
-        if matches!(change, Change::Started { .. } | Change::Stage) {
-            state.broadcast_heartbeat();
-            log::info!(
-                target: "backend", id:% = id, service:% = service, sequence = sequence,
-                change:? = change, draining = is_draining, cold_ms = cold_ms;
-                "backend server changed"
-            );
-        }
-        Ok(())
-    }
-
-    /// Records that a backend server is shutting down.
-    pub fn record_leave(&self, id: &str) {
-        let is_current = self.state.flows.write().record_leave(self.state.node.now(), id);
-        self.state.broadcast_heartbeat();
-        log::info!(target: "backend", id = id, change = "left", current = is_current; "backend server left");
-    }
-}
-
 impl<F: Format, L: Link> State<F, L> {
     /// Periodically sends heartbeats and announcements, detects the end of the backend
     /// server, and removes idle flows.
--- /dev/null
+++ b/crates/steer/src/process/driver/agent/report.rs
@@ -0,0 +1,72 @@
+//! Accepts the reports of an agent's backend server.
+
+use std::sync::Arc;
+
+use lentilreach::Name;
+use lentilreach::process::link::Link;
+
+use super::State;
+use crate::process::backend::{Change, Report};
+use crate::request::segment::Format;
+
+/// Accepts reports of a backend server, whose encoding is defined outside this crate.
+#[derive(Debug)]
+pub struct ReportHandler<F, L> {
+    /// State of the agent.
+    state: Arc<State<F, L>>,
+}
+
+impl<F: Format, L: Link> ReportHandler<F, L> {
+    /// Creates the handler of an agent.
+    pub(super) fn new(state: Arc<State<F, L>>) -> Self {
+        Self { state }
+    }
+
+    /// Processes a report. If the state of the backend server changed, balancers are
+    /// informed before this returns.
+    ///
+    /// # Errors
+    /// If the report can't come from the backend server. It is ignored.
+    pub fn report(&self, report: Report) -> Result<(), Foreign> {
+        let state = &self.state;
+        let (id, is_draining) = (report.id.clone(), report.is_draining);
+        let (service, sequence) = (report.service.clone(), report.sequence);
+        let cold_ms = report.cold_ms;
+        let (now, routing) = (state.node.now(), state.node.routing());
+        let (change, ended) = {
+            let mut flows = state.flows.write();
+            if flows.is_foreign(now, &routing, &report) {
+                return Err(Foreign { service });
+            }
+            let outcome = flows.report(now, report);
+            flows.update_knows_all_flows(now, &routing);
+            outcome
+        };
+        state.reset_callers(&ended, "replaced");
+        state.release();
+        if matches!(change, Change::Started { .. } | Change::Stage) {
+            state.broadcast_heartbeat();
+            log::info!(
+                target: "backend", id:% = id, service:% = service, sequence = sequence,
+                change:? = change, draining = is_draining, cold_ms = cold_ms;
+                "backend server changed"
+            );
+        }
+        Ok(())
+    }
+
+    /// Records that a backend server is shutting down.
+    pub fn record_leave(&self, id: &str) {
+        let is_current = self.state.flows.write().record_leave(self.state.node.now(), id);
+        self.state.broadcast_heartbeat();
+        log::info!(target: "backend", id = id, change = "left", current = is_current; "backend server left");
+    }
+}
+
+/// A report of another instance names a service that the configuration doesn't have, while
+/// the reports of the current one are up to date.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Foreign {
+    /// The unknown service.
+    pub service: Name,
+}
