--- a/crates/lentilreach-cli/src/measure.rs
+++ b/crates/lentilreach-cli/src/measure.rs
@@ -89,7 +89,7 @@
         .arg(
             Arg::new("policy")
                 .long("policy")
-                .default_value(Policy::Goal.as_str())
+                .default_value(Policy::Objective.as_str())
                 .value_parser(policies)
                 .help("How agents admit openings"),
         )
@@ -117,7 +117,7 @@
         failing: small("failing"),
         mute: small("mute"),
         silent: small("silent").min(small("servers")),
-        policy: policy.unwrap_or(Policy::Goal),
+        policy: policy.unwrap_or(Policy::Objective),
         seed: number("seed"),
         ..Load::default()
     };
--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -256,7 +256,7 @@
     fn report(&mut self, now: Tick, cold_ms: Tick) {
         let slots = match self.load.policy {
             Policy::Arrival => u32::MAX / 4,
-            Policy::Goal | Policy::ColdLimit => self.load.slots,
+            Policy::Objective | Policy::ColdLimit => self.load.slots,
         };
         for (number, side) in self.sides.iter_mut().enumerate() {
             side.reports += 1;
@@ -362,7 +362,7 @@
         self.outcome.requests = self.sides.iter().map(|side| side.requests).collect();
         let back = self.back() as i64;
         for request in &self.requests {
-            let Class { goal_ms, deadline_ms, .. } = CLASSES[request.class];
+            let Class { objective_ms, deadline_ms, .. } = CLASSES[request.class];
             let second = (request.made as i64 - back).div_euclid(1_000);
             let seconds = &mut self.outcome.seconds;
             let index = match seconds.binary_search_by_key(&second, |s| s.second) {
@@ -374,7 +374,7 @@
             };
             let took = request.answered.map(|answered| answered - request.made);
             let counts = match took {
-                Some(ms) if ms <= goal_ms => &mut seconds[index].in_time,
+                Some(ms) if ms <= objective_ms => &mut seconds[index].in_time,
                 Some(ms) if ms <= deadline_ms => &mut seconds[index].late,
                 _ => &mut seconds[index].failed,
             };
@@ -391,7 +391,7 @@
     let routes = CLASSES.iter().enumerate().map(|(class, kind)| Route {
         address: service_address(class),
         split: vec![Share { service: SERVICE.into(), weight: 1 }],
-        goal_ms: kind.goal_ms,
+        objective_ms: kind.objective_ms,
         priority: kind.priority,
     });
     Routing {
--- a/crates/standin/src/rush/mod.rs
+++ b/crates/standin/src/rush/mod.rs
@@ -21,21 +21,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
     /// As decided by [`lentilreach_steer::process::admission`].
-    Goal,
+    Objective,
     /// Every opening is delivered at once, in order of arrival.
     Arrival,
-    /// As [`Self::Goal`], and a rate of zero for cold backend servers is a limit.
+    /// As [`Self::Objective`], and a rate of zero for cold backend servers is a limit.
     ColdLimit,
 }
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 3] = [Self::Goal, Self::Arrival, Self::ColdLimit];
+    pub const ALL: [Self; 3] = [Self::Objective, Self::Arrival, Self::ColdLimit];
 
     /// The name on the command line.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Goal => "goal",
+            Self::Objective => "objective",
             Self::Arrival => "arrival",
             Self::ColdLimit => "cold-limit",
         }
@@ -91,7 +91,7 @@
             failing: 0,
             mute: 0,
             silent: 0,
-            policy: Policy::Goal,
+            policy: Policy::Objective,
             seed: 1,
         }
     }
@@ -101,7 +101,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Class {
     /// Time within which a request should be answered, in milliseconds.
-    pub goal_ms: Tick,
+    pub objective_ms: Tick,
     /// Time after which its caller gives up, in milliseconds.
     pub deadline_ms: Tick,
     /// Priority of its route; 0 is the highest.
@@ -110,8 +110,8 @@
 
 /// The kinds of requests, and the share of the first one in percent.
 pub(crate) const CLASSES: [Class; 2] = [
-    Class { goal_ms: 200, deadline_ms: 3_000, priority: 2 },
-    Class { goal_ms: 250, deadline_ms: 4_000, priority: 1 },
+    Class { objective_ms: 200, deadline_ms: 3_000, priority: 2 },
+    Class { objective_ms: 250, deadline_ms: 4_000, priority: 1 },
 ];
 
 /// Share of the first class in percent.
@@ -145,7 +145,7 @@
 pub struct Second {
     /// Number of the second.
     pub second: i64,
-    /// Requests answered within the goal, by class.
+    /// Requests answered within the objective, by class.
     pub in_time: [u32; 2],
     /// Requests answered later, by class.
     pub late: [u32; 2],
@@ -154,13 +154,13 @@
 }
 
 impl Second {
-    /// Share of the requests of a class that were answered within its goal.
+    /// Share of the requests of a class that were answered within its objective.
     pub fn share_in_time_of(&self, class: usize) -> f64 {
         let total = self.in_time[class] + self.late[class] + self.failed[class];
         f64::from(self.in_time[class]) / f64::from(total.max(1))
     }
 
-    /// Share of all requests that were answered within their goal.
+    /// Share of all requests that were answered within their objective.
     pub fn share_in_time(&self) -> f64 {
         let sum = |counts: [u32; 2]| counts.iter().sum::<u32>();
         let total = sum(self.in_time) + sum(self.late) + sum(self.failed);
--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -97,11 +97,11 @@
 /// if the load doesn't tell them apart.
 #[test]
 fn order_of_arrival_is_worse() {
-    let by_goal = play(&Load::default());
+    let by_objective = play(&Load::default());
     let by_arrival = play(&Load { policy: Policy::Arrival, ..Load::default() });
-    for (goal, arrival) in by_goal.iter().zip(&by_arrival) {
-        let (goal, arrival) = (second(goal, 0), second(arrival, 0));
-        assert!(goal.share_in_time() > arrival.share_in_time() + 0.2);
+    for (objective, arrival) in by_objective.iter().zip(&by_arrival) {
+        let (objective, arrival) = (second(objective, 0), second(arrival, 0));
+        assert!(objective.share_in_time() > arrival.share_in_time() + 0.2);
     }
 }
 
--- a/crates/steer/src/process/admission.rs
+++ b/crates/steer/src/process/admission.rs
@@ -7,7 +7,7 @@
 //!
 //! - A backend server receives as many openings as it has slots, and a few more that
 //!   cover the time until their requests arrive. It never has to reject one.
-//! - Openings that can still be answered within the response-time goal of their route go
+//! - Openings that can still be answered within the latency objective of their route go
 //!   first, by priority. Among those of the same priority the latest goes first: while
 //!   more arrive than can be served, the earliest would only just be in time or just late,
 //!   and every other one after it.
@@ -46,8 +46,8 @@
     pub priority: u8,
     /// When the caller sent the first copy of the segment, at the latest.
     pub sent_at: Millis,
-    /// When the answer to its request is due according to the route's goal.
-    pub goal_at: Millis,
+    /// When the answer to its request is due according to the route's objective.
+    pub due_at: Millis,
 }
 
 impl Opening {
@@ -58,7 +58,7 @@
 
     /// The order in which waiting openings are served while they are in time.
     fn rank(&self) -> (u8, Reverse<Millis>, flow::Key) {
-        (self.priority, Reverse(self.goal_at), self.flow)
+        (self.priority, Reverse(self.due_at), self.flow)
     }
 }
 
@@ -213,7 +213,7 @@
 
     /// Whether an opening that is delivered at `start` can be answered in time.
     fn is_timely(&self, start: Millis, opening: &Opening) -> bool {
-        start.after((self.service_ms * DURATION_MARGIN) as u64) <= opening.goal_at
+        start.after((self.service_ms * DURATION_MARGIN) as u64) <= opening.due_at
     }
 
     /// Estimated time until an opening is delivered that `ahead` others precede, in
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -320,7 +320,7 @@
     let age_ms = arrival.segment.age_ms + u64::from(arrival.forwarding.delay_ms);
     let sent_at = Millis(now.0.saturating_sub(age_ms));
     let route = routing.route(flow.service);
-    let (goal_ms, priority) =
-        route.map_or((0, u8::MAX), |route| (route.goal_ms, route.priority));
-    Opening { flow, priority, sent_at, goal_at: sent_at.after(goal_ms) }
+    let (objective_ms, priority) =
+        route.map_or((0, u8::MAX), |route| (route.objective_ms, route.priority));
+    Opening { flow, priority, sent_at, due_at: sent_at.after(objective_ms) }
 }
--- a/crates/steer/src/version/routing.rs
+++ b/crates/steer/src/version/routing.rs
@@ -60,7 +60,7 @@
     /// The services with their weights. Never empty.
     pub split: Vec<Share>,
     /// Time within which a request should be answered, in milliseconds.
-    pub goal_ms: u64,
+    pub objective_ms: u64,
     /// Priority of its flows while backend servers are overloaded; 0 is the highest.
     pub priority: u8,
 }
--- a/crates/steer/tests/admission.rs
+++ b/crates/steer/tests/admission.rs
@@ -12,7 +12,7 @@
 /// be answered within 200 ms.
 fn opening(port: u16, priority: u8, age_ms: u64) -> Opening {
     let sent_at = Millis(NOW.0 - age_ms);
-    Opening { flow: flow(port), priority, sent_at, goal_at: sent_at.after(200) }
+    Opening { flow: flow(port), priority, sent_at, due_at: sent_at.after(200) }
 }
 
 /// A backend server with five slots.
