--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -73,7 +73,7 @@
     admission: Admission<Waiting>,
     /// Estimates how long flows stay open.
     lifetime: Lifetime,
-    /// Whether the backend server resets its flows.
+    /// Whether the backend server resets flows or leaves requests unanswered.
     health: Health,
     /// Which agents hold the flows that this agent is a home node of.
     index: Index,
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -115,7 +115,7 @@
         self.open * (-age).exp()
     }
 
-    /// Whether its backend server resets most of its flows.
+    /// Whether its backend server resets or leaves unanswered much of what it gets.
     pub fn is_failing(&self) -> bool {
         self.backend_status.as_ref().is_some_and(|status| status.is_failing)
     }
