Add failing tests of resets without proof at balancers and home nodes

Thirteen tests of decisions fail on: silence taken for the end of a flow, a placement taken for a holder, sets compared by size, an agent dropped on the way of a walk, claims after a lost announcement or towards a restarted home node, and claims from before the flow opened. One test shows that the fixtures find a flow if nothing is lost; it passes.

--- /dev/null
+++ b/crates/steer/tests/reset.rs
@@ -0,0 +1,497 @@
+//! Tests that no open flow is reset because of what a node could not have known: only the
+//! agent next to a backend server can say that a flow has ended.
+
+mod fixture;
+
+use std::net::SocketAddrV4;
+
+use fixture::{
+    FIRST_SEQUENCE, INCARNATION, NOW, agent, agent_address, agent_and_roster,
+    agent_heartbeat, announcement, arrival, flow, flow_homed_here, hear, open, opening,
+    request, returned, roster, roster_of, routing,
+};
+use lentilreach::process::clock::Millis;
+use lentilreach_steer::connection::flow;
+use lentilreach_steer::process::agent::{
+    Action, Agent, Arrival, BackendAction, Outgoing,
+};
+use lentilreach_steer::process::balancer::{self, Balancer};
+use lentilreach_steer::process::roster::Roster;
+use lentilreach_steer::request::message::{Search, Stage};
+use lentilreach_steer::request::placement::{fallback, homes};
+
+/// Silence after which agents used to be considered unreachable, in milliseconds.
+const SILENCE_MS: u64 = 4_000;
+
+/// The fixtures of this file must find a flow if nothing is lost. Otherwise the other tests
+/// would show nothing.
+#[test]
+fn homes_find_a_flow_that_was_announced() {
+    let Case { mut nodes, key, holder, first, second } = synchronised();
+    open_at(NOW.after(100), &mut nodes, holder, key);
+    announce(NOW.after(100), &mut nodes, |_, _| false);
+
+    for (to, attempt) in [(first, Search::Home(0)), (second, Search::Home(1))] {
+        let action = search(NOW.after(300), &mut nodes, to, key, attempt, &[]);
+        assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+    }
+}
+
+/// The backend server of an agent that can't be heard may be running.
+#[test]
+fn a_balancer_does_not_reset_flows_of_a_silent_agent() {
+    let mut roster = roster(NOW, 6, &["a", "b"]);
+    let mut balancer = Balancer::new(Millis(0), "a".into(), 1_000);
+    balancer.flow_found(NOW, flow(1), agent_address(4));
+    let now = NOW.after(SILENCE_MS);
+    hear(now, &mut roster, [1, 2, 3, 5, 6]);
+
+    let action = balancer.handle_segment(now, &routing(1), &roster, &request(flow(1), 9));
+
+    assert!(matches!(action, balancer::Action::Send { .. }), "{action:?}");
+}
+
+/// A copy of the opening may have opened the flow at another agent than the selected one.
+#[test]
+fn a_balancer_searches_for_flows_that_it_placed_on_a_silent_agent() {
+    let mut roster = roster(NOW, 6, &["a", "b"]);
+    let mut balancer = Balancer::new(Millis(0), "a".into(), 1_000);
+    let action = balancer.handle_segment(NOW, &routing(1), &roster, &opening(flow(1), 0));
+    let balancer::Action::Send { to: selected, .. } = action else {
+        panic!("{action:?}")
+    };
+    let now = NOW.after(SILENCE_MS);
+    hear(now, &mut roster, (1..=6).filter(|number| agent_address(*number) != selected));
+
+    let action = balancer.handle_segment(now, &routing(1), &roster, &request(flow(1), 9));
+
+    let balancer::Action::Send { to, .. } = action else { panic!("{action:?}") };
+    assert!(homes(&roster, &flow(1)).contains(&Some(to)), "{to} is no home node");
+}
+
+/// The backend server of an agent that can't be heard may be running, and others may reach
+/// that agent.
+#[test]
+fn a_home_forwards_to_a_silent_holder() {
+    let (mut agent, mut roster) = agent_and_roster();
+    let key = flow_homed_here(&roster);
+    agent.handle_announcement(NOW, &roster, agent_address(4), &announcement(&[key]));
+    let now = NOW.after(SILENCE_MS);
+    hear(now, &mut roster, [1, 2, 3, 5, 6]);
+
+    let arrival = arrival(request(key, FIRST_SEQUENCE), Search::Home(0), 1);
+    let action = agent.handle_caller_segment(now, &routing(1), &roster, &arrival);
+
+    assert_forwarded(&action, agent_address(4));
+}
+
+/// Two backend servers accepted a flow, and the caller chose the one whose agent is heard.
+#[test]
+fn a_home_prefers_the_holder_that_is_heard() {
+    let (mut agent, mut roster) = agent_and_roster();
+    let key = flow_homed_here(&roster);
+    let (heard, silent) = (agent_address(4), agent_address(5));
+    for holder in [heard, silent] {
+        agent.handle_announcement(NOW, &roster, holder, &announcement(&[key]));
+    }
+    let now = NOW.after(SILENCE_MS);
+    hear(now, &mut roster, [1, 2, 3, 4, 6]);
+
+    let arrival = arrival(request(key, FIRST_SEQUENCE), Search::Home(0), 1);
+    let action = agent.handle_caller_segment(now, &routing(1), &roster, &arrival);
+
+    assert_forwarded(&action, heard);
+}
+
+/// A home node that heard nobody for a while knows nothing of agents that it has not heard
+/// again, although it hears most others.
+#[test]
+fn a_home_back_from_isolation_does_not_take_known_holders_for_lost() {
+    for heard in 2..=4 {
+        let Case { mut nodes, key, holder, second, .. } = synchronised();
+        open_at(NOW.after(100), &mut nodes, holder, key);
+        announce(NOW.after(100), &mut nodes, |_, _| false);
+        let now = isolate(&mut nodes, second, &others(holder, second)[..heard]);
+
+        let action = decide(now, &mut nodes, second, key, Search::Home(1));
+
+        assert_forwarded(&action, agent_address(holder));
+    }
+}
+
+/// As above for an agent that is known not to have announced all of its flows.
+#[test]
+fn a_home_back_from_isolation_leaves_out_no_agent_that_it_has_not_heard_again() {
+    for heard in 2..=4 {
+        let Case { mut nodes, key, holder, second, .. } = synchronised();
+        open_at(NOW.after(100), &mut nodes, holder, key);
+        announce(NOW.after(100), &mut nodes, |_, to| to == second);
+        beat(NOW.after(200), &mut nodes, |_, _| false);
+        let now = isolate(&mut nodes, second, &others(holder, second)[..heard]);
+
+        let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+        assert_no_reset(&action);
+    }
+}
+
+/// As above for a flow that was opened while the home node heard nobody.
+#[test]
+fn a_home_back_from_isolation_does_not_deny_flows_opened_meanwhile() {
+    for heard in 2..=4 {
+        let Case { mut nodes, key, holder, second, .. } = synchronised();
+        open_at(NOW.after(1_000), &mut nodes, holder, key);
+        announce(NOW.after(1_000), &mut nodes, |_, to| to == second);
+        let now = isolate(&mut nodes, second, &others(holder, second)[..heard]);
+
+        let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+        assert_no_reset(&action);
+    }
+}
+
+/// An agent that joined while another one left must not be overlooked because the numbers
+/// of agents are the same.
+#[test]
+fn a_home_does_not_overlook_an_agent_that_joined_while_another_one_left() {
+    let (mut nodes, key) = one_joined_and_one_left();
+    announce(NOW, &mut nodes, |_, _| false);
+    beat(NOW, &mut nodes, |from, to| [from, to].contains(&7));
+    open_at(NOW, &mut nodes, 7, key);
+    announce(NOW, &mut nodes, |_, _| false);
+
+    let action = search(NOW, &mut nodes, 1, key, Search::Home(1), &[]);
+
+    assert_no_reset(&action);
+}
+
+/// As above for a walk through agents that hear the one that joined.
+#[test]
+fn a_walk_does_not_overlook_an_agent_that_joined_while_another_one_left() {
+    let (mut nodes, key) = one_joined_and_one_left();
+    open_at(NOW, &mut nodes, 7, key);
+    announce(NOW, &mut nodes, |_, _| false);
+
+    let action = search(NOW, &mut nodes, 1, key, Search::Home(1), &[]);
+
+    assert_no_reset(&action);
+}
+
+/// A node on the way of a walk that doesn't know an agent yet must not leave it out.
+#[test]
+fn a_walk_does_not_leave_out_an_agent_that_a_node_on_its_way_does_not_know() {
+    for key in (1..60).map(flow) {
+        let mut nodes: Vec<_> = (1..=6).map(|number| node(number, 1..=6)).collect();
+        if !homes(&nodes[0].roster, &key).contains(&Some(agent_address(1))) {
+            continue;
+        }
+        // The second agent was restarted and has not heard the sixth one.
+        nodes[1] = node(2, 1..=5);
+        open_at(NOW, &mut nodes, 6, key);
+        announce(NOW, &mut nodes, |_, _| true);
+
+        let action = search(NOW, &mut nodes, 1, key, Search::Home(1), &[]);
+
+        assert_no_reset(&action);
+    }
+}
+
+/// After the loss of an announcement, an agent must not claim that it has announced all
+/// flows before it has done so again.
+#[test]
+fn a_home_does_not_deny_flows_that_are_about_to_be_announced_again() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    open_at(NOW.after(100), &mut nodes, holder, key);
+    announce(NOW.after(100), &mut nodes, |_, to| to == second);
+    // The home node confirms less than was sent, the second time after a delay. The
+    // holder's next heartbeat precedes its announcements, as after a report.
+    let now = NOW.after(1_300);
+    beat(NOW.after(700), &mut nodes, |_, _| false);
+    beat(now, &mut nodes, |_, _| false);
+    pass_heartbeat(now, &mut nodes, holder, second);
+
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+    assert_no_reset(&action);
+}
+
+/// An agent must not claim towards a restarted home node that it has announced all flows
+/// before it has announced any.
+#[test]
+fn a_restarted_home_does_not_deny_flows_that_were_announced_before() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    open_at(NOW.after(100), &mut nodes, holder, key);
+    announce(NOW.after(100), &mut nodes, |_, _| false);
+    let now = NOW.after(1_000);
+    restart(now, &mut nodes, second);
+    // The first heartbeats introduce the home node, the second ones refer to it.
+    for _ in 0..2 {
+        beat(now, &mut nodes, |_, _| false);
+    }
+
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+    assert_no_reset(&action);
+}
+
+/// What an agent said before a flow was opened proves nothing about the flow.
+#[test]
+fn homes_do_not_deny_a_flow_opened_after_the_last_heartbeat_of_its_agent() {
+    let Case { mut nodes, key, holder, first, second } = synchronised();
+    open_at(NOW.after(100), &mut nodes, holder, key);
+    announce(NOW.after(100), &mut nodes, |from, _| from == holder);
+
+    // The segment and its retransmissions, as a balancer sends them.
+    let third = fallback(&nodes[0].roster, &key).map(number_of).expect("six agents");
+    let attempts =
+        [(first, Search::Home(0)), (second, Search::Home(1)), (third, Search::Walk)];
+    for (to, attempt) in attempts {
+        let now = NOW.after(300);
+        let action = search(now, &mut nodes, to, key, attempt, &[holder]);
+        assert_no_reset(&action);
+    }
+}
+
+/// An agent and its roster, next to a backend server.
+#[derive(Debug)]
+struct Node {
+    /// Its number.
+    number: u8,
+    /// Its incarnation.
+    incarnation: u64,
+    /// Sequence number of its last heartbeat.
+    sequence: u32,
+    /// Its decisions.
+    agent: Agent,
+    /// The members known to it.
+    roster: Roster,
+    /// The flows that its backend server holds.
+    held: Vec<flow::Key>,
+}
+
+/// Six nodes, and a flow to be opened at one of them.
+#[derive(Debug)]
+struct Case {
+    /// The nodes.
+    nodes: Vec<Node>,
+    /// The flow.
+    key: flow::Key,
+    /// Number of a node that is no home node of the flow.
+    holder: u8,
+    /// Number of the first home node.
+    first: u8,
+    /// Number of the second home node.
+    second: u8,
+}
+
+/// A node that has heard other agents and itself.
+fn node(number: u8, known: impl IntoIterator<Item = u8>) -> Node {
+    Node {
+        number,
+        incarnation: INCARNATION,
+        sequence: 1,
+        agent: agent(NOW, number, "a"),
+        roster: roster_of(NOW, known),
+        held: Vec::new(),
+    }
+}
+
+/// Nodes that hold no flows, know each other, and have told each other so.
+fn synchronised() -> Case {
+    let mut nodes: Vec<_> = (1..=6).map(|number| node(number, 1..=6)).collect();
+    announce(NOW, &mut nodes, |_, _| false);
+    beat(NOW, &mut nodes, |_, _| false);
+    let key = flow(1);
+    let [first, second] =
+        homes(&nodes[0].roster, &key).map(|home| number_of(home.expect("a home")));
+    let is_home = |number: &u8| [first, second].contains(number);
+    let holder = (1..=6).find(|number| !is_home(number)).expect("four are no homes");
+    Case { nodes, key, holder, first, second }
+}
+
+/// Nodes of which the first one has not heard that the seventh one joined, and a flow
+/// that the seventh one announces to other home nodes than the first one. All know that
+/// the sixth one left.
+fn one_joined_and_one_left() -> (Vec<Node>, flow::Key) {
+    let old = || 1..=6;
+    let new = || [1, 2, 3, 4, 5, 7];
+    let mut nodes = vec![node(1, old())];
+    nodes[0].roster.remove(agent_address(6));
+    nodes.extend(new().into_iter().skip(1).map(|number| node(number, new())));
+    let own = Some(agent_address(1));
+    let is_disputed = |key: &flow::Key| {
+        homes(&nodes[0].roster, key)[1] == own
+            && homes(&roster_of(NOW, old()), key).contains(&own)
+            && !homes(&nodes[1].roster, key).contains(&own)
+    };
+    let key = (1..).map(flow).find(is_disputed).expect("some flows have such homes");
+    (nodes, key)
+}
+
+/// The numbers of four of six nodes, without two others.
+fn others(one: u8, other: u8) -> Vec<u8> {
+    (1..=6).filter(|number| ![one, other].contains(number)).collect()
+}
+
+/// Cuts a node off for 8 s, and then lets it hear some nodes. Returns the time after that.
+fn isolate(nodes: &mut [Node], isolated: u8, heard: &[u8]) -> Millis {
+    for second in 1..=8 {
+        let now = NOW.after(second * 1_000);
+        beat(now, nodes, |from, to| [from, to].contains(&isolated));
+    }
+    let now = NOW.after(8_100);
+    for number in heard {
+        pass_heartbeat(now, nodes, *number, isolated);
+    }
+    now
+}
+
+/// Opens a flow at a node and its backend server.
+fn open_at(now: Millis, nodes: &mut [Node], number: u8, key: flow::Key) {
+    let node = node_mut(nodes, number).expect("a node");
+    open(now, &mut node.agent, &node.roster, key, FIRST_SEQUENCE);
+    node.held.push(key);
+}
+
+/// Restarts the process of a node and its backend server.
+fn restart(now: Millis, nodes: &mut [Node], number: u8) {
+    let before = node_mut(nodes, number).expect("a node");
+    let incarnation = before.incarnation + 1;
+    *before = Node {
+        incarnation,
+        sequence: 0,
+        agent: agent(now, number, "a"),
+        ..node(number, (1..=6).filter(|other| *other != number))
+    };
+}
+
+/// Lets all nodes send the announcements that are due, except for those that are lost
+/// between two numbers.
+fn announce(now: Millis, nodes: &mut [Node], is_lost: impl Fn(u8, u8) -> bool) {
+    for index in 0..nodes.len() {
+        let node = &mut nodes[index];
+        let from = node.number;
+        for Outgoing { to, announcement } in node.agent.announcements(now, &node.roster) {
+            if is_lost(from, number_of(to)) {
+                continue;
+            }
+            if let Some(to) = node_mut(nodes, number_of(to)) {
+                let from = agent_address(from);
+                to.agent.handle_announcement(now, &to.roster, from, &announcement);
+            }
+        }
+    }
+}
+
+/// Lets all nodes send a heartbeat to those that they know and to themselves, except for
+/// those that are lost between two numbers.
+fn beat(now: Millis, nodes: &mut [Node], is_lost: impl Fn(u8, u8) -> bool) {
+    let numbers: Vec<_> = nodes.iter().map(|node| node.number).collect();
+    for from in &numbers {
+        for to in &numbers {
+            if from == to || !is_lost(*from, *to) {
+                pass_heartbeat(now, nodes, *from, *to);
+            }
+        }
+    }
+    for node in nodes {
+        node.roster.tick(now);
+    }
+}
+
+/// Passes a heartbeat from one node to another, if the sender knows the receiver.
+fn pass_heartbeat(now: Millis, nodes: &mut [Node], from: u8, to: u8) {
+    let sender = node_mut(nodes, from).expect("a node");
+    sender.sequence += 1;
+    let mut heartbeat = agent_heartbeat(sender.sequence, "a", Stage::Ready, 0);
+    heartbeat.incarnation = sender.incarnation;
+    if from != to {
+        let Some(member) = sender.roster.get(agent_address(to)) else { return };
+        heartbeat.sync_status = Some(sender.agent.sync_status(now, member));
+    }
+    let from = agent_address(from);
+    let to = node_mut(nodes, to).expect("a node");
+    to.roster.record_heartbeat(now, from, &heartbeat).expect("a later heartbeat");
+    to.agent.handle_heartbeat(now, &to.roster, from, &heartbeat);
+}
+
+/// Sends a segment of a flow to a node and follows it until it is no longer forwarded, or
+/// is lost on its way to one of the nodes in `cut`. Returns the last action.
+fn search(
+    now: Millis,
+    nodes: &mut [Node],
+    first: u8,
+    key: flow::Key,
+    search: Search,
+    cut: &[u8],
+) -> Action {
+    let mut arrival = arrival(request(key, FIRST_SEQUENCE + 1), search, 1);
+    let mut number = first;
+    loop {
+        let node = node_mut(nodes, number).expect("a node");
+        let action = handle(now, node, &arrival);
+        match action {
+            Action::Forward { to, forwarding, .. } if !cut.contains(&number_of(to)) => {
+                (number, arrival.forwarding) = (number_of(to), forwarding);
+            }
+            last => return last,
+        }
+    }
+}
+
+/// The decision of a single node on a segment of a flow.
+fn decide(
+    now: Millis,
+    nodes: &mut [Node],
+    number: u8,
+    key: flow::Key,
+    search: Search,
+) -> Action {
+    let arrival = arrival(request(key, FIRST_SEQUENCE + 1), search, 1);
+    handle(now, node_mut(nodes, number).expect("a node"), &arrival)
+}
+
+/// Lets a node decide on a segment. Its backend server returns it if it doesn't hold the
+/// flow.
+fn handle(now: Millis, node: &mut Node, arrival: &Arrival) -> Action {
+    let Node { agent, roster, held, .. } = node;
+    let action = agent.handle_caller_segment(now, &routing(1), roster, arrival);
+    match action {
+        Action::Deliver { mark, .. }
+            if !held.contains(&arrival.segment.flow_from_caller()) =>
+        {
+            let segment = returned(arrival.segment, mark);
+            let answer = agent.handle_backend_segment(now, &routing(1), roster, &segment);
+            match answer {
+                Some(BackendAction::Returned(action)) => action,
+                other => panic!("not returned: {other:?}"),
+            }
+        }
+        action => action,
+    }
+}
+
+/// The node with a number.
+fn node_mut(nodes: &mut [Node], number: u8) -> Option<&mut Node> {
+    nodes.iter_mut().find(|node| node.number == number)
+}
+
+/// The number of the agent with an address.
+fn number_of(address: SocketAddrV4) -> u8 {
+    address.ip().octets()[3]
+}
+
+/// Asserts that the caller gets no reset.
+#[track_caller]
+fn assert_no_reset(action: &Action) {
+    assert!(!matches!(action, Action::Refuse { .. }), "{action:?}");
+}
+
+/// Asserts that a segment is forwarded to an agent.
+#[track_caller]
+fn assert_forwarded(action: &Action, expected: SocketAddrV4) {
+    assert!(
+        matches!(action, Action::Forward { to, .. } if *to == expected),
+        "{action:?}"
+    );
+}
