--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -7,18 +7,20 @@
 
 use fixture::{
     FIRST_SEQUENCE, INCARNATION, NOW, agent, agent_address, agent_and_roster,
-    agent_heartbeat, announcement, arrival, flow, flow_homed_here, hear, open, opening,
-    request, returned, roster, roster_of, routing,
+    agent_heartbeat, announcement, arrival, flow, flow_homed_here, from_backend, hear,
+    limits, open, opening, report, request, returned, roster, roster_of, routing,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{
     Action, Agent, Arrival, BackendAction, Outgoing,
 };
+use lentilreach_steer::process::backend::TICK_MS;
 use lentilreach_steer::process::balancer::{self, Balancer};
 use lentilreach_steer::process::roster::Roster;
 use lentilreach_steer::request::message::{Search, Stage};
 use lentilreach_steer::request::placement::{fallback, homes};
+use lentilreach_steer::request::segment::{Flags, Segment};
 
 /// Silence after which agents used to be considered unreachable, in milliseconds.
 const SILENCE_MS: u64 = 4_000;
@@ -252,6 +254,110 @@
     }
 }
 
+/// An announcement may arrive before the first heartbeat of its agent.
+#[test]
+fn a_home_forwards_to_a_holder_that_it_has_not_heard() {
+    let Case { mut nodes, key, second, .. } = synchronised();
+    let home = node_mut(&mut nodes, second).expect("a node");
+    let from = agent_address(9);
+    home.agent.handle_announcement(NOW, &home.roster, from, &announcement(&[key]));
+
+    let action = decide(NOW, &mut nodes, second, key, Search::Home(1));
+
+    assert_forwarded(&action, from);
+}
+
+/// What an agent said before it fell silent proves nothing about a later flow.
+#[test]
+fn homes_do_not_deny_a_flow_opened_after_its_agent_fell_silent() {
+    for silent_s in [3, 4, 10] {
+        let Case { mut nodes, key, holder, first, .. } = synchronised();
+        open_at(NOW.after(100), &mut nodes, holder, key);
+        announce(NOW.after(100), &mut nodes, |from, _| from == holder);
+        let now = cut_off(&mut nodes, holder, silent_s);
+
+        let action = search(now, &mut nodes, first, key, Search::Home(0), &[holder]);
+
+        assert_no_reset(&action);
+    }
+}
+
+/// A silent agent that is known not to have announced all of its flows may hold the flow,
+/// however long it has been silent.
+#[test]
+fn homes_do_not_leave_out_a_silent_agent() {
+    for silent_s in [3, 4, 10] {
+        let Case { mut nodes, key, holder, first, .. } = synchronised();
+        open_at(NOW.after(100), &mut nodes, holder, key);
+        announce(NOW.after(100), &mut nodes, |from, _| from == holder);
+        beat(NOW.after(200), &mut nodes, |_, _| false);
+        let now = cut_off(&mut nodes, holder, silent_s);
+
+        let action = search(now, &mut nodes, first, key, Search::Home(0), &[holder]);
+
+        assert_no_reset(&action);
+    }
+}
+
+/// A backend server that answers is running, although its reports don't arrive.
+#[test]
+fn missing_reports_end_no_flow_while_the_backend_server_answers() {
+    let (mut agent, roster) = agent_and_roster();
+    open(NOW, &mut agent, &roster, flow(1), FIRST_SEQUENCE);
+    let flags = Flags { acknowledge: true, ..Flags::default() };
+
+    for tick in 1..=40 {
+        let now = NOW.after(tick * TICK_MS);
+        let sequence = FIRST_SEQUENCE + 1 + tick as u32;
+        let answer = Segment { length: 1, ..from_backend(flow(1), flags, sequence) };
+        agent.handle_backend_segment(now, &routing(1), &roster, &answer);
+        assert_eq!(agent.tick(now), []);
+    }
+}
+
+/// The connection for reports may be cut while the backend server waits for requests.
+#[test]
+fn missing_reports_alone_end_no_flow() {
+    let (mut agent, roster) = agent_and_roster();
+    open(NOW, &mut agent, &roster, flow(1), FIRST_SEQUENCE);
+
+    for tick in 1..=40 {
+        let now = NOW.after(tick * TICK_MS);
+        assert_eq!(agent.tick(now), []);
+        let arrival = arrival(request(flow(1), FIRST_SEQUENCE + 1), Search::Known, 1);
+        let action = agent.handle_caller_segment(now, &routing(1), &roster, &arrival);
+        assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+    }
+}
+
+/// An agent that says so when it stops is taken for gone together with its flows.
+#[test]
+fn an_agent_with_overdue_reports_does_not_claim_to_have_no_backend_server() {
+    let (mut agent, roster) = agent_and_roster();
+    open(NOW, &mut agent, &roster, flow(1), FIRST_SEQUENCE);
+    agent.stop();
+
+    for tick in 1..=40 {
+        let now = NOW.after(tick * TICK_MS);
+        agent.tick(now);
+        assert!(!agent.has_no_backend(now), "after {} ms", now.since(NOW));
+    }
+}
+
+/// A restarted agent doesn't learn of flows from before by missing reports.
+#[test]
+fn an_agent_with_overdue_reports_does_not_claim_to_know_all_flows() {
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, report(17));
+
+    for tick in 1..=40 {
+        let now = NOW.after(tick * TICK_MS);
+        agent.tick(now);
+        agent.update_knows_all_flows(now, &routing(1));
+        assert!(!agent.knows_all_flows(now), "after {} ms", now.since(NOW));
+    }
+}
+
 /// An agent and its roster, next to a backend server.
 #[derive(Debug)]
 struct Node {
@@ -335,17 +441,23 @@
 
 /// Cuts a node off for 8 s, and then lets it hear some nodes. Returns the time after that.
 fn isolate(nodes: &mut [Node], isolated: u8, heard: &[u8]) -> Millis {
-    for second in 1..=8 {
-        let now = NOW.after(second * 1_000);
-        beat(now, nodes, |from, to| [from, to].contains(&isolated));
-    }
-    let now = NOW.after(8_100);
+    let now = cut_off(nodes, isolated, 8).after(100);
     for number in heard {
         pass_heartbeat(now, nodes, *number, isolated);
     }
     now
 }
 
+/// Lets heartbeats pass for some seconds, except for those from and to one node. Returns
+/// the time after that.
+fn cut_off(nodes: &mut [Node], number: u8, seconds: u64) -> Millis {
+    for second in 1..=seconds {
+        let now = NOW.after(second * 1_000);
+        beat(now, nodes, |from, to| [from, to].contains(&number));
+    }
+    NOW.after(seconds * 1_000)
+}
+
 /// Opens a flow at a node and its backend server.
 fn open_at(now: Millis, nodes: &mut [Node], number: u8, key: flow::Key) {
     let node = node_mut(nodes, number).expect("a node");
