--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -13,7 +13,7 @@
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{
-    Action, Agent, Arrival, BackendAction, Outgoing,
+    Action, Agent, Arrival, BackendAction, Limits, Outgoing,
 };
 use lentilreach_steer::process::backend::TICK_MS;
 use lentilreach_steer::process::balancer::{self, Balancer};
@@ -299,6 +299,65 @@
     }
 }
 
+/// A heartbeat of an earlier process at the address, which was delayed, says nothing about
+/// the present one.
+#[test]
+fn homes_do_not_believe_a_late_heartbeat_of_an_earlier_process() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    let mut earlier = node(holder, 1..=6);
+    earlier.agent.announcements(NOW, &earlier.roster);
+    restart(NOW.after(100), &mut nodes, holder);
+    beat(NOW.after(100), &mut nodes, |_, _| false);
+    open_at(NOW.after(200), &mut nodes, holder, key);
+    announce(NOW.after(200), &mut nodes, |from, _| from == holder);
+    let now = NOW.after(300);
+    beat(now, &mut nodes, |_, _| false);
+
+    let present =
+        std::mem::replace(node_mut(&mut nodes, holder).expect("a node"), earlier);
+    pass_heartbeat(now, &mut nodes, holder, second);
+    *node_mut(&mut nodes, holder).expect("a node") = present;
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[]);
+
+    assert_no_reset(&action);
+}
+
+/// A home node with a full index can't tell that a flow was not announced.
+#[test]
+fn a_home_does_not_deny_a_flow_that_it_evicted() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    let other = others(holder, second)[0];
+    resize(&mut nodes, second, 1);
+    resize(&mut nodes, other, 100_000);
+    open_at(NOW, &mut nodes, holder, key);
+    announce(NOW, &mut nodes, |_, _| false);
+    fill(NOW.after(100), &mut nodes, other);
+    announce(NOW.after(100), &mut nodes, |_, _| false);
+    beat(NOW.after(100), &mut nodes, |_, _| false);
+
+    let now = NOW.after(200);
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[]);
+
+    assert_no_reset(&action);
+}
+
+/// An agent with a full table can't tell which flows its backend server holds.
+#[test]
+fn an_agent_does_not_deny_a_flow_that_it_evicted() {
+    let Case { mut nodes, key, holder, .. } = synchronised();
+    resize(&mut nodes, holder, 1);
+    open_at(NOW, &mut nodes, holder, key);
+    announce(NOW, &mut nodes, |_, _| false);
+    fill(NOW.after(100), &mut nodes, holder);
+    announce(NOW.after(100), &mut nodes, |_, _| false);
+    beat(NOW.after(100), &mut nodes, |_, _| false);
+
+    let now = NOW.after(200);
+    let action = search(now, &mut nodes, holder, key, Search::Known, &[]);
+
+    assert_no_reset(&action);
+}
+
 /// A backend server that answers is running, although its reports don't arrive.
 #[test]
 fn missing_reports_end_no_flow_while_the_backend_server_answers() {
@@ -465,6 +524,27 @@
     node.held.push(key);
 }
 
+/// Restarts a node with tables for approximately `flows` flows, before it has sent or heard
+/// anything.
+fn resize(nodes: &mut [Node], number: u8, flows: usize) {
+    let node = node_mut(nodes, number).expect("a node");
+    let limits = Limits { flows, ..limits() };
+    node.agent = Agent::new(NOW, agent_address(number), "a".into(), limits);
+    node.agent.report(NOW, report(1));
+    node.agent.announcements(NOW, &node.roster);
+}
+
+/// Lets the backend server of a node answer on thousands of flows from an earlier process.
+fn fill(now: Millis, nodes: &mut [Node], number: u8) {
+    let node = node_mut(nodes, number).expect("a node");
+    let flags = Flags { acknowledge: true, ..Flags::default() };
+    for key in (1_000..7_000).map(flow) {
+        let answer = Segment { length: 1, ..from_backend(key, flags, FIRST_SEQUENCE) };
+        node.agent.handle_backend_segment(now, &routing(1), &node.roster, &answer);
+        node.held.push(key);
+    }
+}
+
 /// Restarts the process of a node and its backend server.
 fn restart(now: Millis, nodes: &mut [Node], number: u8) {
     let before = node_mut(nodes, number).expect("a node");
