Reset no flow because its agent is silent

Callers saw: an open flow was reset although its backend server was alive, by balancers (agent_silent) and by home nodes (unreachable), when agents stood still for a few seconds or could not be heard.

Cause: an agent that had sent no heartbeat for 3.5 s counted as unreachable, and that was taken for the end of its backend server. The backend server is a process of its own and lives on. Besides, a balancer took the agent to which it had sent the opening for the holder of the flow, a home node looked only at the agent that had announced the flow last, and a node that had been cut off itself measured times in which it heard nobody.

Now silence proves nothing. A balancer sends segments to the agent that has reported the flow, or asks the home nodes if it only knows where it sent the opening and that agent is silent. A home node forwards to a holder that is heard, if two agents have announced the flow, and to a silent one otherwise. While an agent is silent, no walk is exhaustive. Callers of a machine that lost its power wait for their time-out instead of a reset; no node can tell that case from an agent that stands still.

--- a/crates/steer/src/connection/index.rs
+++ b/crates/steer/src/connection/index.rs
@@ -32,15 +32,9 @@
         self.flows.insert(now, flow, [Some(agent), other]);
     }
 
-    /// The agent that announced a flow last, except for those in `tried`.
-    pub fn get(
-        &mut self,
-        now: Millis,
-        flow: &Key,
-        tried: &[SocketAddrV4],
-    ) -> Option<SocketAddrV4> {
-        let agents = self.flows.get(now, flow)?;
-        agents.iter().flatten().find(|agent| !tried.contains(agent)).copied()
+    /// The agents that announced a flow, latest first.
+    pub fn get(&mut self, now: Millis, flow: &Key) -> [Option<SocketAddrV4>; 2] {
+        self.flows.get(now, flow).copied().unwrap_or_default()
     }
 
     /// Removes flows that were neither announced nor looked up for `idle_ms`
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -181,13 +181,6 @@
     NotFound,
     /// The flow was not found, but some agents that may hold it could not be asked.
     Unknown,
-    /// The agent that holds the flow is unreachable.
-    Unreachable {
-        /// Address of that agent.
-        agent: SocketAddrV4,
-        /// Time since its last heartbeat, in milliseconds.
-        silent_ms: u64,
-    },
     /// The segment was forwarded too often.
     HopLimit,
 }
@@ -206,7 +199,6 @@
             Self::Lost => "lost",
             Self::NotFound => "nowhere",
             Self::Unknown => "unknown",
-            Self::Unreachable { .. } => "unreachable",
             Self::HopLimit => "hops",
         }
     }
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -1,5 +1,7 @@
 //! Finds the agent that holds a flow if this one does not.
 
+use std::net::SocketAddrV4;
+
 use lentilreach::process::clock::Millis;
 
 use super::{Action, Agent, Arrival, Cause, Forwarding};
@@ -35,21 +37,9 @@
             homes.iter().flatten().find(|home| **home != self.address).copied();
         match forwarding.search {
             Search::Home(rank) => {
-                let holder = self.index.get(now, &flow, &forwarding.tried);
-                let holder = holder.filter(|to| *to != self.address);
-                if let Some(member) = holder.and_then(|to| roster.get(to)) {
-                    if roster.is_unreachable(now, member) {
-                        let silent_ms = now.since(member.last_heard);
-                        let agent = member.address;
-                        return self
-                            .reset(arrival, Cause::Unreachable { agent, silent_ms });
-                    }
+                if let Some(to) = self.indexed_holder(now, roster, &flow, &forwarding) {
                     forwarding.search = Search::Indexed;
-                    return Action::Forward {
-                        to: member.address,
-                        forwarding,
-                        cause: Cause::Elsewhere,
-                    };
+                    return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
                 }
                 let is_home = homes.contains(&Some(self.address));
                 match other_home {
@@ -88,6 +78,26 @@
         }
     }
 
+    /// The agent that holds a flow according to the index. If two agents have announced
+    /// it, the one that is heard, since the caller may have chosen either.
+    fn indexed_holder(
+        &mut self,
+        now: Millis,
+        roster: &Roster,
+        flow: &flow::Key,
+        forwarding: &Forwarding,
+    ) -> Option<SocketAddrV4> {
+        let is_candidate = |to: &SocketAddrV4| {
+            *to != self.address
+                && !forwarding.tried.contains(to)
+                && roster.get(*to).is_some()
+        };
+        let holders = self.index.get(now, flow).into_iter().flatten();
+        let candidates: Vec<_> = holders.filter(is_candidate).collect();
+        let heard = candidates.iter().find(|to| roster.is_heard(**to));
+        heard.or(candidates.first()).copied()
+    }
+
     /// Starts a walk through the agents that may hold a flow unknown to this node.
     fn start_walk(
         &mut self,
@@ -106,16 +116,11 @@
         };
         forwarding.known_agents =
             u16::try_from(roster.known_agents().count()).unwrap_or(u16::MAX);
-        forwarding.is_exhaustive =
-            (is_home || forwarding.is_index_complete) && !roster.is_isolated();
-        forwarding.to_visit.clear();
-        for member in unsynced {
-            if roster.may_return(now, member) {
-                forwarding.is_exhaustive = false;
-            } else if !member.is_silent {
-                forwarding.to_visit.push(member.address);
-            }
-        }
+        // A silent agent may hold the flow, and its backend server may be alive.
+        forwarding.is_exhaustive = (is_home || forwarding.is_index_complete)
+            && roster.agents().all(|member| !member.is_silent);
+        let heard = unsynced.iter().filter(|member| !member.is_silent);
+        forwarding.to_visit = heard.map(|member| member.address).collect();
         let domain = self.origin_domain(roster, &forwarding);
         placement::sort_by_likelihood(
             routing,
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -64,15 +64,6 @@
     NoRoute,
     /// No agent accepts flows of the service.
     NoAgent,
-    /// The agent that holds the flow is unreachable.
-    AgentSilent {
-        /// Address of that agent.
-        agent: SocketAddrV4,
-        /// Time since its last heartbeat, in milliseconds.
-        silent_ms: u64,
-        /// Whether it has reported the flow; otherwise the opening was sent to it.
-        is_confirmed: bool,
-    },
 }
 
 impl Refusal {
@@ -81,7 +72,6 @@
         match self {
             Self::NoRoute => "no_route",
             Self::NoAgent => "no_agent",
-            Self::AgentSilent { .. } => "agent_silent",
         }
     }
 }
@@ -195,7 +185,8 @@
     }
 
     /// Sends a segment to the agent that holds its flow, or to a home node if that agent
-    /// is unknown.
+    /// is unknown. Never resets a flow: its backend server may be alive although its agent
+    /// is silent.
     fn handle_established(
         &mut self,
         now: Millis,
@@ -203,22 +194,15 @@
         segment: &Segment,
     ) -> Action {
         let flow = &segment.flow_from_caller();
-        let entry = self.cache.get(now, flow);
-        let known = entry.and_then(|entry| entry.agent());
-        if let Some(member) = known.and_then(|agent| roster.get(agent)) {
-            // The agent doesn't respond. After a reset the caller can open a new flow
-            // sooner than after a timeout.
-            if roster.is_unreachable(now, member) && !segment.flags.reset {
-                return Action::Refuse {
-                    sequence: segment.acknowledged,
-                    cause: Refusal::AgentSilent {
-                        agent: member.address,
-                        silent_ms: now.since(member.last_heard),
-                        is_confirmed: matches!(entry, Some(Entry::Found { .. })),
-                    },
-                };
+        let holder = match self.cache.get(now, flow) {
+            Some(Entry::Found { agent }) => roster.get(agent).map(|_| agent),
+            // A copy of the opening may have opened the flow at another agent.
+            Some(Entry::Placed { agent, .. }) => {
+                Some(agent).filter(|a| roster.is_heard(*a))
             }
-            let to = member.address;
+            Some(Entry::Searching { .. }) | None => None,
+        };
+        if let Some(to) = holder {
             return Action::Send {
                 to,
                 search: Search::Known,
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -28,10 +28,6 @@
 /// Interval between these probes, in milliseconds.
 pub const PROBE_INTERVAL_MS: u64 = 300;
 
-/// Time without heartbeats after which a known agent is considered unreachable, so that
-/// its flows may be reset, in milliseconds. At least three heartbeats must be lost.
-pub const UNREACHABLE_MS: u64 = 3_500;
-
 /// Time without heartbeats after which a member is removed, in milliseconds. No flow
 /// lives longer.
 pub const REMOVAL_MS: u64 = 60_000;
@@ -120,13 +116,6 @@
         self.backend_status.as_ref().is_some_and(|status| status.is_failing)
     }
 
-    /// Whether it has been silent for long enough to be considered unreachable.
-    fn has_timed_out(&self, now: Millis) -> bool {
-        let limit_ms =
-            if self.incarnation == 0 { JOIN_TIMEOUT_MS } else { UNREACHABLE_MS };
-        self.is_silent && now.since(self.last_heard) > limit_ms
-    }
-
     /// Whether its backend server accepts new flows; `None` without a backend server.
     pub fn stage(&self) -> Option<Stage> {
         self.backend_status.as_ref().map(|backend_status| backend_status.stage)
@@ -189,15 +178,9 @@
         self.members.iter().filter(|member| member.role == Role::Agent)
     }
 
-    /// Whether the flows of an agent may be reset because it is unreachable.
-    pub fn is_unreachable(&self, now: Millis, member: &Member) -> bool {
-        member.incarnation != 0 && member.has_timed_out(now) && !self.is_isolated()
-    }
-
-    /// Whether a silent agent may still be running and hold flows: it is not unreachable
-    /// yet, or this node is isolated and can't tell.
-    pub fn may_return(&self, now: Millis, member: &Member) -> bool {
-        member.is_silent && (self.is_isolated() || !member.has_timed_out(now))
+    /// Whether an agent is known and its heartbeats arrive.
+    pub fn is_heard(&self, address: SocketAddrV4) -> bool {
+        self.get(address).is_some_and(|member| !member.is_silent)
     }
 
     /// All agents that other nodes may have in their rosters: live ones, silent ones, and
