--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -22,11 +22,10 @@
 use lentilreach_steer::request::placement::{fallback, homes};
 use lentilreach_steer::request::segment::{Flags, Segment};
 
-/// Silence after which agents used to be considered unreachable, in milliseconds.
+/// Silence of agents in milliseconds: three heartbeats are lost.
 const SILENCE_MS: u64 = 4_000;
 
-/// The fixtures of this file must find a flow if nothing is lost. Otherwise the other tests
-/// would show nothing.
+/// If the fixtures found no flow without any loss, the other tests would show nothing.
 #[test]
 fn homes_find_a_flow_that_was_announced() {
     let Case { mut nodes, key, holder, first, second } = synchronised();
@@ -71,8 +70,7 @@
     assert!(homes(&roster, &flow(1)).contains(&Some(to)), "{to} is no home node");
 }
 
-/// The backend server of an agent that can't be heard may be running, and others may reach
-/// that agent.
+/// The backend server of an agent that this home node can't hear may be running.
 #[test]
 fn a_home_forwards_to_a_silent_holder() {
     let (mut agent, mut roster) = agent_and_roster();
@@ -105,8 +103,7 @@
     assert_forwarded(&action, heard);
 }
 
-/// A home node that heard nobody for a while knows nothing of agents that it has not heard
-/// again, although it hears most others.
+/// A home node that heard nobody for a while can't tell who was silent meanwhile.
 #[test]
 fn a_home_back_from_isolation_does_not_take_known_holders_for_lost() {
     for heard in 2..=4 {
@@ -152,8 +149,7 @@
     }
 }
 
-/// An agent that joined while another one left must not be overlooked because the numbers
-/// of agents are the same.
+/// Two sets with as many agents need not be the same.
 #[test]
 fn a_home_does_not_overlook_an_agent_that_joined_while_another_one_left() {
     let (mut nodes, key) = one_joined_and_one_left();
@@ -198,8 +194,7 @@
     }
 }
 
-/// After the loss of an announcement, an agent must not claim that it has announced all
-/// flows before it has done so again.
+/// After a loss, an agent must not claim to have announced all flows before it does so.
 #[test]
 fn a_home_does_not_deny_flows_that_are_about_to_be_announced_again() {
     let Case { mut nodes, key, holder, second, .. } = synchronised();
@@ -217,8 +212,7 @@
     assert_no_reset(&action);
 }
 
-/// An agent must not claim towards a restarted home node that it has announced all flows
-/// before it has announced any.
+/// An agent must not claim to have announced all flows to a process that it told nothing.
 #[test]
 fn a_restarted_home_does_not_deny_flows_that_were_announced_before() {
     let Case { mut nodes, key, holder, second, .. } = synchronised();
@@ -282,8 +276,7 @@
     }
 }
 
-/// A silent agent that is known not to have announced all of its flows may hold the flow,
-/// however long it has been silent.
+/// An agent that has not announced all of its flows may hold the flow, silent or not.
 #[test]
 fn homes_do_not_leave_out_a_silent_agent() {
     for silent_s in [3, 4, 10] {
@@ -299,8 +292,7 @@
     }
 }
 
-/// A heartbeat of an earlier process at the address, which was delayed, says nothing about
-/// the present one.
+/// A delayed heartbeat of an earlier process says nothing about the present one.
 #[test]
 fn homes_do_not_believe_a_late_heartbeat_of_an_earlier_process() {
     let Case { mut nodes, key, holder, second, .. } = synchronised();
