Reset an unknown flow only on the word of every agent

Callers saw: an open flow was reset by an agent (nowhere) while the flow's backend server served it.

Cause: a home node that did not know a flow took what others had said before, or had not said, for proof that nobody held it. A statement of an agent could be older than the flow, so a flow that was opened in the first seconds of a cut was denied when both announcements were lost. Sets of agents were compared by their size, so an agent that had joined was overlooked when another one had left. A count of zero counted as synchronised, also right after a lost announcement and towards a home node that had just started. A node on the way of a walk left out agents that it did not know, and an index entry of an agent that was not heard yet was ignored.

Now a home node asks all agents for a heartbeat when it is asked for an unknown flow, and resets the flow only if each of them has answered a question that was sent after the first search, hears no agent that is unknown to the home node, and has announced all of its flows or was visited. An agent claims to have announced all flows only if no announcement is due. The hash of a set of agents is a sum, so a node recognises sets that differ by agents that have recently joined or left. Order comes from the numbers of questions, not from clocks.

The version of the messages between nodes is 4: processes of this version and of earlier ones don't understand each other.

New: an ended flow is reset after all have answered, and not before its agent has. In tests/locate.rs the fixtures state that agents have answered the first question, and one test reads the claim from the agent instead of the message that carries it; what they demand is unchanged.

--- a/crates/standin/src/rush/segment.rs
+++ b/crates/standin/src/rush/segment.rs
@@ -155,8 +155,6 @@
         origin: envelope.origin,
         tried: envelope.tried.clone(),
         to_visit: Vec::new(),
-        known_agents: 0,
-        is_index_complete: false,
         is_exhaustive: false,
     };
     Arrival { segment, forwarding, service: Some(SERVICE.into()) }
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -24,6 +24,7 @@
 mod announce;
 mod delivered;
 mod locate;
+mod question;
 mod sync;
 
 pub use action::{
@@ -32,6 +33,7 @@
 };
 
 use delivered::{Delivered, Ring};
+use question::Questions;
 use sync::{Received, Sent};
 
 /// Maximum number of agents that an opening segment is forwarded to after the first agent
@@ -88,13 +90,13 @@
     sent: Sent,
     /// Announcements received as a home node.
     received: Received,
+    /// Questions about flows that this agent doesn't know although it is a home node.
+    questions: Questions,
     /// Generation of the roster at the last call of [`Self::announcements`]; `None` if
     /// flows may have to be announced although the generation is the same.
     announced_generation: Option<u64>,
     /// Hash of the set of agents from which home nodes were selected.
     view_hash: u32,
-    /// Number of agents in that set.
-    view_size: u16,
 }
 
 impl Agent {
@@ -118,9 +120,9 @@
             min_revision: 0,
             sent: Sent::default(),
             received: Received::default(),
+            questions: Questions::new(limits.flows),
             announced_generation: None,
             view_hash: 0,
-            view_size: 0,
         }
     }
 
@@ -302,6 +304,7 @@
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.flows.expire(now, idle_ms);
         self.index.expire(now, idle_ms);
+        self.questions.expire(now);
     }
 
     /// The number of open flows, and of requests in progress.
@@ -348,7 +351,10 @@
             // As long as some flows are unknown, only the backend server can tell whether
             // it holds this one.
             None if may_hold_unknown_flows
-                && !matches!(arrival.forwarding.search, Search::Home(_)) =>
+                && !matches!(
+                    arrival.forwarding.search,
+                    Search::Home(_) | Search::Fallback
+                ) =>
             {
                 self.deliver(now, arrival, false)
             }
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -50,13 +50,7 @@
     pub tried: Vec<SocketAddrV4>,
     /// Agents that a walk has still to visit, in this order.
     pub to_visit: Vec<SocketAddrV4>,
-    /// Number of agents known to the node that started the walk, including itself, silent
-    /// agents and those that left recently; 0 until the walk starts.
-    pub known_agents: u16,
-    /// Whether the first home node had received all announcements of all other agents, so
-    /// that a flow missing from its index is held by none of them.
-    pub is_index_complete: bool,
-    /// Whether the flow can only be held by agents that the walk visits.
+    /// Whether the flow can only be held by agents that the walk has still to visit.
     pub is_exhaustive: bool,
 }
 
@@ -70,8 +64,6 @@
             origin: envelope.origin,
             tried: envelope.tried.clone(),
             to_visit: envelope.to_visit.clone(),
-            known_agents: envelope.known_agents,
-            is_index_complete: envelope.is_index_complete,
             is_exhaustive: envelope.is_exhaustive,
         }
     }
@@ -89,8 +81,6 @@
             service,
             tried: self.tried,
             to_visit: self.to_visit,
-            known_agents: self.known_agents,
-            is_index_complete: self.is_index_complete,
             is_exhaustive: self.is_exhaustive,
             bytes,
         }
--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -22,6 +22,7 @@
     ) {
         for flow in &announcement.flows {
             self.index.insert(now, *flow, from);
+            self.questions.remove(flow);
         }
         if announcement.receiver == self.incarnation(roster) {
             self.received.count(from, announcement);
@@ -56,25 +57,38 @@
     }
 
     /// The synchronisation status to send to another agent with the next heartbeat.
-    pub fn sync_status(&self, now: Millis, member: &Member) -> SyncStatus {
+    pub fn sync_status(
+        &self,
+        now: Millis,
+        roster: &Roster,
+        member: &Member,
+    ) -> SyncStatus {
         let home = Home { address: member.address, incarnation: member.incarnation };
+        // Otherwise some announcements are due, which the count doesn't include yet.
+        let has_announced = self.announced_generation == Some(roster.generation());
         SyncStatus {
             receiver: member.incarnation,
             view_hash: self.view_hash,
-            view_size: self.view_size,
-            knows_all_flows: self.knows_all_flows(now),
+            is_complete: has_announced && self.knows_all_flows(now),
             sent: self.sent.progress(home),
             received: self.received.progress(member.address, member.incarnation),
+            question: self.questions.sent(),
+            answered: member.sync_status.map_or(0, |status| status.question),
         }
     }
 
+    /// Whether the other agents must be asked for a heartbeat now, because this home node
+    /// was asked for a flow that it doesn't know.
+    pub fn is_question_due(&mut self, now: Millis) -> bool {
+        self.questions.is_due(now)
+    }
+
     /// The announcements that have become due since the last call.
     pub fn announcements(&mut self, now: Millis, roster: &Roster) -> Vec<Outgoing> {
         let generation = roster.generation();
         let is_changed = self.announced_generation != Some(generation);
         self.announced_generation = Some(generation);
         self.view_hash = roster.view_hash();
-        self.view_size = roster.live_agents();
         let mut due: Vec<(Home, Vec<flow::Key>)> = Vec::new();
         let own = self.address;
         self.flows.retain(|flow, state| {
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -7,6 +7,7 @@
 use super::{Action, Agent, Arrival, Cause, Forwarding};
 use crate::connection::flow;
 use crate::process::roster::{Member, Roster};
+use crate::process::view::View;
 use crate::request::message::{MAX_TO_VISIT, Progress, Search, SyncStatus};
 use crate::request::placement;
 use crate::version::routing::Routing;
@@ -15,6 +16,33 @@
 /// membership change, nodes may disagree on home nodes.
 const MAX_REDIRECTS: u8 = 3;
 
+/// Where a home node that doesn't know a flow searches for it.
+#[derive(Debug)]
+struct Plan {
+    /// Agents that may hold the flow without having announced it.
+    to_visit: Vec<SocketAddrV4>,
+    /// Whether no other agent can hold it.
+    is_exhaustive: bool,
+}
+
+impl Plan {
+    /// Whether no agent holds the flow.
+    fn is_proof(&self) -> bool {
+        self.is_exhaustive && self.to_visit.is_empty()
+    }
+}
+
+/// What the last statement of another agent shows about a flow that a home node doesn't
+/// know.
+#[derive(Debug, Clone, Copy)]
+struct Evidence {
+    /// Whether the statement was made after the first search for the flow, and no agent is
+    /// known to its sender only.
+    is_current: bool,
+    /// Whether the agent had announced all of its flows to the home node.
+    is_announced: bool,
+}
+
 impl Agent {
     /// Forwards a segment towards the agent that holds its flow. Its home nodes are asked
     /// first. If neither of them knows the flow, the last one starts a walk through all
@@ -42,24 +70,27 @@
                     return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
                 }
                 let is_home = homes.contains(&Some(self.address));
+                // The sender has another view of the membership.
+                if let Some(to) = other_home
+                    && !is_home
+                    && forwarding.hops <= MAX_REDIRECTS
+                {
+                    return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
+                }
+                let plan = self.plan(now, roster, &flow, &forwarding);
                 match other_home {
-                    // The sender has another view of the membership.
-                    Some(to) if !is_home && forwarding.hops <= MAX_REDIRECTS => {
-                        Action::Forward { to, forwarding, cause: Cause::Elsewhere }
-                    }
-                    Some(to) if is_home && rank == 0 => {
-                        forwarding.is_index_complete =
-                            self.unsynced(roster, &flow, &forwarding).is_empty();
+                    Some(to) if is_home && rank == 0 && !plan.is_proof() => {
                         forwarding.search = Search::Home(1);
                         Action::Forward { to, forwarding, cause: Cause::Elsewhere }
                     }
-                    _ => self.start_walk(now, routing, roster, arrival, forwarding),
+                    _ => self.start_walk(now, routing, roster, arrival, forwarding, plan),
                 }
             }
-            Search::Walk if forwarding.known_agents > 0 => {
-                self.continue_walk(roster, arrival, forwarding)
+            Search::Walk => self.continue_walk(arrival, forwarding),
+            Search::Fallback => {
+                let plan = self.plan(now, roster, &flow, &forwarding);
+                self.start_walk(now, routing, roster, arrival, forwarding, plan)
             }
-            Search::Walk => self.start_walk(now, routing, roster, arrival, forwarding),
             Search::Open | Search::Known | Search::Indexed => {
                 // The sender expected the flow at this agent. If the index of a home node
                 // was wrong, the other home node decides.
@@ -72,7 +103,10 @@
                     Some(to) => {
                         Action::Forward { to, forwarding, cause: Cause::Elsewhere }
                     }
-                    None => self.start_walk(now, routing, roster, arrival, forwarding),
+                    None => {
+                        let plan = self.plan(now, roster, &flow, &forwarding);
+                        self.start_walk(now, routing, roster, arrival, forwarding, plan)
+                    }
                 }
             }
         }
@@ -87,17 +121,81 @@
         flow: &flow::Key,
         forwarding: &Forwarding,
     ) -> Option<SocketAddrV4> {
-        let is_candidate = |to: &SocketAddrV4| {
-            *to != self.address
-                && !forwarding.tried.contains(to)
-                && roster.get(*to).is_some()
-        };
+        let is_candidate =
+            |to: &SocketAddrV4| *to != self.address && !forwarding.tried.contains(to);
         let holders = self.index.get(now, flow).into_iter().flatten();
         let candidates: Vec<_> = holders.filter(is_candidate).collect();
         let heard = candidates.iter().find(|to| roster.is_heard(**to));
         heard.or(candidates.first()).copied()
     }
 
+    /// Plans the search for a flow that this node doesn't know.
+    ///
+    /// A home node leaves out agents that have announced all of their flows to it. For
+    /// certainty that nobody holds the flow, it needs a statement of every agent that was
+    /// made after the question; silence proves nothing. A node that is not a home node was
+    /// asked because the home nodes didn't answer, so it leaves these out, and is never
+    /// certain.
+    fn plan(
+        &mut self,
+        now: Millis,
+        roster: &Roster,
+        flow: &flow::Key,
+        forwarding: &Forwarding,
+    ) -> Plan {
+        let homes = placement::homes(roster, flow);
+        let is_home = homes.contains(&Some(self.address));
+        let is_undisputed =
+            is_home && placement::is_home_in_all_views(roster, flow, self.address);
+        let question = self.questions.number(now, flow);
+        let view = roster.view(now, self.address);
+        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive: is_home };
+        let mut is_question_needed = false;
+        for member in roster.agents().filter(|member| member.address != self.address) {
+            let evidence = self.evidence(roster, &view, is_undisputed, member, question);
+            plan.is_exhaustive &= evidence.is_current;
+            is_question_needed |= is_home && !member.is_silent && !evidence.is_current;
+            let is_left_out = if is_home {
+                evidence.is_announced
+            } else {
+                homes.contains(&Some(member.address))
+            };
+            let is_tried = forwarding.tried.contains(&member.address);
+            if !is_left_out && !is_tried && !member.is_silent {
+                plan.to_visit.push(member.address);
+            }
+        }
+        if is_question_needed {
+            self.questions.request();
+        }
+        plan
+    }
+
+    /// What the last statement of another agent shows about a flow that this node doesn't
+    /// know. `question` is the number of the first question about the flow.
+    fn evidence(
+        &self,
+        roster: &Roster,
+        view: &View,
+        is_undisputed_home: bool,
+        member: &Member,
+        question: u32,
+    ) -> Evidence {
+        let status = member.sync_status.filter(|status| {
+            !member.is_silent && status.receiver == self.incarnation(roster)
+        });
+        let Some(status) = status else {
+            return Evidence { is_current: false, is_announced: false };
+        };
+        let is_view_known = view.contains(status.view_hash);
+        let selects_this_home = status.view_hash == roster.view_hash()
+            || (is_undisputed_home && is_view_known);
+        Evidence {
+            is_current: is_view_known && status.answered >= question,
+            is_announced: selects_this_home && self.has_received_all(member, status),
+        }
+    }
+
     /// Starts a walk through the agents that may hold a flow unknown to this node.
     fn start_walk(
         &mut self,
@@ -106,56 +204,29 @@
         roster: &Roster,
         arrival: &Arrival,
         mut forwarding: Forwarding,
+        plan: Plan,
     ) -> Action {
         let flow = arrival.segment.flow_from_caller();
-        let is_home = placement::homes(roster, &flow).contains(&Some(self.address));
-        let unsynced = if forwarding.is_index_complete {
-            Vec::new()
-        } else {
-            self.unsynced(roster, &flow, &forwarding)
-        };
-        forwarding.known_agents =
-            u16::try_from(roster.known_agents().count()).unwrap_or(u16::MAX);
-        // A silent agent may hold the flow, and its backend server may be alive.
-        forwarding.is_exhaustive = (is_home || forwarding.is_index_complete)
-            && roster.agents().all(|member| !member.is_silent);
-        let heard = unsynced.iter().filter(|member| !member.is_silent);
-        forwarding.to_visit = heard.map(|member| member.address).collect();
-        let domain = self.origin_domain(roster, &forwarding);
-        placement::sort_by_likelihood(
-            routing,
-            roster,
-            &flow,
-            domain,
-            &mut forwarding.to_visit,
-        );
-        if forwarding.to_visit.len() > MAX_TO_VISIT {
-            forwarding.is_exhaustive = false;
-            forwarding.to_visit.truncate(MAX_TO_VISIT);
-        }
+        let domain = self.origin_domain(roster, &forwarding).to_owned();
         forwarding.search = Search::Walk;
+        forwarding.to_visit = plan.to_visit;
+        forwarding.is_exhaustive =
+            plan.is_exhaustive && forwarding.to_visit.len() <= MAX_TO_VISIT;
+        let to_visit = &mut forwarding.to_visit;
+        placement::sort_by_likelihood(routing, roster, &flow, &domain, to_visit);
+        to_visit.truncate(MAX_TO_VISIT);
         // The walk visits this agent first; its backend server returns the segment if it
         // doesn't hold the flow.
         if self.may_hold_unknown_flows(now) {
             let arrival = Arrival { forwarding, ..arrival.clone() };
             return self.deliver(now, &arrival, false);
         }
-        self.continue_walk(roster, arrival, forwarding)
+        self.continue_walk(arrival, forwarding)
     }
 
     /// Forwards a segment to the next agent of a walk. If there is none left, resets the
     /// flow or drops the segment.
-    fn continue_walk(
-        &self,
-        roster: &Roster,
-        arrival: &Arrival,
-        mut forwarding: Forwarding,
-    ) -> Action {
-        let own = self.address;
-        forwarding.to_visit.retain(|agent| *agent != own && roster.get(*agent).is_some());
-        // The node that started the walk may not have known the agent that holds the
-        // flow.
-        forwarding.is_exhaustive &= roster.live_agents() <= forwarding.known_agents;
+    fn continue_walk(&self, arrival: &Arrival, mut forwarding: Forwarding) -> Action {
         if !forwarding.to_visit.is_empty() {
             let to = forwarding.to_visit.remove(0);
             return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
@@ -167,50 +238,13 @@
         }
     }
 
-    /// The other agents that may hold a flow without having announced it to this one.
-    ///
-    /// Agents only announce flows to home nodes. A node that is not a home node was asked
-    /// because the home nodes didn't answer, so it excludes them and includes every other
-    /// agent.
-    fn unsynced<'r>(
-        &self,
-        roster: &'r Roster,
-        flow: &flow::Key,
-        forwarding: &Forwarding,
-    ) -> Vec<&'r Member> {
-        let homes = placement::homes(roster, flow);
-        let is_home = homes.contains(&Some(self.address));
-        let is_undisputed_home =
-            is_home && placement::is_home_in_all_views(roster, flow, self.address);
-        let known_agents = roster.known_agents().count();
-        let others = roster.agents().filter(|member| member.address != self.address);
-        let untried = others.filter(|member| !forwarding.tried.contains(&member.address));
-        let unsynced = untried.filter(|member| {
-            let Some(sync_status) = member.sync_status.filter(|_| is_home) else {
-                return is_home || !homes.contains(&Some(member.address));
-            };
-            let is_view_consistent = is_undisputed_home
-                && usize::from(sync_status.view_size) <= known_agents
-                || !member.is_silent && sync_status.view_hash == roster.view_hash();
-            !(is_view_consistent && self.has_received_all(roster, member, sync_status))
-        });
-        unsynced.collect()
-    }
-
-    /// Whether this agent has received all announcements of another one, and that one
-    /// knows all of its flows.
-    fn has_received_all(
-        &self,
-        roster: &Roster,
-        member: &Member,
-        sync_status: SyncStatus,
-    ) -> bool {
+    /// Whether this agent has received all announcements of another one, and that one has
+    /// announced all of its flows.
+    fn has_received_all(&self, member: &Member, status: SyncStatus) -> bool {
         let Progress { epoch, count } =
             self.received.progress(member.address, member.incarnation);
-        let has_received_all = sync_status.sent.count == 0
-            || (sync_status.sent.epoch == epoch && sync_status.sent.count <= count);
-        has_received_all
-            && sync_status.knows_all_flows
-            && sync_status.receiver == self.incarnation(roster)
+        let has_received_all = status.sent.count == 0
+            || (status.sent.epoch == epoch && status.sent.count <= count);
+        has_received_all && status.is_complete
     }
 }
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -214,7 +214,7 @@
         let (to, search) = match self.cache.next_attempt(now, flow) {
             0 => (first, Search::Home(0)),
             1 if second.is_some() => (second, Search::Home(1)),
-            _ => (placement::fallback(roster, flow), Search::Walk),
+            _ => (placement::fallback(roster, flow), Search::Fallback),
         };
         match to {
             Some(to) => {
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -1,7 +1,7 @@
 //! The agent daemon, which runs next to a backend server.
 
 use std::borrow::Cow;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -24,7 +24,7 @@
 use crate::process::backend::{Bounds, TICK_MS};
 use crate::process::documents::Source;
 use crate::process::metric;
-use crate::process::roster::{HEARTBEAT_INTERVAL_MS, Member, Role};
+use crate::process::roster::{HEARTBEAT_INTERVAL_MS, Member, Role, Roster};
 use crate::process::settings;
 use crate::request::message::{BackendStatus, Envelope, Message, SyncStatus};
 use crate::request::placement;
@@ -199,6 +199,7 @@
             self.reset_callers(&ended, "backend_gone");
             self.release();
             self.send_announcements(announcements);
+            self.ask_if_due();
             // Home nodes send searches to this agent until they learn that it knows all
             // of its flows.
             if is_due || knew_all_flows != knows_all_flows {
@@ -214,13 +215,34 @@
         let backend_status = self.backend_status();
         *self.node.backend_status.write() = backend_status;
         self.node.record_own_heartbeat(Role::Agent);
-        self.node.broadcast_heartbeat(Role::Agent, |member| self.sync_status(member));
+        self.node.broadcast_heartbeat(Role::Agent, |roster, member| {
+            self.sync_status(roster, member)
+        });
     }
 
     /// The synchronisation status to include in a heartbeat to a member.
-    fn sync_status(&self, member: &Member) -> Option<SyncStatus> {
+    fn sync_status(&self, roster: &Roster, member: &Member) -> Option<SyncStatus> {
         let is_home = member.role == Role::Agent && member.incarnation != 0;
-        is_home.then(|| self.flows.read().sync_status(self.node.now(), member))
+        is_home.then(|| self.flows.read().sync_status(self.node.now(), roster, member))
+    }
+
+    /// Replies to a heartbeat. The reply includes the answer to the sender's question, if
+    /// there was one.
+    fn reply_heartbeat(&self, to: SocketAddrV4) {
+        let sync_status = {
+            let roster = self.node.roster.read();
+            roster.get(to).and_then(|member| self.sync_status(&roster, member))
+        };
+        self.node.reply_heartbeat(to, Role::Agent, sync_status);
+    }
+
+    /// Asks the other agents for a heartbeat if a home node needs their answers to decide
+    /// whether a flow has ended.
+    fn ask_if_due(&self) {
+        if self.flows.write().is_question_due(self.node.now()) {
+            metric::count(&metric::QUESTIONS);
+            self.node.ask_agents(|roster, member| self.sync_status(roster, member));
+        }
     }
 
     /// Sends announcements to home nodes.
@@ -255,16 +277,16 @@
                 self.clone().handle_caller_segment(&envelope)
             }
             Some(Message::Heartbeat(heartbeat)) => {
-                if self.node.handle_heartbeat(from, &heartbeat) {
-                    self.node.send_heartbeat(&[from], Role::Agent, false);
+                let wants_reply = self.node.handle_heartbeat(from, &heartbeat);
+                {
+                    let roster = self.node.roster.read();
+                    let now = self.node.now();
+                    let mut flows = self.flows.write();
+                    flows.handle_heartbeat(now, &roster, from, &heartbeat);
+                }
+                if wants_reply {
+                    self.reply_heartbeat(from);
                 }
-                let roster = self.node.roster.read();
-                self.flows.write().handle_heartbeat(
-                    self.node.now(),
-                    &roster,
-                    from,
-                    &heartbeat,
-                );
             }
             Some(Message::Announcement(announcement)) => {
                 let roster = self.node.roster.read();
@@ -312,6 +334,9 @@
             metric::record(&metric::HOPS, f64::from(envelope.hops));
         }
         self.perform(&segment, action, envelope.bytes, routing.version);
+        if !segment.is_opening() {
+            self.ask_if_due();
+        }
     }
 
     /// Releases waiting openings that are due at a certain time.
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -104,7 +104,7 @@
     async fn tick(self: Arc<Self>) {
         loop {
             self.node.tick();
-            self.node.broadcast_heartbeat(Role::Balancer, |_| None);
+            self.node.broadcast_heartbeat(Role::Balancer, |_, _| None);
             let now = self.node.now();
             let idle_ms = self.node.settings.max_flow_age.as_millis() as u64;
             self.flows.write().expire(now, idle_ms);
@@ -137,8 +137,6 @@
                     service: Cow::Borrowed(service),
                     tried: Vec::new(),
                     to_visit: Vec::new(),
-                    known_agents: 0,
-                    is_index_complete: false,
                     is_exhaustive: false,
                     bytes,
                 };
@@ -188,7 +186,7 @@
         match Message::decode(bytes) {
             Some(Message::Heartbeat(heartbeat)) => {
                 if self.node.handle_heartbeat(from, &heartbeat) {
-                    self.node.send_heartbeat(&[from], Role::Balancer, false);
+                    self.node.reply_heartbeat(from, Role::Balancer, None);
                 }
             }
             Some(Message::Found(flow)) => {
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -195,7 +195,7 @@
         *self.node.routing.write() = Arc::new(after.clone());
         routing_changed(&before, after);
         if self.watch.is_some() {
-            self.node.broadcast_heartbeat(self.role, |_| None);
+            self.node.broadcast_heartbeat(self.role, |_, _| None);
         }
         let cold: Vec<_> =
             after.services.iter().map(|service| service.cold_per_s).collect();
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -196,7 +196,7 @@
     pub fn broadcast_heartbeat(
         &self,
         role: Role,
-        sync_status: impl Fn(&Member) -> Option<SyncStatus>,
+        sync_status: impl Fn(&Roster, &Member) -> Option<SyncStatus>,
     ) {
         let round = self.rounds.fetch_add(1, Ordering::Relaxed);
         let to: Vec<_> = {
@@ -209,11 +209,34 @@
                 role == Role::Agent || (member.role == Role::Agent && is_near(member))
             };
             let members = roster.members().iter().filter(needs);
-            members.map(|member| (member.address, sync_status(member))).collect()
+            members.map(|member| (member.address, sync_status(&roster, member))).collect()
         };
         self.send_heartbeats(to, role, false);
     }
 
+    /// Asks all other agents that are heard for a heartbeat.
+    pub fn ask_agents(
+        &self,
+        sync_status: impl Fn(&Roster, &Member) -> Option<SyncStatus>,
+    ) {
+        let to: Vec<_> = {
+            let roster = self.roster.read();
+            let heard = roster.agents().filter(|member| !member.is_silent);
+            heard.map(|member| (member.address, sync_status(&roster, member))).collect()
+        };
+        self.send_heartbeats(to, Role::Agent, true);
+    }
+
+    /// Sends a heartbeat to one node with its synchronisation status.
+    pub fn reply_heartbeat(
+        &self,
+        to: SocketAddrV4,
+        role: Role,
+        sync_status: Option<SyncStatus>,
+    ) {
+        self.send_heartbeats([(to, sync_status)], role, false);
+    }
+
     /// Sends a heartbeat to some nodes.
     pub fn send_heartbeat(&self, to: &[SocketAddrV4], role: Role, wants_reply: bool) {
         self.send_heartbeats(
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -84,6 +84,13 @@
     "Datagrams that the system did not take.",
 );
 
+/// Questions of a home node to all other agents.
+pub const QUESTIONS: Metric = counter(
+    "lentilreach_steer_questions_total",
+    &[],
+    "Questions of a home node to all other agents whether a flow has ended.",
+);
+
 /// Heartbeats that arrived after a later one of the same process.
 pub const HEARTBEATS_OUTDATED: Metric = counter(
     "lentilreach_steer_beats_outdated_total",
@@ -143,6 +150,7 @@
     &DROPPED,
     &INVALID,
     &SEND_ERRORS,
+    &QUESTIONS,
     &HEARTBEATS_OUTDATED,
     &DOCUMENTS_RECEIVED,
     &LINES_DROPPED,
--- a/crates/steer/src/process/mod.rs
+++ b/crates/steer/src/process/mod.rs
@@ -15,3 +15,4 @@
 pub mod roster;
 pub mod settings;
 pub mod share;
+pub mod view;
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -4,8 +4,8 @@
 
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
-use xxhash_rust::xxh3::Xxh3Default;
 
+use super::view::{self, View};
 use crate::request::message::{BackendStatus, Heartbeat, Stage, SyncStatus};
 
 /// Interval between heartbeats of a node, in milliseconds. It determines how soon a lost
@@ -32,9 +32,9 @@
 /// lives longer.
 pub const REMOVAL_MS: u64 = 60_000;
 
-/// Time for which an agent that has left may still be listed by other nodes, in
-/// milliseconds: until they consider it silent and their next heartbeats reflect that.
-const LEFT_RETENTION_MS: u64 = 2 * SILENT_MS;
+/// Time within which other nodes notice that an agent has left or joined, in milliseconds:
+/// until they consider it silent and their next heartbeats reflect that.
+const VIEW_CHANGE_MS: u64 = 2 * SILENT_MS;
 
 /// The members known to a node.
 #[derive(Debug, Default)]
@@ -70,6 +70,8 @@
     pub last_heard: Millis,
     /// Whether its heartbeats are overdue. Also set until its first heartbeat arrives.
     pub is_silent: bool,
+    /// When it joined or, if it was silent after that, returned.
+    heard_since: Millis,
     /// Estimated number of its open flows at `estimated_at`.
     open: f64,
     /// When its last heartbeat arrived or a flow was last placed on it.
@@ -190,10 +192,20 @@
         self.agents().map(|member| member.address).chain(left)
     }
 
-    /// Number of agents that are not silent.
-    pub fn live_agents(&self) -> u16 {
-        let live = self.agents().filter(|member| !member.is_silent).count();
-        u16::try_from(live).unwrap_or(u16::MAX)
+    /// The sets of agents that other nodes may hear if they hear none that is unknown to
+    /// this node, whose address is `own`.
+    pub fn view(&self, now: Millis, own: SocketAddrV4) -> View {
+        let heard = || self.agents().filter(|member| !member.is_silent);
+        let silent = self.agents().filter(|member| member.is_silent);
+        let left = self.left.iter().map(|(address, _)| *address);
+        let recent = heard().filter(|member| {
+            member.address != own && now.since(member.heard_since) <= VIEW_CHANGE_MS
+        });
+        View::new(
+            heard().map(|member| member.address),
+            left.chain(silent.map(|member| member.address)),
+            recent.map(|member| member.address),
+        )
     }
 
     /// Counts the agents by what is known of them.
@@ -260,6 +272,7 @@
             backend_status: None,
             last_heard: now,
             is_silent: true,
+            heard_since: now,
             open: 0.0,
             estimated_at: now,
             lifetime_ms: 0,
@@ -303,6 +316,9 @@
             () => Change::None,
         };
         let is_view_changed = (member.is_silent || is_new) && role == Role::Agent;
+        if member.is_silent {
+            member.heard_since = now;
+        }
         if is_new || heartbeat.sync_status.is_some() {
             member.sync_status = heartbeat.sync_status;
         }
@@ -369,7 +385,7 @@
             }
         }
         self.update_lifetimes();
-        self.left.retain(|(_, last_heard)| now.since(*last_heard) <= LEFT_RETENTION_MS);
+        self.left.retain(|(_, last_heard)| now.since(*last_heard) <= VIEW_CHANGE_MS);
         let before = self.members.len();
         self.members.retain(|member| now.since(member.last_heard) <= REMOVAL_MS);
         if !silent.is_empty() || self.members.len() != before {
@@ -407,14 +423,8 @@
     /// Updates the generation and the hash after the set of live agents has changed.
     fn update_view(&mut self) {
         self.generation += 1;
-        let mut hash = Xxh3Default::new();
-        for member in
-            self.members.iter().filter(|m| m.role == Role::Agent && !m.is_silent)
-        {
-            hash.update(&member.address.ip().octets());
-            hash.update(&member.address.port().to_be_bytes());
-        }
-        self.view_hash = hash.digest() as u32;
+        let heard = self.agents().filter(|member| !member.is_silent);
+        self.view_hash = view::hash(heard.map(|member| member.address));
     }
 
     /// The index of an address, or the index at which to insert it.
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -8,7 +8,7 @@
 use crate::connection::flow;
 
 /// First byte of every message. Incremented whenever the encoding changes.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// Maximum number of flows in one [`Message::Announcement`], so that it fits into one
 /// datagram.
@@ -64,13 +64,7 @@
     pub tried: Vec<SocketAddrV4>,
     /// Agents that a walk has still to visit, in this order.
     pub to_visit: Vec<SocketAddrV4>,
-    /// Number of agents known to the node that started the walk, including itself, silent
-    /// agents and those that left recently; 0 until the walk starts.
-    pub known_agents: u16,
-    /// Whether the first home node had received all announcements of all other agents, so
-    /// that a flow missing from its index is held by none of them.
-    pub is_index_complete: bool,
-    /// Whether the flow can only be held by agents that the walk visits.
+    /// Whether the flow can only be held by agents that the walk has still to visit.
     pub is_exhaustive: bool,
     /// The unmodified segment.
     #[serde(borrow)]
@@ -89,7 +83,9 @@
     Home(u8),
     /// The index of a home node lists the receiver as holding the flow.
     Indexed,
-    /// All agents that may hold the flow are visited in turn.
+    /// The home nodes don't answer, so the receiver searches in their place.
+    Fallback,
+    /// Agents that may hold the flow are visited in turn.
     Walk,
 }
 
@@ -102,7 +98,7 @@
             Self::Home(0) => "home",
             Self::Home(_) => "second_home",
             Self::Indexed => "told",
-            Self::Walk => "walk",
+            Self::Fallback | Self::Walk => "walk",
         }
     }
 }
@@ -147,7 +143,7 @@
 }
 
 /// Tells a home node whether it has received announcements of all flows that the sender
-/// holds and the receiver is responsible for.
+/// holds and the receiver is responsible for, at the time when it is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct SyncStatus {
@@ -155,14 +151,17 @@
     pub receiver: u64,
     /// Hash of the set of agents from which the sender selected home nodes.
     pub view_hash: u32,
-    /// Number of agents in that set.
-    pub view_size: u16,
-    /// Whether the sender knows every flow of its backend server.
-    pub knows_all_flows: bool,
+    /// Whether the sender has announced every flow of its backend server that it has to
+    /// announce to the receiver.
+    pub is_complete: bool,
     /// Announcements sent to the receiver.
     pub sent: Progress,
     /// Announcements received from the receiver.
     pub received: Progress,
+    /// Number of the sender's last question.
+    pub question: u32,
+    /// Number of the last question of the receiver that the sender has received.
+    pub answered: u32,
 }
 
 /// Counts announcements from one agent to another.
--- a/crates/steer/tests/balancer.rs
+++ b/crates/steer/tests/balancer.rs
@@ -223,6 +223,6 @@
     assert_eq!(ask(0), (first, Search::Home(0)));
     assert_eq!(ask(5), (first, Search::Home(0)));
     assert_eq!(ask(200), (second, Search::Home(1)));
-    assert_eq!(ask(600).1, Search::Walk);
+    assert_eq!(ask(600).1, Search::Fallback);
     assert_eq!(ask(1_400), (first, Search::Home(0)));
 }
--- a/crates/steer/tests/locate.rs
+++ b/crates/steer/tests/locate.rs
@@ -14,7 +14,7 @@
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, Agent, Cause, Outgoing};
 use lentilreach_steer::process::backend::Report;
-use lentilreach_steer::process::roster::{Member, Roster};
+use lentilreach_steer::process::roster::Roster;
 use lentilreach_steer::request::message::{Search, Stage, SyncStatus};
 use lentilreach_steer::request::placement::homes;
 
@@ -60,7 +60,7 @@
         let now = NOW.after(started_ms);
         agent.report(now, report);
         agent.update_knows_all_flows(now, &routing(1));
-        agent.sync_status(now, member(&roster(NOW, 6, &["a"]), 2)).knows_all_flows
+        agent.knows_all_flows(now)
     };
 
     assert!(known(Report { cold_ms: 1_400, ..report(3) }, 100));
@@ -82,8 +82,7 @@
     let agent_of = || Agent::new(NOW, agent_address(1), "a".into(), limits());
     let mut walk =
         arrival(request(flow_homed_elsewhere(&roster), FIRST_SEQUENCE), Search::Walk, 1);
-    (walk.forwarding.to_visit, walk.forwarding.known_agents) =
-        (vec![agent_address(2)], 6);
+    walk.forwarding.to_visit = vec![agent_address(2)];
 
     let action =
         agent_of().handle_caller_segment(NOW.after(1_900), &routing(1), &roster, &walk);
@@ -95,11 +94,6 @@
     assert!(agent_of().has_no_backend(later) && agent_of().knows_all_flows(later));
 }
 
-/// The member with a number.
-fn member(roster: &Roster, number: u8) -> &Member {
-    roster.get(agent_address(number)).expect("a member")
-}
-
 /// A walk must not reset a flow if an agent that may hold it is late with its heartbeats.
 #[test]
 fn a_walk_that_could_not_ask_all_agents_resets_nothing() {
@@ -159,11 +153,9 @@
     // agents; it doesn't know all flows of its backend server; it refers to an earlier
     // incarnation.
     assert_eq!(asked(&|sync_status| sync_status.sent.count = 1), third);
-    let elsewhere = |sync_status: &mut SyncStatus| {
-        (sync_status.view_hash, sync_status.view_size) = (0, 7)
-    };
+    let elsewhere = |sync_status: &mut SyncStatus| sync_status.view_hash = 0;
     assert_eq!(asked(&elsewhere), third);
-    assert_eq!(asked(&|sync_status| sync_status.knows_all_flows = false), third);
+    assert_eq!(asked(&|sync_status| sync_status.is_complete = false), third);
     assert_eq!(asked(&|sync_status| sync_status.receiver += 1), third);
 }
 
--- a/crates/steer/tests/node.rs
+++ b/crates/steer/tests/node.rs
@@ -103,7 +103,7 @@
     }
 
     for _ in 0..20 {
-        node.broadcast_heartbeat(Role::Balancer, |_| None);
+        node.broadcast_heartbeat(Role::Balancer, |_, _| None);
     }
 
     let sent = node.link.sent.lock().expect("no panic").clone();
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -13,7 +13,7 @@
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{
-    Action, Agent, Arrival, BackendAction, Limits, Outgoing,
+    Action, Agent, Arrival, BackendAction, Cause, Limits, Outgoing,
 };
 use lentilreach_steer::process::backend::TICK_MS;
 use lentilreach_steer::process::balancer::{self, Balancer};
@@ -38,6 +38,43 @@
     }
 }
 
+/// Callers of a flow that ended must not wait for their time-out.
+#[test]
+fn a_flow_that_nobody_holds_is_reset_once_all_agents_have_answered() {
+    let Case { mut nodes, key, first, .. } = synchronised();
+    let now = NOW.after(100);
+
+    let action = search(now, &mut nodes, first, key, Search::Home(0), &[]);
+    assert_no_reset(&action);
+    ask(now, &mut nodes);
+
+    let action = search(now, &mut nodes, first, key, Search::Home(0), &[]);
+    assert!(
+        matches!(action, Action::Refuse { cause: Cause::NotFound, .. }),
+        "{action:?}"
+    );
+}
+
+/// An agent that did not answer may have opened the flow after its last statement.
+#[test]
+fn homes_do_not_deny_a_flow_before_its_agent_has_answered() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    open_at(NOW.after(100), &mut nodes, holder, key);
+    announce(NOW.after(100), &mut nodes, |from, _| from == holder);
+    let now = NOW.after(300);
+    search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+    for node in &mut nodes {
+        node.agent.is_question_due(now);
+    }
+    for _ in 0..2 {
+        beat(now, &mut nodes, |from, to| from == holder || to == holder);
+    }
+
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+    assert_no_reset(&action);
+}
+
 /// The backend server of an agent that can't be heard may be running.
 #[test]
 fn a_balancer_does_not_reset_flows_of_a_silent_agent() {
@@ -240,7 +277,7 @@
     // The segment and its retransmissions, as a balancer sends them.
     let third = fallback(&nodes[0].roster, &key).map(number_of).expect("six agents");
     let attempts =
-        [(first, Search::Home(0)), (second, Search::Home(1)), (third, Search::Walk)];
+        [(first, Search::Home(0)), (second, Search::Home(1)), (third, Search::Fallback)];
     for (to, attempt) in attempts {
         let now = NOW.after(300);
         let action = search(now, &mut nodes, to, key, attempt, &[holder]);
@@ -328,6 +365,8 @@
     beat(NOW.after(100), &mut nodes, |_, _| false);
 
     let now = NOW.after(200);
+    search(now, &mut nodes, second, key, Search::Home(1), &[]);
+    ask(now, &mut nodes);
     let action = search(now, &mut nodes, second, key, Search::Home(1), &[]);
 
     assert_no_reset(&action);
@@ -345,6 +384,8 @@
     beat(NOW.after(100), &mut nodes, |_, _| false);
 
     let now = NOW.after(200);
+    search(now, &mut nodes, holder, key, Search::Known, &[]);
+    ask(now, &mut nodes);
     let action = search(now, &mut nodes, holder, key, Search::Known, &[]);
 
     assert_no_reset(&action);
@@ -583,6 +624,17 @@
     }
 }
 
+/// Lets all nodes that need answers ask for them, and all nodes answer.
+fn ask(now: Millis, nodes: &mut [Node]) {
+    for node in nodes.iter_mut() {
+        node.agent.is_question_due(now);
+    }
+    // The first heartbeats carry the questions, the second ones the answers.
+    for _ in 0..2 {
+        beat(now, nodes, |_, _| false);
+    }
+}
+
 /// Passes a heartbeat from one node to another, if the sender knows the receiver.
 fn pass_heartbeat(now: Millis, nodes: &mut [Node], from: u8, to: u8) {
     let sender = node_mut(nodes, from).expect("a node");
@@ -591,7 +643,8 @@
     heartbeat.incarnation = sender.incarnation;
     if from != to {
         let Some(member) = sender.roster.get(agent_address(to)) else { return };
-        heartbeat.sync_status = Some(sender.agent.sync_status(now, member));
+        let sync_status = sender.agent.sync_status(now, &sender.roster, member);
+        heartbeat.sync_status = Some(sync_status);
     }
     let from = agent_address(from);
     let to = node_mut(nodes, to).expect("a node");
