Let messages of an earlier process change nothing

A farewell named no process, so one that was delayed removed the process that had taken over the address: its flows were reset by home nodes, and searches left it out, until its next heartbeat. A delayed heartbeat brought back a process that had been replaced or had left, with its old claims.

Now a farewell carries the incarnation of its sender, a node ignores its own, and heartbeats of a process that was replaced or has left are outdated. A home node forgets the flows of an agent that has left, since that one has said that its backend server is gone.

--- a/crates/steer/src/connection/index.rs
+++ b/crates/steer/src/connection/index.rs
@@ -37,6 +37,16 @@
         self.flows.get(now, flow).copied().unwrap_or_default()
     }
 
+    /// Removes an agent that has left together with its flows.
+    pub fn remove_agent(&mut self, agent: SocketAddrV4) {
+        self.flows.retain(|_, holders| {
+            for holder in holders.iter_mut().filter(|holder| **holder == Some(agent)) {
+                *holder = None;
+            }
+            holders.iter().any(Option::is_some)
+        });
+    }
+
     /// Removes flows that were neither announced nor looked up for `idle_ms`
     /// milliseconds.
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Records that another agent has left, and that its flows have ended.
+    pub fn handle_leave(&mut self, from: SocketAddrV4) {
+        self.index.remove_agent(from);
+    }
+
     /// Processes a heartbeat of another agent. If an announcement to that agent was lost,
     /// the next call of [`Self::announcements`] announces all flows to it again.
     pub fn handle_heartbeat(
@@ -40,7 +45,10 @@
     ) {
         let Some(sync_status) = heartbeat.sync_status else { return };
         let home = Home { address: from, incarnation: heartbeat.incarnation };
-        if sync_status.receiver != self.incarnation(roster)
+        let is_replaced =
+            roster.get(from).is_none_or(|member| member.incarnation != home.incarnation);
+        if is_replaced
+            || sync_status.receiver != self.incarnation(roster)
             || !self.sent.detect_loss(now, home, sync_status.received)
         {
             return;
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -297,7 +297,11 @@
                     &announcement,
                 );
             }
-            Some(Message::Leave) => self.node.handle_leave(from),
+            Some(Message::Leave(incarnation)) => {
+                if self.node.handle_leave(from, incarnation) {
+                    self.flows.write().handle_leave(from);
+                }
+            }
             Some(Message::DocumentsRequest) => self.node.send_documents(from),
             Some(Message::Documents(chunk)) => self.node.handle_documents(&chunk),
             Some(Message::Found(_) | Message::NotFound(_)) => count_invalid("role"),
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -194,7 +194,9 @@
                 log::info!(target: "found", flow:% = flow, agent:% = from; "flow found");
             }
             Some(Message::NotFound(flow)) => self.flows.write().flow_not_found(&flow),
-            Some(Message::Leave) => self.node.handle_leave(from),
+            Some(Message::Leave(incarnation)) => {
+                self.node.handle_leave(from, incarnation);
+            }
             Some(Message::DocumentsRequest) => self.node.send_documents(from),
             Some(Message::Documents(chunk)) => self.node.handle_documents(&chunk),
             Some(Message::Segment(_) | Message::Announcement(_)) => count_invalid("role"),
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -376,11 +376,17 @@
         or(answer, timeout).await
     }
 
-    /// Processes the departure of a member.
-    pub fn handle_leave(&self, from: SocketAddrV4) {
-        if self.roster.write().remove(from) {
-            log::info!(target: "member", member:% = from, change = "left"; "member left");
+    /// Processes the departure of a member. Returns whether it was known.
+    pub fn handle_leave(&self, from: SocketAddrV4, incarnation: u64) -> bool {
+        let is_known =
+            from != self.settings.nodes && self.roster.write().remove(from, incarnation);
+        if is_known {
+            log::info!(
+                target: "member", member:% = from, change = "left", incarnation = incarnation;
+                "member left"
+            );
         }
+        is_known
     }
 
     /// Time for which a datagram that is read now may have waited because the process was
@@ -404,7 +410,7 @@
         self.has_left.store(true, Ordering::Relaxed);
         let roster = self.roster.read();
         for member in roster.members() {
-            self.send(member.address, &Message::Leave);
+            self.send(member.address, &Message::Leave(self.incarnation));
         }
         // If the channel is full, the registration has already been signalled.
         let _ = self.leave_signal.0.try_send(());
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -46,8 +46,19 @@
     /// Hash of the addresses of all live agents. Only changes together with the
     /// generation.
     view_hash: u32,
-    /// Agents that left recently, with the time of their last heartbeat.
-    left: Vec<(SocketAddrV4, Millis)>,
+    /// Agents that left recently.
+    left: Vec<Left>,
+}
+
+/// An agent that has left.
+#[derive(Debug, Clone, Copy)]
+struct Left {
+    /// Its address.
+    address: SocketAddrV4,
+    /// Its incarnation.
+    incarnation: u64,
+    /// When its last heartbeat arrived.
+    last_heard: Millis,
 }
 
 /// A node of the system.
@@ -57,6 +68,9 @@
     pub address: SocketAddrV4,
     /// Its incarnation; 0 until its first heartbeat arrives.
     pub incarnation: u64,
+    /// Incarnation of the process that it replaced; 0 if there is none. Heartbeats of that
+    /// one were delayed.
+    replaced: u64,
     /// Sequence number of its last heartbeat.
     pub sequence: u32,
     /// Its function.
@@ -188,7 +202,7 @@
     /// All agents that other nodes may have in their rosters: live ones, silent ones, and
     /// those that left recently.
     pub fn known_agents(&self) -> impl Iterator<Item = SocketAddrV4> {
-        let left = self.left.iter().map(|(address, _)| *address);
+        let left = self.left.iter().map(|left| left.address);
         self.agents().map(|member| member.address).chain(left)
     }
 
@@ -197,7 +211,7 @@
     pub fn view(&self, now: Millis, own: SocketAddrV4) -> View {
         let heard = || self.agents().filter(|member| !member.is_silent);
         let silent = self.agents().filter(|member| member.is_silent);
-        let left = self.left.iter().map(|(address, _)| *address);
+        let left = self.left.iter().map(|left| left.address);
         let recent = heard().filter(|member| {
             member.address != own && now.since(member.heard_since) <= VIEW_CHANGE_MS
         });
@@ -266,6 +280,7 @@
         let member = Member {
             address,
             incarnation: 0,
+            replaced: 0,
             sequence: 0,
             role,
             domain,
@@ -285,7 +300,8 @@
     /// Processes a heartbeat.
     ///
     /// # Errors
-    /// If a later heartbeat of the same incarnation has already arrived.
+    /// If a later heartbeat has already arrived, or if its sender has been replaced or has
+    /// left.
     pub fn record_heartbeat(
         &mut self,
         now: Millis,
@@ -293,6 +309,14 @@
         heartbeat: &Heartbeat<'_>,
     ) -> Result<Change, Outdated> {
         let role = if heartbeat.is_agent { Role::Agent } else { Role::Balancer };
+        let left = self.left.iter().position(|left| left.address == from);
+        let left_incarnation = left.map_or(0, |index| self.left[index].incarnation);
+        if left_incarnation == heartbeat.incarnation {
+            return Err(Outdated);
+        }
+        if let Some(index) = left {
+            self.left.remove(index);
+        }
         let index = match self.find(from) {
             Ok(index) => index,
             Err(index) => {
@@ -302,7 +326,12 @@
         };
         let member = &mut self.members[index];
         let is_new = member.incarnation != heartbeat.incarnation;
-        if !is_new && heartbeat.sequence <= member.sequence {
+        let is_late = if is_new {
+            heartbeat.incarnation == member.replaced
+        } else {
+            heartbeat.sequence <= member.sequence
+        };
+        if is_late {
             return Err(Outdated);
         }
         let change = match () {
@@ -323,6 +352,9 @@
             member.sync_status = heartbeat.sync_status;
         }
         member.role = role;
+        if is_new {
+            member.replaced = member.incarnation.max(left_incarnation);
+        }
         member.incarnation = heartbeat.incarnation;
         member.sequence = heartbeat.sequence;
         member.last_heard = now;
@@ -363,12 +395,17 @@
         member.estimated_at = now;
     }
 
-    /// Removes a member that announced its departure. Returns whether it was known.
-    pub fn remove(&mut self, address: SocketAddrV4) -> bool {
+    /// Removes a member that announced its departure. Returns whether this incarnation of
+    /// it was known.
+    pub fn remove(&mut self, address: SocketAddrV4, incarnation: u64) -> bool {
         let Ok(index) = self.find(address) else { return false };
+        if self.members[index].incarnation != incarnation {
+            return false;
+        }
         let member = self.members.remove(index);
         if member.role == Role::Agent {
-            self.left.push((address, member.last_heard));
+            let last_heard = member.last_heard;
+            self.left.push(Left { address, incarnation, last_heard });
         }
         self.update_view();
         true
@@ -385,7 +422,7 @@
             }
         }
         self.update_lifetimes();
-        self.left.retain(|(_, last_heard)| now.since(*last_heard) <= VIEW_CHANGE_MS);
+        self.left.retain(|left| now.since(left.last_heard) <= VIEW_CHANGE_MS);
         let before = self.members.len();
         self.members.retain(|member| now.since(member.last_heard) <= REMOVAL_MS);
         if !silent.is_empty() || self.members.len() != before {
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -34,8 +34,9 @@
     /// The sender is alive.
     #[serde(borrow)]
     Heartbeat(Heartbeat<'a>),
-    /// The sender is shutting down, and its backend server has already stopped.
-    Leave,
+    /// The process with this incarnation at the sender's address is shutting down, and its
+    /// backend server has already stopped.
+    Leave(u64),
     /// Asks a node for the operators' documents as it knows them.
     DocumentsRequest,
     /// A part of the operators' documents.
