End the flows of a backend server only if no process is at its address

Callers saw: open flows were reset at once when five reports of a backend server were missing, although it served them: a connection for reports that stalls, or an agent that gets no processor time, looks the same. Home nodes were told at the same time that the agent knew all flows, and an agent that was stopped then said that it had no backend server.

Cause: missing reports were taken for the end of the process that makes them.

Now missing reports only close the backend server for new flows. After three of them the agent tries to connect to its address, which is on the same machine: if the system refuses that, no process is there, and the flows end. Otherwise nothing is concluded, and the probe is repeated after five more intervals. The flows of a backend server that crashed are reset after three missing reports instead of five, and a draining one that crashed is noticed too.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -182,13 +182,28 @@
     }
 
     /// Whether all flows of the backend server are known or there is no backend server.
-    pub fn knows_all_flows(&self, now: Millis) -> bool {
-        !self.may_hold_unknown_flows(now)
+    pub fn knows_all_flows(&self) -> bool {
+        !self.may_hold_unknown_flows()
     }
 
     /// Whether there is no backend server next to this agent.
-    pub fn has_no_backend(&self, now: Millis) -> bool {
-        self.backend.is_leaving() || !self.backend.may_be_running(now, self.start)
+    pub fn has_no_backend(&self) -> bool {
+        !self.backend.may_be_running()
+    }
+
+    /// Whether a probe must show now if the backend server is running.
+    pub fn is_probe_due(&mut self) -> bool {
+        self.backend.is_probe_due()
+    }
+
+    /// Records that a probe which began at `since` found no process at the address of the
+    /// backend server. Returns the flows that ended with it, each of them once.
+    pub fn record_absence(&mut self, since: Millis) -> Vec<Ended> {
+        if !self.backend.record_absence(since) {
+            return Vec::new();
+        }
+        self.knows_all_flows = true;
+        self.end_all()
     }
 
     /// Records that the backend server is shutting down. Returns whether it is the
@@ -197,8 +212,8 @@
         self.backend.record_leave(now, id)
     }
 
-    /// Detects whether the backend server is gone. Returns the flows that ended with it,
-    /// each of them once.
+    /// Detects whether the backend server is gone as it had said. Returns the flows that
+    /// ended with it, each of them once.
     pub fn tick(&mut self, now: Millis) -> Vec<Ended> {
         self.count_open();
         self.lifetime.tick(self.open);
@@ -339,7 +354,7 @@
     ) -> Action {
         let flow = arrival.segment.flow_from_caller();
         let ack = arrival.segment.acknowledged;
-        let may_hold_unknown_flows = self.may_hold_unknown_flows(now);
+        let may_hold_unknown_flows = self.may_hold_unknown_flows();
         match self.flows.get(now, &flow).copied() {
             // The caller opened the flow at another backend server. This one would answer
             // with a reset.
@@ -404,8 +419,8 @@
     }
 
     /// Whether the backend server may hold flows that this agent doesn't know.
-    fn may_hold_unknown_flows(&self, now: Millis) -> bool {
-        !self.knows_all_flows && self.backend.may_be_running(now, self.start)
+    fn may_hold_unknown_flows(&self) -> bool {
+        !self.knows_all_flows && self.backend.may_be_running()
     }
 
     /// Failure domain of the balancer that received the segment; the agent's own domain
--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -65,19 +65,14 @@
     }
 
     /// The synchronisation status to send to another agent with the next heartbeat.
-    pub fn sync_status(
-        &self,
-        now: Millis,
-        roster: &Roster,
-        member: &Member,
-    ) -> SyncStatus {
+    pub fn sync_status(&self, roster: &Roster, member: &Member) -> SyncStatus {
         let home = Home { address: member.address, incarnation: member.incarnation };
         // Otherwise some announcements are due, which the count doesn't include yet.
         let has_announced = self.announced_generation == Some(roster.generation());
         SyncStatus {
             receiver: member.incarnation,
             view_hash: self.view_hash,
-            is_complete: has_announced && self.knows_all_flows(now),
+            is_complete: has_announced && self.knows_all_flows(),
             sent: self.sent.progress(home),
             received: self.received.progress(member.address, member.incarnation),
             question: self.questions.sent(),
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -217,7 +217,7 @@
         to_visit.truncate(MAX_TO_VISIT);
         // The walk visits this agent first; its backend server returns the segment if it
         // doesn't hold the flow.
-        if self.may_hold_unknown_flows(now) {
+        if self.may_hold_unknown_flows() {
             let arrival = Arrival { forwarding, ..arrival.clone() };
             return self.deliver(now, &arrival, false);
         }
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -12,14 +12,12 @@
 const OVERDUE_REPORTS: u64 = 3;
 
 /// A backend server that hasn't reported within this many report intervals after its
-/// agent started is considered absent. If there is one, it retries immediately while its
-/// calls fail.
+/// agent started may be absent. If there is one, it retries immediately while its calls
+/// fail.
 const STARTUP_REPORTS: u64 = 2;
 
-/// A backend server that hasn't reported for this many report intervals is considered
-/// gone. One whose connection has stalled misses about three reports before it opens
-/// another connection.
-const GONE_REPORTS: u64 = 5;
+/// Number of report intervals between two probes of a backend server that doesn't report.
+const PROBE_REPORTS: u64 = 5;
 
 /// Window in which the openings of a cold backend server are counted, in milliseconds.
 /// The limit applies to one second; the rest covers variations in the delivery time of
@@ -138,11 +136,14 @@
     outdated: Option<(u64, Millis)>,
     /// When the backend server said that it is shutting down.
     leaving_since: Option<Millis>,
-    /// Whether [`Self::tick`] has detected that it is gone.
+    /// Whether it is known to be gone: it has said that it is shutting down, or there is no
+    /// process at its address.
     is_gone: bool,
     /// Number of ticks since the last report. Unlike the clock, it doesn't advance while
     /// this process is paused.
     ticks_since_report: u64,
+    /// The value of `ticks_since_report` at the last probe since then.
+    probed_tick: Option<u64>,
     /// When the backend server becomes warm.
     cold_until: Millis,
     /// Whether it may have become cold since its last report.
@@ -164,6 +165,7 @@
             leaving_since: None,
             is_gone: false,
             ticks_since_report: 0,
+            probed_tick: None,
             cold_until: Millis(0),
             may_be_cold: true,
             openings: VecDeque::new(),
@@ -207,6 +209,7 @@
         self.leaving_since = None;
         self.is_gone = false;
         self.ticks_since_report = 0;
+        self.probed_tick = None;
         self.may_be_cold = false;
         self.cold_until = now.after(report.cold_ms);
         self.report = Some(report);
@@ -239,20 +242,41 @@
         is_current
     }
 
-    /// Returns whether the backend server was found to be gone since the last call. That
-    /// is the case if it said that it is shutting down, or if its reports stopped
-    /// although it isn't draining. Must be called every [`TICK_MS`].
+    /// Returns whether the backend server is gone since the last call because it had said
+    /// that it was shutting down. Must be called every [`TICK_MS`].
     pub fn tick(&mut self, now: Millis) -> bool {
         self.ticks_since_report += 1;
         let has_ended = self
             .leaving_since
             .is_some_and(|leaving_since| now.since(leaving_since) >= LEAVE_DELAY_MS);
-        let is_draining = self.report.as_ref().is_none_or(|report| report.is_draining);
-        let is_silent =
-            self.ticks_since_report * TICK_MS > self.bounds.report_ms * GONE_REPORTS;
-        let is_newly_gone = !self.is_gone && (has_ended || (is_silent && !is_draining));
-        self.is_gone |= is_newly_gone;
-        is_newly_gone
+        has_ended && !std::mem::replace(&mut self.is_gone, true)
+    }
+
+    /// Whether a probe must show now if there is still a process at the backend server's
+    /// address, because its reports are overdue. They may also be missing because the
+    /// connection for them has stalled. Counts the probe as made.
+    pub fn is_probe_due(&mut self) -> bool {
+        let reports =
+            if self.report.is_some() { OVERDUE_REPORTS } else { STARTUP_REPORTS };
+        let wait_ms = |ticks| ticks * TICK_MS;
+        let is_overdue =
+            wait_ms(self.ticks_since_report) > self.bounds.report_ms * reports;
+        let is_repeated = self.probed_tick.is_some_and(|probed| {
+            wait_ms(self.ticks_since_report - probed)
+                < self.bounds.report_ms * PROBE_REPORTS
+        });
+        let is_due = is_overdue && !is_repeated && !self.is_gone;
+        if is_due {
+            self.probed_tick = Some(self.ticks_since_report);
+        }
+        is_due
+    }
+
+    /// Records that a probe which began at `since` found no process at the backend server's
+    /// address. Returns whether this is new; a report that has arrived since is newer.
+    pub fn record_absence(&mut self, since: Millis) -> bool {
+        let is_outdated = self.report.is_some() && self.last_report >= since;
+        !is_outdated && !std::mem::replace(&mut self.is_gone, true)
     }
 
     /// Treats the backend server as cold until its next report.
@@ -294,13 +318,9 @@
         (has_started_recently && left_ms > 0).then(|| cold_ms.saturating_sub(left_ms))
     }
 
-    /// Whether it may be running, as far as an agent that started at `start` can tell.
-    pub fn may_be_running(&self, now: Millis, start: Millis) -> bool {
-        let (last_report, reports) = match self.report {
-            Some(_) => (self.last_report, OVERDUE_REPORTS),
-            None => (start, STARTUP_REPORTS),
-        };
-        !self.is_leaving() && now.since(last_report) <= self.bounds.report_ms * reports
+    /// Whether it may be running. Missing reports don't show that it isn't.
+    pub fn may_be_running(&self) -> bool {
+        !self.is_leaving() && !self.is_gone
     }
 
     /// Whether its next report is overdue.
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -17,7 +17,7 @@
 use smol::Task;
 
 use super::receive::{self, count_invalid};
-use super::{Dependencies, Node, send_datagram, start};
+use super::{Dependencies, Node, probe, send_datagram, start};
 use crate::process::agent::{
     self, Action, Arrival, BackendAction, Ended, Forwarding, Limits, Outgoing, Release,
 };
@@ -151,7 +151,7 @@
         let state = &self.state;
         state.node.is_stopping.store(true, Ordering::Relaxed);
         state.flows.write().stop();
-        if state.flows.read().has_no_backend(state.node.now()) {
+        if state.flows.read().has_no_backend() {
             state.node.broadcast_leave();
             Timer::after(RESET_GRACE).await;
             return;
@@ -193,7 +193,7 @@
                 (
                     flows.tick(now),
                     flows.announcements(now, &roster),
-                    flows.knows_all_flows(now),
+                    flows.knows_all_flows(),
                 )
             };
             self.reset_callers(&ended, "backend_gone");
@@ -206,10 +206,28 @@
                 knew_all_flows = knows_all_flows;
                 self.broadcast_heartbeat();
             }
+            if self.flows.write().is_probe_due() {
+                self.probe_backend().await;
+            }
             Timer::after(Duration::from_millis(TICK_MS)).await;
         }
     }
 
+    /// Ends the flows of the backend server if there is no process at its address any more.
+    async fn probe_backend(&self) {
+        let since = self.node.now();
+        let is_absent = probe::is_refused(self.server).await;
+        log::info!(
+            target: "backend", change = "probed", absent = is_absent;
+            "reports of the backend server are missing"
+        );
+        if is_absent {
+            let ended = self.flows.write().record_absence(since);
+            self.reset_callers(&ended, "backend_gone");
+            self.release();
+        }
+    }
+
     /// Sends a heartbeat to all members.
     fn broadcast_heartbeat(&self) {
         let backend_status = self.backend_status();
@@ -223,7 +241,7 @@
     /// The synchronisation status to include in a heartbeat to a member.
     fn sync_status(&self, roster: &Roster, member: &Member) -> Option<SyncStatus> {
         let is_home = member.role == Role::Agent && member.incarnation != 0;
-        is_home.then(|| self.flows.read().sync_status(self.node.now(), roster, member))
+        is_home.then(|| self.flows.read().sync_status(roster, member))
     }
 
     /// Replies to a heartbeat. The reply includes the answer to the sender's question, if
--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -8,6 +8,7 @@
 pub mod balancer;
 mod follow;
 mod node;
+pub mod probe;
 mod receive;
 mod register;
 
