Count a full table among the reasons not to deny a flow

A table of flows with a full bucket evicts the entry that was used least recently. The home node then denied a flow that had been announced to it, and an agent denied one that its backend server held.

Now a home node is not certain while an entry of its index was evicted within the longest life of a flow, and an agent that evicts a flow doesn't know all flows until that time, or the longest idle time, has passed.

Evidence: a_home_does_not_deny_a_flow_that_it_evicted and an_agent_does_not_deny_a_flow_that_it_evicted failed before, also with the answers of all agents, and pass now.

--- a/crates/steer/src/connection/index.rs
+++ b/crates/steer/src/connection/index.rs
@@ -37,6 +37,11 @@
         self.flows.get(now, flow).copied().unwrap_or_default()
     }
 
+    /// Whether no entry was evicted in the last `ms` milliseconds.
+    pub fn is_complete(&self, now: Millis, ms: u64) -> bool {
+        self.flows.evicted_at().is_none_or(|at| now.since(at) > ms)
+    }
+
     /// Removes an agent that has left together with its flows.
     pub fn remove_agent(&mut self, agent: SocketAddrV4) {
         self.flows.retain(|_, holders| {
--- a/crates/steer/src/connection/table.rs
+++ b/crates/steer/src/connection/table.rs
@@ -15,6 +15,8 @@
     buckets: Vec<Vec<Entry<V>>>,
     /// Maximum number of entries per bucket: twice the mean of a table at its limit.
     bucket_limit: usize,
+    /// When an entry was last evicted, because its bucket was full.
+    evicted_at: Option<Millis>,
 }
 
 /// An entry of a table.
@@ -32,7 +34,14 @@
     /// Creates an empty table for approximately `limit` flows.
     pub fn new(limit: usize) -> Self {
         let buckets = (0..BUCKETS).map(|_| Vec::new()).collect();
-        Self { buckets, bucket_limit: limit.div_ceil(BUCKETS).max(1) * 2 }
+        let bucket_limit = limit.div_ceil(BUCKETS).max(1) * 2;
+        Self { buckets, bucket_limit, evicted_at: None }
+    }
+
+    /// When an entry was last evicted. Later, the absence of a flow proves nothing about
+    /// the time before.
+    pub fn evicted_at(&self) -> Option<Millis> {
+        self.evicted_at
     }
 
     /// The value of a flow; marks the entry as used.
@@ -55,6 +64,7 @@
                 let oldest =
                     (0..bucket.len()).min_by_key(|index| bucket[*index].last_used);
                 bucket.remove(oldest.unwrap_or(0));
+                self.evicted_at = Some(now);
                 let index = bucket.partition_point(|entry| entry.key < key);
                 bucket.insert(index, Entry { key, last_used: now, value });
             }
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -6,6 +6,7 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
+use crate::connection::flow;
 use crate::connection::in_flight::InFlight;
 use crate::connection::index::Index;
 use crate::connection::lifetime::Lifetime;
@@ -81,6 +82,9 @@
     index: Index,
     /// Recently delivered segments, which the backend server may return.
     delivered: Ring,
+    /// Since when every flow of the backend server has been recorded in `flows`: the start
+    /// of the agent, or the last eviction of a flow.
+    recorded_since: Millis,
     /// Whether `flows` contains all flows of the backend server.
     knows_all_flows: bool,
     /// The highest routing revision that a delivered opening was based on. Openings based
@@ -116,6 +120,7 @@
             health: Health::default(),
             index: Index::new(limits.flows),
             delivered: Ring::new(fastrand::u32(1..)),
+            recorded_since: now,
             knows_all_flows: false,
             min_revision: 0,
             sent: Sent::default(),
@@ -168,17 +173,28 @@
     }
 
     /// Determines whether all flows of the backend server are known. That is the case if
-    /// the backend server started too late to have other flows, or if this process has
-    /// been running for longer than any flow may be idle or may exist.
+    /// the backend server started too late to have other flows, or if all flows have been
+    /// recorded for longer than any flow may be idle or may exist.
     pub fn update_knows_all_flows(&mut self, now: Millis, routing: &Routing) {
         let service = self.backend.report().and_then(|r| routing.service(&r.service));
         let age_ms =
             service.and_then(|service| self.backend.age_ms(now, service.cold_ms));
-        let uptime_ms = now.since(self.start);
-        self.knows_all_flows |= age_ms
-            .is_some_and(|age_ms| age_ms <= uptime_ms + MIN_RESTART_MS)
-            || (routing.idle_ms > 0 && uptime_ms > routing.idle_ms)
-            || uptime_ms > self.max_flow_age_ms;
+        let recorded_ms = now.since(self.recorded_since);
+        let is_recorded = |age_ms| age_ms <= recorded_ms + MIN_RESTART_MS;
+        self.knows_all_flows |= (self.recorded_since == self.start
+            && age_ms.is_some_and(is_recorded))
+            || (routing.idle_ms > 0 && recorded_ms > routing.idle_ms)
+            || recorded_ms > self.max_flow_age_ms;
+    }
+
+    /// Records a flow of the backend server. If another one has to be evicted for it, not
+    /// all flows are known any more.
+    fn record_flow(&mut self, now: Millis, flow: flow::Key, state: State) {
+        self.flows.insert(now, flow, state);
+        if self.flows.evicted_at() == Some(now) {
+            self.recorded_since = now;
+            self.knows_all_flows = false;
+        }
     }
 
     /// Whether all flows of the backend server are known or there is no backend server.
@@ -274,7 +290,7 @@
         }
         let flow = segment.flow_from_backend();
         if self.flows.get(now, &flow).is_none() {
-            self.flows.insert(now, flow, State::new(Stage::Offered));
+            self.record_flow(now, flow, State::new(Stage::Offered));
         }
         let state = self.flows.get(now, &flow)?;
         if segment.flags.reset && state.stage == Stage::Accepted {
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -68,7 +68,7 @@
         bytes: Vec<u8>,
     ) {
         let opening = opening(now, routing, &arrival);
-        self.flows.insert(now, opening.flow, State::new(Stage::Held));
+        self.record_flow(now, opening.flow, State::new(Stage::Held));
         self.admission.insert(opening, Waiting { arrival, bytes, since: now });
     }
 
@@ -236,7 +236,7 @@
         self.lifetime.record_opening();
         self.open += 1;
         self.in_flight.open(now, flow);
-        self.flows.insert(now, flow, State::offered(now, arrival.segment.sequence));
+        self.record_flow(now, flow, State::offered(now, arrival.segment.sequence));
         self.deliver(now, arrival, true)
     }
 
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -149,7 +149,9 @@
             is_home && placement::is_home_in_all_views(roster, flow, self.address);
         let question = self.questions.number(now, flow);
         let view = roster.view(now, self.address);
-        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive: is_home };
+        let is_index_complete = self.index.is_complete(now, self.max_flow_age_ms);
+        let is_exhaustive = is_home && is_index_complete;
+        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive };
         let mut is_question_needed = false;
         for member in roster.agents().filter(|member| member.address != self.address) {
             let evidence = self.evidence(roster, &view, is_undisputed, member, question);
