Let an agent that knows no other agent deny no flow

Cause: balancers take a restarting agent for a home node until its heartbeats are overdue. With an empty roster it was the only home node, no agent was left to be asked, and so the search counted as exhaustive.

Now a home node is never certain while it knows no other agent. In a deployment of one agent no unknown flow is reset by a home node; its callers wait for their time-out.

Evidence: a_home_that_knows_no_other_agent_denies_no_flow failed before (nowhere) and passes now.

--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -150,7 +150,9 @@
         let question = self.questions.number(now, flow);
         let view = roster.view(now, self.address);
         let is_index_complete = self.index.is_complete(now, self.max_flow_age_ms);
-        let is_exhaustive = is_home && is_index_complete;
+        // A process that has just started knows no other agent yet.
+        let is_alone = roster.agents().all(|member| member.address == self.address);
+        let is_exhaustive = is_home && is_index_complete && !is_alone;
         let mut plan = Plan { to_visit: Vec::new(), is_exhaustive };
         let mut is_question_needed = false;
         for member in roster.agents().filter(|member| member.address != self.address) {
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -285,6 +285,19 @@
     }
 }
 
+/// An agent that has just started knows no other agent, and others still take it for a home
+/// node.
+#[test]
+fn a_home_that_knows_no_other_agent_denies_no_flow() {
+    let mut nodes = vec![node(1, [1])];
+
+    for now in [NOW, NOW.after(200), NOW.after(600)] {
+        let action = search(now, &mut nodes, 1, flow(1), Search::Home(0), &[]);
+        assert_no_reset(&action);
+        ask(now, &mut nodes);
+    }
+}
+
 /// An announcement may arrive before the first heartbeat of its agent.
 #[test]
 fn a_home_forwards_to_a_holder_that_it_has_not_heard() {
