Don't claim to have announced flows that were only accepted

Callers saw: a flow was reset (nowhere) while its backend server held it.

Cause: an agent announces a flow to the home nodes of the moment in which it is accepted, and again when they change only after the caller's choice has reached it, since the caller may have opened the flow at another backend server. In between it claimed to have announced all of its flows.

Now the agent does not claim that towards a home node that does not know of such a flow, so that a walk visits the agent. A flow that the backend server itself gives up is forgotten, so it doesn't hold up the claim.

Evidence: a_new_home_does_not_deny_a_flow_that_was_only_accepted failed before (nowhere) and passes now; a_flow_that_was_only_accepted_is_not_announced_again still holds.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -96,6 +96,9 @@
     received: Received,
     /// Questions about flows that this agent doesn't know although it is a home node.
     questions: Questions,
+    /// Home nodes that don't know of some flow which the backend server has accepted and the
+    /// caller may have chosen since. Sorted, without duplicates.
+    unannounced: Vec<SocketAddrV4>,
     /// Generation of the roster at the last call of [`Self::announcements`]; `None` if
     /// flows may have to be announced although the generation is the same.
     announced_generation: Option<u64>,
@@ -126,6 +129,7 @@
             sent: Sent::default(),
             received: Received::default(),
             questions: Questions::new(limits.flows),
+            unannounced: Vec::new(),
             announced_generation: None,
             view_hash: 0,
         }
@@ -296,6 +300,8 @@
         if segment.flags.reset && state.stage == Stage::Accepted {
             // The caller may have opened the flow at another backend server, where it
             // continues.
+            self.flows.remove(&flow);
+            self.in_flight.remove(&flow);
             return Some(BackendAction::Drop(Cause::Elsewhere));
         }
         if state.stage == Stage::Open && (segment.flags.reset || segment.flags.close) {
--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -68,7 +68,8 @@
     pub fn sync_status(&self, roster: &Roster, member: &Member) -> SyncStatus {
         let home = Home { address: member.address, incarnation: member.incarnation };
         // Otherwise some announcements are due, which the count doesn't include yet.
-        let has_announced = self.announced_generation == Some(roster.generation());
+        let has_announced = self.announced_generation == Some(roster.generation())
+            && self.unannounced.binary_search(&member.address).is_err();
         SyncStatus {
             receiver: member.incarnation,
             view_hash: self.view_hash,
@@ -94,10 +95,21 @@
         self.view_hash = roster.view_hash();
         let mut due: Vec<(Home, Vec<flow::Key>)> = Vec::new();
         let own = self.address;
+        let unannounced = &mut self.unannounced;
+        unannounced.clear();
         self.flows.retain(|flow, state| {
-            if (state.announced_generation != Some(generation) || is_changed)
-                && state.is_established()
-            {
+            let is_due = state.announced_generation != Some(generation) || is_changed;
+            if is_due && state.stage == Stage::Accepted {
+                let before = unannounced.len();
+                let homes = current_homes(roster, flow).into_iter().flatten();
+                let others = homes.filter(|home| home.address != own);
+                let uninformed =
+                    others.filter(|home| !state.homes.contains(&Some(*home)));
+                unannounced.extend(uninformed.map(|home| home.address));
+                let is_known = unannounced.len() == before;
+                state.announced_generation = is_known.then_some(generation);
+            }
+            if is_due && state.is_established() {
                 for home in uninformed_homes(roster, own, flow, state) {
                     match due.binary_search_by_key(&home, |(known, _)| *known) {
                         Ok(index) => due[index].1.push(*flow),
@@ -107,6 +119,8 @@
             }
             true
         });
+        unannounced.sort_unstable();
+        unannounced.dedup();
         let sender = self.incarnation(roster);
         let chunks = due.iter().flat_map(|(home, flows)| {
             flows.chunks(MAX_ANNOUNCED).map(|flows| (*home, flows.to_vec()))
@@ -157,12 +171,17 @@
     flow: &flow::Key,
     state: &mut State,
 ) -> impl Iterator<Item = Home> + use<> {
-    let homes = placement::homes(roster, flow).map(|home| {
-        let member = roster.get(home?)?;
-        Some(Home { address: member.address, incarnation: member.incarnation })
-    });
+    let homes = current_homes(roster, flow);
     state.announced_generation = Some(roster.generation());
     let informed = std::mem::replace(&mut state.homes, homes);
     let others = homes.into_iter().flatten().filter(move |home| home.address != own);
     others.filter(move |home| !informed.contains(&Some(*home)))
 }
+
+/// The home nodes of a flow with their incarnations.
+fn current_homes(roster: &Roster, flow: &flow::Key) -> [Option<Home>; 2] {
+    placement::homes(roster, flow).map(|home| {
+        let member = roster.get(home?)?;
+        Some(Home { address: member.address, incarnation: member.incarnation })
+    })
+}
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddrV4;
 
 use fixture::{
-    FIRST_SEQUENCE, INCARNATION, NOW, agent, agent_address, agent_and_roster,
+    FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address, agent_and_roster,
     agent_heartbeat, announcement, arrival, flow, flow_homed_here, from_backend, hear,
     limits, open, opening, report, request, returned, roster, roster_of, routing,
 };
@@ -298,6 +298,28 @@
     }
 }
 
+/// A caller may have chosen a backend server whose agent has not seen that yet, and its next
+/// segment is the first one that reaches a new home node.
+#[test]
+fn a_new_home_does_not_deny_a_flow_that_was_only_accepted() {
+    let Case { mut nodes, key, holder, first, .. } = synchronised();
+    accept_at(NOW.after(100), &mut nodes, holder, key);
+    nodes.retain(|node| node.number != first);
+    for node in &mut nodes {
+        assert!(node.roster.remove(agent_address(first), node.incarnation));
+    }
+    announce(NOW.after(200), &mut nodes, |_, _| false);
+    let homes = homes(&nodes[0].roster, &key).map(|home| home.map(number_of));
+    let new = homes[1].expect("five agents are left");
+
+    let now = NOW.after(300);
+    search(now, &mut nodes, new, key, Search::Home(1), &[holder]);
+    ask(now, &mut nodes);
+    let action = search(now, &mut nodes, new, key, Search::Home(1), &[]);
+
+    assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+}
+
 /// An announcement may arrive before the first heartbeat of its agent.
 #[test]
 fn a_home_forwards_to_a_holder_that_it_has_not_heard() {
@@ -629,6 +651,17 @@
     node.held.push(key);
 }
 
+/// Lets the backend server of a node accept a flow, which the caller has not chosen yet.
+fn accept_at(now: Millis, nodes: &mut [Node], number: u8, key: flow::Key) {
+    let node = node_mut(nodes, number).expect("a node");
+    let Node { agent, roster, held, .. } = node;
+    let arrival = arrival(opening(key, 0), Search::Open, 1);
+    agent.handle_caller_segment(now, &routing(1), roster, &arrival);
+    agent.handle_backend_segment(now, &routing(1), roster, &accept(key, FIRST_SEQUENCE));
+    agent.announce_flow(now, roster, &key);
+    held.push(key);
+}
+
 /// Restarts a node with tables for approximately `flows` flows, before it has sent or heard
 /// anything.
 fn resize(nodes: &mut [Node], number: u8, flows: usize) {
