Take no segment to another service on a walk

Callers saw nothing; backend servers saw segments of flows to another service, which they returned.

Cause: a walk delivers the segment at each agent that may hold flows it doesn't know, whatever its service.

Now such an agent passes the walk on if the route of the flow doesn't include its service, and the walk is not exhaustive any more, since the flow may have been opened there under an earlier configuration.

Evidence: a_walk_delivers_no_segment_to_another_service failed before (Deliver) and passes now.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -376,7 +376,7 @@
     ) -> Action {
         let flow = arrival.segment.flow_from_caller();
         let ack = arrival.segment.acknowledged;
-        let may_hold_unknown_flows = self.may_hold_unknown_flows();
+        let forwarding = &arrival.forwarding;
         match self.flows.get(now, &flow).copied() {
             // The caller opened the flow at another backend server. This one would answer
             // with a reset.
@@ -387,15 +387,18 @@
             Some(_) => self.deliver(now, arrival, false),
             // As long as some flows are unknown, only the backend server can tell whether
             // it holds this one.
-            None if may_hold_unknown_flows
-                && !matches!(
-                    arrival.forwarding.search,
-                    Search::Home(_) | Search::Fallback
-                ) =>
-            {
-                self.deliver(now, arrival, false)
-            }
-            None => self.locate(now, routing, roster, arrival),
+            None => match forwarding.search {
+                Search::Home(_) | Search::Fallback => {
+                    self.locate(now, routing, roster, arrival)
+                }
+                _ if !self.may_hold_unknown_flows() => {
+                    self.locate(now, routing, roster, arrival)
+                }
+                Search::Walk => self.visit(now, routing, arrival, forwarding.clone()),
+                Search::Open | Search::Known | Search::Indexed => {
+                    self.deliver(now, arrival, false)
+                }
+            },
         }
     }
 
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -219,15 +219,36 @@
         let to_visit = &mut forwarding.to_visit;
         placement::sort_by_likelihood(routing, roster, &flow, &domain, to_visit);
         to_visit.truncate(MAX_TO_VISIT);
-        // The walk visits this agent first; its backend server returns the segment if it
-        // doesn't hold the flow.
+        // The walk visits this agent first.
         if self.may_hold_unknown_flows() {
-            let arrival = Arrival { forwarding, ..arrival.clone() };
-            return self.deliver(now, &arrival, false);
+            return self.visit(now, routing, arrival, forwarding);
         }
         self.continue_walk(arrival, forwarding)
     }
 
+    /// Delivers a segment on a walk to a backend server that may hold its flow and returns
+    /// the segment otherwise. One of a service that the flow's route doesn't include must
+    /// not receive it, although it may hold the flow since an earlier configuration.
+    pub(super) fn visit(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        arrival: &Arrival,
+        mut forwarding: Forwarding,
+    ) -> Action {
+        let service = arrival.segment.flow_from_caller().service;
+        let is_other_service = self
+            .backend
+            .report()
+            .is_some_and(|report| !routing.allows(service, &report.service));
+        if routing.is_loaded() && is_other_service {
+            forwarding.is_exhaustive = false;
+            return self.continue_walk(arrival, forwarding);
+        }
+        let arrival = Arrival { forwarding, ..arrival.clone() };
+        self.deliver(now, &arrival, false)
+    }
+
     /// Forwards a segment to the next agent of a walk. If there is none left, resets the
     /// flow or drops the segment.
     fn continue_walk(&self, arrival: &Arrival, mut forwarding: Forwarding) -> Action {
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -228,6 +228,26 @@
     assert_eq!(forwarded(action), (Cause::Elsewhere, Search::Home(0)));
 }
 
+/// A walk must not take segments to backend servers of other services, and can't deny a
+/// flow that one of them may hold since an earlier configuration.
+#[test]
+fn a_walk_delivers_no_segment_to_another_service() {
+    let roster = roster(NOW, 6, &["a", "b"]);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, Report { service: INVOICES.into(), ..report(17) });
+    let segment = request(flow_homed_elsewhere(&roster), FIRST_SEQUENCE);
+    let mut walk = arrival(segment, Search::Walk, 1);
+    walk.forwarding.is_exhaustive = true;
+
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    assert_eq!(action, Action::Drop(Cause::Unknown));
+
+    walk.forwarding.to_visit = vec![agent_address(2)];
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    let Action::Forward { forwarding, .. } = action else { panic!("{action:?}") };
+    assert!(!forwarding.is_exhaustive);
+}
+
 /// Segments must not be delivered to a backend server that is known not to hold their
 /// flow.
 #[test]
