Forget agents that were never heard when their entries expire

Since silence proves nothing, an agent that was lost before this process started, and that is still listed in the store, kept all callers of ended flows waiting for a minute. Such an entry expires after 15 s, and the list is read every 10 s. An agent that is alive is known to others, whose statements then name a set of agents that this process doesn't know, so nothing is denied by mistake.

Evidence: agents_that_were_never_heard_are_removed_with_their_entries; the function is new.

--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -191,6 +191,7 @@
                     }
                 }
             }
+            roster.remove_unlisted(&listed);
         }
         self.node.record_members_read();
         listed
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -297,6 +297,14 @@
         true
     }
 
+    /// Removes members that have never sent a heartbeat and are no longer listed in the
+    /// store. They must not keep other flows from being searched for everywhere.
+    pub fn remove_unlisted(&mut self, listed: &[SocketAddrV4]) {
+        let is_kept =
+            |member: &Member| member.incarnation != 0 || listed.contains(&member.address);
+        self.members.retain(is_kept);
+    }
+
     /// Processes a heartbeat.
     ///
     /// # Errors
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -17,7 +17,7 @@
 };
 use lentilreach_steer::process::backend::TICK_MS;
 use lentilreach_steer::process::balancer::{self, Balancer};
-use lentilreach_steer::process::roster::{Outdated, Roster};
+use lentilreach_steer::process::roster::{Outdated, Role, Roster};
 use lentilreach_steer::request::message::{Search, Stage};
 use lentilreach_steer::request::placement::{fallback, homes};
 use lentilreach_steer::request::segment::{Flags, Segment};
@@ -386,6 +386,22 @@
     assert_no_reset(&action);
 }
 
+/// A listed agent that was lost before this one started must not keep callers of ended flows
+/// waiting after its entry in the store has expired.
+#[test]
+fn agents_that_were_never_heard_are_removed_with_their_entries() {
+    let mut roster = roster(NOW, 3, &["a"]);
+    let unheard = [8, 9].map(agent_address);
+    for address in unheard {
+        roster.insert_unheard(NOW, address, Role::Agent, "a".into());
+    }
+
+    roster.remove_unlisted(&[unheard[1]]);
+
+    let left: Vec<_> = roster.agents().map(|member| member.address).collect();
+    assert_eq!(left, [1, 2, 3, 9].map(agent_address));
+}
+
 /// A farewell that was delayed must not remove the process that has taken over the address.
 #[test]
 fn a_late_departure_of_an_earlier_process_changes_nothing() {
