Search for flows whose agent is silent, whoever reported them

Callers saw: an open flow was reset, and after the change of silent agents its segments waited for an agent that stood still, although another agent held the flow.

Cause: a report of an agent is as weak as a placement if the opening has not been accepted there.

Now a balancer that holds an agent for the holder asks the home nodes when that agent is silent, and sends every third retransmission to the agent itself. A balancer that hears less than half of the agents sends to it directly, as it does for an agent whose first heartbeat it has missed.

Replaced: flows_of_a_silent_agent_are_sent_to_it and flows_continue_after_a_few_lost_heartbeats by flows_of_a_silent_agent_are_searched_for, for both times of silence; it demands each attempt.

--- a/crates/steer/src/connection/cache.rs
+++ b/crates/steer/src/connection/cache.rs
@@ -12,8 +12,7 @@
 /// 200 ms apart.
 const RETRY_MS: u64 = 100;
 
-/// Number of different attempts to find a flow: at its first home node, at its second
-/// one, and with a walk that another agent starts in their place.
+/// Number of different attempts to find a flow, see [`Attempt`].
 const ATTEMPTS: u8 = 3;
 
 /// What a balancer knows about where flows are. Losing an entry only costs additional
@@ -45,9 +44,22 @@
         attempt: u8,
         /// When this attempt began.
         at: Millis,
+        /// The agent that was supposed to hold the flow before it fell silent, if any.
+        silent: Option<SocketAddrV4>,
     },
 }
 
+/// An attempt to find a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Attempt {
+    /// Ask the first (0) or the second (1) home node.
+    Home(u8),
+    /// Send the segment to the agent that was supposed to hold the flow and is silent.
+    Silent(SocketAddrV4),
+    /// Let another agent search in place of the home nodes.
+    Fallback,
+}
+
 impl Entry {
     /// The agent to send the flow's segments to, if it is known.
     pub fn agent(&self) -> Option<SocketAddrV4> {
@@ -79,20 +91,32 @@
         self.flows.insert(now, flow, Entry::Found { agent });
     }
 
-    /// The number of the attempt to make now. Moves on to the next attempt if the current
-    /// one got no answer in time, and starts over after the last one.
-    pub fn next_attempt(&mut self, now: Millis, flow: &Key) -> u8 {
-        let entry = match self.get(now, flow) {
-            Some(Entry::Searching { attempt, at }) if now.since(at) < RETRY_MS => {
-                Entry::Searching { attempt, at }
+    /// The attempt to make now. Moves on to the next attempt if the current one got no
+    /// answer in time, and starts over after the last one. `silent` is the agent that was
+    /// supposed to hold the flow until now.
+    pub fn next_attempt(
+        &mut self,
+        now: Millis,
+        flow: &Key,
+        silent: Option<SocketAddrV4>,
+    ) -> Attempt {
+        let (attempt, at, silent) = match self.get(now, flow) {
+            Some(Entry::Searching { attempt, at, silent })
+                if now.since(at) < RETRY_MS =>
+            {
+                (attempt, at, silent)
             }
-            Some(Entry::Searching { attempt, .. }) => {
-                Entry::Searching { attempt: (attempt + 1) % ATTEMPTS, at: now }
+            Some(Entry::Searching { attempt, silent, .. }) => {
+                ((attempt + 1) % ATTEMPTS, now, silent)
             }
-            _ => Entry::Searching { attempt: 0, at: now },
+            _ => (0, now, silent),
         };
-        self.flows.insert(now, *flow, entry);
-        if let Entry::Searching { attempt, .. } = entry { attempt } else { 0 }
+        self.flows.insert(now, *flow, Entry::Searching { attempt, at, silent });
+        match (attempt, silent) {
+            (0 | 1, _) => Attempt::Home(attempt),
+            (_, Some(agent)) => Attempt::Silent(agent),
+            (_, None) => Attempt::Fallback,
+        }
     }
 
     /// Removes a flow.
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -5,9 +5,9 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
-use crate::connection::cache::{Cache, Entry};
+use crate::connection::cache::{Attempt, Cache, Entry};
 use crate::connection::flow;
-use crate::process::roster::{JOIN_TIMEOUT_MS, Roster};
+use crate::process::roster::{JOIN_TIMEOUT_MS, Member, Roster};
 use crate::request::message::Search;
 use crate::request::placement::{self, Request};
 use crate::request::segment::Segment;
@@ -194,27 +194,30 @@
         segment: &Segment,
     ) -> Action {
         let flow = &segment.flow_from_caller();
-        let holder = match self.cache.get(now, flow) {
-            Some(Entry::Found { agent }) => roster.get(agent).map(|_| agent),
-            // A copy of the opening may have opened the flow at another agent.
-            Some(Entry::Placed { agent, .. }) => {
-                Some(agent).filter(|a| roster.is_heard(*a))
-            }
-            Some(Entry::Searching { .. }) | None => None,
-        };
-        if let Some(to) = holder {
+        let entry = self.cache.get(now, flow);
+        let known = entry.and_then(|entry| entry.agent()).and_then(|to| roster.get(to));
+        let is_overdue = |member: &Member| member.is_silent && member.incarnation != 0;
+        if let Some(member) = known
+            && (!is_overdue(member) || roster.is_isolated())
+        {
             return Action::Send {
-                to,
+                to: member.address,
                 search: Search::Known,
                 service: None,
                 is_newly_selected: false,
             };
         }
+        // The flow may be at another agent than the silent one: a copy of its opening may
+        // have been accepted there.
+        let silent = known.map(|member| member.address);
         let [first, second] = placement::homes(roster, flow);
-        let (to, search) = match self.cache.next_attempt(now, flow) {
-            0 => (first, Search::Home(0)),
-            1 if second.is_some() => (second, Search::Home(1)),
-            _ => (placement::fallback(roster, flow), Search::Fallback),
+        let (to, search) = match self.cache.next_attempt(now, flow, silent) {
+            Attempt::Home(0) => (first, Search::Home(0)),
+            Attempt::Home(_) if second.is_some() => (second, Search::Home(1)),
+            Attempt::Silent(agent) => (Some(agent), Search::Known),
+            Attempt::Home(_) | Attempt::Fallback => {
+                (placement::fallback(roster, flow), Search::Fallback)
+            }
         };
         match to {
             Some(to) => {
--- a/crates/steer/tests/balancer.rs
+++ b/crates/steer/tests/balancer.rs
@@ -135,35 +135,32 @@
     assert_eq!(target(&action), 4);
 }
 
-/// However long an agent is silent, a balancer must not reset its flows: the backend server
-/// may be alive.
+/// However long an agent is silent, a balancer must not reset its flows, since the backend
+/// server may be alive. Home nodes may know that the flow is at another agent, so they are
+/// asked first.
 #[test]
-fn flows_of_a_silent_agent_are_sent_to_it() {
-    let mut roster = roster(START, 6, &["a"]);
-    let mut balancer = balancer();
-    balancer.flow_found(START, flow(1), agent_address(4));
-    let now = START.after(REMOVAL_MS - 1);
-    record_heartbeats(&mut roster, now, 2, &[4]);
-    roster.tick(now);
-
-    let action = balancer.handle_segment(now, &routing(1), &roster, &request(flow(1), 9));
-
-    assert_eq!(target(&action), 4);
-}
-
-/// A few lost heartbeats must not end flows.
-#[test]
-fn flows_continue_after_a_few_lost_heartbeats() {
-    let mut roster = roster(START, 6, &["a"]);
-    let mut balancer = balancer();
-    balancer.flow_found(START, flow(1), agent_address(4));
-    let now = START.after(SILENT_MS + 1);
-    record_heartbeats(&mut roster, now, 2, &[4]);
-    roster.tick(now);
-
-    let action = balancer.handle_segment(now, &routing(1), &roster, &request(flow(1), 9));
-
-    assert_eq!(target(&action), 4);
+fn flows_of_a_silent_agent_are_searched_for() {
+    for silent_ms in [SILENT_MS + 1, REMOVAL_MS - 1_000] {
+        let mut roster = roster(START, 6, &["a"]);
+        let mut balancer = balancer();
+        balancer.flow_found(START, flow(1), agent_address(4));
+        let now = START.after(silent_ms);
+        record_heartbeats(&mut roster, now, 2, &[4]);
+        roster.tick(now);
+        let [first, second] = homes(&roster, &flow(1)).map(|home| home.expect("a home"));
+        let mut attempt = |after_ms| {
+            let segment = request(flow(1), 9);
+            let now = now.after(after_ms);
+            match balancer.handle_segment(now, &routing(1), &roster, &segment) {
+                Action::Send { to, search, .. } => (to, search),
+                other => panic!("not sent: {other:?}"),
+            }
+        };
+
+        assert_eq!(attempt(0), (first, Search::Home(0)));
+        assert_eq!(attempt(200), (second, Search::Home(1)));
+        assert_eq!(attempt(600), (agent_address(4), Search::Known));
+    }
 }
 
 /// A balancer that was cut off or paused must not reset the flows of all agents.
