Ask anew for a later flow between the same addresses

Cause: the number of a question was kept for the addresses, so answers from before the new flow counted for it.

Now it is kept together with what the caller has acknowledged, which doesn't change while nobody answers.

Evidence: homes_do_not_deny_a_flow_whose_port_was_searched_for_before failed before and passes now.

--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -77,7 +77,7 @@
                 {
                     return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
                 }
-                let plan = self.plan(now, roster, &flow, &forwarding);
+                let plan = self.plan(now, roster, arrival, &forwarding);
                 match other_home {
                     Some(to) if is_home && rank == 0 && !plan.is_proof() => {
                         forwarding.search = Search::Home(1);
@@ -88,7 +88,7 @@
             }
             Search::Walk => self.continue_walk(arrival, forwarding),
             Search::Fallback => {
-                let plan = self.plan(now, roster, &flow, &forwarding);
+                let plan = self.plan(now, roster, arrival, &forwarding);
                 self.start_walk(now, routing, roster, arrival, forwarding, plan)
             }
             Search::Open | Search::Known | Search::Indexed => {
@@ -104,7 +104,7 @@
                         Action::Forward { to, forwarding, cause: Cause::Elsewhere }
                     }
                     None => {
-                        let plan = self.plan(now, roster, &flow, &forwarding);
+                        let plan = self.plan(now, roster, arrival, &forwarding);
                         self.start_walk(now, routing, roster, arrival, forwarding, plan)
                     }
                 }
@@ -140,14 +140,15 @@
         &mut self,
         now: Millis,
         roster: &Roster,
-        flow: &flow::Key,
+        arrival: &Arrival,
         forwarding: &Forwarding,
     ) -> Plan {
+        let flow = &arrival.segment.flow_from_caller();
         let homes = placement::homes(roster, flow);
         let is_home = homes.contains(&Some(self.address));
         let is_undisputed =
             is_home && placement::is_home_in_all_views(roster, flow, self.address);
-        let question = self.questions.number(now, flow);
+        let question = self.questions.number(now, &arrival.segment);
         let view = roster.view(now, self.address);
         let is_index_complete = self.index.is_complete(now, self.max_flow_age_ms);
         // A process that has just started knows no other agent yet.
--- a/crates/steer/src/process/agent/question.rs
+++ b/crates/steer/src/process/agent/question.rs
@@ -8,6 +8,7 @@
 
 use crate::connection::flow;
 use crate::connection::table::Table;
+use crate::request::segment::Segment;
 
 /// Minimum interval between questions, in milliseconds. Callers retransmit after 200 ms.
 const INTERVAL_MS: u64 = 100;
@@ -25,9 +26,18 @@
     sent_at: Option<Millis>,
     /// Whether another question is needed.
     is_needed: bool,
-    /// Unknown flows with the number of the first question that was sent after the first
-    /// search for them.
-    flows: Table<u32>,
+    /// Unknown flows.
+    flows: Table<Unknown>,
+}
+
+/// An unknown flow.
+#[derive(Debug, Clone, Copy)]
+struct Unknown {
+    /// What the caller has acknowledged. It doesn't change while nobody answers, and tells
+    /// the flow from an earlier one between the same addresses.
+    acknowledged: u32,
+    /// Number of the first question that was sent after the first search for the flow.
+    question: u32,
 }
 
 impl Questions {
@@ -41,15 +51,17 @@
         self.sent
     }
 
-    /// The number of the first question about an unknown flow. It may not have been sent
-    /// yet.
-    pub fn number(&mut self, now: Millis, flow: &flow::Key) -> u32 {
-        if let Some(number) = self.flows.get(now, flow) {
-            return *number;
+    /// The number of the first question about the unknown flow of a segment. It may not
+    /// have been sent yet.
+    pub fn number(&mut self, now: Millis, segment: &Segment) -> u32 {
+        let (flow, acknowledged) = (segment.flow_from_caller(), segment.acknowledged);
+        let known = self.flows.get(now, &flow).copied();
+        if let Some(known) = known.filter(|known| known.acknowledged == acknowledged) {
+            return known.question;
         }
-        let number = self.sent + 1;
-        self.flows.insert(now, *flow, number);
-        number
+        let question = self.sent + 1;
+        self.flows.insert(now, flow, Unknown { acknowledged, question });
+        question
     }
 
     /// Requests another question, because some agents have not answered.
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -75,6 +75,22 @@
     assert_no_reset(&action);
 }
 
+/// Answers to a question about an earlier flow prove nothing about a later one between the
+/// same addresses.
+#[test]
+fn homes_do_not_deny_a_flow_whose_port_was_searched_for_before() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    let now = NOW.after(100);
+    search(now, &mut nodes, second, key, Search::Home(1), &[]);
+    ask(now, &mut nodes);
+    accept_at(now, &mut nodes, holder, key);
+
+    let later = arrival(request(key, FIRST_SEQUENCE + 9_000), Search::Home(1), 1);
+    let action = handle(now, node_mut(&mut nodes, second).expect("a node"), &later);
+
+    assert_no_reset(&action);
+}
+
 /// The backend server of an agent that can't be heard may be running.
 #[test]
 fn a_balancer_does_not_reset_flows_of_a_silent_agent() {
