Pass on no reset of a flow that its agent does not know

Callers saw: an open flow was reset although the backend server that the caller had chosen held it.

Cause: a reset of a backend server is dropped if its flow was accepted and not chosen, but a restarted agent knows nothing of the flow and passed the reset on.

Now an agent passes on resets only of flows that it knows to be open or closing. A caller whose flow ended while the agent was restarted waits for its time-out.

Evidence: a_restarted_agent_passes_on_no_reset_of_a_flow_that_it_does_not_know failed before (Send) and passes now.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -297,7 +297,8 @@
             self.record_flow(now, flow, State::new(Stage::Offered));
         }
         let state = self.flows.get(now, &flow)?;
-        if segment.flags.reset && state.stage == Stage::Accepted {
+        let is_unchosen = matches!(state.stage, Stage::Offered | Stage::Accepted);
+        if segment.flags.reset && is_unchosen {
             // The caller may have opened the flow at another backend server, where it
             // continues.
             self.flows.remove(&flow);
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -533,6 +533,24 @@
     }
 }
 
+/// After a restart of its agent, a backend server that the caller did not choose may answer a
+/// segment on a walk with a reset. The flow continues at another backend server.
+#[test]
+fn a_restarted_agent_passes_on_no_reset_of_a_flow_that_it_does_not_know() {
+    let roster = roster(NOW, 6, &["a", "b"]);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, report(17));
+    let walk = arrival(request(flow(1), FIRST_SEQUENCE + 1), Search::Walk, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+
+    let reset = Flags { reset: true, ..Flags::default() };
+    let answer = from_backend(flow(1), reset, 9_000);
+    let action = agent.handle_backend_segment(NOW, &routing(1), &roster, &answer);
+
+    assert_eq!(action, Some(BackendAction::Drop(Cause::Elsewhere)));
+}
+
 /// The connection for reports may be cut while the backend server waits for requests.
 #[test]
 fn missing_reports_alone_end_no_flow() {
