Deny no flow while its balancer hears an agent that is unknown

Now a segment on its way carries the hash of the agents that its balancer hears, and a home node is certain only if it knows all of them. A balancer that has not heard such an agent either still can't show it.

Evidence: homes_do_not_deny_a_flow_while_the_balancer_hears_an_agent_that_they_do_not_know fails without the condition. The segments of tests that expect a reset carry the balancer's hash (fixture searched).

--- a/crates/standin/src/rush/segment.rs
+++ b/crates/standin/src/rush/segment.rs
@@ -155,6 +155,7 @@
         origin: envelope.origin,
         tried: envelope.tried.clone(),
         to_visit: Vec::new(),
+        view_hash: None,
         is_exhaustive: false,
     };
     Arrival { segment, forwarding, service: Some(SERVICE.into()) }
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -50,6 +50,8 @@
     pub tried: Vec<SocketAddrV4>,
     /// Agents that a walk has still to visit, in this order.
     pub to_visit: Vec<SocketAddrV4>,
+    /// Hash of the set of agents that the origin hears; `None` for an opening segment.
+    pub view_hash: Option<u32>,
     /// Whether the flow can only be held by agents that the walk has still to visit.
     pub is_exhaustive: bool,
 }
@@ -64,6 +66,7 @@
             origin: envelope.origin,
             tried: envelope.tried.clone(),
             to_visit: envelope.to_visit.clone(),
+            view_hash: envelope.view_hash,
             is_exhaustive: envelope.is_exhaustive,
         }
     }
@@ -81,6 +84,7 @@
             service,
             tried: self.tried,
             to_visit: self.to_visit,
+            view_hash: self.view_hash,
             is_exhaustive: self.is_exhaustive,
             bytes,
         }
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -153,7 +153,10 @@
         let is_index_complete = self.index.is_complete(now, self.max_flow_age_ms);
         // A process that has just started knows no other agent yet.
         let is_alone = roster.agents().all(|member| member.address == self.address);
-        let is_exhaustive = is_home && is_index_complete && !is_alone;
+        // The balancer may hear an agent that no agent has heard yet.
+        let is_origin_known =
+            forwarding.view_hash.is_some_and(|hash| view.contains(hash));
+        let is_exhaustive = is_home && is_index_complete && is_origin_known && !is_alone;
         let mut plan = Plan { to_visit: Vec::new(), is_exhaustive };
         let mut is_question_needed = false;
         for member in roster.agents().filter(|member| member.address != self.address) {
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -120,9 +120,11 @@
         };
         let now = self.node.now();
         let routing = self.node.routing();
-        let action = {
+        let (action, view_hash) = {
             let roster = self.node.roster.read();
-            self.flows.write().handle_segment(now, &routing, &roster, &segment)
+            let mut flows = self.flows.write();
+            let action = flows.handle_segment(now, &routing, &roster, &segment);
+            (action, (!segment.is_opening()).then(|| roster.view_hash()))
         };
         let flow = segment.flow_from_caller();
         match action {
@@ -137,6 +139,7 @@
                     service: Cow::Borrowed(service),
                     tried: Vec::new(),
                     to_visit: Vec::new(),
+                    view_hash,
                     is_exhaustive: false,
                     bytes,
                 };
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -65,6 +65,8 @@
     pub tried: Vec<SocketAddrV4>,
     /// Agents that a walk has still to visit, in this order.
     pub to_visit: Vec<SocketAddrV4>,
+    /// Hash of the set of agents that the origin hears; `None` for an opening segment.
+    pub view_hash: Option<u32>,
     /// Whether the flow can only be held by agents that the walk has still to visit.
     pub is_exhaustive: bool,
     /// The unmodified segment.
--- a/crates/steer/tests/locate.rs
+++ b/crates/steer/tests/locate.rs
@@ -9,7 +9,7 @@
     FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address, agent_and_roster,
     agent_heartbeat, announcement, arrival, balancer_address, flow, flow_homed_elsewhere,
     flow_homed_here, forwarded, limits, open, opening, report, request, roster, routing,
-    sync_all, sync_status,
+    searched, sync_all, sync_status,
 };
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, Agent, Cause, Outgoing};
@@ -101,7 +101,7 @@
     let (mut agent, mut roster) = agent_and_roster();
     let key = flow_homed_here(&roster);
     sync_all(NOW, &mut roster, agent_address(1));
-    let last = arrival(request(key, FIRST_SEQUENCE), Search::Home(1), 1);
+    let last = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
     let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &last);
     assert!(
         matches!(action, Action::Refuse { cause: Cause::NotFound, .. }),
@@ -130,7 +130,8 @@
 #[test]
 fn a_home_asks_only_agents_that_are_not_synchronised() {
     let key = flow_homed_here(&agent_and_roster().1);
-    let last = arrival(request(key, FIRST_SEQUENCE), Search::Home(1), 1);
+    let last =
+        searched(&agent_and_roster().1, request(key, FIRST_SEQUENCE), Search::Home(1));
     let asked = |change: &dyn Fn(&mut SyncStatus)| {
         let (mut agent, mut roster) = agent_and_roster();
         sync_all(NOW, &mut roster, agent_address(1));
@@ -173,7 +174,7 @@
         .find(|agent| !homes(&roster, &key).contains(&Some(*agent)));
     roster.remove(gone.expect("four agents are no homes"), INCARNATION);
 
-    let last = arrival(request(key, FIRST_SEQUENCE), Search::Home(1), 1);
+    let last = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
     let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &last);
 
     assert!(
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -9,6 +9,7 @@
     FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address, agent_and_roster,
     agent_heartbeat, announcement, arrival, flow, flow_homed_here, from_backend, hear,
     limits, open, opening, report, request, returned, roster, roster_of, routing,
+    searched,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
@@ -91,6 +92,22 @@
     assert_no_reset(&action);
 }
 
+/// A balancer may have heard an agent, and opened the flow there, that no other agent has
+/// heard yet.
+#[test]
+fn homes_do_not_deny_a_flow_while_the_balancer_hears_an_agent_that_they_do_not_know() {
+    let Case { mut nodes, key, first, .. } = synchronised();
+    let mut segment = arrival(request(key, FIRST_SEQUENCE + 1), Search::Home(0), 1);
+    let unknown = roster_of(NOW, 1..=7);
+    segment.forwarding.view_hash = Some(unknown.view_hash());
+
+    for _ in 0..3 {
+        let action = handle(NOW, node_mut(&mut nodes, first).expect("a node"), &segment);
+        assert_no_reset(&action);
+        ask(NOW, &mut nodes);
+    }
+}
+
 /// The backend server of an agent that can't be heard may be running.
 #[test]
 fn a_balancer_does_not_reset_flows_of_a_silent_agent() {
@@ -818,7 +835,9 @@
     search: Search,
     cut: &[u8],
 ) -> Action {
-    let mut arrival = arrival(request(key, FIRST_SEQUENCE + 1), search, 1);
+    let segment = request(key, FIRST_SEQUENCE + 1);
+    let mut arrival =
+        searched(&node_mut(nodes, first).expect("a node").roster, segment, search);
     let mut number = first;
     loop {
         let node = node_mut(nodes, number).expect("a node");
