List the failing tests of a review of the incident

Somebody who had not seen the work read the trace and the fix, and named seven more ways to the same cause. Each of these tests fails on this code.

--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -7,16 +7,16 @@
 
 use fixture::{
     FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address, agent_and_roster,
-    agent_heartbeat, announcement, arrival, flow, flow_homed_here, from_backend, hear,
-    limits, open, opening, report, request, returned, roster, roster_of, routing,
-    searched,
+    agent_heartbeat, announcement, arrival, flow, flow_homed_elsewhere, flow_homed_here,
+    from_backend, hear, limits, open, opening, report, request, returned, roster,
+    roster_of, routing, searched,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{
     Action, Agent, Arrival, BackendAction, Cause, Limits, Outgoing,
 };
-use lentilreach_steer::process::backend::TICK_MS;
+use lentilreach_steer::process::backend::{Report, TICK_MS};
 use lentilreach_steer::process::balancer::{self, Balancer};
 use lentilreach_steer::process::roster::{Outdated, Role, Roster};
 use lentilreach_steer::request::message::{Search, Stage};
@@ -568,6 +568,149 @@
     assert_eq!(action, Some(BackendAction::Drop(Cause::Elsewhere)));
 }
 
+/// An opening that waits here was accepted elsewhere, where the caller closes the flow.
+#[test]
+fn a_closing_segment_on_a_waiting_opening_is_no_proof_that_the_flow_was_here() {
+    let (mut agent, roster) = agent_and_roster();
+    let key = flow_homed_elsewhere(&roster);
+    let waiting = arrival(opening(key, 0), Search::Open, 1);
+    agent.hold(NOW, &routing(1), waiting, Vec::new());
+    let mut close = request(key, FIRST_SEQUENCE + 1);
+    close.flags.close = true;
+    let known = arrival(close, Search::Known, 1);
+
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &known);
+
+    let to = homes(&roster, &key)[0].expect("a home");
+    assert_forwarded(&action, to);
+    assert_eq!(agent.release(NOW.after(5_000), &routing(1), &roster), None);
+}
+
+/// As above for an opening that the backend server has not accepted.
+#[test]
+fn a_returned_segment_ends_no_flow_that_was_not_accepted_here() {
+    let (mut agent, roster) = agent_and_roster();
+    let key = flow_homed_elsewhere(&roster);
+    let offered = arrival(opening(key, 0), Search::Open, 1);
+    agent.handle_caller_segment(NOW, &routing(1), &roster, &offered);
+    let mut close = request(key, FIRST_SEQUENCE + 1);
+    close.flags.close = true;
+    let known = arrival(close, Search::Known, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &known);
+    let Action::Deliver { mark, .. } = action else { panic!("{action:?}") };
+
+    let back = returned(close, mark);
+    let answer = agent.handle_backend_segment(NOW, &routing(1), &roster, &back);
+
+    let Some(BackendAction::Returned(action)) = answer else { panic!("{answer:?}") };
+    assert_no_reset(&action);
+}
+
+/// A backend server may accept flows between its start and its first report.
+#[test]
+fn the_first_report_of_a_new_instance_ends_no_flow_opened_since_the_last_one() {
+    let (mut agent, roster) = agent_and_roster();
+    let [older, younger] = [1, 2].map(flow);
+    open(NOW, &mut agent, &roster, older, FIRST_SEQUENCE);
+    agent.report(NOW.after(1_000), report(2));
+    open(NOW.after(1_500), &mut agent, &roster, younger, FIRST_SEQUENCE);
+
+    let next = Report { id: "i-2".into(), started_ms: Some(2_200), ..report(1) };
+    let (_, ended) = agent.report(NOW.after(2_000), next);
+
+    let ended: Vec<_> = ended.iter().map(|ended| ended.flow).collect();
+    assert_eq!(ended, [older]);
+}
+
+/// An agent that took its backend server for gone has forgotten its flows.
+#[test]
+fn an_agent_knows_not_all_flows_after_its_backend_server_was_taken_for_gone() {
+    let (mut agent, roster) = agent_and_roster();
+    open(NOW, &mut agent, &roster, flow(1), FIRST_SEQUENCE);
+    let now = NOW.after(20_000);
+    agent.record_absence(now);
+
+    agent.report(now.after(100), report(9));
+    agent.update_knows_all_flows(now.after(100), &routing(1));
+
+    assert!(!agent.knows_all_flows());
+}
+
+/// During a long upload a backend server only acknowledges, and its agent may have been
+/// restarted.
+#[test]
+fn a_restarted_agent_announces_flows_whose_backend_server_only_acknowledges() {
+    let roster = roster(NOW, 6, &["a", "b"]);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, report(17));
+    let flags = Flags { acknowledge: true, ..Flags::default() };
+
+    let answer = from_backend(flow_homed_elsewhere(&roster), flags, 9_000);
+    agent.handle_backend_segment(NOW, &routing(1), &roster, &answer);
+
+    assert_eq!(agent.announcements(NOW, &roster).len(), 2);
+}
+
+/// A datagram that arrives twice must not make up for a lost one.
+#[test]
+fn a_doubled_announcement_hides_no_lost_one() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    let other = (2..).map(flow).find(|other| {
+        homes(&nodes[0].roster, other).contains(&Some(agent_address(second)))
+    });
+    let now = NOW.after(100);
+    for (number, lost) in [(other.expect("another flow"), false), (key, true)] {
+        open_at(now, &mut nodes, holder, number);
+        for _ in 0..2 {
+            announce(now, &mut nodes, |_, _| lost);
+        }
+        if !lost {
+            let home = node_mut(&mut nodes, second).expect("a node");
+            let from = agent_address(holder);
+            home.agent.handle_announcement(
+                now,
+                &home.roster,
+                from,
+                &announcement(&[number]),
+            );
+        }
+    }
+
+    search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+    ask(now, &mut nodes);
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+    assert_no_reset(&action);
+}
+
+/// An agent that others know and don't hear may hold the flow. A home node that has just
+/// started may know nothing of it.
+#[test]
+fn a_restarted_home_denies_no_flow_while_others_miss_an_agent() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    open_at(NOW, &mut nodes, holder, key);
+    announce(NOW, &mut nodes, |_, _| false);
+    let now = cut_off(&mut nodes, holder, 4);
+    restart(now, &mut nodes, second);
+    let home = node_mut(&mut nodes, second).expect("a node");
+    home.roster = roster_of(now, others(holder, second));
+    for _ in 0..2 {
+        beat(now, &mut nodes, |from, to| [from, to].contains(&holder));
+        announce(now, &mut nodes, |from, to| [from, to].contains(&holder));
+    }
+
+    search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+    for node in &mut nodes {
+        node.agent.is_question_due(now);
+    }
+    for _ in 0..2 {
+        beat(now, &mut nodes, |from, to| [from, to].contains(&holder));
+    }
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+    assert_no_reset(&action);
+}
+
 /// The connection for reports may be cut while the backend server waits for requests.
 #[test]
 fn missing_reports_alone_end_no_flow() {
