Take no flow for lost that was never held here

An opening waited at one agent, or had been offered by it, a copy was accepted elsewhere, and the caller's closing segment came to the first agent.

Cause: a closing segment made any known flow a closing one, and when the backend server returned it, the agent took that for the end of a flow that it had held.

Now an established segment ends the waiting of an opening and is searched for, only an open flow can become a closing one, and a returned segment ends a flow only if this agent has seen its acceptance.

--- a/crates/steer/src/process/admission.rs
+++ b/crates/steer/src/process/admission.rs
@@ -188,6 +188,11 @@
         Some(self.waiting.remove(index))
     }
 
+    /// Removes the opening of a flow.
+    pub fn remove(&mut self, flow: &flow::Key) {
+        self.waiting.retain(|(opening, _)| opening.flow != *flow);
+    }
+
     /// Removes and returns an opening, whatever the capacity.
     pub fn pop(&mut self) -> Option<(Opening, T)> {
         self.waiting.pop()
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -384,6 +384,12 @@
             Some(state) if !state.accepts_ack(ack) => {
                 self.locate(now, routing, roster, arrival)
             }
+            // The caller opened the flow elsewhere meanwhile.
+            Some(state) if state.stage == Stage::Held => {
+                self.admission.remove(&flow);
+                self.flows.remove(&flow);
+                self.locate(now, routing, roster, arrival)
+            }
             Some(state) if state.stage == Stage::Lost => self.reset(arrival, Cause::Lost),
             Some(_) => self.deliver(now, arrival, false),
             // As long as some flows are unknown, only the backend server can tell whether
@@ -418,7 +424,8 @@
             }
             let Segment { sequence, length, .. } = arrival.segment;
             is_request = length > 0 && state.record_request(sequence, length);
-            if arrival.segment.flags.close || arrival.segment.flags.reset {
+            let is_last = arrival.segment.flags.close || arrival.segment.flags.reset;
+            if is_last && state.stage == Stage::Open {
                 state.stage = Stage::Closing;
             }
         }
@@ -488,7 +495,7 @@
             forwarding: delivered.forwarding,
             service: delivered.service,
         };
-        let stage = self.flows.remove(&flow).map(|state| state.stage);
+        let state = self.flows.remove(&flow);
         self.in_flight.remove(&flow);
         if segment.is_opening() {
             return Some(self.redirect_or_refuse(
@@ -499,15 +506,16 @@
                 Cause::Returned,
             ));
         }
-        Some(match stage {
-            // The backend server did hold the flow: it was restarted or has dropped the
-            // flow.
-            Some(Stage::Open | Stage::Closing | Stage::Lost) => {
-                self.reset(&arrival, Cause::Lost)
-            }
-            Some(Stage::Held | Stage::Offered | Stage::Accepted) | None => {
-                self.locate(now, routing, roster, &arrival)
-            }
+        // The backend server did hold the flow if it has accepted it and the caller has
+        // chosen it: it was restarted or has dropped the flow.
+        let was_held = state.is_some_and(|state| {
+            state.first_sequence.is_some()
+                && (state.is_established() || state.stage == Stage::Lost)
+        });
+        Some(if was_held {
+            self.reset(&arrival, Cause::Lost)
+        } else {
+            self.locate(now, routing, roster, &arrival)
         })
     }
 
