End flows only of the instance of a backend server that held them

A backend server that had crashed and started again accepted flows before its first report, and that report ended them. After a backend server had been taken for gone by mistake, its agent forgot its flows and claimed in the same moment to know all of them.

Now a new instance ends only what was offered up to the last report of the one before; the backend server itself returns segments of other flows that it doesn't hold. An agent that forgets flows without proof doesn't know all of them until they would have been recorded again.

--- a/crates/steer/src/connection/in_flight.rs
+++ b/crates/steer/src/connection/in_flight.rs
@@ -113,11 +113,6 @@
         }
     }
 
-    /// Records that all flows have ended.
-    pub fn clear(&mut self) {
-        self.entries.clear();
-    }
-
     /// Number of requests that are in progress or expected. Those that are overdue don't
     /// count: they will hardly be answered, whether they take a slot or not.
     pub fn count(&mut self, now: Millis) -> u32 {
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -161,16 +161,18 @@
         report: Report,
     ) -> (backend::Change, Vec<Ended>) {
         let is_initial = report.is_initial();
+        let last_report = self.backend.last_report();
         let change = self.backend.record_report(now, report);
         let mut ended = Vec::new();
         if let backend::Change::Started { is_replacement } = change {
             self.knows_all_flows = is_initial;
             if is_replacement {
-                ended = self.end_all();
-            } else {
-                // If the backend server was considered gone by mistake, it may still hold
-                // these flows.
-                self.flows.retain(|_, state| state.stage != Stage::Lost);
+                // The new instance may have accepted those that were offered since.
+                ended = self.end_flows(|state| {
+                    state.offered_at.is_none_or(|offered_at| offered_at <= last_report)
+                });
+            } else if self.forget_lost_flows() {
+                self.recorded_since = now;
             }
         }
         (change, ended)
@@ -223,7 +225,7 @@
             return Vec::new();
         }
         self.knows_all_flows = true;
-        self.end_all()
+        self.end_flows(|_| true)
     }
 
     /// Records that the backend server is shutting down. Returns whether it is the
@@ -245,7 +247,7 @@
             return Vec::new();
         }
         self.knows_all_flows = true;
-        self.end_all()
+        self.end_flows(|_| true)
     }
 
     /// Stops admitting openings, because the process is about to stop.
@@ -519,14 +521,15 @@
         })
     }
 
-    /// Marks all flows as ended with their backend server. Returns those that were open.
-    fn end_all(&mut self) -> Vec<Ended> {
+    /// Marks flows as ended with their backend server. Returns those that were open.
+    fn end_flows(&mut self, has_ended: impl Fn(&State) -> bool) -> Vec<Ended> {
         let mut ended = Vec::new();
-        self.in_flight.clear();
+        let in_flight = &mut self.in_flight;
         self.flows.retain(|flow, state| {
-            if state.stage == Stage::Held {
+            if state.stage == Stage::Held || !has_ended(state) {
                 return true;
             }
+            in_flight.remove(flow);
             // The callers of all other flows may have chosen another backend server.
             let is_kept = state.is_established() || state.stage == Stage::Lost;
             if state.stage == Stage::Open {
@@ -537,4 +540,16 @@
         });
         ended
     }
+
+    /// Forgets the flows of a backend server that was considered gone by mistake and may
+    /// still hold them. Returns whether there were any.
+    fn forget_lost_flows(&mut self) -> bool {
+        let mut had_any = false;
+        self.flows.retain(|_, state| {
+            let is_lost = state.stage == Stage::Lost;
+            had_any |= is_lost;
+            !is_lost
+        });
+        had_any
+    }
 }
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -183,6 +183,11 @@
         self.report.as_ref()
     }
 
+    /// When the last report arrived.
+    pub fn last_report(&self) -> Millis {
+        self.last_report
+    }
+
     /// Processes a report.
     pub fn record_report(&mut self, now: Millis, report: Report) -> Change {
         let before = self.stage(now);
