Count announcements by their numbers

A datagram that arrived twice was counted twice, so the loss of another announcement was hidden, and the home node denied its flow.

Now announcements are numbered, and a home node counts those before the first one that is missing.

Evidence: a_doubled_announcement_hides_no_lost_one failed before and passes now.

--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -156,9 +156,14 @@
         home: Home,
         flows: Vec<flow::Key>,
     ) -> Outgoing {
-        let epoch = self.sent.count(now, home);
-        let announcement =
-            Announcement { sender, receiver: home.incarnation, epoch, flows };
+        let progress = self.sent.count(now, home);
+        let announcement = Announcement {
+            sender,
+            receiver: home.incarnation,
+            epoch: progress.epoch,
+            number: progress.count,
+            flows,
+        };
         Outgoing { to: home.address, announcement }
     }
 }
--- a/crates/steer/src/process/agent/sync.rs
+++ b/crates/steer/src/process/agent/sync.rs
@@ -36,11 +36,11 @@
 }
 
 impl Sent {
-    /// Counts an announcement to a home node. Returns its epoch.
-    pub fn count(&mut self, now: Millis, home: Home) -> u32 {
+    /// Counts an announcement to a home node. Returns the progress that includes it.
+    pub fn count(&mut self, now: Millis, home: Home) -> Progress {
         let receiver = self.receiver(now, home);
         receiver.progress.count += 1;
-        receiver.progress.epoch
+        receiver.progress
     }
 
     /// Announcements sent to an incarnation of a node.
@@ -141,7 +141,11 @@
                 index
             }
         };
-        self.senders[index].progress.count += 1;
+        // One that arrives twice doesn't make up for a lost one.
+        let count = &mut self.senders[index].progress.count;
+        if announcement.number == *count + 1 {
+            *count += 1;
+        }
     }
 
     /// Announcements received from an incarnation of a node.
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -141,6 +141,8 @@
     pub receiver: u64,
     /// Epoch in which the message is counted, see [`Progress`].
     pub epoch: u32,
+    /// Number of the message in this epoch, from 1.
+    pub number: u32,
     /// The flows, at most [`MAX_ANNOUNCED`].
     pub flows: Vec<flow::Key>,
 }
@@ -173,7 +175,8 @@
 pub struct Progress {
     /// Incremented when the sender starts to announce all flows again.
     pub epoch: u32,
-    /// Number of announcements in this epoch.
+    /// Number of announcements in this epoch; as a receiver counts them, of those before
+    /// the first one that is missing.
     pub count: u32,
 }
 
