Let an expired opening change no flow

An opening that had waited in a socket for seconds removed the state of an open flow between the same addresses, so the flow was neither announced again nor known, and the opening itself was refused. An opening that stopped waiting removed whatever flow had its addresses by then.

--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -31,6 +31,10 @@
             Some(state) if state.is_opened_by(sequence) => {
                 return self.deliver(now, arrival, false);
             }
+            // The caller gave up this opening, which may be older than the known flow.
+            Some(_) if now > opening(now, routing, arrival).give_up_at() => {
+                return Action::Drop(backend::Refusal::Expired.into());
+            }
             // The caller uses the port again, so the flow before has ended for it.
             Some(_) => {
                 self.flows.remove(&flow);
@@ -85,7 +89,7 @@
             return None;
         }
         if let Some((_, waiting)) = self.admission.next_expired(now) {
-            self.end_hold(&waiting.arrival);
+            self.end_hold(now, &waiting.arrival);
             let action = self.refuse_opening(&waiting.arrival, Cause::Held);
             return Some(Release { waiting, action });
         }
@@ -94,7 +98,7 @@
             self.backend.stage(now).is_none_or(|s| s == message::Stage::Closed);
         if is_closed || routing.is_out(&self.domain) {
             let (_, waiting) = self.admission.pop()?;
-            self.end_hold(&waiting.arrival);
+            self.end_hold(now, &waiting.arrival);
             let arrival = &waiting.arrival;
             let action =
                 self.redirect_or_refuse(now, routing, roster, arrival, Cause::Held);
@@ -109,7 +113,7 @@
         let action = match self.check(now, routing, &waiting.arrival) {
             Ok(()) => self.deliver_opening(now, routing, &waiting.arrival),
             Err(cause) => {
-                self.end_hold(&waiting.arrival);
+                self.end_hold(now, &waiting.arrival);
                 self.redirect_or_refuse(now, routing, roster, &waiting.arrival, cause)
             }
         };
@@ -240,9 +244,12 @@
         self.deliver(now, arrival, true)
     }
 
-    /// Removes the flow of an opening that waited.
-    fn end_hold(&mut self, arrival: &Arrival) {
-        self.flows.remove(&arrival.segment.flow_from_caller());
+    /// Removes the flow of an opening that waited, unless it is another flow by now.
+    fn end_hold(&mut self, now: Millis, arrival: &Arrival) {
+        let flow = arrival.segment.flow_from_caller();
+        if self.flows.get(now, &flow).is_some_and(|state| state.stage == Stage::Held) {
+            self.flows.remove(&flow);
+        }
     }
 
     /// The load of the backend server.
