Claim to know all flows no earlier than it is known

An agent computed the age of its backend server from the configured warm-up time although a longer one had applied when it started, and so took itself for older than it. It claimed to know all flows as soon as the backend server said that it was leaving, while that one still serves.

--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -320,12 +320,16 @@
         let has_started_recently =
             self.report.as_ref().is_some_and(Report::has_started_recently);
         let left_ms = self.cold_until.since(now);
-        (has_started_recently && left_ms > 0).then(|| cold_ms.saturating_sub(left_ms))
+        if !has_started_recently || left_ms == 0 {
+            return None;
+        }
+        // Otherwise another warm-up time applied when it started.
+        cold_ms.checked_sub(left_ms)
     }
 
     /// Whether it may be running. Missing reports don't show that it isn't.
     pub fn may_be_running(&self) -> bool {
-        !self.is_leaving() && !self.is_gone
+        !self.is_gone
     }
 
     /// Whether its next report is overdue.
