Let statements name processes and what their sender misses

A home node that had just started denied flows of an agent that all others knew as silent and it had never heard of. The set in a statement was as old as the last tick. The address of an agent that had left hid the process that took it over for 5 s, and a late farewell removed what that process had announced. A restarted agent never announced flows whose backend server only acknowledges.

Now a statement carries the set of processes, addresses with incarnations, that its sender hears in that moment, and whether it hears all that it knows. Questions are asked only while the answers can be a proof, only of agents that have not answered, and at most one for each 2 ms and agent: with 140 of 300 agents silent, the ones before would have sent some 200,000 a second across all nodes (computed from the code, not measured), none of them of use.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -102,8 +102,6 @@
     /// Generation of the roster at the last call of [`Self::announcements`]; `None` if
     /// flows may have to be announced although the generation is the same.
     announced_generation: Option<u64>,
-    /// Hash of the set of agents from which home nodes were selected.
-    view_hash: u32,
 }
 
 impl Agent {
@@ -131,7 +129,6 @@
             questions: Questions::new(limits.flows),
             unannounced: Vec::new(),
             announced_generation: None,
-            view_hash: 0,
         }
     }
 
@@ -210,7 +207,7 @@
 
     /// Whether there is no backend server next to this agent.
     pub fn has_no_backend(&self) -> bool {
-        !self.backend.may_be_running()
+        self.backend.is_leaving() || !self.backend.may_be_running()
     }
 
     /// Whether a probe must show now if the backend server is running.
@@ -319,9 +316,11 @@
         state.stage = match state.stage {
             _ if segment.flags.close || segment.flags.reset => Stage::Closing,
             Stage::Offered if is_accept => Stage::Accepted,
-            // If the agent was restarted meanwhile, only data of the flow shows that it
-            // is open.
-            Stage::Offered if segment.length > 0 => Stage::Open,
+            // If the agent was restarted meanwhile, any segment but an acceptance shows
+            // that the flow is open.
+            Stage::Offered if segment.length > 0 || state.offered_at.is_none() => {
+                Stage::Open
+            }
             stage => stage,
         };
         let is_closing = state.stage == Stage::Closing;
--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -29,9 +29,12 @@
         }
     }
 
-    /// Records that another agent has left, and that its flows have ended.
-    pub fn handle_leave(&mut self, from: SocketAddrV4) {
-        self.index.remove_agent(from);
+    /// Records that another agent has left, and that its flows have ended. The process that
+    /// takes over its address may have announced flows already.
+    pub fn handle_leave(&mut self, from: SocketAddrV4, incarnation: u64) {
+        if !self.received.has_other(from, incarnation) {
+            self.index.remove_agent(from);
+        }
     }
 
     /// Processes a heartbeat of another agent. If an announcement to that agent was lost,
@@ -72,7 +75,8 @@
             && self.unannounced.binary_search(&member.address).is_err();
         SyncStatus {
             receiver: member.incarnation,
-            view_hash: self.view_hash,
+            view_hash: roster.view_hash(),
+            hears_all: roster.hears_all(),
             is_complete: has_announced && self.knows_all_flows(),
             sent: self.sent.progress(home),
             received: self.received.progress(member.address, member.incarnation),
@@ -81,10 +85,16 @@
         }
     }
 
-    /// Whether the other agents must be asked for a heartbeat now, because this home node
-    /// was asked for a flow that it doesn't know.
-    pub fn is_question_due(&mut self, now: Millis) -> bool {
-        self.questions.is_due(now)
+    /// Whether other agents must be asked for a heartbeat now, because this home node was
+    /// asked for a flow that it doesn't know: those that [`Self::has_answered`] excludes.
+    pub fn is_question_due(&mut self, now: Millis, roster: &Roster) -> bool {
+        self.questions.is_due(now, roster.agents().count() as u64)
+    }
+
+    /// Whether another agent has answered the last question.
+    pub fn has_answered(&self, member: &Member) -> bool {
+        let status = member.sync_status;
+        status.is_some_and(|status| status.answered >= self.questions.sent())
     }
 
     /// The announcements that have become due since the last call.
@@ -92,7 +102,6 @@
         let generation = roster.generation();
         let is_changed = self.announced_generation != Some(generation);
         self.announced_generation = Some(generation);
-        self.view_hash = roster.view_hash();
         let mut due: Vec<(Home, Vec<flow::Key>)> = Vec::new();
         let own = self.address;
         let unannounced = &mut self.unannounced;
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -36,8 +36,8 @@
 /// know.
 #[derive(Debug, Clone, Copy)]
 struct Evidence {
-    /// Whether the statement was made after the first search for the flow, and no agent is
-    /// known to its sender only.
+    /// Whether the statement was made after the first search for the flow, and its sender
+    /// hears the agents that it knows, none of which is known to it only.
     is_current: bool,
     /// Whether the agent had announced all of its flows to the home node.
     is_announced: bool,
@@ -156,13 +156,15 @@
         // The balancer may hear an agent that no agent has heard yet.
         let is_origin_known =
             forwarding.view_hash.is_some_and(|hash| view.contains(hash));
-        let is_exhaustive = is_home && is_index_complete && is_origin_known && !is_alone;
-        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive };
-        let mut is_question_needed = false;
+        let can_be_certain = is_home
+            && is_index_complete
+            && is_origin_known
+            && !is_alone
+            && roster.hears_all();
+        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive: can_be_certain };
         for member in roster.agents().filter(|member| member.address != self.address) {
             let evidence = self.evidence(roster, &view, is_undisputed, member, question);
             plan.is_exhaustive &= evidence.is_current;
-            is_question_needed |= is_home && !member.is_silent && !evidence.is_current;
             let is_left_out = if is_home {
                 evidence.is_announced
             } else {
@@ -173,7 +175,7 @@
                 plan.to_visit.push(member.address);
             }
         }
-        if is_question_needed {
+        if can_be_certain && !plan.is_exhaustive {
             self.questions.request();
         }
         plan
@@ -199,7 +201,7 @@
         let selects_this_home = status.view_hash == roster.view_hash()
             || (is_undisputed_home && is_view_known);
         Evidence {
-            is_current: is_view_known && status.answered >= question,
+            is_current: is_view_known && status.hears_all && status.answered >= question,
             is_announced: selects_this_home && self.has_received_all(member, status),
         }
     }
--- a/crates/steer/src/process/agent/question.rs
+++ b/crates/steer/src/process/agent/question.rs
@@ -13,6 +13,10 @@
 /// Minimum interval between questions, in milliseconds. Callers retransmit after 200 ms.
 const INTERVAL_MS: u64 = 100;
 
+/// Minimum time for each agent that is asked, in milliseconds. Limits the rate of messages,
+/// whatever the number of agents is.
+const INTERVAL_PER_AGENT_MS: u64 = 2;
+
 /// Time after which an unknown flow that is no longer searched for is forgotten, in
 /// milliseconds. Callers retransmit every 1.6 s at least.
 const RETENTION_MS: u64 = 3_000;
@@ -24,7 +28,9 @@
     sent: u32,
     /// When it was sent.
     sent_at: Option<Millis>,
-    /// Whether another question is needed.
+    /// Whether a flow became unknown after the last question.
+    is_new: bool,
+    /// Whether answers are missing for some unknown flow.
     is_needed: bool,
     /// Unknown flows.
     flows: Table<Unknown>,
@@ -43,7 +49,8 @@
 impl Questions {
     /// Creates the state for approximately `limit` unknown flows.
     pub fn new(limit: usize) -> Self {
-        Self { sent: 0, sent_at: None, is_needed: false, flows: Table::new(limit) }
+        let flows = Table::new(limit);
+        Self { sent: 0, sent_at: None, is_new: false, is_needed: false, flows }
     }
 
     /// Number of the last question.
@@ -60,11 +67,12 @@
             return known.question;
         }
         let question = self.sent + 1;
+        self.is_new = true;
         self.flows.insert(now, flow, Unknown { acknowledged, question });
         question
     }
 
-    /// Requests another question, because some agents have not answered.
+    /// Requests a question, or a repetition of it for the agents that have not answered.
     pub fn request(&mut self) {
         self.is_needed = true;
     }
@@ -74,13 +82,15 @@
         self.flows.remove(flow);
     }
 
-    /// Whether a question must be sent now. Counts it as sent.
-    pub fn is_due(&mut self, now: Millis) -> bool {
-        let is_allowed = self.sent_at.is_none_or(|at| now.since(at) >= INTERVAL_MS);
+    /// Whether a question must be sent or repeated now, if there are `agents` agents. Counts
+    /// it as sent.
+    pub fn is_due(&mut self, now: Millis, agents: u64) -> bool {
+        let interval_ms = INTERVAL_MS.max(agents * INTERVAL_PER_AGENT_MS);
+        let is_allowed = self.sent_at.is_none_or(|at| now.since(at) >= interval_ms);
         if !self.is_needed || !is_allowed {
             return false;
         }
-        self.sent += 1;
+        self.sent += u32::from(std::mem::take(&mut self.is_new));
         self.sent_at = Some(now);
         self.is_needed = false;
         true
--- a/crates/steer/src/process/agent/sync.rs
+++ b/crates/steer/src/process/agent/sync.rs
@@ -148,6 +148,12 @@
         }
     }
 
+    /// Whether the last announcement from an address came from another incarnation.
+    pub fn has_other(&self, from: SocketAddrV4, incarnation: u64) -> bool {
+        let found = self.senders.binary_search_by_key(&from, |known| known.address);
+        found.is_ok_and(|index| self.senders[index].incarnation != incarnation)
+    }
+
     /// Announcements received from an incarnation of a node.
     pub fn progress(&self, from: SocketAddrV4, incarnation: u64) -> Progress {
         let found = self.senders.binary_search_by_key(&from, |known| known.address);
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -257,9 +257,16 @@
     /// Asks the other agents for a heartbeat if a home node needs their answers to decide
     /// whether a flow has ended.
     fn ask_if_due(&self) {
-        if self.flows.write().is_question_due(self.node.now()) {
+        let is_due = {
+            let roster = self.node.roster.read();
+            self.flows.write().is_question_due(self.node.now(), &roster)
+        };
+        if is_due {
             metric::count(&metric::QUESTIONS);
-            self.node.ask_agents(|roster, member| self.sync_status(roster, member));
+            self.node.ask_agents(|roster, member| {
+                let has_answered = self.flows.read().has_answered(member);
+                self.sync_status(roster, member).filter(|_| !has_answered)
+            });
         }
     }
 
@@ -317,7 +324,7 @@
             }
             Some(Message::Leave(incarnation)) => {
                 if self.node.handle_leave(from, incarnation) {
-                    self.flows.write().handle_leave(from);
+                    self.flows.write().handle_leave(from, incarnation);
                 }
             }
             Some(Message::DocumentsRequest) => self.node.send_documents(from),
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -214,15 +214,18 @@
         self.send_heartbeats(to, role, false);
     }
 
-    /// Asks all other agents that are heard for a heartbeat.
+    /// Asks agents for a heartbeat: those for which `sync_status` returns a status to
+    /// include.
     pub fn ask_agents(
         &self,
         sync_status: impl Fn(&Roster, &Member) -> Option<SyncStatus>,
     ) {
         let to: Vec<_> = {
             let roster = self.roster.read();
-            let heard = roster.agents().filter(|member| !member.is_silent);
-            heard.map(|member| (member.address, sync_status(&roster, member))).collect()
+            let asked = roster.agents().filter_map(|member| {
+                Some((member.address, Some(sync_status(&roster, member)?)))
+            });
+            asked.collect()
         };
         self.send_heartbeats(to, Role::Agent, true);
     }
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -5,7 +5,7 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
-use super::view::{self, View};
+use super::view::{self, Element, View};
 use crate::request::message::{BackendStatus, Heartbeat, Stage, SyncStatus};
 
 /// Interval between heartbeats of a node, in milliseconds. It determines how soon a lost
@@ -43,8 +43,7 @@
     members: Vec<Member>,
     /// Incremented when an agent joins, leaves, becomes silent or returns.
     generation: u64,
-    /// Hash of the addresses of all live agents. Only changes together with the
-    /// generation.
+    /// Hash of the set of live agents. Only changes together with the generation.
     view_hash: u32,
     /// Agents that left recently.
     left: Vec<Left>,
@@ -127,6 +126,11 @@
         self.open * (-age).exp()
     }
 
+    /// Its address and its incarnation.
+    fn element(&self) -> Element {
+        (self.address, self.incarnation)
+    }
+
     /// Whether its backend server resets or leaves unanswered much of what it gets.
     pub fn is_failing(&self) -> bool {
         self.backend_status.as_ref().is_some_and(|status| status.is_failing)
@@ -147,7 +151,7 @@
     pub silent: usize,
     /// Number of listed agents that have never sent a heartbeat.
     pub unheard: usize,
-    /// Hash of the addresses of all live agents.
+    /// Hash of the set of live agents.
     pub view_hash: u32,
 }
 
@@ -194,6 +198,11 @@
         self.members.iter().filter(|member| member.role == Role::Agent)
     }
 
+    /// Whether the heartbeats of all known agents arrive.
+    pub fn hears_all(&self) -> bool {
+        self.agents().all(|member| !member.is_silent)
+    }
+
     /// Whether an agent is known and its heartbeats arrive.
     pub fn is_heard(&self, address: SocketAddrV4) -> bool {
         self.get(address).is_some_and(|member| !member.is_silent)
@@ -211,14 +220,14 @@
     pub fn view(&self, now: Millis, own: SocketAddrV4) -> View {
         let heard = || self.agents().filter(|member| !member.is_silent);
         let silent = self.agents().filter(|member| member.is_silent);
-        let left = self.left.iter().map(|left| left.address);
+        let left = self.left.iter().map(|left| (left.address, left.incarnation));
         let recent = heard().filter(|member| {
             member.address != own && now.since(member.heard_since) <= VIEW_CHANGE_MS
         });
         View::new(
-            heard().map(|member| member.address),
-            left.chain(silent.map(|member| member.address)),
-            recent.map(|member| member.address),
+            heard().map(Member::element),
+            left.chain(silent.map(Member::element)),
+            recent.map(Member::element),
         )
     }
 
@@ -235,8 +244,7 @@
         Summary { live, silent, unheard, view_hash: self.view_hash }
     }
 
-    /// Hash of the addresses of all live agents. Nodes with the same hash select the same
-    /// home nodes.
+    /// Hash of the set of live agents. Nodes with the same hash select the same home nodes.
     pub fn view_hash(&self) -> u32 {
         self.view_hash
     }
@@ -469,7 +477,7 @@
     fn update_view(&mut self) {
         self.generation += 1;
         let heard = self.agents().filter(|member| !member.is_silent);
-        self.view_hash = view::hash(heard.map(|member| member.address));
+        self.view_hash = view::hash(heard.map(Member::element));
     }
 
     /// The index of an address, or the index at which to insert it.
--- a/crates/steer/src/process/view.rs
+++ b/crates/steer/src/process/view.rs
@@ -1,8 +1,8 @@
 //! Compares the sets of agents that nodes hear.
 //!
-//! Nodes tell each other a hash of the set from which they select home nodes. It is the sum
-//! of the hashes of its elements, so a node can recognise sets that differ from its own one
-//! in a few agents that it knows.
+//! Nodes tell each other a hash of the set of agents that they hear. It is the sum of the
+//! hashes of its elements, so a node can recognise sets that differ from its own one in a
+//! few agents that it knows. Successive processes at one address are different elements.
 
 use std::net::SocketAddrV4;
 
@@ -12,6 +12,9 @@
 /// are compared to 256.
 const MAX_OPTIONAL: usize = 8;
 
+/// An agent's address and its incarnation.
+pub type Element = (SocketAddrV4, u64);
+
 /// The sets of agents that another node may hear, as far as this node knows all of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct View {
@@ -27,14 +30,14 @@
     /// Creates the view of a node from the agents that it hears. Other nodes may also hear
     /// those in `lost`, and may not hear those in `recent` yet, which this node hears.
     pub fn new(
-        heard: impl Iterator<Item = SocketAddrV4>,
-        lost: impl Iterator<Item = SocketAddrV4>,
-        recent: impl Iterator<Item = SocketAddrV4>,
+        heard: impl Iterator<Item = Element>,
+        lost: impl Iterator<Item = Element>,
+        recent: impl Iterator<Item = Element>,
     ) -> Self {
         let own = hash(heard);
         let mut required = own;
-        let mut optional: Vec<_> = lost.map(address_hash).take(MAX_OPTIONAL).collect();
-        for hash in recent.map(address_hash).take(MAX_OPTIONAL - optional.len()) {
+        let mut optional: Vec<_> = lost.map(element_hash).take(MAX_OPTIONAL).collect();
+        for hash in recent.map(element_hash).take(MAX_OPTIONAL - optional.len()) {
             required = required.wrapping_sub(hash);
             optional.push(hash);
         }
@@ -48,15 +51,16 @@
 }
 
 /// The hash of a set of agents, which doesn't depend on their order.
-pub fn hash(agents: impl Iterator<Item = SocketAddrV4>) -> u32 {
-    agents.map(address_hash).fold(0, u32::wrapping_add)
+pub fn hash(agents: impl Iterator<Item = Element>) -> u32 {
+    agents.map(element_hash).fold(0, u32::wrapping_add)
 }
 
 /// The hash of one agent.
-fn address_hash(agent: SocketAddrV4) -> u32 {
-    let mut bytes = [0; 6];
+fn element_hash((agent, incarnation): Element) -> u32 {
+    let mut bytes = [0; 14];
     bytes[..4].copy_from_slice(&agent.ip().octets());
-    bytes[4..].copy_from_slice(&agent.port().to_be_bytes());
+    bytes[4..6].copy_from_slice(&agent.port().to_be_bytes());
+    bytes[6..].copy_from_slice(&incarnation.to_be_bytes());
     xxh3_64(&bytes) as u32
 }
 
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -154,8 +154,10 @@
 pub struct SyncStatus {
     /// Incarnation of the receiver that the message is addressed to.
     pub receiver: u64,
-    /// Hash of the set of agents from which the sender selected home nodes.
+    /// Hash of the set of agents that the sender hears.
     pub view_hash: u32,
+    /// Whether the sender hears all agents that it knows.
+    pub hears_all: bool,
     /// Whether the sender has announced every flow of its backend server that it has to
     /// announce to the receiver.
     pub is_complete: bool,
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddrV4;
 
 use fixture::{
-    FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address, agent_and_roster,
-    agent_heartbeat, announcement, arrival, flow, flow_homed_elsewhere, flow_homed_here,
-    from_backend, hear, limits, open, opening, report, request, returned, roster,
-    roster_of, routing, searched,
+    CALENDAR, FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address,
+    agent_and_roster, agent_heartbeat, announcement, arrival, flow, flow_homed_elsewhere,
+    flow_homed_here, from_backend, hear, limits, open, opening, report, request,
+    returned, roster, roster_of, routing, searched,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
@@ -19,7 +19,7 @@
 use lentilreach_steer::process::backend::{Report, TICK_MS};
 use lentilreach_steer::process::balancer::{self, Balancer};
 use lentilreach_steer::process::roster::{Outdated, Role, Roster};
-use lentilreach_steer::request::message::{Search, Stage};
+use lentilreach_steer::request::message::{Announcement, Search, Stage};
 use lentilreach_steer::request::placement::{fallback, homes};
 use lentilreach_steer::request::segment::{Flags, Segment};
 
@@ -64,12 +64,7 @@
     announce(NOW.after(100), &mut nodes, |from, _| from == holder);
     let now = NOW.after(300);
     search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
-    for node in &mut nodes {
-        node.agent.is_question_due(now);
-    }
-    for _ in 0..2 {
-        beat(now, &mut nodes, |from, to| from == holder || to == holder);
-    }
+    ask_unless(now, &mut nodes, |from, to| from == holder || to == holder);
 
     let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
 
@@ -480,7 +475,7 @@
     nodes.retain(|node| node.number != holder);
     for node in &mut nodes {
         assert!(node.roster.remove(agent_address(holder), node.incarnation));
-        node.agent.handle_leave(agent_address(holder));
+        node.agent.handle_leave(agent_address(holder), node.incarnation);
     }
     announce(NOW, &mut nodes, |_, _| false);
 
@@ -700,17 +695,129 @@
     }
 
     search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+    ask_unless(now, &mut nodes, |from, to| [from, to].contains(&holder));
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+    assert_no_reset(&action);
+}
+
+/// An agent left, and all but one node have heard its successor.
+#[test]
+fn a_home_does_not_take_the_successor_of_an_agent_that_left_for_that_agent() {
+    let (mut nodes, key) = homed_at_the_first_node(0);
+    nodes.retain(|node| node.number != 6);
     for node in &mut nodes {
-        node.agent.is_question_due(now);
+        assert!(node.roster.remove(agent_address(6), INCARNATION));
+        node.agent.handle_leave(agent_address(6), INCARNATION);
     }
+    announce(NOW, &mut nodes, |_, _| false);
+    nodes.push(Node { incarnation: INCARNATION + 1, ..node(6, 2..=5) });
+    let is_cut = |from, to| from == 6 && to == 1 || from == 1 && to == 6;
     for _ in 0..2 {
-        beat(now, &mut nodes, |from, to| [from, to].contains(&holder));
+        beat(NOW, &mut nodes, is_cut);
     }
-    let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+    announce(NOW, &mut nodes, is_cut);
+    open_at(NOW, &mut nodes, 6, key);
+    announce(NOW, &mut nodes, is_cut);
+
+    search(NOW, &mut nodes, 1, key, Search::Home(0), &[]);
+    ask_unless(NOW, &mut nodes, is_cut);
+    let action = search(NOW, &mut nodes, 1, key, Search::Home(0), &[]);
+
+    assert_no_reset(&action);
+}
+
+/// Agents that already hear another one must not state the set from before.
+#[test]
+fn a_home_does_not_overlook_an_agent_that_others_have_just_heard() {
+    let (mut nodes, key) = homed_at_the_first_node(1);
+    nodes.push(node(7, 2..=6));
+    let is_cut = |from, to| from == 7 && to == 1 || from == 1 && to == 7;
+    beat(NOW, &mut nodes, is_cut);
+    open_at(NOW, &mut nodes, 7, key);
+
+    search(NOW, &mut nodes, 1, key, Search::Home(1), &[7]);
+    ask_unless(NOW, &mut nodes, is_cut);
+    let action = search(NOW, &mut nodes, 1, key, Search::Home(1), &[7]);
 
     assert_no_reset(&action);
 }
 
+/// A backend server that has said that it leaves serves its flows for a moment.
+#[test]
+fn an_agent_of_a_leaving_backend_server_does_not_claim_to_know_all_flows_at_once() {
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, report(17));
+
+    assert!(agent.record_leave(NOW, "i-1"));
+
+    assert!(!agent.knows_all_flows());
+}
+
+/// The warm-up time may have been lowered after the backend server started. It can't have
+/// started at a time that the configured one doesn't allow.
+#[test]
+fn an_agent_does_not_compute_the_age_of_a_backend_server_from_another_warm_up_time() {
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let configured = routing(1);
+    let service = configured.service(CALENDAR).expect("a service");
+    let cold_ms = service.cold_ms + 1_000;
+    agent.report(NOW, Report { cold_ms, ..report(5) });
+
+    agent.update_knows_all_flows(NOW, &configured);
+
+    assert!(!agent.knows_all_flows());
+}
+
+/// An announcement of the process that has taken over an address may arrive before a
+/// farewell that was delayed.
+#[test]
+fn a_late_departure_does_not_remove_flows_of_the_next_process() {
+    let (mut agent, mut roster) = agent_and_roster();
+    let key = flow_homed_here(&roster);
+    let next = Announcement { sender: INCARNATION + 1, ..announcement(&[key]) };
+    agent.handle_announcement(NOW, &roster, agent_address(4), &next);
+
+    if roster.remove(agent_address(4), INCARNATION) {
+        agent.handle_leave(agent_address(4), INCARNATION);
+    }
+
+    let arrival = arrival(request(key, FIRST_SEQUENCE), Search::Home(0), 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival);
+    assert!(
+        matches!(action, Action::Forward { to, .. } if to == agent_address(4)),
+        "{action:?}"
+    );
+}
+
+/// An opening that was delayed for seconds says nothing about a later flow.
+#[test]
+fn an_expired_opening_does_not_end_a_flow() {
+    let (mut agent, roster) = agent_and_roster();
+    open(NOW, &mut agent, &roster, flow(1), FIRST_SEQUENCE);
+    let late = Segment { sequence: 77, age_ms: 30_000, ..opening(flow(1), 0) };
+    let late = arrival(late, Search::Open, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &late);
+    assert!(matches!(action, Action::Drop(_)), "{action:?}");
+
+    let arrival = arrival(request(flow(1), FIRST_SEQUENCE + 1), Search::Known, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival);
+
+    assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+}
+
+/// Questions that can't lead to a proof must not load the nodes that are left.
+#[test]
+fn a_home_asks_nobody_while_an_agent_is_silent() {
+    let Case { mut nodes, key, holder, first, .. } = synchronised();
+    let now = cut_off(&mut nodes, holder, 4);
+
+    search(now, &mut nodes, first, key, Search::Home(0), &[]);
+
+    let home = node_mut(&mut nodes, first).expect("a node");
+    assert!(!home.agent.is_question_due(now, &home.roster));
+}
+
 /// The connection for reports may be cut while the backend server waits for requests.
 #[test]
 fn missing_reports_alone_end_no_flow() {
@@ -811,6 +918,15 @@
     Case { nodes, key, holder, first, second }
 }
 
+/// Nodes as above, and a flow that has the first of them as its home node with a rank.
+fn homed_at_the_first_node(rank: usize) -> (Vec<Node>, flow::Key) {
+    let Case { nodes, .. } = synchronised();
+    let is_homed =
+        |key: &flow::Key| homes(&nodes[0].roster, key)[rank] == Some(agent_address(1));
+    let key = (1..).map(flow).find(is_homed).expect("one flow in six");
+    (nodes, key)
+}
+
 /// Nodes of which the first one has not heard that the seventh one joined, and a flow
 /// that the seventh one announces to other home nodes than the first one. All know that
 /// the sixth one left.
@@ -941,12 +1057,17 @@
 
 /// Lets all nodes that need answers ask for them, and all nodes answer.
 fn ask(now: Millis, nodes: &mut [Node]) {
+    ask_unless(now, nodes, |_, _| false);
+}
+
+/// As [`ask`], except for messages that are lost between two numbers.
+fn ask_unless(now: Millis, nodes: &mut [Node], is_lost: impl Fn(u8, u8) -> bool) {
     for node in nodes.iter_mut() {
-        node.agent.is_question_due(now);
+        node.agent.is_question_due(now, &node.roster);
     }
     // The first heartbeats carry the questions, the second ones the answers.
     for _ in 0..2 {
-        beat(now, nodes, |_, _| false);
+        beat(now, nodes, &is_lost);
     }
 }
 
--- a/crates/steer/tests/view.rs
+++ b/crates/steer/tests/view.rs
@@ -2,14 +2,12 @@
 
 mod fixture;
 
-use std::net::SocketAddrV4;
+use fixture::{INCARNATION, agent_address};
+use lentilreach_steer::process::view::{Element, View, hash};
 
-use fixture::agent_address;
-use lentilreach_steer::process::view::{View, hash};
-
-/// The addresses of some agents.
-fn agents(numbers: &[u8]) -> impl Iterator<Item = SocketAddrV4> {
-    numbers.iter().copied().map(agent_address)
+/// Some agents.
+fn agents(numbers: &[u8]) -> impl Iterator<Item = Element> {
+    numbers.iter().map(|number| (agent_address(*number), INCARNATION))
 }
 
 /// A node that hears agents 1 to 5, of which 5 joined recently, and knows that 6 and 7 may
