Find flows that more agents accepted than a home node remembers

Copies of an opening came through three balancers and were accepted by three agents; the index of a home node keeps two, the caller had chosen the third, and the home node denied the flow. A restarted agent whose backend server had accepted a copy took a segment for another backend server to it on a walk, and passed on the reset with which it answered.

Now an index entry says that an agent is missing from it; then a walk visits all agents, and nothing is proof. A walk does not begin at an agent that knows its flow as another one.

Evidence: a_home_finds_a_flow_that_many_agents_accepted and a_walk_visits_no_backend_server_that_the_caller_did_not_choose failed before and pass now.

--- a/crates/steer/src/connection/index.rs
+++ b/crates/steer/src/connection/index.rs
@@ -13,10 +13,18 @@
 /// change. The index is therefore rebuilt if it is lost.
 #[derive(Debug)]
 pub struct Index {
-    /// The agents that announced the flow most recently, latest first. Two backend
-    /// servers may accept the same flow if its opening segment and a retransmission
-    /// reached different ones.
-    flows: Table<[Option<SocketAddrV4>; 2]>,
+    /// The agents that announced the flow.
+    flows: Table<Holders>,
+}
+
+/// The agents that announced a flow. Several backend servers may accept the same flow if
+/// its opening segment and a retransmission reached different ones.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Holders {
+    /// The most recent ones, latest first.
+    pub agents: [Option<SocketAddrV4>; 2],
+    /// Whether there was another one.
+    pub are_more: bool,
 }
 
 impl Index {
@@ -27,13 +35,16 @@
 
     /// Records that an agent holds a flow.
     pub fn insert(&mut self, now: Millis, flow: Key, agent: SocketAddrV4) {
-        let before = self.flows.get(now, &flow).copied().unwrap_or_default();
-        let other = before.into_iter().flatten().find(|known| *known != agent);
-        self.flows.insert(now, flow, [Some(agent), other]);
+        let before = self.get(now, &flow);
+        let mut others =
+            before.agents.into_iter().flatten().filter(|known| *known != agent);
+        let agents = [Some(agent), others.next()];
+        let are_more = before.are_more || others.next().is_some();
+        self.flows.insert(now, flow, Holders { agents, are_more });
     }
 
-    /// The agents that announced a flow, latest first.
-    pub fn get(&mut self, now: Millis, flow: &Key) -> [Option<SocketAddrV4>; 2] {
+    /// The agents that announced a flow.
+    pub fn get(&mut self, now: Millis, flow: &Key) -> Holders {
         self.flows.get(now, flow).copied().unwrap_or_default()
     }
 
@@ -45,10 +56,11 @@
     /// Removes an agent that has left together with its flows.
     pub fn remove_agent(&mut self, agent: SocketAddrV4) {
         self.flows.retain(|_, holders| {
-            for holder in holders.iter_mut().filter(|holder| **holder == Some(agent)) {
+            let left = |holder: &&mut _| **holder == Some(agent);
+            for holder in holders.agents.iter_mut().filter(left) {
                 *holder = None;
             }
-            holders.iter().any(Option::is_some)
+            holders.are_more || holders.agents.iter().any(Option::is_some)
         });
     }
 
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -123,7 +123,7 @@
     ) -> Option<SocketAddrV4> {
         let is_candidate =
             |to: &SocketAddrV4| *to != self.address && !forwarding.tried.contains(to);
-        let holders = self.index.get(now, flow).into_iter().flatten();
+        let holders = self.index.get(now, flow).agents.into_iter().flatten();
         let candidates: Vec<_> = holders.filter(is_candidate).collect();
         let heard = candidates.iter().find(|to| roster.is_heard(**to));
         heard.or(candidates.first()).copied()
@@ -156,7 +156,10 @@
         // The balancer may hear an agent that no agent has heard yet.
         let is_origin_known =
             forwarding.view_hash.is_some_and(|hash| view.contains(hash));
+        // One of the agents that announced the flow may not be in the index any more.
+        let are_holders_known = !self.index.get(now, flow).are_more;
         let can_be_certain = is_home
+            && are_holders_known
             && is_index_complete
             && is_origin_known
             && !is_alone
@@ -166,7 +169,7 @@
             let evidence = self.evidence(roster, &view, is_undisputed, member, question);
             plan.is_exhaustive &= evidence.is_current;
             let is_left_out = if is_home {
-                evidence.is_announced
+                evidence.is_announced && are_holders_known
             } else {
                 homes.contains(&Some(member.address))
             };
@@ -225,8 +228,9 @@
         let to_visit = &mut forwarding.to_visit;
         placement::sort_by_likelihood(routing, roster, &flow, &domain, to_visit);
         to_visit.truncate(MAX_TO_VISIT);
-        // The walk visits this agent first.
-        if self.may_hold_unknown_flows() {
+        // The walk visits this agent first, unless its backend server has another flow
+        // between the same addresses.
+        if self.may_hold_unknown_flows() && self.flows.get(now, &flow).is_none() {
             return self.visit(now, routing, arrival, forwarding);
         }
         self.continue_walk(arrival, forwarding)
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -9,7 +9,7 @@
     CALENDAR, FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address,
     agent_and_roster, agent_heartbeat, announcement, arrival, flow, flow_homed_elsewhere,
     flow_homed_here, from_backend, hear, limits, open, opening, report, request,
-    returned, roster, roster_of, routing, searched,
+    returned, roster, roster_of, routing, searched, sync_all,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
@@ -818,6 +818,43 @@
     assert!(!home.agent.is_question_due(now, &home.roster));
 }
 
+/// Copies of an opening were accepted by more agents than a home node remembers.
+#[test]
+fn a_home_finds_a_flow_that_many_agents_accepted() {
+    let (mut agent, mut roster) = agent_and_roster();
+    let key = flow_homed_here(&roster);
+    let [chosen, other, last] = [2, 3, 4].map(agent_address);
+    for holder in [chosen, other, last] {
+        agent.handle_announcement(NOW, &roster, holder, &announcement(&[key]));
+    }
+    sync_all(NOW, &mut roster, agent_address(1));
+    let mut search = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
+    search.forwarding.tried = vec![last, other];
+
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &search);
+
+    let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
+    assert!(to == chosen || forwarding.to_visit.contains(&chosen), "{forwarding:?}");
+    assert!(!forwarding.is_exhaustive);
+}
+
+/// A restarted agent that has seen its backend server accept a copy of the opening must not
+/// take a segment for another backend server to it.
+#[test]
+fn a_walk_visits_no_backend_server_that_the_caller_did_not_choose() {
+    let mut node = node(1, [1]);
+    node.agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    node.agent.report(NOW, report(17));
+    let mut nodes = vec![node];
+    accept_at(NOW, &mut nodes, 1, flow(1));
+    let foreign = request(flow(1), FIRST_SEQUENCE + 1_000_000);
+    let known = arrival(foreign, Search::Known, 1);
+
+    let action = handle(NOW, &mut nodes[0], &known);
+
+    assert_eq!(action, Action::Drop(Cause::Unknown));
+}
+
 /// The connection for reports may be cut while the backend server waits for requests.
 #[test]
 fn missing_reports_alone_end_no_flow() {
