Report a key that cannot be verified as unknown

What callers saw: a request that is not idempotent, repeated with its key at an agent that lacks the secret of the key's owner, got 428 with the outcome "not-run", although the owner may have run it. The caller then takes a new key from the response and sends the request again, so it runs twice.

Cause: an agent answered every key that it could not decode as one that was never issued. A signature that it cannot verify only says that the agent doesn't have the secret: it may have been cut off while a secret was added. The same holds for a signed body of an unknown form, which another version may have issued.

Change: only a key that isn't of the form of a key is answered with "not-run"; no agent accepts such a key. The others get "unknown".

Evidence: tests/claim.rs, a_key_that_cannot_be_verified_is_not_reported_as_not_run, before: left: "Respond(428, NotRun)", right: "Respond(502, Unknown)". It passes now, as does its counterpart for keys of another form.

Ruled out: keys of an earlier process at the owner's address (the key names the process, which answers "expired"), late replies to a revocation (identifiers start at a random number).

--- a/crates/lentilreach/src/process/binding.rs
+++ b/crates/lentilreach/src/process/binding.rs
@@ -50,10 +50,12 @@
 /// Why an idempotency key is rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
-    /// Not of the form `BINDING.NONCE`.
+    /// Not of the form `BINDING.NONCE`. No agent issued it.
     Form,
-    /// Not signed by a known key.
+    /// Not signed by a key that is known here. Another agent may know the key.
     Signature,
+    /// Signed, but the body is not of the form that this version knows.
+    Body,
 }
 
 impl Binding {
@@ -84,7 +86,7 @@
         if !keyring.verify(signature[0], &body, &signature[1..]) {
             return Err(Fault::Signature);
         }
-        let binding = postcard::from_bytes(&body).map_err(|_| Fault::Form)?;
+        let binding = postcard::from_bytes(&body).map_err(|_| Fault::Body)?;
         Ok(Self { binding, nonce })
     }
 }
--- a/crates/lentilreach/src/process/context.rs
+++ b/crates/lentilreach/src/process/context.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 
 use crate::id::node;
-use crate::process::binding::{Binding, Key, LIFETIME_MS};
+use crate::process::binding::{Binding, Fault, Key, LIFETIME_MS};
 use crate::process::clock::{Clock, Millis};
 use crate::process::drain::Drain;
 use crate::process::ledger::{self, Decision, Ledger, Revocation, StoredResponse};
@@ -159,7 +159,14 @@
         let Some(text) = headers.get(rule::IDEMPOTENCY_KEY) else { return required };
         let Ok(text) = text.to_str() else { return required };
         let keys = self.tables.keys();
-        let Ok(key) = Key::decode(text, &keys) else { return required };
+        let key = match Key::decode(text, &keys) {
+            Ok(key) => key,
+            Err(Fault::Form) => return required,
+            // The agent that issued it may have run the request under this key.
+            Err(Fault::Signature | Fault::Body) => {
+                return Claim::Respond(StatusCode::BAD_GATEWAY, Outcome::Unknown);
+            }
+        };
         let record = ledger::Key::from(&key);
         if key.binding.node != self.settings.node {
             let owner = SocketAddr::V4(key.binding.agent);
