Return datagrams of an idle agent through several balancers

What callers saw: an open connection that was idle for some seconds could end with an idle timeout although its agent and other balancers were up. After 3 s without a datagram, the agent sent each keep-alive packet and each retransmission to the balancer that it heard last. If that balancer had stopped, for example in a rolling restart, all of them were lost until the connection timed out after 30 s.

Cause: the latest datagram was taken as evidence that its balancer is up and, for want of other datagrams, that no other is. Silence at an idle agent is no such evidence.

Change: after 3 s the agent chooses at random among the four balancers heard last. Each retransmission may take another path. Balancers that were replaced long ago are not among them.

--- a/crates/lentilreach/src/process/return_path.rs
+++ b/crates/lentilreach/src/process/return_path.rs
@@ -13,6 +13,11 @@
 /// Time in milliseconds for which a balancer counts as alive at an idle agent.
 const IDLE_RECENT_MS: u64 = 3_000;
 
+/// Number of balancers that an agent tries after a longer silence: those heard last.
+///
+/// Some of them may have stopped since, and a retransmission must be able to reach another one.
+const IDLE_CHOICES: usize = 4;
+
 /// Most balancers that are remembered. More do not spread the load better.
 const CAPACITY: usize = 32;
 
@@ -45,7 +50,8 @@
     /// Chooses a balancer for a datagram; `salt` is a random number.
     ///
     /// Chooses among all recent balancers, so that a retransmitted datagram takes another
-    /// path. If there is none, chooses the balancer with the latest datagram.
+    /// path. If there are none, chooses among the [`IDLE_CHOICES`] heard last: silence since
+    /// then says nothing about which of them are up.
     pub fn choose(&self, now: Millis, salt: u64) -> Option<SocketAddr> {
         let within = |limit: u64| {
             self.balancers.iter().filter(move |(_, at)| now.since(*at) < limit)
@@ -56,7 +62,11 @@
                 return within(limit).nth(salt as usize % count).map(|(a, _)| *a);
             }
         }
-        self.balancers.iter().max_by_key(|(_, at)| *at).map(|(address, _)| *address)
+        let mut latest = self.balancers.clone();
+        latest.sort_unstable_by_key(|(_, at)| std::cmp::Reverse(*at));
+        latest.truncate(IDLE_CHOICES);
+        let index = (salt as usize).checked_rem(latest.len())?;
+        Some(latest[index].0)
     }
 
     /// Drops the balancer with the oldest datagram if there are too many.
