Let requests outlive the drain of their connection

What callers saw: when the drain of a service reached its time limit, or its GOAWAY could not be sent, requests that ran at the backend server were cancelled without a record. For an hour, the lifetime of a key, the owner reported their keys as "running", to callers and to other agents, although nothing ran; the response was lost.

Cause: only one of the ways in which a session ends let its requests continue. The others dropped the tasks, and dropping a task cancels it.

Change: the requests of a connection are one type that detaches them when it is dropped, so that every way out has the same effect.

--- a/crates/lentilreach/src/connection/session.rs
+++ b/crates/lentilreach/src/connection/session.rs
@@ -39,12 +39,11 @@
     let quic = connection.clone();
     let wrapped = h3_quinn::Connection::new(connection);
     let Ok(mut session) = Connection::new(wrapped).await else { return End::Caller };
-    let mut requests: Vec<Task<()>> = Vec::new();
+    let mut requests = Requests::default();
     let mut deadline = None;
     loop {
         match next(&context, drain, &mut session, deadline).await {
             Event::Request(resolver) => {
-                requests.retain(|task| !task.is_finished());
                 requests.push(pool.spawn(serve_request(context.clone(), *resolver)));
             }
             Event::Drain => {
@@ -60,12 +59,15 @@
         }
     }
     let Some(deadline) = deadline.filter(|_| quic.close_reason().is_none()) else {
-        detach(requests);
         return End::Caller;
     };
     // The caller closes the connection once it has all responses. Closing it here could
     // truncate a response that is not yet acknowledged.
-    future::or(sleep_until(Some(deadline)), finished(requests, &quic)).await;
+    let finished = async {
+        requests.finished().await;
+        quic.closed().await;
+    };
+    future::or(sleep_until(Some(deadline)), finished).await;
     close(&quic)
 }
 
@@ -76,12 +78,36 @@
     End::Drained
 }
 
-/// Waits until all requests are complete and the caller has closed the connection.
-async fn finished(requests: Vec<Task<()>>, quic: &quinn::Connection) {
-    for request in requests {
-        request.await;
+/// The requests of a connection.
+///
+/// They continue without their caller when the connection ends, however it ends, since the
+/// result of a request that has started must be recorded.
+#[derive(Debug, Default)]
+struct Requests {
+    /// The requests, some of which may be complete.
+    tasks: Vec<Task<()>>,
+}
+
+impl Requests {
+    /// Adds a request.
+    fn push(&mut self, task: Task<()>) {
+        self.tasks.retain(|task| !task.is_finished());
+        self.tasks.push(task);
+    }
+
+    /// Waits until all requests are complete.
+    async fn finished(&mut self) {
+        while let Some(task) = self.tasks.last_mut() {
+            task.await;
+            self.tasks.pop();
+        }
+    }
+}
+
+impl Drop for Requests {
+    fn drop(&mut self) {
+        self.tasks.drain(..).for_each(Task::detach);
     }
-    quic.closed().await;
 }
 
 /// The next event of a session.
@@ -130,14 +156,6 @@
     }
 }
 
-/// Lets requests continue without their caller, since the result of a request that has started
-/// must be recorded.
-fn detach(requests: Vec<Task<()>>) {
-    for request in requests {
-        request.detach();
-    }
-}
-
 /// Serves one request.
 async fn serve_request<U: Upstream, L: Link>(
     context: Arc<Context<U, L>>,
