Keep draining connections when their service is added again

What callers saw: when operators removed a service and added it again, or moved it and moved it back, before its connections had drained, those connections were closed at once ("service removed"), with the requests that ran on them.

Cause: an endpoint that drains could not accept flows again, so it was replaced by a new one, and dropping an endpoint closes its connections.

Change: the endpoint stays. Connections that are accepted from then on get a new drain signal; the earlier ones keep the signal that has begun and drain within the service's limit.

Evidence: tests/session.rs, a_service_that_is_added_again_keeps_its_connections, before: "assertion failed: call.wait().is_ok()".

--- a/crates/lentilreach/src/process/agent.rs
+++ b/crates/lentilreach/src/process/agent.rs
@@ -196,16 +196,19 @@
     }
 
     /// Serves these services from now on. Other services get no new flows and are drained like
-    /// the whole process in [`Self::begin_drain`].
+    /// the whole process in [`Self::begin_drain`]. A service that is added again during its
+    /// drain gets new flows, while its earlier connections continue to drain.
     ///
     /// # Errors
     /// If a QUIC endpoint cannot be started; the other services are still served.
     pub fn update_services(&self, services: &[Served]) -> io::Result<()> {
         let mut endpoints = self.shared.endpoints.write();
-        // A service that is added again during its drain gets a new endpoint.
-        endpoints.retain(|e| !e.is_draining() || !services.contains(e.served()));
-        for endpoint in endpoints.iter().filter(|e| !services.contains(e.served())) {
-            endpoint.begin_drain();
+        for endpoint in endpoints.iter() {
+            if services.contains(endpoint.served()) {
+                endpoint.resume();
+            } else {
+                endpoint.begin_drain();
+            }
         }
         self.open(&mut endpoints, services)
     }
--- a/crates/lentilreach/src/process/endpoint.rs
+++ b/crates/lentilreach/src/process/endpoint.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use quinn::crypto::rustls::QuicServerConfig;
 use quinn::{AsyncTimer, AsyncUdpSocket, EndpointConfig, Runtime, ServerConfig};
 use quinn::{IdleTimeout, TransportConfig};
@@ -57,8 +58,8 @@
 pub struct Endpoint<L: Link> {
     /// The service.
     served: Served,
-    /// The drain signal of the service.
-    drain: Drain,
+    /// The drain signal of connections that are accepted from now on. Earlier ones keep theirs.
+    drain: Arc<Mutex<Drain>>,
     /// Counts flows and requests.
     metrics: Arc<metric::Agent>,
     /// Receives callers' datagrams.
@@ -89,7 +90,7 @@
             Arc::new(PoolRuntime(shared.pool.clone())),
         )?;
         let metrics = Arc::new(metric::Agent::new(&served.name));
-        let drain = Drain::default();
+        let drain = Arc::new(Mutex::new(Drain::default()));
         let service_state = (drain.clone(), metrics.clone());
         let accept = accept(shared.clone(), quic.clone(), service_state);
         let task = shared.pool.spawn(accept);
@@ -109,12 +110,21 @@
 
     /// Begins the drain of the service: callers are told to open new flows (GOAWAY).
     pub fn begin_drain(&self) {
-        self.drain.begin();
+        self.drain.lock().begin();
     }
 
-    /// Whether the drain of the service has begun.
+    /// Accepts new flows again after [`Self::begin_drain`]. The connections that drain continue
+    /// to do so.
+    pub fn resume(&self) {
+        let mut drain = self.drain.lock();
+        if drain.has_begun() {
+            *drain = Drain::default();
+        }
+    }
+
+    /// Whether the service drains, so that it gets no new flows.
     pub fn is_draining(&self) -> bool {
-        self.drain.has_begun()
+        self.drain.lock().has_begun()
     }
 
     /// Counts flows and requests.
@@ -171,7 +181,7 @@
 async fn accept<L: Link>(
     shared: Arc<Shared<L>>,
     endpoint: quinn::Endpoint,
-    service_state: (Drain, Arc<metric::Agent>),
+    (drain, metrics): (Arc<Mutex<Drain>>, Arc<metric::Agent>),
 ) {
     while let Some(incoming) = endpoint.accept().await {
         let flow = flow::Key::new(incoming.remote_address(), &incoming.orig_dst_cid());
@@ -182,8 +192,8 @@
             incoming.refuse();
             continue;
         }
-        let task =
-            serve_connection(shared.clone(), incoming, flow, service_state.clone());
+        let service_state = (drain.lock().clone(), metrics.clone());
+        let task = serve_connection(shared.clone(), incoming, flow, service_state);
         shared.pool.spawn(task).detach();
     }
 }
--- a/crates/lentilreach/tests/session.rs
+++ b/crates/lentilreach/tests/session.rs
@@ -267,3 +267,25 @@
     let repeated = repeat(&deployment, &key);
     assert!(matches!(repeated, Claim::Replay(_)), "{repeated:?}");
 }
+
+/// Guards against connections that are closed with running requests when operators add a
+/// service again while it drains.
+#[test]
+fn a_service_that_is_added_again_keeps_its_connections() {
+    let backend = Backend::start();
+    let deployment = Deployment::start(backend.address, 30_000);
+    let served = std::slice::from_ref(&deployment.served);
+    let flow = wait("a flow", deployment.open());
+    let call = flow.call(&deployment.pool, "GET", None);
+    let mut request = backend.next();
+
+    deployment.agent.update_services(&[]).expect("nothing to start");
+    deployment.agent.update_services(served).expect("it can be served");
+    request.write_all(RESPONSE).expect("connected");
+
+    assert!(call.wait().is_ok());
+    let next = wait("a flow", deployment.open());
+    let call = next.call(&deployment.pool, "GET", None);
+    backend.next().write_all(RESPONSE).expect("connected");
+    assert!(call.wait().is_ok(), "it gets new flows");
+}
