Judge by the socket whether the backend server closed a connection

What callers saw: when a caller gave up a response that was still being sent, on the only connection to the backend server, the agent took the end of the connection for a restart of the backend server: a cold start of `cold_ms`, in which the queue is shorter and other callers' requests are refused. In the opposite order, a restart went unnoticed if the last handle to the connection was dropped while it ended, so that a cold backend server could get the load of a warm one.

Cause: who closed the connection was inferred from the time at which the last handle was dropped. hyper ends a connection earlier, as soon as its response or request is given up, and a handle may be dropped just after the backend server closed the connection.

Change: the socket records whether the end of the stream or an error was read or an error was written. Only then did the backend server close it.

Open: an idle timeout of the backend server that ends the last connection still counts as a restart.

--- a/crates/lentilreach/src/process/upstream.rs
+++ b/crates/lentilreach/src/process/upstream.rs
@@ -2,11 +2,14 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
 
 use async_io::Async;
 use bytes::Bytes;
+use futures_lite::io::{AsyncRead, AsyncWrite};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -42,20 +45,8 @@
     closed: async_channel::Sender<()>,
 }
 
-/// An open connection.
-#[derive(Debug)]
-struct Connection {
-    /// Sends requests on the connection.
-    sender: SendRequest<Full<Bytes>>,
-    /// Set when the agent drops the connection.
-    closed_locally: Arc<AtomicBool>,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.closed_locally.store(true, Ordering::Release);
-    }
-}
+/// Sends requests on an open connection.
+type Connection = SendRequest<Full<Bytes>>;
 
 impl Http {
     /// Creates a client for a backend server. The receiver is notified when the backend server
@@ -77,26 +68,27 @@
     /// Returns an idle connection or opens a new one.
     async fn connect(&self) -> io::Result<Connection> {
         while let Some(idle) = self.shared.idle.lock().pop() {
-            if idle.sender.is_ready() {
+            if idle.is_ready() {
                 return Ok(idle);
             }
         }
         let stream = Async::<TcpStream>::connect(self.shared.address).await?;
         stream.get_ref().set_nodelay(true)?;
+        let closed_by_server = Arc::new(AtomicBool::new(false));
+        let socket = Socket { stream, closed_by_server: closed_by_server.clone() };
         let (sender, connection) =
-            http1::handshake(FuturesIo::new(stream)).await.map_err(io::Error::other)?;
-        let closed_locally = Arc::new(AtomicBool::new(false));
-        let (shared, closed_here) = (self.shared.clone(), closed_locally.clone());
+            http1::handshake(FuturesIo::new(socket)).await.map_err(io::Error::other)?;
+        let shared = self.shared.clone();
         shared.open.fetch_add(1, Ordering::AcqRel);
         let run = async move {
             let _ = connection.await;
             let last = shared.open.fetch_sub(1, Ordering::AcqRel) == 1;
-            if last && !closed_here.load(Ordering::Acquire) {
+            if last && closed_by_server.load(Ordering::Acquire) {
                 let _ = shared.closed.try_send(());
             }
         };
         self.shared.pool.spawn(run).detach();
-        Ok(Connection { sender, closed_locally })
+        Ok(sender)
     }
 }
 
@@ -113,7 +105,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, hyper::Error> {
         let connection = lease.connection.as_mut().expect("set until dropped");
-        connection.sender.send_request(request).await
+        connection.send_request(request).await
     }
 }
 
@@ -130,8 +122,67 @@
     fn drop(&mut self) {
         let Some(connection) = self.connection.take() else { return };
         let mut idle = self.shared.idle.lock();
-        if !connection.sender.is_closed() && idle.len() < MAX_IDLE_CONNECTIONS {
+        if !connection.is_closed() && idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(connection);
         }
     }
 }
+
+/// The socket of a connection. Records that the backend server has closed or reset it.
+///
+/// How the connection ends does not tell who ended it: it also ends when the agent gives up a
+/// request or a response, possibly long before the last handle to it is dropped.
+#[derive(Debug)]
+struct Socket {
+    /// The socket.
+    stream: Async<TcpStream>,
+    /// Set once the end of the stream or an error was read or an error was written.
+    closed_by_server: Arc<AtomicBool>,
+}
+
+impl Socket {
+    /// Records the result of a call if it shows that the backend server closed the connection.
+    fn record<T>(&self, result: io::Result<T>, is_end: bool) -> Poll<io::Result<T>> {
+        if is_end || result.is_err() {
+            self.closed_by_server.store(true, Ordering::Release);
+        }
+        Poll::Ready(result)
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buffer));
+        let is_end = !buffer.is_empty() && matches!(read, Ok(0));
+        self.record(read, is_end)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buffer));
+        self.record(written, false)
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
