Skip keys of the store that are not text

What callers saw: one key under the prefix that isn't text, written by anybody, made every read and every batch of changes that contains it an error, which was asked for again and again. No relay read the configuration any more: no change reached any node, and a failure domain could not be taken out of service.

Cause: an answer was refused as a whole if one key in it could not be decoded, so one entry that concerns nobody hid all others.

Change: such entries are left out; all keys of this project are text. A batch still counts up to its last change, so that the watch continues after it. A revision that cannot be decoded is still an error: leaving out a known document would delete it.

--- a/crates/lentilreach/src/process/store/convert.rs
+++ b/crates/lentilreach/src/process/store/convert.rs
@@ -112,8 +112,8 @@
 
     fn try_from(answer: rpc::RangeResponse) -> Result<Self, Malformed> {
         let revision = revision(answer.header.as_ref())?;
-        let entries = answer.kvs.into_iter().map(Entry::try_from);
-        let entries = entries.collect::<Result<Vec<_>, _>>()?;
+        let named = answer.kvs.into_iter().filter(has_name);
+        let entries = named.map(Entry::try_from).collect::<Result<Vec<_>, _>>()?;
         if answer.more || !entries.is_sorted_by(|a, b| a.key < b.key) {
             return Err(Malformed("incomplete or unsorted keys"));
         }
@@ -155,9 +155,11 @@
     type Error = Malformed;
 
     fn try_from(events: Vec<mvccpb::Event>) -> Result<Self, Malformed> {
-        let changes = events.into_iter().map(Change::try_from);
-        let changes = changes.collect::<Result<Vec<_>, _>>()?;
-        let revision = changes.last().map_or(0, Change::revision);
+        // Of the last change, even if it is left out: the watch continues after it.
+        let last = events.last().and_then(|event| event.kv.as_ref());
+        let revision = last.map_or(Ok(0), |pair| unsigned(pair.mod_revision))?;
+        let named = events.into_iter().filter(|e| e.kv.as_ref().is_none_or(has_name));
+        let changes = named.map(Change::try_from).collect::<Result<Vec<_>, _>>()?;
         Ok(Self { revision, changes })
     }
 }
@@ -207,6 +209,11 @@
     }
 }
 
+/// Whether the key is text. Others belong to another writer: all keys of this crate are text.
+fn has_name(pair: &mvccpb::KeyValue) -> bool {
+    str::from_utf8(&pair.key).is_ok()
+}
+
 /// The operation that reads one key.
 fn read(name: &Name) -> rpc::RequestOp {
     let range = rpc::RangeRequest { key: key(name), range_end: Bytes::new() };
