Let a stopping agent wait for requests without a caller

What callers saw: a request whose caller had lost its connection was interrupted at the backend server when the agent stopped as planned. Nobody could ask for its outcome any more.

Cause: a stopping agent waited for open flows only. Requests continue after their flow has ended.

Change: it waits for running requests too, within the same time limit.

Evidence: tests/session.rs, a_stop_waits_for_requests_without_a_caller, before: "stopped early" at the first look.

--- a/crates/lentilreach/src/process/agent.rs
+++ b/crates/lentilreach/src/process/agent.rs
@@ -264,11 +264,11 @@
         self.shared.context.drain().begin();
     }
 
-    /// Waits until all flows are closed or the drain times out.
+    /// Waits until all flows are closed and no request runs, or until the drain times out.
     pub async fn drained(&self) {
         let limit = self.shared.context.drain_timeout();
         let deadline = self.shared.clock.now().after(limit.as_millis() as u64);
-        while self.shared.flows.read().open() > 0 && self.shared.clock.now() < deadline {
+        while self.shared.is_in_use() && self.shared.clock.now() < deadline {
             Timer::after(TICK_INTERVAL).await;
         }
     }
@@ -449,6 +449,11 @@
         }
     }
 
+    /// Whether a flow is open or a request runs, perhaps without its caller.
+    fn is_in_use(&self) -> bool {
+        self.flows.read().open() > 0 || self.context.slots().busy() > 0
+    }
+
     /// The failure domain, as encoded in new tokens.
     pub fn domain(&self) -> domain::Id {
         domain::Id(self.domain.load(Ordering::Relaxed))
--- a/crates/lentilreach/tests/session.rs
+++ b/crates/lentilreach/tests/session.rs
@@ -289,3 +289,36 @@
     backend.next().write_all(RESPONSE).expect("connected");
     assert!(call.wait().is_ok(), "it gets new flows");
 }
+
+/// Guards against a process that stops while a request runs whose caller has disconnected: the
+/// planned stop interrupted it.
+#[test]
+fn a_stop_waits_for_requests_without_a_caller() {
+    let backend = Backend::start();
+    let deployment = Deployment::start(backend.address, 30_000);
+    let flow = wait("a flow", deployment.open());
+    let key = key(&deployment, &flow, &backend);
+    let _call = flow.call(&deployment.pool, "POST", Some(&key));
+    let mut request = backend.next();
+    let agent = &deployment.agent;
+    flow.quic.close(0_u32.into(), b"");
+    wait("the end of the flow", async {
+        while agent.shared().flows.read().open() > 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    });
+
+    agent.begin_drain();
+
+    let early = async {
+        agent.drained().await;
+        true
+    };
+    let running = async {
+        Timer::after(Duration::from_millis(200)).await;
+        false
+    };
+    assert!(!smol::block_on(future::or(early, running)), "stopped early");
+    request.write_all(RESPONSE).expect("the agent keeps the connection");
+    wait("the end of the drain", agent.drained());
+}
