Apply the deadline to the body of a response

What callers saw: if the backend server stalled after the head of its response to a request that isn't idempotent, the caller waited for ever, and the request kept its slot and its key stayed "running".

Cause: the deadline covered the head of the response only, although the response is sent on when it is complete.

Change: the deadline covers the body of such a response; the outcome is "unknown". Responses that are sent on as they arrive have no limit, as before.

Evidence: tests/session.rs, a_stalled_response_is_unknown_at_the_deadline, before: "gave up waiting for a response" (10 s, deadline 200 ms).

--- a/crates/lentilreach/src/request/serve.rs
+++ b/crates/lentilreach/src/request/serve.rs
@@ -196,8 +196,8 @@
     // A backend server that sheds load responds 503. The response is passed on as it is: part
     // of the request was sent, so the caller must not be told that it did not run.
     let is_shed = head.status == StatusCode::SERVICE_UNAVAILABLE;
-    let body = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let Ok(body) = body else {
+    let body = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES).collect();
+    let Some(Ok(body)) = before_deadline(context, deadline, body).await else {
         permit.finish(End::Failed);
         return Completion::Unknown;
     };
--- a/crates/lentilreach/tests/session.rs
+++ b/crates/lentilreach/tests/session.rs
@@ -322,3 +322,20 @@
     request.write_all(RESPONSE).expect("the agent keeps the connection");
     wait("the end of the drain", agent.drained());
 }
+
+/// Guards against a caller that is never answered because the backend server stalls in the
+/// middle of its response to a request that is not idempotent.
+#[test]
+fn a_stalled_response_is_unknown_at_the_deadline() {
+    let backend = Backend::start();
+    let deployment = Deployment::start(backend.address, 30_000);
+    let flow = wait("a flow", deployment.open());
+    let key = key(&deployment, &flow, &backend);
+    deployment.agent.set_limits(Limits { deadline_ms: 200, ..limits(30_000) });
+
+    let call = flow.call(&deployment.pool, "POST", Some(&key));
+    backend.next().write_all(&RESPONSE[..RESPONSE.len() - 1]).expect("connected");
+
+    let response = call.wait().expect("answered");
+    assert_eq!(response.headers()[rule::OUTCOME], Outcome::Unknown.as_str());
+}
