Delete documents again that return after their deletion

What callers saw: a service that operators had deleted could be in force again, at its old address: a node that was cut off while it was deleted brings its document back, and all nodes that know of the deletion may have been restarted since.

A watch doesn't report what was deleted before.

Change: a relay keeps the keys of the store's documents at the revision that it has followed and compares once a second, without a call. It deletes a document only if the document is older than that revision: one of the same or a later revision may have been written since, so nothing follows from its absence.

Not examined: how often this happens in operation. Keys and failure domains are changed by newer documents and not deleted, so they can't return this way.

--- a/crates/lentilreach/src/process/relay/driver.rs
+++ b/crates/lentilreach/src/process/relay/driver.rs
@@ -5,6 +5,7 @@
 
 use async_io::Timer;
 use futures_lite::future;
+use parking_lot::Mutex;
 use smol::Task;
 
 use crate::id::node;
@@ -17,6 +18,7 @@
 use crate::process::name::Name;
 use crate::process::pool::Pool;
 use crate::process::relay::core::{self, Call, Core, Event, Fleet};
+use crate::process::relay::mirror::Mirror;
 use crate::process::relay::update::StoreUpdate;
 use crate::process::store::backoff::Backoff;
 use crate::process::store::follow::Follower;
@@ -32,6 +34,10 @@
 /// peer answers within a few round trips.
 const PEER_STATE_MS: u64 = 1_500;
 
+/// Interval between comparisons of the known documents with those of the store. No calls are
+/// made for them.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The process that claims a slot.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -181,17 +187,34 @@
             recorder: self.recorder.clone(),
             settings: self.settings.clone(),
         };
-        self.pool.spawn(relay.follow())
+        self.pool.spawn(async move {
+            // Locked before the state of gossip.
+            let mirror = Mutex::new(Mirror::default());
+            future::or(relay.follow(&mirror), relay.compare(&mirror)).await;
+        })
+    }
+
+    /// Deletes documents that the store does not hold, for as long as it relays: a node that
+    /// was cut off may bring back a document whose deletion all others have forgotten.
+    async fn compare(&self, mirror: &Mutex<Mirror>) {
+        loop {
+            Timer::after(COMPARE_INTERVAL).await;
+            let mirror = mirror.lock();
+            let deletions = self.gossip.read(|c| mirror.deletions(c.documents()));
+            drop(mirror);
+            deletions.into_iter().for_each(|entry| self.gossip.submit(entry));
+        }
     }
 
     /// Watches the store and publishes its documents by gossip.
-    async fn follow(self) {
+    async fn follow(&self, mirror: &Mutex<Mirror>) {
         let mut follower = Follower::new(self.store.clone(), key::PREFIX);
         let mut backoff = Backoff::new(FOLLOW_BACKOFF_MS.0, FOLLOW_BACKOFF_MS.1);
         loop {
             match follower.next().await {
                 Ok(update) => {
                     backoff.reset();
+                    mirror.lock().follow(&update);
                     let update =
                         self.gossip.read(|c| StoreUpdate::read(&update, c.documents()));
                     self.publish(update);
--- a/crates/lentilreach/src/process/relay/mod.rs
+++ b/crates/lentilreach/src/process/relay/mod.rs
@@ -8,12 +8,13 @@
 //! holder.
 //!
 //! [`core`] is the state machine, [`driver`] makes the calls, [`update`] converts what the
-//! store reports into gossip entries. Documents carry the revision of the store, so a process
+//! store reports into gossip entries, [`mirror`] knows which documents the store holds. Documents carry the revision of the store, so a process
 //! that was paused past the end of its lease publishes nothing that could replace a newer
 //! document.
 
 pub mod core;
 pub mod driver;
+pub mod mirror;
 pub mod update;
 
 pub use driver::{Relay, Settings};
--- a/crates/lentilreach/src/process/relay/update.rs
+++ b/crates/lentilreach/src/process/relay/update.rs
@@ -5,6 +5,7 @@
 use crate::process::gossip::entry::{Document, Entry, MAX_DOCUMENT_BYTES};
 use crate::process::name::Name;
 use crate::process::relay::core::slot_address;
+use crate::process::relay::mirror::{Mirror, is_document};
 use crate::process::store::follow::Update;
 use crate::process::store::{self, Change};
 use crate::version::config::key::Kind;
@@ -32,16 +33,9 @@
         match update {
             Update::Snapshot(range) => {
                 range.entries.iter().for_each(|entry| result.put(entry));
-                let gone = known.iter().filter(|document| {
-                    document.value.is_some()
-                        && document.revision < range.revision
-                        && is_document(&document.key)
-                        && range.get(&document.key).is_none()
-                });
-                let delete = |document: &Document| {
-                    Entry::document(document.key.clone(), range.revision, None)
-                };
-                result.documents.extend(gone.map(delete));
+                let mut mirror = Mirror::default();
+                mirror.follow(update);
+                result.documents.extend(mirror.deletions(known));
                 result.complete = true;
             }
             Update::Changes(batch) => {
@@ -74,8 +68,3 @@
         }
     }
 }
-
-/// Whether a key holds a document that nodes need.
-fn is_document(key: &str) -> bool {
-    !matches!(Kind::parse(key), None | Some(Kind::Relay { .. }))
-}
