Wait for the answers of a caller that sends no more requests

What callers saw: a caller that sent GOAWAY, which says that it sends no more requests, lost the answers that were on their way. As soon as the agent had handed the last response to QUIC, it closed the connection, and what was not yet sent or acknowledged was dropped.

Cause: no more requests was taken for no more to do. Only a drain of the agent waited until the caller had closed the connection.

Change: the end of the requests has the same effect in both cases. The wait is limited by the time limit of a drain.

Evidence: tests/session.rs, a_caller_that_ends_its_flow_gets_its_answer, before: "answered: ConnectionError(Remote(Undefined(Reset)))" instead of 500,000 bytes.

Open: on a caller's GOAWAY, the h3 library sends one that names the last request that was accepted, which a caller may read as rejected.

--- a/crates/lentilreach/src/connection/session.rs
+++ b/crates/lentilreach/src/connection/session.rs
@@ -55,12 +55,17 @@
                 deadline = Some(Instant::now() + context.drain_timeout());
             }
             Event::End => break,
-            Event::Expired => return close(&quic),
+            Event::Expired => {
+                close(&quic);
+                return End::Drained;
+            }
         }
     }
-    let Some(deadline) = deadline.filter(|_| quic.close_reason().is_none()) else {
+    if quic.close_reason().is_some() {
         return End::Caller;
-    };
+    }
+    let end = if deadline.is_some() { End::Drained } else { End::Caller };
+    let deadline = deadline.unwrap_or_else(|| Instant::now() + context.drain_timeout());
     // The caller closes the connection once it has all responses. Closing it here could
     // truncate a response that is not yet acknowledged.
     let finished = async {
@@ -68,14 +73,14 @@
         quic.closed().await;
     };
     future::or(sleep_until(Some(deadline)), finished).await;
-    close(&quic)
+    close(&quic);
+    end
 }
 
-/// Closes a connection at the end of its drain.
-fn close(quic: &quinn::Connection) -> End {
+/// Closes a connection without an error.
+fn close(quic: &quinn::Connection) {
     let code = h3::error::Code::H3_NO_ERROR.value();
     quic.close(code.try_into().unwrap_or_default(), b"");
-    End::Drained
 }
 
 /// The requests of a connection.
@@ -116,7 +121,7 @@
     Request(Box<RequestResolver<h3_quinn::Connection, Bytes>>),
     /// A drain has begun.
     Drain,
-    /// No more requests will arrive.
+    /// No more requests will arrive: the caller said so, or the connection is closed.
     End,
     /// The drain has timed out.
     Expired,
--- a/crates/lentilreach/tests/session.rs
+++ b/crates/lentilreach/tests/session.rs
@@ -1,13 +1,13 @@
 //! An agent that serves callers over QUIC, through a balancer, over sockets on loopback.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
 use async_io::Timer;
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use futures_lite::future;
 use h3::client::SendRequest;
 use h3::error::StreamError;
@@ -123,14 +123,32 @@
 
     /// Opens a flow.
     async fn open(&self) -> Flow {
+        let flow = self.open_deaf().await;
+        flow.listen.try_send(()).expect("not sent before");
+        flow
+    }
+
+    /// Opens a flow whose caller does not process the frames of the control stream yet.
+    async fn open_deaf(&self) -> Flow {
         let connecting = self.endpoint.connect(self.served.address, tls::NAME);
         let quic = connecting.expect("valid").await.expect("the flow is admitted");
         let wrapped = h3_quinn::Connection::new(quic.clone());
         let (mut driver, sender) = h3::client::new(wrapped).await.expect("HTTP/3");
+        let (listen, heard) = async_channel::bounded(1);
+        let (end, ended) = async_channel::bounded::<()>(1);
         let driver = self.pool.spawn(async move {
+            let _ = heard.recv().await;
+            let closed = async {
+                future::poll_fn(|cx| driver.poll_close(cx)).await;
+            };
+            let ended = async {
+                let _ = ended.recv().await;
+            };
+            future::or(closed, ended).await;
+            let _ = driver.shutdown(0).await;
             future::poll_fn(|cx| driver.poll_close(cx)).await;
         });
-        Flow { quic, sender, _driver: driver }
+        Flow { quic, sender, listen, end, _driver: driver }
     }
 }
 
@@ -140,6 +158,10 @@
     quic: quinn::Connection,
     /// Sends requests.
     sender: SendRequest<h3_quinn::OpenStreams, Bytes>,
+    /// Lets the caller process the frames of the control stream.
+    listen: async_channel::Sender<()>,
+    /// Lets the caller send GOAWAY.
+    end: async_channel::Sender<()>,
     /// Drives HTTP/3.
     _driver: Task<()>,
 }
@@ -156,19 +178,22 @@
         Call(pool.spawn(async move {
             let mut stream = sender.send_request(request).await?;
             stream.finish().await?;
-            let response = stream.recv_response().await?;
-            while stream.recv_data().await?.is_some() {}
-            Ok(response)
+            let response = stream.recv_response().await?.map(|()| Vec::new());
+            let (head, mut body) = response.into_parts();
+            while let Some(data) = stream.recv_data().await? {
+                data.reader().read_to_end(&mut body).expect("in memory");
+            }
+            Ok(Response::from_parts(head, body))
         }))
     }
 }
 
 /// A request on its way.
-struct Call(Task<Result<Response<()>, StreamError>>);
+struct Call(Task<Result<Response<Vec<u8>>, StreamError>>);
 
 impl Call {
     /// Waits for the complete response.
-    fn wait(self) -> Result<Response<()>, StreamError> {
+    fn wait(self) -> Result<Response<Vec<u8>>, StreamError> {
         wait("a response", self.0)
     }
 }
@@ -339,3 +364,50 @@
     let response = call.wait().expect("answered");
     assert_eq!(response.headers()[rule::OUTCOME], Outcome::Unknown.as_str());
 }
+
+/// Guards against an answer that is lost because the caller said that it sends no more requests:
+/// the agent closed the connection before the response had arrived.
+#[test]
+fn a_caller_that_ends_its_flow_gets_its_answer() {
+    let backend = Backend::start();
+    let deployment = Deployment::start(backend.address, 30_000);
+    let flow = wait("a flow", deployment.open());
+    let body = vec![7; 500_000];
+    let call = flow.call(&deployment.pool, "GET", None);
+    let mut request = backend.next();
+
+    flow.end.try_send(()).expect("not sent before");
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    request.write_all(head.as_bytes()).expect("connected");
+    request.write_all(&body).expect("connected");
+
+    let response = call.wait().expect("answered");
+    assert!(*response.body() == body, "{} bytes", response.body().len());
+}
+
+/// Guards against a truncated answer that is taken for a complete one, when the backend server
+/// breaks off or the drain reaches its time limit.
+#[test]
+fn a_truncated_response_is_an_error_at_the_caller() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    ];
+    for (head, drains) in heads.into_iter().flat_map(|head| [(head, false), (head, true)])
+    {
+        let backend = Backend::start();
+        let deployment = Deployment::start(backend.address, 100);
+        let flow = wait("a flow", deployment.open());
+        let call = flow.call(&deployment.pool, "GET", None);
+        let mut request = backend.next();
+        request.write_all(head.as_bytes()).expect("connected");
+
+        if drains {
+            deployment.agent.update_services(&[]).expect("nothing to start");
+        } else {
+            request.shutdown(Shutdown::Both).expect("connected");
+        }
+
+        assert!(call.wait().is_err(), "{head:?} drains={drains}");
+    }
+}
