Reject requests that arrive after GOAWAY

What callers saw: a request that reached a draining service after its GOAWAY ran, although GOAWAY names it as rejected (RFC 9114, section 5.2): a caller sends such a request again elsewhere, so it runs twice. A request with a key runs once all the same; its owner's ledger decides.

Cause: the h3 library accepts the request that the GOAWAY names as the first one rejected. While the process stops, the limiter refused it; while one service drains, nothing did.

Change: each request that is accepted after GOAWAY is rejected with H3_REQUEST_REJECTED, unprocessed.

The caller of the demo took this code as "not run" and dropped the key of the request, which an earlier attempt may have run under. It keeps the key now, and the attempt is still checked not to have run.

Evidence: tests/session.rs, a_request_after_goaway_does_not_run, before: "it ran".

--- a/crates/lentilreach/src/connection/session.rs
+++ b/crates/lentilreach/src/connection/session.rs
@@ -43,12 +43,16 @@
     let mut deadline = None;
     loop {
         match next(&context, drain, &mut session, deadline).await {
+            // Its GOAWAY has told the caller that this request is rejected.
+            Event::Request(resolver) if deadline.is_some() => {
+                requests.push(pool.spawn(reject(*resolver)));
+            }
             Event::Request(resolver) => {
                 requests.push(pool.spawn(serve_request(context.clone(), *resolver)));
             }
             Event::Drain => {
-                // GOAWAY tells the caller to open a new flow. One more request may already be
-                // on its way; the limiter refuses it as not run.
+                // GOAWAY tells the caller to open a new flow. It names the first request that
+                // is rejected: with 0, that would be the last one that was accepted.
                 if session.shutdown(1).await.is_err() {
                     return End::Caller;
                 }
@@ -173,3 +177,10 @@
         Err(Error::Backend(error)) => log::debug!("step=answer peer=backend {error}"),
     }
 }
+
+/// Rejects a request without processing it.
+async fn reject(resolver: RequestResolver<h3_quinn::Connection, Bytes>) {
+    let Ok((_, mut stream)) = resolver.resolve_request().await else { return };
+    stream.stop_sending(h3::error::Code::H3_REQUEST_REJECTED);
+    stream.stop_stream(h3::error::Code::H3_REQUEST_REJECTED);
+}
--- a/crates/lentilreach/tests/session.rs
+++ b/crates/lentilreach/tests/session.rs
@@ -10,7 +10,7 @@
 use bytes::{Buf, Bytes};
 use futures_lite::future;
 use h3::client::SendRequest;
-use h3::error::StreamError;
+use h3::error::{Code, StreamError};
 use http::{HeaderMap, Request, Response};
 use lentilreach::connection::admission;
 use lentilreach::id::{domain, node, service};
@@ -385,6 +385,33 @@
     assert!(*response.body() == body, "{} bytes", response.body().len());
 }
 
+/// Guards against a request that runs although the agent told its caller that it does not: the
+/// GOAWAY of a draining service rejects all requests that arrive later.
+#[test]
+fn a_request_after_goaway_does_not_run() {
+    let backend = Backend::start();
+    let deployment = Deployment::start(backend.address, 30_000);
+    let flow = wait("a flow", deployment.open_deaf());
+    key(&deployment, &flow, &backend);
+    let frames = flow.quic.stats().frame_rx.stream;
+
+    deployment.agent.update_services(&[]).expect("nothing to start");
+    wait("GOAWAY", async {
+        while flow.quic.stats().frame_rx.stream == frames {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    });
+    let call = flow.call(&deployment.pool, "GET", None);
+
+    let ran = backend.requests.recv_timeout(Duration::from_millis(300)).is_ok();
+    assert!(!ran, "it ran");
+    let rejected = call.wait().expect_err("rejected");
+    let StreamError::RemoteTerminate { code, .. } = rejected else {
+        panic!("{rejected:?}")
+    };
+    assert_eq!(code, Code::H3_REQUEST_REJECTED);
+}
+
 /// Guards against a truncated answer that is taken for a complete one, when the backend server
 /// breaks off or the drain reaches its time limit.
 #[test]
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -238,7 +238,7 @@
             key: request.key.clone(),
         };
         let reply = flow.client.send(&attempt).await;
-        if matches!(reply, Reply::NotRun { .. }) {
+        if matches!(reply, Reply::NotRun { .. } | Reply::Rejected) {
             self.group.record.add_refusal(attempt.number);
         }
         reply
@@ -266,7 +266,7 @@
                 request.key = None;
                 Timer::after(wait).await;
             }
-            Reply::NotSent => {}
+            Reply::NotSent | Reply::Rejected => {}
             Reply::Running => {
                 Timer::after(RETRY_DELAY).await;
             }
--- a/crates/standin/src/http3.rs
+++ b/crates/standin/src/http3.rs
@@ -65,6 +65,9 @@
     },
     /// The attempt was not sent because the flow is closing.
     NotSent,
+    /// The attempt was not processed because the flow is closing. Unlike [`Reply::NotRun`], this
+    /// says nothing about earlier attempts with the same key.
+    Rejected,
     /// An earlier attempt with the same key is still running.
     Running,
     /// An earlier attempt with the same key has run, but its response is not available.
@@ -200,7 +203,7 @@
                 if *code == Code::H3_REQUEST_REJECTED =>
             {
                 self.closing = true;
-                Reply::NotRun { wait: Duration::ZERO }
+                Reply::Rejected
             }
             StreamError::RemoteClosing { .. } => {
                 self.closing = true;
