--- a/crates/lentilreach/src/request/serve.rs
+++ b/crates/lentilreach/src/request/serve.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Timer;
 use bytes::{Buf, Bytes};
@@ -186,31 +186,36 @@
         permit.finish(End::Refused);
         return Completion::NotRun(Refusal::connection_refused());
     };
-    let Some(Ok(response)) =
-        before_deadline(context, deadline, U::call(&mut lease, request)).await
+    let exchange = exchange::<U>(&mut lease, request);
+    let Some(Some((mut head, body))) = before_deadline(context, deadline, exchange).await
     else {
         permit.finish(End::Failed);
         return Completion::Unknown;
     };
-    let (mut head, body) = response.into_parts();
     // A backend server that sheds load responds 503. The response is passed on as it is: part
     // of the request was sent, so the caller must not be told that it did not run.
     let is_shed = head.status == StatusCode::SERVICE_UNAVAILABLE;
-    let body = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES).collect();
-    let Some(Ok(body)) = before_deadline(context, deadline, body).await else {
-        permit.finish(End::Failed);
-        return Completion::Unknown;
-    };
     let took_ms = context.now().since(started);
     permit.finish(if is_shed { End::Refused } else { End::Answered { took_ms } });
     remove_hop_by_hop(&mut head.headers);
     Completion::Answered(StoredResponse {
         status: head.status.as_u16(),
         headers: to_pairs(&head.headers),
-        body: body.to_bytes(),
+        body,
     })
 }
 
+/// Sends a request and receives the complete response; `None` if there is none or it is too
+/// large to be stored.
+async fn exchange<U: Upstream>(
+    lease: &mut U::Lease,
+    request: Request<Full<Bytes>>,
+) -> Option<(http::response::Parts, Bytes)> {
+    let (head, body) = U::call(lease, request).await.ok()?.into_parts();
+    let body = http_body_util::Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+    Some((head, body.ok()?.to_bytes()))
+}
+
 /// Sends the result of a non-idempotent request to the caller.
 async fn send_completion<U: Upstream, L: Link>(
     context: &Context<U, L>,
@@ -335,7 +340,15 @@
     }
 }
 
+/// Time to handle what arrived while the process stood still. Also the delay of a timer above
+/// which it is assumed to have stood still.
+const PAUSE_GRACE: Duration = Duration::from_millis(100);
+
 /// Waits for a future until the deadline; `None` if the deadline passes first.
+///
+/// After a pause of the process, its timers and its sockets are ready together, and the result
+/// may be waiting in a socket. A deadline that is noticed late is therefore no evidence that
+/// there is no result.
 async fn before_deadline<U: Upstream, L: Link, T>(
     context: &Context<U, L>,
     deadline: Millis,
@@ -343,7 +356,10 @@
 ) -> Option<T> {
     let remaining = Duration::from_millis(deadline.since(context.now()));
     let timeout = async {
-        Timer::after(remaining).await;
+        let due = Timer::after(remaining).await + PAUSE_GRACE;
+        if Instant::now() >= due {
+            Timer::after(PAUSE_GRACE).await;
+        }
         None
     };
     future::or(async { Some(future.await) }, timeout).await
--- a/crates/lentilreach/tests/session.rs
+++ b/crates/lentilreach/tests/session.rs
@@ -2,6 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::process::{Command, Stdio};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
@@ -247,6 +249,17 @@
     smol::block_on(future::or(future, timeout))
 }
 
+/// Stops this process for 0.8 s; the response to a request arrives meanwhile.
+fn answer_during_a_pause(request: TcpStream) {
+    let response = r"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone";
+    let script = format!(
+        "kill -STOP $PPID; sleep 0.2; printf '{response}'; sleep 0.6; kill -CONT $PPID"
+    );
+    let mut shell = Command::new("sh");
+    shell.args(["-c", &script]).stdout(Stdio::from(OwnedFd::from(request)));
+    assert!(shell.status().expect("a shell").success());
+}
+
 /// An idempotency key for a request on a flow. Takes one request to the backend server.
 fn key(deployment: &Deployment, flow: &Flow, backend: &Backend) -> String {
     let call = flow.call(&deployment.pool, "GET", None);
@@ -438,3 +451,21 @@
         assert!(call.wait().is_err(), "{head:?} drains={drains}");
     }
 }
+
+/// Guards against an answer that is lost because the agent stood still: the deadline passed in a
+/// time in which it could not read the response that was there.
+#[test]
+fn a_response_that_arrives_during_a_pause_is_an_answer() {
+    let backend = Backend::start();
+    let deployment = Deployment::start(backend.address, 30_000);
+    let flow = wait("a flow", deployment.open());
+    let key = key(&deployment, &flow, &backend);
+    deployment.agent.set_limits(Limits { deadline_ms: 300, ..limits(30_000) });
+    let call = flow.call(&deployment.pool, "POST", Some(&key));
+
+    answer_during_a_pause(backend.next());
+
+    let response = call.wait().expect("answered");
+    assert_eq!(response.headers().get(rule::OUTCOME), None);
+    assert_eq!(response.body(), b"done");
+}
