--- a/crates/lentilreach/src/process/agent.rs
+++ b/crates/lentilreach/src/process/agent.rs
@@ -196,16 +196,19 @@
     }
 
     /// Serves these services from now on. Other services get no new flows and are drained like
-    /// the whole process in [`Self::begin_drain`].
+    /// the whole process in [`Self::begin_drain`]. A service that is added again during its
+    /// drain gets new flows, while its earlier connections continue to drain.
     ///
     /// # Errors
     /// If a QUIC endpoint cannot be started; the other services are still served.
     pub fn update_services(&self, services: &[Served]) -> io::Result<()> {
         let mut endpoints = self.shared.endpoints.write();
-        // A service that is added again during its drain gets a new endpoint.
-        endpoints.retain(|e| !e.is_draining() || !services.contains(e.served()));
-        for endpoint in endpoints.iter().filter(|e| !services.contains(e.served())) {
-            endpoint.begin_drain();
+        for endpoint in endpoints.iter() {
+            if services.contains(endpoint.served()) {
+                endpoint.resume();
+            } else {
+                endpoint.begin_drain();
+            }
         }
         self.open(&mut endpoints, services)
     }
@@ -261,11 +264,11 @@
         self.shared.context.drain().begin();
     }
 
-    /// Waits until all flows are closed or the drain times out.
+    /// Waits until all flows are closed and no request runs, or until the drain times out.
     pub async fn drained(&self) {
         let limit = self.shared.context.drain_timeout();
         let deadline = self.shared.clock.now().after(limit.as_millis() as u64);
-        while self.shared.flows.read().open() > 0 && self.shared.clock.now() < deadline {
+        while self.shared.is_in_use() && self.shared.clock.now() < deadline {
             Timer::after(TICK_INTERVAL).await;
         }
     }
@@ -446,6 +449,11 @@
         }
     }
 
+    /// Whether a flow is open or a request runs, perhaps without its caller.
+    fn is_in_use(&self) -> bool {
+        self.flows.read().open() > 0 || self.context.slots().busy() > 0
+    }
+
     /// The failure domain, as encoded in new tokens.
     pub fn domain(&self) -> domain::Id {
         domain::Id(self.domain.load(Ordering::Relaxed))
