Take no segment on a walk to a backend server whose service is not known

Callers saw nothing; backend servers saw segments of flows to another service.

Now it passes the walk on, which is not exhaustive any more. A flow that a home node or a balancer knows is delivered as before.

Evidence: a_walk_delivers_no_segment_to_another_service failed in its new part. The test of an agent without a backend server demanded the delivery; it now demands that the walk goes on and is no proof until the agent knows that there is none.

--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -237,8 +237,9 @@
     }
 
     /// Delivers a segment on a walk to a backend server that may hold its flow and returns
-    /// the segment otherwise. One of a service that the flow's route doesn't include must
-    /// not receive it, although it may hold the flow since an earlier configuration.
+    /// the segment otherwise. One of a service that isn't known, or that the flow's route
+    /// doesn't include, must not receive it, although it may hold the flow since an earlier
+    /// configuration.
     pub(super) fn visit(
         &mut self,
         now: Millis,
@@ -247,11 +248,8 @@
         mut forwarding: Forwarding,
     ) -> Action {
         let service = arrival.segment.flow_from_caller().service;
-        let is_other_service = self
-            .backend
-            .report()
-            .is_some_and(|report| !routing.allows(service, &report.service));
-        if routing.is_loaded() && is_other_service {
+        let report = self.backend.report();
+        if !report.is_some_and(|report| routing.allows(service, &report.service)) {
             forwarding.is_exhaustive = false;
             return self.continue_walk(arrival, forwarding);
         }
--- a/crates/steer/src/process/settings.rs
+++ b/crates/steer/src/process/settings.rs
@@ -98,7 +98,8 @@
     pub backend: SocketAddr,
     /// Address at which reports of the backend server are received over HTTP.
     pub reports: SocketAddr,
-    /// UDP address of the backend server.
+    /// Address of the backend server. It receives segments there over UDP, and accepts TCP
+    /// connections while it runs: if they are refused, it counts as gone.
     pub server: SocketAddr,
     /// Usual interval between reports of the backend server, in milliseconds.
     pub report_ms: u64,
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -246,6 +246,12 @@
     let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
     let Action::Forward { forwarding, .. } = action else { panic!("{action:?}") };
     assert!(!forwarding.is_exhaustive);
+
+    // Before the first report, the service is not known.
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    walk.forwarding.to_visit.clear();
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    assert_eq!(action, Action::Drop(Cause::Unknown));
 }
 
 /// Segments must not be delivered to a backend server that is known not to hold their
