--- a/crates/steer/src/connection/cache.rs
+++ b/crates/steer/src/connection/cache.rs
@@ -18,7 +18,7 @@
 
 /// What a balancer knows about where flows are. Losing an entry only costs additional
 /// hops.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Cache {
     /// Entries by flow.
     flows: Table<Entry>,
--- a/crates/steer/src/connection/in_flight.rs
+++ b/crates/steer/src/connection/in_flight.rs
@@ -23,7 +23,7 @@
 ///
 /// The number of entries is bounded by the flows with a request in progress, not by the
 /// flows that are open.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct InFlight {
     /// Sorted by flow, without duplicates.
     entries: Vec<Entry>,
--- a/crates/steer/src/connection/index.rs
+++ b/crates/steer/src/connection/index.rs
@@ -11,7 +11,7 @@
 ///
 /// Agents announce the flows that they hold, and announce them again when home nodes
 /// change. The index is therefore rebuilt if it is lost.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Index {
     /// The agents that announced the flow most recently, latest first. Two backend
     /// servers may accept the same flow if its opening segment and a retransmission
--- a/crates/steer/src/connection/lifetime.rs
+++ b/crates/steer/src/connection/lifetime.rs
@@ -11,7 +11,7 @@
 
 /// Estimates the mean lifetime of flows by Little's law, from the number of open flows and
 /// the rate at which flows are opened.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Lifetime {
     /// Moving average of the number of open flows.
     open: f64,
--- a/crates/steer/src/connection/table.rs
+++ b/crates/steer/src/connection/table.rs
@@ -1,5 +1,7 @@
 //! A hash table of flows with bounded size and eviction of idle entries.
 
+use std::fmt::{self, Debug, Formatter};
+
 use lentilreach::process::clock::Millis;
 
 use super::flow::Key;
@@ -9,7 +11,7 @@
 const BUCKETS: usize = 256;
 
 /// Maps flows to values, in buckets that are sorted vectors.
-#[derive(Debug)]
+#[derive(Clone)]
 pub struct Table<V> {
     /// Each bucket is sorted by key.
     buckets: Vec<Vec<Entry<V>>>,
@@ -18,7 +20,7 @@
 }
 
 /// An entry of a table.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Entry<V> {
     /// The key.
     key: Key,
@@ -84,6 +86,13 @@
     }
 }
 
+impl<V: Debug> Debug for Table<V> {
+    /// Lists the entries without the buckets.
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.buckets.iter().flatten()).finish()
+    }
+}
+
 /// The index of the bucket that a flow belongs to.
 fn bucket(key: &Key) -> usize {
     key.hash() as usize % BUCKETS
--- a/crates/steer/src/process/admission.rs
+++ b/crates/steer/src/process/admission.rs
@@ -106,7 +106,7 @@
 const OVERDUE_FACTOR: f64 = 8.0;
 
 /// Openings that wait for a backend server, each with a value `T`.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Admission<T> {
     /// Sorted by [`Opening::rank`], without duplicates.
     waiting: Vec<(Opening, T)>,
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -49,7 +49,7 @@
 const MAX_HOPS: u8 = 200;
 
 /// The state that an agent's decisions are based on.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Agent {
     /// Address at which the agent receives messages.
     address: SocketAddrV4,
--- a/crates/steer/src/process/agent/delivered.rs
+++ b/crates/steer/src/process/agent/delivered.rs
@@ -1,5 +1,7 @@
 //! Keeps recently delivered segments, in case the backend server returns them.
 
+use std::fmt::{self, Debug, Formatter};
+
 use lentilreach::Name;
 
 use super::Forwarding;
@@ -21,7 +23,7 @@
 }
 
 /// Ring buffer of recently delivered segments, indexed by their marks.
-#[derive(Debug)]
+#[derive(Clone)]
 pub(super) struct Ring {
     /// The segment with mark `m` is stored at index `m % LIMIT`.
     slots: Vec<Option<(u32, Delivered)>>,
@@ -52,3 +54,10 @@
         if is_found { slot.take().map(|(_, delivered)| delivered) } else { None }
     }
 }
+
+impl Debug for Ring {
+    /// Lists the occupied slots only.
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.slots.iter().flatten()).entry(&self.next).finish()
+    }
+}
--- a/crates/steer/src/process/agent/sync.rs
+++ b/crates/steer/src/process/agent/sync.rs
@@ -16,14 +16,14 @@
 const CONFIRM_MS: u64 = 500;
 
 /// Announcements sent by this agent, by receiver.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(super) struct Sent {
     /// Sorted by address.
     receivers: Vec<Receiver>,
 }
 
 /// An agent that announcements were sent to.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Receiver {
     /// The receiving incarnation.
     home: Home,
@@ -101,14 +101,14 @@
 }
 
 /// Announcements received by this agent, by sender.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub(super) struct Received {
     /// Sorted by address.
     senders: Vec<Sender>,
 }
 
 /// An agent that announcements were received from.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Sender {
     /// Address of the agent.
     address: SocketAddrV4,
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -126,7 +126,7 @@
 }
 
 /// The backend server next to an agent.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Backend {
     /// Limits while it is cold, and its report interval, from the settings.
     bounds: Bounds,
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -20,7 +20,7 @@
 const FIRST_REROUTED_RETRANSMISSION: u32 = 2;
 
 /// The state that a balancer's decisions are based on.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Balancer {
     /// The balancer's failure domain.
     domain: Name,
--- a/crates/steer/src/process/health.rs
+++ b/crates/steer/src/process/health.rs
@@ -26,7 +26,7 @@
 const MAX_PENALTY_MS: u64 = 16_000;
 
 /// What flows that ended and answers tell about a backend server.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Health {
     /// Start of the current interval.
     since: Millis,
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -41,7 +41,7 @@
 const LEFT_RETENTION_MS: u64 = 2 * SILENT_MS;
 
 /// The members known to a node.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Roster {
     /// Sorted by address, without duplicates.
     members: Vec<Member>,
