--- /dev/null
+++ b/crates/steer/tests/model.rs
@@ -0,0 +1,78 @@
+//! Checks the protocol that finds the agent of a flow: all interleavings of a small system
+//! up to a stated depth, with messages lost, doubled and late, and members that join,
+//! leave, restart, stand still and are cut off.
+
+mod fixture;
+
+/// The parts of the model.
+mod model {
+    pub mod drive;
+    pub mod explore;
+    pub mod scenario;
+    pub mod step;
+    pub mod world;
+}
+
+use model::explore::{Outcome, explore};
+use model::scenario;
+use model::step::Budget;
+use model::world::Removed;
+
+/// Fails with the steps of the counterexample, if there is one.
+#[track_caller]
+fn assert_kept(name: &str, outcome: &Outcome) {
+    println!("{name}: {} states in {:.1?}", outcome.states, outcome.elapsed);
+    if let Some(found) = &outcome.counterexample {
+        panic!("{name}: {}\n  {}", found.broken, found.steps.join("\n  "));
+    }
+}
+
+/// A caller whose flow has just been accepted must not be reset while announcements are on
+/// their way.
+#[test]
+fn keeps_a_flow_that_was_just_accepted() {
+    let budget = Budget { requests: 2, losses: 1, ..Budget::default() };
+    let start = scenario::accepted(3, budget, Removed::Nothing);
+    assert_kept("accepted", &explore(&start, 7));
+}
+
+/// A living flow must not be reset because its agent stands still.
+#[test]
+fn keeps_the_flow_of_an_agent_that_stands_still() {
+    let budget = Budget { requests: 2, rounds: 2, freezes: 1, ..Budget::default() };
+    let start = scenario::open(3, budget, Removed::Nothing);
+    assert_kept("freeze", &explore(&start, 7));
+}
+
+/// A living flow must not be reset because agents are cut off from each other.
+#[test]
+fn keeps_a_flow_while_agents_are_cut_off() {
+    let budget = Budget { requests: 2, rounds: 2, cuts: 1, ..Budget::default() };
+    let start = scenario::open(3, budget, Removed::Nothing);
+    assert_kept("cut", &explore(&start, 7));
+}
+
+/// A living flow must not be reset after new processes have started at agents.
+#[test]
+fn keeps_a_flow_while_agents_restart() {
+    let budget = Budget { requests: 2, rounds: 2, restarts: 2, ..Budget::default() };
+    let start = scenario::open(3, budget, Removed::Nothing);
+    assert_kept("restart", &explore(&start, 7));
+}
+
+/// A living flow must not be reset because of changes of the membership.
+#[test]
+fn keeps_a_flow_while_agents_join_and_leave() {
+    let budget =
+        Budget { requests: 2, rounds: 2, joins: 1, leaves: 1, ..Budget::default() };
+    let start = scenario::open(3, budget, Removed::Nothing);
+    assert_kept("join and leave", &explore(&start, 7));
+}
+
+/// An opening that was sent twice must not end a flow, whichever copy is accepted.
+#[test]
+fn keeps_a_flow_that_was_opened_twice() {
+    let budget = Budget { openings: 2, requests: 2, losses: 1, ..Budget::default() };
+    let start = scenario::stable(3, budget, Removed::Nothing);
+    assert_kept("opening", &explore(&start, 8));
+}
--- /dev/null
+++ b/crates/steer/tests/model/step.rs
@@ -0,0 +1,327 @@
+//! The steps that are possible in a state.
+
+use std::fmt::{self, Display, Formatter};
+
+use lentilreach_steer::process::agent::Arrival;
+use lentilreach_steer::request::segment::Segment;
+
+use super::drive::Missed;
+use super::world::{Datagram, Held, Payload, Peer, World};
+use crate::fixture;
+
+/// Time between two segments of the caller, in milliseconds. Longer than a balancer waits
+/// before it asks the next node for a flow.
+const RETRANSMISSION_MS: u64 = 200;
+
+/// Number of heartbeat intervals after which a member that isn't heard is unreachable.
+const SILENCE_ROUNDS: u32 = 4;
+
+/// How often each kind of step may still occur. Bounds the states.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Budget {
+    /// Opening segments of the caller.
+    pub openings: u8,
+    /// Segments of the caller in the open flow.
+    pub requests: u8,
+    /// Heartbeat intervals that pass.
+    pub rounds: u8,
+    /// Messages that are lost, heartbeats included.
+    pub losses: u8,
+    /// Messages that arrive twice.
+    pub doubles: u8,
+    /// Heartbeats that arrive after the messages of the next steps.
+    pub late: u8,
+    /// Agents that are cut off from the other agents.
+    pub cuts: u8,
+    /// Agents that stand still.
+    pub freezes: u8,
+    /// New processes of an agent whose backend server runs on.
+    pub restarts: u8,
+    /// New processes of a balancer.
+    pub balancer_restarts: u8,
+    /// Agents that leave with their backend servers.
+    pub leaves: u8,
+    /// Agents that join with a new backend server.
+    pub joins: u8,
+}
+
+/// A step of the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// The message at an index arrives.
+    Deliver(usize),
+    /// It is lost.
+    Lose(usize),
+    /// It arrives, and a copy remains in flight.
+    Double(usize),
+    /// The caller opens the flow, or does so again, through a balancer.
+    Open(usize),
+    /// The caller sends a request through a balancer.
+    Request(usize),
+    /// A heartbeat interval passes.
+    Round(Option<Missed>),
+    /// So many heartbeat intervals pass that members that aren't heard are unreachable.
+    Silence,
+    /// An agent is cut off from all other agents.
+    Cut(usize),
+    /// All cuts end.
+    Heal,
+    /// An agent's process stands still.
+    Freeze(usize),
+    /// It goes on.
+    Thaw(usize),
+    /// A new process of an agent starts.
+    Restart(usize),
+    /// A new process of a balancer starts.
+    RestartBalancer(usize),
+    /// An agent leaves. Its backend server has stopped.
+    Leave(usize),
+    /// An agent joins with a new backend server.
+    Join(usize),
+    /// An agent announces the flow that its backend server has accepted.
+    Announce(usize),
+}
+
+/// A state and what may still happen in it.
+#[derive(Clone)]
+pub struct State {
+    /// The system.
+    pub world: World,
+    /// How often each kind of step may still occur.
+    pub budget: Budget,
+}
+
+impl State {
+    /// The steps that are possible.
+    pub fn steps(&self) -> Vec<Step> {
+        let (world, budget) = (&self.world, self.budget);
+        if world.caller.is_reset || world.broken.is_some() {
+            return Vec::new();
+        }
+        let mut steps = Vec::new();
+        for index in self.distinct_messages() {
+            steps.push(Step::Deliver(index));
+            if world.in_flight[index].to != Peer::Caller {
+                steps.extend((budget.losses > 0).then_some(Step::Lose(index)));
+                steps.extend((budget.doubles > 0).then_some(Step::Double(index)));
+            }
+        }
+        for balancer in 0..world.balancers() {
+            if world.caller.chosen.is_some() && budget.requests > 0 {
+                steps.push(Step::Request(balancer));
+            }
+            if world.caller.chosen.is_none() && budget.openings > 0 {
+                steps.push(Step::Open(balancer));
+            }
+            if budget.balancer_restarts > 0 {
+                steps.push(Step::RestartBalancer(balancer));
+            }
+        }
+        if budget.rounds > 0 {
+            steps.push(Step::Round(None));
+            self.add_missed(&mut steps);
+            let is_frozen = (0..world.agents()).any(|i| world.agent(i).is_frozen);
+            if is_frozen || !world.cut.is_empty() {
+                steps.push(Step::Silence);
+            }
+        }
+        steps.extend((!world.cut.is_empty()).then_some(Step::Heal));
+        for index in 0..world.agents() {
+            self.add_agent_steps(index, &mut steps);
+        }
+        steps
+    }
+
+    /// Performs a step.
+    pub fn apply(&mut self, step: Step) {
+        let (world, budget) = (&mut self.world, &mut self.budget);
+        match step {
+            Step::Deliver(index) => {
+                let datagram = world.in_flight.remove(index);
+                world.deliver(datagram);
+            }
+            Step::Lose(index) => {
+                budget.losses -= 1;
+                world.in_flight.remove(index);
+            }
+            Step::Double(index) => {
+                budget.doubles -= 1;
+                let datagram = world.in_flight[index].clone();
+                world.deliver(datagram);
+            }
+            Step::Open(balancer) => {
+                budget.openings -= 1;
+                let segment = next_opening(world);
+                world.forward(balancer, segment);
+            }
+            Step::Request(balancer) => {
+                budget.requests -= 1;
+                world.now = world.now.after(RETRANSMISSION_MS);
+                let segment = request(world);
+                world.forward(balancer, segment);
+            }
+            Step::Round(missed) => {
+                budget.rounds -= 1;
+                if let Some(missed) = missed {
+                    let left = if missed.is_late {
+                        &mut budget.late
+                    } else {
+                        &mut budget.losses
+                    };
+                    *left -= 1;
+                }
+                world.round(missed);
+            }
+            Step::Silence => {
+                budget.rounds -= 1;
+                for _ in 0..SILENCE_ROUNDS {
+                    world.round(None);
+                }
+            }
+            Step::Cut(index) => {
+                budget.cuts -= 1;
+                world.cut.push(index);
+                world.cut.sort_unstable();
+            }
+            Step::Heal => world.cut.clear(),
+            Step::Freeze(index) => {
+                budget.freezes -= 1;
+                world.agent_mut(index).is_frozen = true;
+            }
+            Step::Thaw(index) => world.agent_mut(index).is_frozen = false,
+            Step::Restart(index) => {
+                budget.restarts -= 1;
+                world.restart_agent(index);
+            }
+            Step::RestartBalancer(index) => {
+                budget.balancer_restarts -= 1;
+                world.restart_balancer(index);
+            }
+            Step::Leave(index) => {
+                budget.leaves -= 1;
+                leave(world, index);
+            }
+            Step::Join(index) => {
+                budget.joins -= 1;
+                world.agent_mut(index).start_server();
+                world.restart_agent(index);
+                let now = world.now;
+                world.agent_mut(index).report(now);
+            }
+            Step::Announce(index) => world.announce_flow(index),
+        }
+    }
+
+    /// Describes a step that is about to be performed.
+    pub fn describe(&self, step: Step) -> String {
+        let message = |index: usize| self.world.in_flight[index].to_string();
+        match step {
+            Step::Deliver(index) => format!("arrives: {}", message(index)),
+            Step::Lose(index) => format!("is lost: {}", message(index)),
+            Step::Double(index) => {
+                format!("arrives for the first time: {}", message(index))
+            }
+            other => format!("{other:?}"),
+        }
+    }
+
+    /// The indices of the messages in flight, without those that equal an earlier one and
+    /// those whose receiver can't read them now.
+    fn distinct_messages(&self) -> Vec<usize> {
+        let messages = &self.world.in_flight;
+        let is_first = |index: &usize| {
+            !messages[..*index].iter().any(|d| d.hash == messages[*index].hash)
+        };
+        let is_readable = |index: &usize| match messages[*index].to {
+            Peer::Agent(agent) => !self.world.agent(agent).is_frozen,
+            _ => true,
+        };
+        (0..messages.len()).filter(is_first).filter(is_readable).collect()
+    }
+
+    /// Adds rounds in which the heartbeat of one agent to another one is lost or late.
+    fn add_missed(&self, steps: &mut Vec<Step>) {
+        for from in (0..self.world.agents()).map(Peer::Agent) {
+            for to in (0..self.world.agents()).map(Peer::Agent).filter(|to| *to != from) {
+                if self.budget.losses > 0 {
+                    steps.push(Step::Round(Some(Missed { from, to, is_late: false })));
+                }
+                if self.budget.late > 0 {
+                    steps.push(Step::Round(Some(Missed { from, to, is_late: true })));
+                }
+            }
+        }
+    }
+
+    /// Adds what may happen to an agent.
+    fn add_agent_steps(&self, index: usize, steps: &mut Vec<Step>) {
+        let (world, budget) = (&self.world, self.budget);
+        let node = world.agent(index);
+        if !node.is_present {
+            steps.extend((budget.joins > 0).then_some(Step::Join(index)));
+            return;
+        }
+        steps.extend((budget.restarts > 0).then_some(Step::Restart(index)));
+        if node.is_frozen {
+            steps.push(Step::Thaw(index));
+            return;
+        }
+        steps.extend(node.is_announcement_due.then_some(Step::Announce(index)));
+        steps.extend((budget.freezes > 0).then_some(Step::Freeze(index)));
+        steps.extend((budget.leaves > 0).then_some(Step::Leave(index)));
+        let is_cut = world.cut.contains(&index);
+        steps.extend((budget.cuts > 0 && !is_cut).then_some(Step::Cut(index)));
+    }
+}
+
+/// The next copy of the caller's opening segment.
+fn next_opening(world: &mut World) -> Segment {
+    let copy = world.caller.openings;
+    world.caller.openings += 1;
+    if copy > 0 {
+        world.now = world.now.after(RETRANSMISSION_MS);
+    }
+    fixture::opening(world.flow, copy.min(2))
+}
+
+/// A request in the flow that the caller has opened.
+pub fn request(world: &World) -> Segment {
+    let chosen = world.caller.chosen.expect("the flow is open");
+    fixture::request(world.flow, world.agent(chosen).server.first + 1)
+}
+
+/// An agent leaves whose backend server has stopped.
+fn leave(world: &mut World, index: usize) {
+    let node = world.agent(index);
+    let members = node.roster.members().iter().map(|member| member.address);
+    let others: Vec<_> = members.filter(|address| *address != node.address).collect();
+    for to in others {
+        world.send(Peer::Agent(index), to, Payload::Leave);
+    }
+    let node = world.agent_mut(index);
+    node.is_present = false;
+    node.server.is_alive = false;
+    node.server.flow = Held::No;
+}
+
+impl Display for Datagram {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let name = match &self.payload {
+            Payload::Segment(Arrival { segment, forwarding, .. }) => {
+                let kind = if segment.is_opening() { "opening" } else { "request" };
+                format!("{kind} ({:?}, hop {})", forwarding.search, forwarding.hops)
+            }
+            Payload::Announcement(announcement) => format!(
+                "announcement (epoch {}, to incarnation {})",
+                announcement.epoch, announcement.receiver
+            ),
+            Payload::Heartbeat(heartbeat) => format!(
+                "heartbeat {} of incarnation {}",
+                heartbeat.sequence, heartbeat.incarnation
+            ),
+            Payload::Accept(_) => "acceptance".to_owned(),
+            other => format!("{other:?}"),
+        };
+        write!(f, "{name}, {:?} to {:?}", self.from, self.to)
+    }
+}
--- /dev/null
+++ b/crates/steer/tests/model/world.rs
@@ -0,0 +1,431 @@
+//! The state of a small system: agents with their backend servers, balancers, one caller
+//! with one flow, and the messages in flight.
+
+use std::fmt::{self, Debug, Write};
+use std::hash::{DefaultHasher, Hasher};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use lentilreach::process::clock::Millis;
+use lentilreach_steer::connection::flow;
+use lentilreach_steer::process::agent::{Agent, Arrival};
+use lentilreach_steer::process::balancer::Balancer;
+use lentilreach_steer::process::roster::{Role, Roster};
+use lentilreach_steer::request::message::{Announcement, Heartbeat};
+use lentilreach_steer::request::segment::Segment;
+use lentilreach_steer::version::routing::Routing;
+
+use crate::fixture;
+
+/// The failure domain of all nodes.
+pub const DOMAIN: &str = "a";
+
+/// Distance between the first sequence numbers of backend servers. Further apart than the
+/// bytes of a flow, so that acknowledgements tell backend servers apart.
+const SEQUENCE_DISTANCE: u32 = 200_000_000;
+
+/// Sequence number of the reports of a backend server that started long ago.
+const LATE_REPORT: u64 = 1_000;
+
+/// A rule of the protocol that is taken out, to show that the model check notices it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Removed {
+    /// None: the protocol as it is.
+    Nothing,
+    /// A flow is announced after the caller has learned that it is open.
+    AnnounceBeforeAccept,
+    /// Messages to an earlier process at the receiver's address count.
+    IncarnationCheck,
+    /// A walk that could not ask every agent counts as exhaustive.
+    ExhaustiveWalk,
+}
+
+/// A node or the caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Peer {
+    /// The agent with an index.
+    Agent(usize),
+    /// The balancer with an index.
+    Balancer(usize),
+    /// The caller.
+    Caller,
+}
+
+/// A message in flight.
+#[derive(Debug, Clone)]
+pub struct Datagram {
+    /// Its sender.
+    pub from: Peer,
+    /// Its receiver.
+    pub to: Peer,
+    /// Its content.
+    pub payload: Payload,
+    /// Hash of the above.
+    pub hash: u64,
+}
+
+/// The content of a message in flight.
+#[derive(Debug, Clone)]
+pub enum Payload {
+    /// A segment of the caller and its forwarding state.
+    Segment(Arrival),
+    /// The sender holds the flow.
+    Found,
+    /// No agent holds the flow.
+    NotFound,
+    /// The sender holds flows.
+    Announcement(Announcement),
+    /// The state of the sender.
+    Heartbeat(Heartbeat<'static>),
+    /// The sender has left.
+    Leave,
+    /// The backend server of an agent accepts the flow.
+    Accept(Segment),
+}
+
+/// An agent and its backend server.
+#[derive(Debug, Clone)]
+pub struct AgentNode {
+    /// Address of the agent.
+    pub address: SocketAddrV4,
+    /// Random number of the process.
+    pub incarnation: u64,
+    /// Sequence number of the last heartbeat.
+    pub sequence: u32,
+    /// Whether there is a process.
+    pub is_present: bool,
+    /// Whether the process stands still.
+    pub is_frozen: bool,
+    /// The decisions.
+    pub agent: Agent,
+    /// The members.
+    pub roster: Roster,
+    /// The backend server, a process of its own.
+    pub server: Server,
+    /// Announcements of an accepted flow are still to be made; only without the rule
+    /// [`Removed::AnnounceBeforeAccept`].
+    pub is_announcement_due: bool,
+}
+
+/// A backend server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Whether it runs.
+    pub is_alive: bool,
+    /// Number of this instance.
+    pub lifetime: u8,
+    /// Number of its last report.
+    pub reports: u64,
+    /// Its first sequence number in the flow.
+    pub first: u32,
+    /// What it knows of the flow.
+    pub flow: Held,
+}
+
+/// What a backend server knows of the flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Held {
+    /// Nothing.
+    No,
+    /// It has accepted the flow; the caller has not confirmed that.
+    Accepted,
+    /// The caller has confirmed it.
+    Open,
+}
+
+/// A balancer.
+#[derive(Debug, Clone)]
+pub struct BalancerNode {
+    /// Address of the balancer.
+    pub address: SocketAddrV4,
+    /// Random number of the process.
+    pub incarnation: u64,
+    /// Sequence number of the last heartbeat.
+    pub sequence: u32,
+    /// The decisions.
+    pub balancer: Balancer,
+    /// The members.
+    pub roster: Roster,
+}
+
+/// The caller.
+#[derive(Debug, Clone, Copy)]
+pub struct Caller {
+    /// Opening segments sent.
+    pub openings: u32,
+    /// The agent of the backend server whose acceptance arrived first.
+    pub chosen: Option<usize>,
+    /// Whether it got a reset.
+    pub is_reset: bool,
+    /// Segments that the chosen backend server has received.
+    pub received: u32,
+}
+
+/// The whole system.
+#[derive(Clone)]
+pub struct World {
+    /// The time, the same at all nodes.
+    pub now: Millis,
+    /// The rule that is taken out.
+    pub removed: Removed,
+    /// The flow that the caller opens.
+    pub flow: flow::Key,
+    /// The routes, known to all nodes.
+    pub routing: Arc<Routing>,
+    /// The agents; shared with other states until they change.
+    agents: Vec<(Arc<AgentNode>, Option<u64>)>,
+    /// The balancers, likewise.
+    balancers: Vec<(Arc<BalancerNode>, Option<u64>)>,
+    /// The caller.
+    pub caller: Caller,
+    /// The messages in flight, in the order in which they were sent.
+    pub in_flight: Vec<Datagram>,
+    /// Agents that are cut off from all other agents. Sorted.
+    pub cut: Vec<usize>,
+    /// The first promise that was broken.
+    pub broken: Option<String>,
+}
+
+impl World {
+    /// Creates running agents, absent ones and two balancers that don't know each other
+    /// yet.
+    pub fn new(running: usize, absent: usize, removed: Removed) -> Self {
+        let now = fixture::NOW;
+        let agents = (0..running + absent).map(|index| {
+            let node = AgentNode::new(now, index, index < running);
+            (Arc::new(node), None)
+        });
+        let balancers = (0..2).map(|index| {
+            let node = BalancerNode::new(now, index, 0);
+            (Arc::new(node), None)
+        });
+        Self {
+            now,
+            removed,
+            flow: fixture::flow(1),
+            routing: Arc::new(fixture::routing(1)),
+            agents: agents.collect(),
+            balancers: balancers.collect(),
+            caller: Caller { openings: 0, chosen: None, is_reset: false, received: 0 },
+            in_flight: Vec::new(),
+            cut: Vec::new(),
+            broken: None,
+        }
+    }
+
+    /// Number of agents.
+    pub fn agents(&self) -> usize {
+        self.agents.len()
+    }
+
+    /// Number of balancers.
+    pub fn balancers(&self) -> usize {
+        self.balancers.len()
+    }
+
+    /// An agent.
+    pub fn agent(&self, index: usize) -> &AgentNode {
+        &self.agents[index].0
+    }
+
+    /// An agent that is about to change.
+    pub fn agent_mut(&mut self, index: usize) -> &mut AgentNode {
+        let (node, hash) = &mut self.agents[index];
+        *hash = None;
+        Arc::make_mut(node)
+    }
+
+    /// A balancer.
+    pub fn balancer(&self, index: usize) -> &BalancerNode {
+        &self.balancers[index].0
+    }
+
+    /// A balancer that is about to change.
+    pub fn balancer_mut(&mut self, index: usize) -> &mut BalancerNode {
+        let (node, hash) = &mut self.balancers[index];
+        *hash = None;
+        Arc::make_mut(node)
+    }
+
+    /// The address of a node.
+    pub fn address(&self, peer: Peer) -> SocketAddrV4 {
+        match peer {
+            Peer::Agent(index) => self.agent(index).address,
+            Peer::Balancer(index) => self.balancer(index).address,
+            Peer::Caller => self.flow.caller,
+        }
+    }
+
+    /// The node with an address.
+    pub fn peer(&self, address: SocketAddrV4) -> Option<Peer> {
+        let agents = (0..self.agents()).map(Peer::Agent);
+        let mut peers = agents.chain((0..self.balancers()).map(Peer::Balancer));
+        peers.find(|peer| self.address(*peer) == address)
+    }
+
+    /// Sends a message, unless its sender and its receiver are cut off from each other.
+    pub fn send(&mut self, from: Peer, to: SocketAddrV4, payload: Payload) {
+        let Some(to) = self.peer(to) else { return };
+        if self.is_connected(from, to) {
+            self.push(from, to, payload);
+        }
+    }
+
+    /// Puts a message in flight.
+    pub fn push(&mut self, from: Peer, to: Peer, payload: Payload) {
+        let hash = hash(&(from, to, &payload));
+        self.in_flight.push(Datagram { from, to, payload, hash });
+    }
+
+    /// Whether messages between two nodes arrive.
+    pub fn is_connected(&self, one: Peer, other: Peer) -> bool {
+        let is_cut = |peer| match peer {
+            Peer::Agent(index) => self.cut.binary_search(&index).is_ok(),
+            _ => false,
+        };
+        let are_agents = matches!((one, other), (Peer::Agent(_), Peer::Agent(_)));
+        !(are_agents && (is_cut(one) || is_cut(other)))
+    }
+
+    /// Whether an agent's process can act.
+    pub fn is_running(&self, index: usize) -> bool {
+        self.agent(index).is_present && !self.agent(index).is_frozen
+    }
+
+    /// Whether the backend server that the caller chose runs and holds the flow.
+    pub fn is_flow_alive(&self) -> bool {
+        self.caller.chosen.is_some_and(|index| {
+            let server = &self.agent(index).server;
+            server.is_alive && server.flow != Held::No
+        })
+    }
+
+    /// Records that the caller got a reset. Resets of openings are not judged: the caller
+    /// has no flow yet that could break.
+    pub fn reset_caller(&mut self, by: Peer, is_opening: bool, cause: &str) {
+        if is_opening && self.caller.chosen.is_some() {
+            // Outside the receive window of a caller whose flow is open.
+            return;
+        }
+        if !is_opening && !self.caller.is_reset && self.is_flow_alive() {
+            self.broken.get_or_insert(format!(
+                "{by:?} resets the flow ({cause}) although the chosen backend server {} holds it",
+                self.caller.chosen.unwrap_or_default(),
+            ));
+        }
+        self.caller.is_reset = true;
+    }
+
+    /// Records a promise that was broken if two backend servers keep the flow.
+    pub fn check_holders(&mut self) {
+        let is_holder = |server: &Server| server.is_alive && server.flow == Held::Open;
+        let holders: Vec<_> =
+            (0..self.agents()).filter(|i| is_holder(&self.agent(*i).server)).collect();
+        if holders.len() > 1 {
+            self.broken
+                .get_or_insert(format!("backend servers {holders:?} keep the flow"));
+        }
+    }
+
+    /// A hash of the state. Messages in flight count as a set.
+    pub fn key(&mut self) -> u64 {
+        for (node, known) in &mut self.agents {
+            known.get_or_insert_with(|| hash(node));
+        }
+        for (node, known) in &mut self.balancers {
+            known.get_or_insert_with(|| hash(node));
+        }
+        let messages =
+            self.in_flight.iter().fold(0_u64, |sum, d| sum.wrapping_add(d.hash));
+        let agents: Vec<_> = self.agents.iter().map(|(_, hash)| hash).collect();
+        let balancers: Vec<_> = self.balancers.iter().map(|(_, hash)| hash).collect();
+        hash(&(self.now, agents, balancers, self.caller, messages, &self.cut))
+    }
+}
+
+impl AgentNode {
+    /// Creates an agent, and a backend server that has just started if it is present.
+    fn new(now: Millis, index: usize, is_present: bool) -> Self {
+        let address = fixture::agent_address(index as u8 + 1);
+        let server = Server {
+            is_alive: is_present,
+            lifetime: 0,
+            reports: 0,
+            first: (index as u32 + 1) * SEQUENCE_DISTANCE,
+            flow: Held::No,
+        };
+        let mut node = Self {
+            address,
+            incarnation: 0,
+            sequence: 0,
+            is_present,
+            is_frozen: false,
+            agent: Agent::new(now, address, DOMAIN.into(), fixture::limits()),
+            roster: Roster::new(),
+            server,
+            is_announcement_due: false,
+        };
+        node.restart(now);
+        if is_present {
+            node.report(now);
+            node.server.reports = LATE_REPORT;
+        }
+        node
+    }
+
+    /// Starts a new process of the agent.
+    pub fn restart(&mut self, now: Millis) {
+        self.incarnation += 100;
+        fastrand::seed(self.incarnation);
+        self.sequence = 0;
+        self.is_present = true;
+        self.is_frozen = false;
+        self.is_announcement_due = false;
+        self.agent = Agent::new(now, self.address, DOMAIN.into(), fixture::limits());
+        self.roster = Roster::new();
+    }
+
+    /// Starts a new instance of the backend server.
+    pub fn start_server(&mut self) {
+        self.server.is_alive = true;
+        self.server.lifetime += 1;
+        self.server.reports = 0;
+        self.server.first += SEQUENCE_DISTANCE / 2;
+        self.server.flow = Held::No;
+    }
+}
+
+impl BalancerNode {
+    /// Creates a balancer without members.
+    pub fn new(now: Millis, index: usize, restarts: u64) -> Self {
+        Self {
+            address: fixture::balancer_address(index as u8 + 1),
+            incarnation: 1_000 + restarts,
+            sequence: 0,
+            balancer: Balancer::new(now, DOMAIN.into(), 1_000),
+            roster: Roster::new(),
+        }
+    }
+}
+
+/// The role of a node.
+pub fn role(peer: Peer) -> Role {
+    if matches!(peer, Peer::Agent(_)) { Role::Agent } else { Role::Balancer }
+}
+
+/// A hash of the printed form of a value.
+pub fn hash(value: &impl Debug) -> u64 {
+    /// Hashes text as it is written.
+    struct Sink(DefaultHasher);
+
+    impl Write for Sink {
+        fn write_str(&mut self, text: &str) -> fmt::Result {
+            self.0.write(text.as_bytes());
+            Ok(())
+        }
+    }
+
+    let mut sink = Sink(DefaultHasher::new());
+    write!(sink, "{value:?}").expect("the sink takes everything");
+    sink.0.finish()
+}
