--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -13,8 +13,8 @@
     pub mod world;
 }
 
-use model::explore::{Outcome, explore};
-use model::scenario;
+use model::explore::{Outcome, explore, survey};
+use model::scenario::{self, Holder};
 use model::step::Budget;
 use model::world::Removed;
 
@@ -32,7 +32,7 @@
 #[test]
 fn keeps_a_flow_that_was_just_accepted() {
     let budget = Budget { requests: 2, losses: 1, ..Budget::default() };
-    let start = scenario::accepted(3, budget, Removed::Nothing);
+    let start = scenario::accepted(3, Holder::Other, budget, Removed::Nothing);
     assert_kept("accepted", &explore(&start, 7));
 }
 
@@ -40,7 +40,7 @@
 #[test]
 fn keeps_the_flow_of_an_agent_that_stands_still() {
     let budget = Budget { requests: 2, rounds: 2, freezes: 1, ..Budget::default() };
-    let start = scenario::open(3, budget, Removed::Nothing);
+    let start = scenario::open(3, Holder::Other, budget, Removed::Nothing);
     assert_kept("freeze", &explore(&start, 7));
 }
 
@@ -48,7 +48,7 @@
 #[test]
 fn keeps_a_flow_while_agents_are_cut_off() {
     let budget = Budget { requests: 2, rounds: 2, cuts: 1, ..Budget::default() };
-    let start = scenario::open(3, budget, Removed::Nothing);
+    let start = scenario::open(3, Holder::Other, budget, Removed::Nothing);
     assert_kept("cut", &explore(&start, 7));
 }
 
@@ -56,7 +56,7 @@
 #[test]
 fn keeps_a_flow_while_agents_restart() {
     let budget = Budget { requests: 2, rounds: 2, restarts: 2, ..Budget::default() };
-    let start = scenario::open(3, budget, Removed::Nothing);
+    let start = scenario::open(3, Holder::Other, budget, Removed::Nothing);
     assert_kept("restart", &explore(&start, 7));
 }
 
@@ -65,7 +65,7 @@
 fn keeps_a_flow_while_agents_join_and_leave() {
     let budget =
         Budget { requests: 2, rounds: 2, joins: 1, leaves: 1, ..Budget::default() };
-    let start = scenario::open(3, budget, Removed::Nothing);
+    let start = scenario::open(3, Holder::Other, budget, Removed::Nothing);
     assert_kept("join and leave", &explore(&start, 7));
 }
 
@@ -76,3 +76,28 @@
     let start = scenario::stable(3, budget, Removed::Nothing);
     assert_kept("opening", &explore(&start, 8));
 }
+
+/// Prints a shortest counterexample for each promise that is broken. For reports: run it by
+/// hand in a release build.
+#[test]
+#[ignore = "for reports"]
+fn survey_broken_promises() {
+    let all = Budget { requests: 2, rounds: 2, ..Budget::default() };
+    let starts = [
+        ("accepted, 1 loss, 1 cut", true, Budget { losses: 1, cuts: 1, ..all }, 6),
+        ("open, 1 freeze", false, Budget { freezes: 1, ..all }, 7),
+        ("open, 1 cut", false, Budget { cuts: 1, ..all }, 7),
+        ("open, 2 restarts", false, Budget { restarts: 2, ..all }, 7),
+        ("open, 1 restart, 1 late", false, Budget { restarts: 1, late: 1, ..all }, 6),
+        ("open, join, leave", false, Budget { joins: 1, leaves: 1, ..all }, 6),
+    ];
+    for (name, is_accepted, budget, depth) in starts {
+        for holder in [Holder::Home, Holder::Other] {
+            let start = if is_accepted { scenario::accepted } else { scenario::open };
+            for found in survey(&start(3, holder, budget, Removed::Nothing), depth) {
+                let steps = found.steps.join("\n    ");
+                println!("{name}, {holder:?}: {}\n    {steps}", found.broken);
+            }
+        }
+    }
+}
--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -215,7 +215,7 @@
                 let flow = self.flow;
                 self.balancer_mut(index).balancer.flow_not_found(&flow);
             }
-            (Peer::Caller, Payload::Accept(_)) => {
+            (Peer::Caller, Payload::Accept) => {
                 if let Peer::Agent(index) = from {
                     self.caller.chosen.get_or_insert(index);
                 }
@@ -339,7 +339,7 @@
 
     /// An agent receives a segment of its backend server.
     fn handle_backend_segment(&mut self, index: usize, segment: Segment) {
-        let (now, routing, flow) = (self.now, self.routing.clone(), self.flow);
+        let (now, routing) = (self.now, self.routing.clone());
         let is_early = self.removed != Removed::AnnounceBeforeAccept;
         let node = self.agent_mut(index);
         let action =
@@ -351,7 +351,7 @@
                 }
                 if is_accept {
                     self.agent_mut(index).is_announcement_due = !is_early;
-                    self.push(Peer::Agent(index), Peer::Caller, Payload::Accept(segment));
+                    self.push(Peer::Agent(index), Peer::Caller, Payload::Accept);
                 }
                 if segment.flags.reset {
                     self.reset_caller(Peer::Agent(index), false, "backend_reset");
@@ -360,7 +360,6 @@
             Some(BackendAction::Returned(action)) => self.perform(index, segment, action),
             Some(BackendAction::Drop(_)) | None => {}
         }
-        let _ = flow;
     }
 
     /// Announces the flow that an agent's backend server has accepted.
--- a/crates/steer/tests/model/explore.rs
+++ b/crates/steer/tests/model/explore.rs
@@ -34,6 +34,8 @@
     path: Vec<Step>,
     /// Checks a state at which the search ends; returns the promise that is broken.
     check_end: &'c mut dyn FnMut(&State) -> Option<String>,
+    /// The broken promises so far, if the search goes on after each.
+    broken: Option<Vec<(String, Vec<Step>)>>,
 }
 
 /// Visits every state that can be reached by at most `depth` steps.
@@ -48,7 +50,8 @@
     check_end: &mut dyn FnMut(&State) -> Option<String>,
 ) -> Outcome {
     let began = Instant::now();
-    let mut search = Search { visited: HashMap::new(), path: Vec::new(), check_end };
+    let mut search =
+        Search { visited: HashMap::new(), path: Vec::new(), check_end, broken: None };
     let broken = search.visit(start.clone(), depth);
     let states = search.visited.len();
     let path = search.path;
@@ -60,6 +63,28 @@
     Outcome { states, elapsed: began.elapsed(), counterexample }
 }
 
+/// Visits every state within `depth` steps and goes on after a broken promise. Returns a
+/// shortest counterexample for each promise that is broken.
+pub fn survey(start: &State, depth: u8) -> Vec<Counterexample> {
+    let mut found: Vec<Counterexample> = Vec::new();
+    for depth in 1..=depth {
+        let mut check_end = |_: &State| None;
+        let mut search = Search {
+            visited: HashMap::new(),
+            path: Vec::new(),
+            check_end: &mut check_end,
+            broken: Some(Vec::new()),
+        };
+        search.visit(start.clone(), depth);
+        for (broken, path) in search.broken.unwrap_or_default() {
+            if found.iter().all(|known| known.broken != broken) {
+                found.push(Counterexample { steps: describe(start, &path), broken });
+            }
+        }
+    }
+    found
+}
+
 /// Takes random steps from a start state. Returns the steps to a broken promise.
 pub fn walk(start: &State, seed: u64, steps: usize) -> Option<Counterexample> {
     let mut random = fastrand::Rng::with_seed(seed);
@@ -82,7 +107,11 @@
     /// first state in which a promise is broken.
     fn visit(&mut self, mut state: State, left: u8) -> Option<String> {
         if let Some(broken) = state.world.broken.clone() {
-            return Some(broken);
+            let Some(known) = &mut self.broken else { return Some(broken) };
+            if known.iter().all(|(other, _)| *other != broken) {
+                known.push((broken, self.path.clone()));
+            }
+            return None;
         }
         let key = hash(&(state.world.key(), state.budget));
         match self.visited.get(&key) {
@@ -117,6 +146,7 @@
             visited: HashMap::new(),
             path: Vec::new(),
             check_end: &mut *check_end,
+            broken: None,
         };
         let broken = search.visit(start.clone(), depth)?;
         Some((search.path, broken))
--- a/crates/steer/tests/model/step.rs
+++ b/crates/steer/tests/model/step.rs
@@ -319,7 +319,7 @@
                 "heartbeat {} of incarnation {}",
                 heartbeat.sequence, heartbeat.incarnation
             ),
-            Payload::Accept(_) => "acceptance".to_owned(),
+            Payload::Accept => "acceptance".to_owned(),
             other => format!("{other:?}"),
         };
         write!(f, "{name}, {:?} to {:?}", self.from, self.to)
--- a/crates/steer/tests/model/world.rs
+++ b/crates/steer/tests/model/world.rs
@@ -2,7 +2,6 @@
 //! with one flow, and the messages in flight.
 
 use std::fmt::{self, Debug, Write};
-use std::hash::{DefaultHasher, Hasher};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
@@ -12,8 +11,8 @@
 use lentilreach_steer::process::balancer::Balancer;
 use lentilreach_steer::process::roster::{Role, Roster};
 use lentilreach_steer::request::message::{Announcement, Heartbeat};
-use lentilreach_steer::request::segment::Segment;
 use lentilreach_steer::version::routing::Routing;
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::fixture;
 
@@ -80,7 +79,7 @@
     /// The sender has left.
     Leave,
     /// The backend server of an agent accepts the flow.
-    Accept(Segment),
+    Accept,
 }
 
 /// An agent and its backend server.
@@ -366,6 +365,7 @@
             is_announcement_due: false,
         };
         node.restart(now);
+        node.is_present = is_present;
         if is_present {
             node.report(now);
             node.server.reports = LATE_REPORT;
@@ -416,16 +416,16 @@
 /// A hash of the printed form of a value.
 pub fn hash(value: &impl Debug) -> u64 {
     /// Hashes text as it is written.
-    struct Sink(DefaultHasher);
+    struct Sink(Xxh3Default);
 
     impl Write for Sink {
         fn write_str(&mut self, text: &str) -> fmt::Result {
-            self.0.write(text.as_bytes());
+            self.0.update(text.as_bytes());
             Ok(())
         }
     }
 
-    let mut sink = Sink(DefaultHasher::new());
+    let mut sink = Sink(Xxh3Default::new());
     write!(sink, "{value:?}").expect("the sink takes everything");
-    sink.0.finish()
+    sink.0.digest()
 }
