--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -64,8 +64,6 @@
     NoRoute,
     /// No agent accepts flows of the service.
     NoAgent,
-    /// The agent that holds the flow is unreachable.
-    AgentSilent,
 }
 
 impl Refusal {
@@ -74,7 +72,6 @@
         match self {
             Self::NoRoute => "no_route",
             Self::NoAgent => "no_agent",
-            Self::AgentSilent => "agent_silent",
         }
     }
 }
@@ -188,7 +185,8 @@
     }
 
     /// Sends a segment to the agent that holds its flow, or to a home node if that agent
-    /// is unknown.
+    /// is unknown. Never resets a flow: its backend server may be alive although its agent
+    /// is silent.
     fn handle_established(
         &mut self,
         now: Millis,
@@ -196,17 +194,15 @@
         segment: &Segment,
     ) -> Action {
         let flow = &segment.flow_from_caller();
-        let known = self.cache.get(now, flow).and_then(|entry| entry.agent());
-        if let Some(member) = known.and_then(|agent| roster.get(agent)) {
-            // The agent doesn't respond. After a reset the caller can open a new flow
-            // sooner than after a timeout.
-            if roster.is_unreachable(now, member) && !segment.flags.reset {
-                return Action::Refuse {
-                    sequence: segment.acknowledged,
-                    cause: Refusal::AgentSilent,
-                };
+        let holder = match self.cache.get(now, flow) {
+            Some(Entry::Found { agent }) => roster.get(agent).map(|_| agent),
+            // A copy of the opening may have opened the flow at another agent.
+            Some(Entry::Placed { agent, .. }) => {
+                Some(agent).filter(|a| roster.is_heard(*a))
             }
-            let to = member.address;
+            Some(Entry::Searching { .. }) | None => None,
+        };
+        if let Some(to) = holder {
             return Action::Send {
                 to,
                 search: Search::Known,
@@ -218,7 +214,7 @@
         let (to, search) = match self.cache.next_attempt(now, flow) {
             0 => (first, Search::Home(0)),
             1 if second.is_some() => (second, Search::Home(1)),
-            _ => (placement::fallback(roster, flow), Search::Walk),
+            _ => (placement::fallback(roster, flow), Search::Fallback),
         };
         match to {
             Some(to) => {
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -104,7 +104,7 @@
     async fn tick(self: Arc<Self>) {
         loop {
             self.node.tick();
-            self.node.broadcast_heartbeat(Role::Balancer, |_| None);
+            self.node.broadcast_heartbeat(Role::Balancer, |_, _| None);
             let now = self.node.now();
             let idle_ms = self.node.settings.max_flow_age.as_millis() as u64;
             self.flows.write().expire(now, idle_ms);
@@ -137,8 +137,6 @@
                     service: Cow::Borrowed(service),
                     tried: Vec::new(),
                     to_visit: Vec::new(),
-                    known_agents: 0,
-                    is_index_complete: false,
                     is_exhaustive: false,
                     bytes,
                 };
@@ -173,8 +171,10 @@
         let bytes = self.format.reset(&flow, sequence);
         send_datagram(&self.callers, self.node.caller_address(&flow), &bytes);
         metric::count_labelled(&metric::REFUSED, refusal.as_str());
+        let summary = self.node.roster.read().summary();
         log::info!(
-            target: "refused", flow:% = flow, cause = refusal.as_str(), version = version;
+            target: "refused", flow:% = flow, cause = refusal.as_str(), version = version,
+            opening = segment.is_opening(), detail:? = refusal, agents:? = summary;
             "flow refused"
         );
     }
@@ -186,7 +186,7 @@
         match Message::decode(bytes) {
             Some(Message::Heartbeat(heartbeat)) => {
                 if self.node.handle_heartbeat(from, &heartbeat) {
-                    self.node.send_heartbeat(&[from], Role::Balancer, false);
+                    self.node.reply_heartbeat(from, Role::Balancer, None);
                 }
             }
             Some(Message::Found(flow)) => {
@@ -194,7 +194,9 @@
                 log::info!(target: "found", flow:% = flow, agent:% = from; "flow found");
             }
             Some(Message::NotFound(flow)) => self.flows.write().flow_not_found(&flow),
-            Some(Message::Leave) => self.node.handle_leave(from),
+            Some(Message::Leave(incarnation)) => {
+                self.node.handle_leave(from, incarnation);
+            }
             Some(Message::DocumentsRequest) => self.node.send_documents(from),
             Some(Message::Documents(chunk)) => self.node.handle_documents(&chunk),
             Some(Message::Segment(_) | Message::Announcement(_)) => count_invalid("role"),
