--- a/crates/steer/src/process/agent/question.rs
+++ b/crates/steer/src/process/agent/question.rs
@@ -17,7 +17,7 @@
 const RETENTION_MS: u64 = 3_000;
 
 /// The questions that were sent, and the flows that they are about.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Questions {
     /// Number of the last question; 0 before the first one.
     sent: u32,
--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -15,7 +15,7 @@
 
 use model::explore::{Outcome, explore, survey};
 use model::scenario::{self, Holder};
-use model::step::Budget;
+use model::step::{Budget, State};
 use model::world::Removed;
 
 /// Fails with the steps of the counterexample, if there is one.
@@ -83,21 +83,52 @@
 #[ignore = "for reports"]
 fn survey_broken_promises() {
     let all = Budget { requests: 2, rounds: 2, ..Budget::default() };
-    let starts = [
-        ("accepted, 1 loss, 1 cut", true, Budget { losses: 1, cuts: 1, ..all }, 6),
-        ("open, 1 freeze", false, Budget { freezes: 1, ..all }, 7),
-        ("open, 1 cut", false, Budget { cuts: 1, ..all }, 7),
-        ("open, 2 restarts", false, Budget { restarts: 2, ..all }, 7),
-        ("open, 1 restart, 1 late", false, Budget { restarts: 1, late: 1, ..all }, 6),
-        ("open, join, leave", false, Budget { joins: 1, leaves: 1, ..all }, 6),
+    let accepted = scenario::accepted;
+    let open = scenario::open;
+    let again = scenario::accepted_again;
+    type Start = fn(usize, Holder, Budget, Removed) -> State;
+    let joined: Start =
+        |agents, _, budget, removed| scenario::joined_while_cut(agents, budget, removed);
+    let back: Start =
+        |agents, _, budget, removed| scenario::left_and_back(agents, budget, removed);
+    let starts: [(&str, Start, Budget, u8); 11] = [
+        ("announced", scenario::announced, Budget { restarts: 1, ..all }, 9),
+        ("joined while cut", joined, all, 8),
+        (
+            "left and back",
+            back,
+            Budget { requests: 2, rounds: 1, ..Budget::default() },
+            9,
+        ),
+        ("accepted", accepted, Budget { losses: 1, cuts: 1, ..all }, 7),
+        ("accepted again", again, Budget { losses: 1, ..all }, 7),
+        ("freeze", open, Budget { freezes: 1, ..all }, 8),
+        ("cut", open, Budget { cuts: 1, ..all }, 8),
+        ("restart", open, Budget { restarts: 2, ..all }, 7),
+        ("restart, late", open, Budget { restarts: 1, late: 1, ..all }, 7),
+        ("join, leave", open, Budget { joins: 1, leaves: 1, ..all }, 7),
+        ("accepted, join", accepted, Budget { joins: 1, ..all }, 7),
     ];
-    for (name, is_accepted, budget, depth) in starts {
+    let survey_one = |(name, start, budget, depth): (&str, Start, Budget, u8)| {
         for holder in [Holder::Home, Holder::Other] {
-            let start = if is_accepted { scenario::accepted } else { scenario::open };
-            for found in survey(&start(3, holder, budget, Removed::Nothing), depth) {
+            let (found, states) =
+                survey(&start(3, holder, budget, Removed::Nothing), depth);
+            println!("{name}, {holder:?}, depth {depth}: {states} states");
+            for found in found {
                 let steps = found.steps.join("\n    ");
                 println!("{name}, {holder:?}: {}\n    {steps}", found.broken);
             }
         }
+    };
+    let wanted = std::env::var("MODEL_STARTS").unwrap_or_default();
+    let is_wanted =
+        |name: &str| wanted.is_empty() || wanted.split(',').any(|w| w == name);
+    let wanted: Vec<_> = starts.into_iter().filter(|start| is_wanted(start.0)).collect();
+    for starts in wanted.chunks(4) {
+        std::thread::scope(|scope| {
+            for start in starts {
+                scope.spawn(|| survey_one(*start));
+            }
+        });
     }
 }
--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -5,8 +5,8 @@
 use lentilreach_steer::process::agent::{Action, Arrival, BackendAction, Cause};
 use lentilreach_steer::process::backend::TICK_MS;
 use lentilreach_steer::process::balancer;
-use lentilreach_steer::process::roster::{Change, HEARTBEAT_INTERVAL_MS, Role};
-use lentilreach_steer::request::message::{Heartbeat, Search};
+use lentilreach_steer::process::roster::{Change, HEARTBEAT_INTERVAL_MS, Member, Role};
+use lentilreach_steer::request::message::{Heartbeat, Search, SyncStatus};
 use lentilreach_steer::request::segment::{Flags, Segment};
 
 use super::world::{
@@ -72,12 +72,35 @@
         let ended = node.agent.tick(now);
         let announcements = node.agent.announcements(now, &node.roster);
         for _ in ended {
-            self.reset_caller(Peer::Agent(index), false, "backend_gone");
+            self.reset_caller(Peer::Agent(index), None, "backend_gone");
         }
         for outgoing in announcements {
             let payload = Payload::Announcement(outgoing.announcement);
             self.send(Peer::Agent(index), outgoing.to, payload);
         }
+        self.ask_if_due(index);
+    }
+
+    /// Asks the other agents for a heartbeat if an agent needs their answers.
+    fn ask_if_due(&mut self, index: usize) {
+        let (now, routing) = (self.now, self.routing.clone());
+        let node = self.agent_mut(index);
+        if !node.agent.is_question_due(now) {
+            return;
+        }
+        let question = Heartbeat { wants_reply: true, ..node.heartbeat(now, &routing) };
+        let node = self.agent(index);
+        let heard = node.roster.agents().filter(|member| !member.is_silent);
+        let others = heard.filter(|member| member.address != node.address);
+        let sent: Vec<_> = others
+            .map(|member| {
+                let sync_status = node.sync_status(now, member);
+                (member.address, Heartbeat { sync_status, ..question.clone() })
+            })
+            .collect();
+        for (to, question) in sent {
+            self.send(Peer::Agent(index), to, Payload::Heartbeat(question));
+        }
     }
 
     /// The report of an agent's backend server, and the heartbeats of the agent.
@@ -91,7 +114,7 @@
         if node.server.is_alive {
             let ended = node.report(now);
             if ended > 0 {
-                self.reset_caller(Peer::Agent(index), false, "backend_replaced");
+                self.reset_caller(Peer::Agent(index), None, "backend_replaced");
             }
         }
         let node = self.agent_mut(index);
@@ -106,8 +129,7 @@
         let node = self.agent(index);
         for member in node.roster.members() {
             let Some(to) = self.peer(member.address) else { continue };
-            let is_home = member.role == Role::Agent && member.incarnation != 0;
-            let sync_status = is_home.then(|| node.agent.sync_status(now, member));
+            let sync_status = node.sync_status(now, member);
             let heartbeat = Heartbeat { sync_status, ..heartbeat.clone() };
             if to != Peer::Agent(index) {
                 sent.push((Peer::Agent(index), to, heartbeat));
@@ -166,7 +188,12 @@
                 let change = node.roster.record_heartbeat(now, sender, &heartbeat);
                 node.agent.handle_heartbeat(now, &node.roster, sender, &heartbeat);
                 let is_answered = heartbeat.wants_reply || change == Ok(Change::Joined);
-                is_answered.then(|| node.heartbeat(now, &routing))
+                is_answered.then(|| {
+                    let reply = node.heartbeat(now, &routing);
+                    let member = node.roster.get(sender);
+                    let sync_status = member.and_then(|m| node.sync_status(now, m));
+                    Heartbeat { sync_status, ..reply }
+                })
             }
             Peer::Balancer(index) => {
                 let node = self.balancer_mut(index);
@@ -201,11 +228,17 @@
                 }
                 node.agent.handle_announcement(now, &node.roster, sender, &announcement);
             }
-            (Peer::Agent(index), Payload::Leave) => {
-                self.agent_mut(index).roster.remove(sender);
+            (Peer::Agent(index), Payload::Leave(incarnation)) => {
+                let is_checked = self.removed != Removed::IncarnationCheck;
+                let node = self.agent_mut(index);
+                let known = node.roster.get(sender).map(|member| member.incarnation);
+                let incarnation = known.filter(|_| !is_checked).unwrap_or(incarnation);
+                if sender != node.address && node.roster.remove(sender, incarnation) {
+                    node.agent.handle_leave(sender);
+                }
             }
-            (Peer::Balancer(index), Payload::Leave) => {
-                self.balancer_mut(index).roster.remove(sender);
+            (Peer::Balancer(index), Payload::Leave(incarnation)) => {
+                self.balancer_mut(index).roster.remove(sender, incarnation);
             }
             (Peer::Balancer(index), Payload::Found) => {
                 let (now, flow) = (self.now, self.flow);
@@ -242,7 +275,7 @@
             }
             balancer::Action::Refuse { cause, .. } => {
                 let by = Peer::Balancer(index);
-                self.reset_caller(by, segment.is_opening(), cause.as_str());
+                self.reset_caller(by, Some(&segment), cause.as_str());
             }
             balancer::Action::Drop(_) => {}
         }
@@ -259,6 +292,9 @@
             node.agent.hold(now, &routing, arrival, Vec::new());
         }
         self.perform(index, segment, action);
+        if !segment.is_opening() {
+            self.ask_if_due(index);
+        }
     }
 
     /// Performs the action of an agent on a segment of the caller.
@@ -290,10 +326,10 @@
                 );
             }
             Action::Drop(Cause::Unknown) if self.removed == Removed::ExhaustiveWalk => {
-                self.reset_caller(own, false, "not_exhaustive");
+                self.reset_caller(own, Some(&segment), "not_exhaustive");
             }
             Action::Refuse { notify, cause, .. } => {
-                self.reset_caller(own, segment.is_opening(), cause.as_str());
+                self.reset_caller(own, Some(&segment), cause.as_str());
                 if let Some(origin) = notify {
                     self.send(own, origin, Payload::NotFound);
                 }
@@ -354,7 +390,9 @@
                     self.push(Peer::Agent(index), Peer::Caller, Payload::Accept);
                 }
                 if segment.flags.reset {
-                    self.reset_caller(Peer::Agent(index), false, "backend_reset");
+                    // Its sequence number is what the caller acknowledged.
+                    let cause = Segment { acknowledged: segment.sequence, ..segment };
+                    self.reset_caller(Peer::Agent(index), Some(&cause), "backend_reset");
                 }
             }
             Some(BackendAction::Returned(action)) => self.perform(index, segment, action),
@@ -409,6 +447,12 @@
 }
 
 impl AgentNode {
+    /// The synchronisation status to include in a heartbeat to a member.
+    fn sync_status(&self, now: Millis, member: &Member) -> Option<SyncStatus> {
+        let is_home = member.role == Role::Agent && member.incarnation != 0;
+        is_home.then(|| self.agent.sync_status(now, &self.roster, member))
+    }
+
     /// The next heartbeat.
     fn heartbeat(
         &mut self,
--- a/crates/steer/tests/model/explore.rs
+++ b/crates/steer/tests/model/explore.rs
@@ -65,8 +65,9 @@
 
 /// Visits every state within `depth` steps and goes on after a broken promise. Returns a
 /// shortest counterexample for each promise that is broken.
-pub fn survey(start: &State, depth: u8) -> Vec<Counterexample> {
+pub fn survey(start: &State, depth: u8) -> (Vec<Counterexample>, usize) {
     let mut found: Vec<Counterexample> = Vec::new();
+    let mut states = 0;
     for depth in 1..=depth {
         let mut check_end = |_: &State| None;
         let mut search = Search {
@@ -76,13 +77,14 @@
             broken: Some(Vec::new()),
         };
         search.visit(start.clone(), depth);
+        states = search.visited.len();
         for (broken, path) in search.broken.unwrap_or_default() {
             if found.iter().all(|known| known.broken != broken) {
                 found.push(Counterexample { steps: describe(start, &path), broken });
             }
         }
     }
-    found
+    (found, states)
 }
 
 /// Takes random steps from a start state. Returns the steps to a broken promise.
--- a/crates/steer/tests/model/scenario.rs
+++ b/crates/steer/tests/model/scenario.rs
@@ -1,7 +1,10 @@
 //! Start states of searches.
 
+use std::net::SocketAddrV4;
+
 use lentilreach_steer::request::placement;
 
+use super::drive::Missed;
 use super::step::{Budget, State, Step};
 use super::world::{Payload, Peer, Removed, World};
 
@@ -42,24 +45,98 @@
     removed: Removed,
 ) -> State {
     let opening = Budget { openings: 1, ..Budget::default() };
-    let mut state = stable(agents, opening, removed);
-    if holder == Holder::Other {
-        load_homes(&mut state.world);
+    accept(stable(agents, opening, removed), holder, budget)
+}
+
+/// Like [`accepted`], after a late segment of an earlier flow between the same addresses,
+/// which nobody holds any more.
+pub fn accepted_again(
+    agents: usize,
+    holder: Holder,
+    budget: Budget,
+    removed: Removed,
+) -> State {
+    let stray = Budget { strays: 1, ..Budget::default() };
+    let mut state = stable(agents, stray, removed);
+    state.apply(Step::Stray(1));
+    drain(&mut state.world);
+    accept(state, holder, budget)
+}
+
+/// Like [`accepted`], but the announcements have arrived.
+pub fn announced(
+    agents: usize,
+    holder: Holder,
+    budget: Budget,
+    removed: Removed,
+) -> State {
+    let mut state = accepted(agents, holder, budget, removed);
+    deliver_all(&mut state, |payload| matches!(payload, Payload::Announcement(_)));
+    state
+}
+
+/// A system in which an agent that joined while it was cut off from the other agents has
+/// accepted the flow.
+pub fn joined_while_cut(agents: usize, budget: Budget, removed: Removed) -> State {
+    let joining = Budget { joins: 1, cuts: 1, rounds: 1, ..Budget::default() };
+    let mut state = stable(agents, joining, removed);
+    state.apply(Step::Join(agents));
+    state.apply(Step::Cut(agents));
+    state.apply(Step::Round(None));
+    accept_at(state, agents, budget)
+}
+
+/// A system in which an agent has left and joined again at the same address with a new
+/// backend server, which has accepted the flow. The farewells are late, as is the new
+/// process's heartbeat to one agent.
+pub fn left_and_back(agents: usize, budget: Budget, removed: Removed) -> State {
+    let change = Budget { leaves: 1, joins: 1, late: 1, rounds: 1, ..Budget::default() };
+    let mut state = stable(agents, change, removed);
+    let homes = homes(&state.world);
+    let is_home =
+        |index: &usize| homes.contains(&Some(state.world.agent(*index).address));
+    let other = (0..agents).find(|i| !is_home(i)).expect("not all are home nodes");
+    let home = (0..agents).find(is_home).expect("some are home nodes");
+    state.apply(Step::Leave(other));
+    state.apply(Step::Join(other));
+    let (from, to) = (Peer::Agent(other), Peer::Agent(home));
+    state.apply(Step::Round(Some(Missed { from, to, is_late: true })));
+    accept_at(state, other, budget)
+}
+
+/// Lets the backend server of an agent accept the flow.
+fn accept_at(mut state: State, agent: usize, budget: Budget) -> State {
+    let world = &mut state.world;
+    let now = world.now;
+    let others = (0..world.agents()).filter(|index| *index != agent);
+    for address in others.map(|index| world.agent(index).address).collect::<Vec<_>>() {
+        world.balancer_mut(0).roster.record_placement(now, address);
     }
-    state.apply(Step::Open(0));
-    state.apply(Step::Deliver(0));
+    accept_opening(&mut state);
     State { budget, ..state }
 }
 
+/// Lets the backend server of a home node or of another agent accept the flow.
+fn accept(state: State, holder: Holder, budget: Budget) -> State {
+    let homes = homes(&state.world);
+    let is_holder = |index: &usize| {
+        let address = state.world.agent(*index).address;
+        match holder {
+            Holder::Home => homes[0] == Some(address),
+            Holder::Other => !homes.contains(&Some(address)),
+        }
+    };
+    let mut present =
+        (0..state.world.agents()).filter(|i| state.world.agent(*i).is_present);
+    let agent = present.find(is_holder).expect("there is such an agent");
+    accept_at(state, agent, budget)
+}
+
 /// A stable system in which the flow is open and known to its home nodes.
 pub fn open(agents: usize, holder: Holder, budget: Budget, removed: Removed) -> State {
     let request = Budget { requests: 1, ..Budget::default() };
     let mut state = accepted(agents, holder, request, removed);
-    while state.world.caller.chosen.is_none() {
-        let is_accept = |payload: &Payload| matches!(payload, Payload::Accept);
-        let index = state.world.in_flight.iter().position(|d| is_accept(&d.payload));
-        state.apply(Step::Deliver(index.expect("the flow is accepted")));
-    }
+    deliver_all(&mut state, |payload| matches!(payload, Payload::Accept));
     state.apply(Step::Request(0));
     drain(&mut state.world);
     for _ in 0..SETTLE_ROUNDS {
@@ -70,6 +147,26 @@
     State { budget, ..state }
 }
 
+/// The home nodes of the flow as the first balancer selects them.
+fn homes(world: &World) -> [Option<SocketAddrV4>; 2] {
+    placement::homes(&world.balancer(0).roster, &world.flow)
+}
+
+/// Sends the opening through the first balancer and delivers it.
+fn accept_opening(state: &mut State) {
+    state.budget.openings = 1;
+    state.apply(Step::Open(0));
+    deliver_all(state, |payload| matches!(payload, Payload::Segment(_)));
+}
+
+/// Delivers the messages in flight of a kind.
+fn deliver_all(state: &mut State, is_due: impl Fn(&Payload) -> bool) {
+    while let Some(index) = state.world.in_flight.iter().position(|d| is_due(&d.payload))
+    {
+        state.apply(Step::Deliver(index));
+    }
+}
+
 /// Delivers all messages in flight in the order in which they were sent.
 pub fn drain(world: &mut World) {
     while !world.in_flight.is_empty() {
@@ -77,13 +174,3 @@
         world.deliver(datagram);
     }
 }
-
-/// Lets the home nodes of the flow seem loaded to the first balancer, so that it places the
-/// flow on another agent.
-fn load_homes(world: &mut World) {
-    let (now, flow) = (world.now, world.flow);
-    let roster = &mut world.balancer_mut(0).roster;
-    for home in placement::homes(roster, &flow).into_iter().flatten() {
-        roster.record_placement(now, home);
-    }
-}
--- a/crates/steer/tests/model/step.rs
+++ b/crates/steer/tests/model/step.rs
@@ -16,6 +16,9 @@
 /// Number of heartbeat intervals after which a member that isn't heard is unreachable.
 const SILENCE_ROUNDS: u32 = 4;
 
+/// What the caller acknowledged in an earlier flow.
+const EARLIER_FIRST_SEQUENCE: u32 = 77;
+
 /// How often each kind of step may still occur. Bounds the states.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub struct Budget {
@@ -23,6 +26,8 @@
     pub openings: u8,
     /// Segments of the caller in the open flow.
     pub requests: u8,
+    /// Late segments of an earlier flow between the same addresses.
+    pub strays: u8,
     /// Heartbeat intervals that pass.
     pub rounds: u8,
     /// Messages that are lost, heartbeats included.
@@ -52,12 +57,16 @@
     Deliver(usize),
     /// It is lost.
     Lose(usize),
+    /// All heartbeats in flight arrive, with the answers to them.
+    Heartbeats,
     /// It arrives, and a copy remains in flight.
     Double(usize),
     /// The caller opens the flow, or does so again, through a balancer.
     Open(usize),
     /// The caller sends a request through a balancer.
     Request(usize),
+    /// A late segment of an earlier flow between the same addresses reaches a balancer.
+    Stray(usize),
     /// A heartbeat interval passes.
     Round(Option<Missed>),
     /// So many heartbeat intervals pass that members that aren't heard are unreachable.
@@ -106,6 +115,9 @@
                 steps.extend((budget.doubles > 0).then_some(Step::Double(index)));
             }
         }
+        let is_heartbeat = |d: &Datagram| matches!(d.payload, Payload::Heartbeat(_));
+        let heartbeats = world.in_flight.iter().filter(|d| is_heartbeat(d)).count();
+        steps.extend((heartbeats > 1).then_some(Step::Heartbeats));
         for balancer in 0..world.balancers() {
             if world.caller.chosen.is_some() && budget.requests > 0 {
                 steps.push(Step::Request(balancer));
@@ -113,6 +125,7 @@
             if world.caller.chosen.is_none() && budget.openings > 0 {
                 steps.push(Step::Open(balancer));
             }
+            steps.extend((budget.strays > 0).then_some(Step::Stray(balancer)));
             if budget.balancer_restarts > 0 {
                 steps.push(Step::RestartBalancer(balancer));
             }
@@ -140,6 +153,7 @@
                 let datagram = world.in_flight.remove(index);
                 world.deliver(datagram);
             }
+            Step::Heartbeats => deliver_heartbeats(world),
             Step::Lose(index) => {
                 budget.losses -= 1;
                 world.in_flight.remove(index);
@@ -160,6 +174,12 @@
                 let segment = request(world);
                 world.forward(balancer, segment);
             }
+            Step::Stray(balancer) => {
+                budget.strays -= 1;
+                world.now = world.now.after(RETRANSMISSION_MS);
+                let segment = fixture::request(world.flow, EARLIER_FIRST_SEQUENCE);
+                world.forward(balancer, segment);
+            }
             Step::Round(missed) => {
                 budget.rounds -= 1;
                 if let Some(missed) = missed {
@@ -274,6 +294,19 @@
     }
 }
 
+/// Delivers the heartbeats in flight and the answers to them.
+fn deliver_heartbeats(world: &mut World) {
+    let is_due = |d: &Datagram, world: &World| {
+        let is_readable =
+            !matches!(d.to, Peer::Agent(agent) if world.agent(agent).is_frozen);
+        is_readable && matches!(d.payload, Payload::Heartbeat(_))
+    };
+    while let Some(index) = world.in_flight.iter().position(|d| is_due(d, world)) {
+        let datagram = world.in_flight.remove(index);
+        world.deliver(datagram);
+    }
+}
+
 /// The next copy of the caller's opening segment.
 fn next_opening(world: &mut World) -> Segment {
     let copy = world.caller.openings;
@@ -295,8 +328,9 @@
     let node = world.agent(index);
     let members = node.roster.members().iter().map(|member| member.address);
     let others: Vec<_> = members.filter(|address| *address != node.address).collect();
+    let incarnation = node.incarnation;
     for to in others {
-        world.send(Peer::Agent(index), to, Payload::Leave);
+        world.send(Peer::Agent(index), to, Payload::Leave(incarnation));
     }
     let node = world.agent_mut(index);
     node.is_present = false;
--- a/crates/steer/tests/model/world.rs
+++ b/crates/steer/tests/model/world.rs
@@ -11,6 +11,7 @@
 use lentilreach_steer::process::balancer::Balancer;
 use lentilreach_steer::process::roster::{Role, Roster};
 use lentilreach_steer::request::message::{Announcement, Heartbeat};
+use lentilreach_steer::request::segment::Segment;
 use lentilreach_steer::version::routing::Routing;
 use xxhash_rust::xxh3::Xxh3Default;
 
@@ -76,8 +77,8 @@
     Announcement(Announcement),
     /// The state of the sender.
     Heartbeat(Heartbeat<'static>),
-    /// The sender has left.
-    Leave,
+    /// The process of the sender with this incarnation has left.
+    Leave(u64),
     /// The backend server of an agent accepts the flow.
     Accept,
 }
@@ -299,22 +300,31 @@
         })
     }
 
-    /// Records that the caller got a reset. Resets of openings are not judged: the caller
-    /// has no flow yet that could break.
-    pub fn reset_caller(&mut self, by: Peer, is_opening: bool, cause: &str) {
-        if is_opening && self.caller.chosen.is_some() {
-            // Outside the receive window of a caller whose flow is open.
+    /// Records that the caller got a reset, in answer to a segment or on the agent's own
+    /// account. Resets of openings are not judged: the caller has no flow yet that could
+    /// break.
+    pub fn reset_caller(&mut self, by: Peer, cause: Option<&Segment>, reason: &str) {
+        let is_valid = cause.is_none_or(|segment| self.is_in_window(segment));
+        if !is_valid {
             return;
         }
-        if !is_opening && !self.caller.is_reset && self.is_flow_alive() {
+        if self.is_flow_alive() {
             self.broken.get_or_insert(format!(
-                "{by:?} resets the flow ({cause}) although the chosen backend server {} holds it",
+                "{by:?} resets the flow ({reason}) although the chosen backend server {} holds it",
                 self.caller.chosen.unwrap_or_default(),
             ));
         }
         self.caller.is_reset = true;
     }
 
+    /// Whether the caller takes a reset that answers a segment for one of its present flow.
+    fn is_in_window(&self, segment: &Segment) -> bool {
+        match self.caller.chosen {
+            Some(index) => segment.acknowledged == self.agent(index).server.first + 1,
+            None => segment.is_opening(),
+        }
+    }
+
     /// Records a promise that was broken if two backend servers keep the flow.
     pub fn check_holders(&mut self) {
         let is_holder = |server: &Server| server.is_alive && server.flow == Held::Open;
