--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -149,7 +149,11 @@
             is_home && placement::is_home_in_all_views(roster, flow, self.address);
         let question = self.questions.number(now, flow);
         let view = roster.view(now, self.address);
-        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive: is_home };
+        let is_index_complete = self.index.is_complete(now, self.max_flow_age_ms);
+        // A process that has just started knows no other agent yet.
+        let is_alone = roster.agents().all(|member| member.address == self.address);
+        let is_exhaustive = is_home && is_index_complete && !is_alone;
+        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive };
         let mut is_question_needed = false;
         for member in roster.agents().filter(|member| member.address != self.address) {
             let evidence = self.evidence(roster, &view, is_undisputed, member, question);
@@ -217,7 +221,7 @@
         to_visit.truncate(MAX_TO_VISIT);
         // The walk visits this agent first; its backend server returns the segment if it
         // doesn't hold the flow.
-        if self.may_hold_unknown_flows(now) {
+        if self.may_hold_unknown_flows() {
             let arrival = Arrival { forwarding, ..arrival.clone() };
             return self.deliver(now, &arrival, false);
         }
