--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -1,6 +1,18 @@
 //! Checks the protocol that finds the agent of a flow: all interleavings of a small system
 //! up to a stated depth, with messages lost, doubled and late, and members that join,
 //! leave, restart, stand still and are cut off.
+//!
+//! The decisions are those of the crate; `model/drive.rs` only passes messages on as the
+//! drivers do. A search stops at the first state that breaks a promise and prints a shortest
+//! list of steps to such a state. Three promises are checked:
+//!
+//! - No two backend servers keep a flow.
+//! - A flow is not reset while the backend server that its caller chose runs and holds it.
+//! - Once all faults have ended, a flow is found within three transmissions, or its caller
+//!   is told that it has ended.
+//!
+//! The bounds are chosen for a run of some seconds in a debug build. Deeper searches and
+//! longer walks are run by hand, in a release build.
 
 mod fixture;
 
@@ -9,72 +21,201 @@
     pub mod drive;
     pub mod explore;
     pub mod scenario;
+    pub mod settle;
     pub mod step;
     pub mod world;
 }
 
-use model::explore::{Outcome, explore, survey};
+use model::explore::{Outcome, explore, explore_and_check, survey, walk};
 use model::scenario::{self, Holder};
+use model::settle;
 use model::step::{Budget, State};
 use model::world::Removed;
 
+/// The budget of most searches: two segments of the caller, two heartbeat intervals.
+const USUAL: Budget = Budget { requests: 2, rounds: 2, ..Budget::NONE };
+
 /// Fails with the steps of the counterexample, if there is one.
 #[track_caller]
-fn assert_kept(name: &str, outcome: &Outcome) {
-    println!("{name}: {} states in {:.1?}", outcome.states, outcome.elapsed);
+fn assert_kept(outcome: &Outcome) {
+    println!("{} states in {:.1?}", outcome.states, outcome.elapsed);
     if let Some(found) = &outcome.counterexample {
-        panic!("{name}: {}\n  {}", found.broken, found.steps.join("\n  "));
+        panic!("{}\n  {}", found.broken, found.steps.join("\n  "));
     }
 }
 
-/// A caller whose flow has just been accepted must not be reset while announcements are on
-/// their way.
+/// Fails unless a promise is broken.
+#[track_caller]
+fn assert_broken(outcome: &Outcome) {
+    let found = outcome.counterexample.as_ref();
+    let found = found.expect("the search notices that a rule is missing");
+    println!(
+        "{} states: {}\n  {}",
+        outcome.states,
+        found.broken,
+        found.steps.join("\n  ")
+    );
+}
+
+/// A flow must not be reset while the announcements of its acceptance are on their way or
+/// lost, or its agent has just been cut off.
 #[test]
 fn keeps_a_flow_that_was_just_accepted() {
-    let budget = Budget { requests: 2, losses: 1, ..Budget::default() };
-    let start = scenario::accepted(3, Holder::Other, budget, Removed::Nothing);
-    assert_kept("accepted", &explore(&start, 7));
+    let budget = Budget { losses: 1, cuts: 1, rounds: 1, ..USUAL };
+    for holder in [Holder::Home, Holder::Other] {
+        let start = scenario::accepted(3, holder, budget, Removed::Nothing);
+        assert_kept(&explore(&start, 5));
+    }
+}
+
+/// A flow must not be reset because an earlier one between the same addresses was searched
+/// for shortly before.
+#[test]
+fn keeps_a_flow_between_addresses_that_were_used_before() {
+    let start = scenario::accepted_again(3, Holder::Other, USUAL, Removed::Nothing);
+    assert_kept(&explore(&start, 5));
+}
+
+/// A flow whose acceptance is still on its way to the caller must be known to a home node
+/// that has restarted meanwhile.
+#[test]
+fn keeps_an_accepted_flow_while_a_home_node_restarts() {
+    let budget = Budget { restarts: 1, doubles: 1, ..USUAL };
+    let start = scenario::announced(3, Holder::Other, budget, Removed::Nothing);
+    assert_kept(&explore(&start, 6));
 }
 
-/// A living flow must not be reset because its agent stands still.
+/// A flow must not be reset because its agent stands still.
 #[test]
 fn keeps_the_flow_of_an_agent_that_stands_still() {
-    let budget = Budget { requests: 2, rounds: 2, freezes: 1, ..Budget::default() };
+    let budget = Budget { freezes: 1, ..USUAL };
     let start = scenario::open(3, Holder::Other, budget, Removed::Nothing);
-    assert_kept("freeze", &explore(&start, 7));
+    assert_kept(&explore(&start, 6));
 }
 
-/// A living flow must not be reset because agents are cut off from each other.
+/// A flow must not be reset because agents are cut off from each other.
 #[test]
 fn keeps_a_flow_while_agents_are_cut_off() {
-    let budget = Budget { requests: 2, rounds: 2, cuts: 1, ..Budget::default() };
+    let budget = Budget { cuts: 1, ..USUAL };
     let start = scenario::open(3, Holder::Other, budget, Removed::Nothing);
-    assert_kept("cut", &explore(&start, 7));
+    assert_kept(&explore(&start, 6));
 }
 
-/// A living flow must not be reset after new processes have started at agents.
+/// A flow must not be reset because new processes have started at agents, whichever of them
+/// know the flow.
 #[test]
 fn keeps_a_flow_while_agents_restart() {
-    let budget = Budget { requests: 2, rounds: 2, restarts: 2, ..Budget::default() };
-    let start = scenario::open(3, Holder::Other, budget, Removed::Nothing);
-    assert_kept("restart", &explore(&start, 7));
+    let budget = Budget { restarts: 2, ..USUAL };
+    for holder in [Holder::Home, Holder::Other] {
+        let start = scenario::open(3, holder, budget, Removed::Nothing);
+        assert_kept(&explore(&start, 5));
+    }
 }
 
-/// A living flow must not be reset because of changes of the membership.
+/// A flow must not be reset because members have joined or left.
 #[test]
 fn keeps_a_flow_while_agents_join_and_leave() {
-    let budget =
-        Budget { requests: 2, rounds: 2, joins: 1, leaves: 1, ..Budget::default() };
+    let budget = Budget { joins: 1, leaves: 1, ..USUAL };
     let start = scenario::open(3, Holder::Other, budget, Removed::Nothing);
-    assert_kept("join and leave", &explore(&start, 7));
+    assert_kept(&explore(&start, 5));
+}
+
+/// A flow must not be reset because its agent has joined where no other agent hears it.
+#[test]
+fn keeps_the_flow_of_an_agent_that_joins_while_cut_off() {
+    let budget = Budget { doubles: 1, ..USUAL };
+    let start = scenario::joined_while_cut(3, budget, Removed::Nothing);
+    assert_kept(&explore(&start, 5));
 }
 
-/// An opening that was sent twice must not end a flow, whichever copy is accepted.
+/// A late farewell, and a late heartbeat, must not affect the next process at the same
+/// address.
+#[test]
+fn keeps_a_flow_after_an_agent_left_and_came_back() {
+    let budget = Budget { requests: 1, rounds: 1, doubles: 1, ..Budget::NONE };
+    let start = scenario::left_and_back(3, budget, Removed::Nothing);
+    assert_kept(&explore(&start, 6));
+}
+
+/// Two copies of an opening must not lead to two backend servers that keep the flow, nor to
+/// a reset, whichever copy is accepted first.
 #[test]
 fn keeps_a_flow_that_was_opened_twice() {
-    let budget = Budget { openings: 2, requests: 2, losses: 1, ..Budget::default() };
+    let budget = Budget { openings: 2, requests: 2, losses: 1, ..Budget::NONE };
     let start = scenario::stable(3, budget, Removed::Nothing);
-    assert_kept("opening", &explore(&start, 8));
+    assert_kept(&explore(&start, 7));
+}
+
+/// A flow must be found, or its caller be told that it has ended, once the membership is
+/// stable after any two of the faults.
+#[test]
+fn finds_a_flow_after_faults() {
+    let budget = Budget {
+        cuts: 1,
+        freezes: 1,
+        restarts: 1,
+        balancer_restarts: 1,
+        leaves: 1,
+        joins: 1,
+        rounds: 1,
+        ..Budget::NONE
+    };
+    let start = scenario::open(3, Holder::Other, budget, Removed::Nothing);
+    assert_kept(&explore_and_check(&start, 2, &mut settle::check));
+}
+
+/// Promises must hold on long runs with many faults, too.
+#[test]
+fn keeps_promises_on_random_runs() {
+    assert_runs_kept(0..12, 60);
+}
+
+/// Fails with the steps of the first of some random runs that breaks a promise.
+#[track_caller]
+fn assert_runs_kept(seeds: std::ops::Range<u64>, steps: usize) {
+    let start = scenario::stable(3, Budget::MANY, Removed::Nothing);
+    for seed in seeds {
+        if let Some(found) = walk(&start, seed, steps, &mut settle::check) {
+            panic!("seed {seed}: {}\n  {}", found.broken, found.steps.join("\n  "));
+        }
+    }
+}
+
+/// Without the rule that a flow is announced before its caller learns that it is open, an
+/// agent tells home nodes that it has announced all of its flows when it has not.
+#[test]
+fn notices_a_late_announcement() {
+    let budget = Budget { requests: 1, doubles: 1, ..Budget::NONE };
+    let start = |removed| scenario::accepted(3, Holder::Other, budget, removed);
+    assert_kept(&explore(&start(Removed::Nothing), 6));
+    assert_broken(&explore(&start(Removed::AnnounceBeforeAccept), 6));
+}
+
+/// Without the comparison of incarnations, a late farewell removes the next process at the
+/// same address with its flows.
+#[test]
+fn notices_a_missing_incarnation_check() {
+    let budget = Budget { requests: 1, doubles: 1, ..Budget::NONE };
+    let start = |removed| scenario::left_and_back(3, budget, removed);
+    assert_kept(&explore(&start(Removed::Nothing), 6));
+    assert_broken(&explore(&start(Removed::IncarnationCheck), 6));
+}
+
+/// Without the rule that all agents must have been asked, a home node resets a flow whose
+/// announcement is on its way.
+#[test]
+fn notices_a_walk_that_is_not_exhaustive() {
+    let budget = Budget { requests: 1, ..Budget::NONE };
+    let start = |removed| scenario::accepted(3, Holder::Other, budget, removed);
+    assert_kept(&explore(&start(Removed::Nothing), 5));
+    assert_broken(&explore(&start(Removed::ExhaustiveWalk), 5));
+}
+
+/// Long runs, for reports: run by hand in a release build.
+#[test]
+#[ignore = "for reports"]
+fn keeps_promises_on_many_random_runs() {
+    assert_runs_kept(0..20_000, 150);
 }
 
 /// Prints a shortest counterexample for each promise that is broken. For reports: run it by
@@ -82,7 +223,7 @@
 #[test]
 #[ignore = "for reports"]
 fn survey_broken_promises() {
-    let all = Budget { requests: 2, rounds: 2, ..Budget::default() };
+    let all = USUAL;
     let accepted = scenario::accepted;
     let open = scenario::open;
     let again = scenario::accepted_again;
@@ -94,12 +235,7 @@
     let starts: [(&str, Start, Budget, u8); 11] = [
         ("announced", scenario::announced, Budget { restarts: 1, doubles: 1, ..all }, 8),
         ("joined while cut", joined, Budget { doubles: 1, ..all }, 6),
-        (
-            "left and back",
-            back,
-            Budget { requests: 2, rounds: 1, ..Budget::default() },
-            9,
-        ),
+        ("left and back", back, Budget { requests: 2, rounds: 1, ..Budget::NONE }, 9),
         ("accepted", accepted, Budget { losses: 1, cuts: 1, ..all }, 7),
         ("accepted again", again, Budget { losses: 1, ..all }, 7),
         ("freeze", open, Budget { freezes: 1, ..all }, 8),
--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -79,6 +79,20 @@
             self.send(Peer::Agent(index), outgoing.to, payload);
         }
         self.ask_if_due(index);
+        self.probe_server(index);
+    }
+
+    /// Ends the flows of a backend server that doesn't run any more, when its reports are
+    /// missing.
+    fn probe_server(&mut self, index: usize) {
+        let now = self.now;
+        let node = self.agent_mut(index);
+        if node.agent.is_probe_due() && !node.server.is_alive {
+            let ended = node.agent.record_absence(now);
+            for _ in ended {
+                self.reset_caller(Peer::Agent(index), None, "backend_gone");
+            }
+        }
     }
 
     /// Asks the other agents for a heartbeat if an agent needs their answers.
@@ -94,7 +108,7 @@
         let others = heard.filter(|member| member.address != node.address);
         let sent: Vec<_> = others
             .map(|member| {
-                let sync_status = node.sync_status(now, member);
+                let sync_status = node.sync_status(member);
                 (member.address, Heartbeat { sync_status, ..question.clone() })
             })
             .collect();
@@ -129,7 +143,7 @@
         let node = self.agent(index);
         for member in node.roster.members() {
             let Some(to) = self.peer(member.address) else { continue };
-            let sync_status = node.sync_status(now, member);
+            let sync_status = node.sync_status(member);
             let heartbeat = Heartbeat { sync_status, ..heartbeat.clone() };
             if to != Peer::Agent(index) {
                 sent.push((Peer::Agent(index), to, heartbeat));
@@ -191,7 +205,7 @@
                 is_answered.then(|| {
                     let reply = node.heartbeat(now, &routing);
                     let member = node.roster.get(sender);
-                    let sync_status = member.and_then(|m| node.sync_status(now, m));
+                    let sync_status = member.and_then(|m| node.sync_status(m));
                     Heartbeat { sync_status, ..reply }
                 })
             }
@@ -448,9 +462,9 @@
 
 impl AgentNode {
     /// The synchronisation status to include in a heartbeat to a member.
-    fn sync_status(&self, now: Millis, member: &Member) -> Option<SyncStatus> {
+    fn sync_status(&self, member: &Member) -> Option<SyncStatus> {
         let is_home = member.role == Role::Agent && member.incarnation != 0;
-        is_home.then(|| self.agent.sync_status(now, &self.roster, member))
+        is_home.then(|| self.agent.sync_status(&self.roster, member))
     }
 
     /// The next heartbeat.
--- a/crates/steer/tests/model/explore.rs
+++ b/crates/steer/tests/model/explore.rs
@@ -87,21 +87,30 @@
     (found, states)
 }
 
-/// Takes random steps from a start state. Returns the steps to a broken promise.
-pub fn walk(start: &State, seed: u64, steps: usize) -> Option<Counterexample> {
+/// Takes random steps from a start state, each kind of step with the same probability, and
+/// checks the state at the end. Returns the steps to a broken promise.
+pub fn walk(
+    start: &State,
+    seed: u64,
+    steps: usize,
+    check_end: &mut dyn FnMut(&State) -> Option<String>,
+) -> Option<Counterexample> {
     let mut random = fastrand::Rng::with_seed(seed);
     let mut state = start.clone();
     let mut path = Vec::new();
     for _ in 0..steps {
         let enabled = state.steps();
-        let Some(step) = random.choice(&enabled) else { break };
+        let mut kinds: Vec<_> = enabled.iter().map(std::mem::discriminant).collect();
+        kinds.dedup();
+        let Some(kind) = random.choice(&kinds) else { break };
+        let of_kind =
+            enabled.iter().filter(|step| std::mem::discriminant(*step) == *kind);
+        let Some(step) = random.choice(of_kind.collect::<Vec<_>>()) else { break };
         path.push(*step);
         state.apply(*step);
-        if let Some(broken) = state.world.broken.clone() {
-            return Some(Counterexample { steps: describe(start, &path), broken });
-        }
     }
-    None
+    let broken = state.world.broken.clone().or_else(|| check_end(&state))?;
+    Some(Counterexample { steps: describe(start, &path), broken })
 }
 
 impl Search<'_> {
--- a/crates/steer/tests/model/scenario.rs
+++ b/crates/steer/tests/model/scenario.rs
@@ -9,7 +9,7 @@
 use super::world::{Payload, Peer, Removed, World};
 
 /// Number of heartbeat intervals after which all nodes know each other.
-const SETTLE_ROUNDS: usize = 3;
+pub const SETTLE_ROUNDS: usize = 3;
 
 /// Which agent holds the flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,7 +44,7 @@
     budget: Budget,
     removed: Removed,
 ) -> State {
-    let opening = Budget { openings: 1, ..Budget::default() };
+    let opening = Budget { openings: 1, ..Budget::NONE };
     accept(stable(agents, opening, removed), holder, budget)
 }
 
@@ -56,7 +56,7 @@
     budget: Budget,
     removed: Removed,
 ) -> State {
-    let stray = Budget { strays: 1, ..Budget::default() };
+    let stray = Budget { strays: 1, ..Budget::NONE };
     let mut state = stable(agents, stray, removed);
     state.apply(Step::Stray(1));
     drain(&mut state.world);
@@ -78,7 +78,7 @@
 /// A system in which an agent that joined while it was cut off from the other agents has
 /// accepted the flow.
 pub fn joined_while_cut(agents: usize, budget: Budget, removed: Removed) -> State {
-    let joining = Budget { joins: 1, cuts: 1, rounds: 1, ..Budget::default() };
+    let joining = Budget { joins: 1, cuts: 1, rounds: 1, ..Budget::NONE };
     let mut state = stable(agents, joining, removed);
     state.apply(Step::Join(agents));
     state.apply(Step::Cut(agents));
@@ -90,7 +90,7 @@
 /// backend server, which has accepted the flow. The farewells are late, as is the new
 /// process's heartbeat to one agent.
 pub fn left_and_back(agents: usize, budget: Budget, removed: Removed) -> State {
-    let change = Budget { leaves: 1, joins: 1, late: 1, rounds: 1, ..Budget::default() };
+    let change = Budget { leaves: 1, joins: 1, late: 1, rounds: 1, ..Budget::NONE };
     let mut state = stable(agents, change, removed);
     let homes = homes(&state.world);
     let is_home =
@@ -134,7 +134,7 @@
 
 /// A stable system in which the flow is open and known to its home nodes.
 pub fn open(agents: usize, holder: Holder, budget: Budget, removed: Removed) -> State {
-    let request = Budget { requests: 1, ..Budget::default() };
+    let request = Budget { requests: 1, ..Budget::NONE };
     let mut state = accepted(agents, holder, request, removed);
     deliver_all(&mut state, |payload| matches!(payload, Payload::Accept));
     state.apply(Step::Request(0));
--- a/crates/steer/tests/model/step.rs
+++ b/crates/steer/tests/model/step.rs
@@ -11,7 +11,7 @@
 
 /// Time between two segments of the caller, in milliseconds. Longer than a balancer waits
 /// before it asks the next node for a flow.
-const RETRANSMISSION_MS: u64 = 200;
+pub const RETRANSMISSION_MS: u64 = 200;
 
 /// Number of heartbeat intervals after which a member that isn't heard is unreachable.
 const SILENCE_ROUNDS: u32 = 4;
@@ -20,7 +20,7 @@
 const EARLIER_FIRST_SEQUENCE: u32 = 77;
 
 /// How often each kind of step may still occur. Bounds the states.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Budget {
     /// Opening segments of the caller.
     pub openings: u8,
@@ -50,6 +50,33 @@
     pub joins: u8,
 }
 
+impl Budget {
+    /// Only messages arrive.
+    pub const NONE: Self = Self::of(0);
+
+    /// For long runs.
+    pub const MANY: Self = Self { openings: 3, requests: 60, rounds: 60, ..Self::of(4) };
+
+    /// The same number for each kind of step.
+    const fn of(count: u8) -> Self {
+        Self {
+            openings: count,
+            requests: count,
+            strays: count,
+            rounds: count,
+            losses: count,
+            doubles: count,
+            late: count,
+            cuts: count,
+            freezes: count,
+            restarts: count,
+            balancer_restarts: count,
+            leaves: count,
+            joins: count,
+        }
+    }
+}
+
 /// A step of the system.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
