--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -147,6 +147,15 @@
     assert_kept(&explore(&start, 7));
 }
 
+/// A backend server that has accepted a copy of the opening, but was not chosen, must not
+/// end the flow after its agent has restarted.
+#[test]
+fn keeps_a_flow_that_was_accepted_twice() {
+    let budget = Budget { restarts: 1, rounds: 1, requests: 3, ..Budget::NONE };
+    let start = scenario::accepted_twice(3, budget, Removed::Nothing);
+    assert_kept(&explore(&start, 6));
+}
+
 /// A flow must be found within a bounded number of messages once the membership is stable
 /// after any two of the faults.
 #[test]
--- a/crates/steer/tests/model/scenario.rs
+++ b/crates/steer/tests/model/scenario.rs
@@ -117,19 +117,42 @@
     while let Some(index) = state.world.in_flight.iter().position(is_due) {
         state.apply(Step::Deliver(index));
     }
+    // Agents take note of the changes of the membership.
+    for index in 0..state.world.agents() {
+        state.world.tick(index);
+    }
     state
 }
 
+/// A system in which two backend servers have accepted the flow, since copies of its opening
+/// came through both balancers. The caller has chosen one.
+pub fn accepted_twice(agents: usize, budget: Budget, removed: Removed) -> State {
+    let mut state = stable(agents, Budget::NONE, removed);
+    open_at(&mut state, 0, 0);
+    open_at(&mut state, 1, 1);
+    deliver_all(&mut state, |payload| matches!(payload, Payload::Accept(_)));
+    drain(&mut state.world);
+    State { budget, ..state }
+}
+
 /// Lets the backend server of an agent accept the flow.
 fn accept_at(mut state: State, agent: usize, budget: Budget) -> State {
+    open_at(&mut state, 0, agent);
+    State { budget, ..state }
+}
+
+/// Sends an opening through a balancer to which all agents but one seem loaded, and
+/// delivers it.
+fn open_at(state: &mut State, balancer: usize, agent: usize) {
     let world = &mut state.world;
     let now = world.now;
     let others = (0..world.agents()).filter(|index| *index != agent);
     for address in others.map(|index| world.agent(index).address).collect::<Vec<_>>() {
-        world.balancer_mut(0).roster.record_placement(now, address);
+        world.balancer_mut(balancer).roster.record_placement(now, address);
     }
-    accept_opening(&mut state);
-    State { budget, ..state }
+    state.budget.openings = 1;
+    state.apply(Step::Open(balancer));
+    deliver_all(state, |payload| matches!(payload, Payload::Segment(_)));
 }
 
 /// Lets the backend server of a home node or of another agent accept the flow.
@@ -168,13 +191,6 @@
     placement::homes(&world.balancer(0).roster, &world.flow)
 }
 
-/// Sends the opening through the first balancer and delivers it.
-fn accept_opening(state: &mut State) {
-    state.budget.openings = 1;
-    state.apply(Step::Open(0));
-    deliver_all(state, |payload| matches!(payload, Payload::Segment(_)));
-}
-
 /// Delivers the messages in flight of a kind.
 fn deliver_all(state: &mut State, is_due: impl Fn(&Payload) -> bool) {
     while let Some(index) = state.world.in_flight.iter().position(|d| is_due(&d.payload))
--- a/crates/steer/tests/model/step.rs
+++ b/crates/steer/tests/model/step.rs
@@ -151,8 +151,8 @@
             }
         }
         let is_heartbeat = |d: &Datagram| matches!(d.payload, Payload::Heartbeat(_));
-        let heartbeats = world.in_flight.iter().filter(|d| is_heartbeat(d)).count();
-        steps.extend((heartbeats > 1).then_some(Step::Heartbeats));
+        let has_heartbeat = world.in_flight.iter().any(is_heartbeat);
+        steps.extend(has_heartbeat.then_some(Step::Heartbeats));
         for balancer in 0..world.balancers() {
             if world.caller.chosen.is_some() && budget.requests > 0 {
                 steps.push(Step::Request(balancer));
