--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -19,6 +19,8 @@
 mod model {
     pub mod drive;
     pub mod explore;
+    pub mod node;
+    pub mod round;
     pub mod scenario;
     pub mod settle;
     pub mod shrink;
--- a/crates/steer/tests/model/scenario.rs
+++ b/crates/steer/tests/model/scenario.rs
@@ -4,7 +4,7 @@
 
 use lentilreach_steer::request::placement;
 
-use super::drive::Missed;
+use super::round::Missed;
 use super::step::{Budget, State, Step};
 use super::world::{Datagram, Payload, Peer, Removed, World};
 
--- a/crates/steer/tests/model/step.rs
+++ b/crates/steer/tests/model/step.rs
@@ -5,7 +5,7 @@
 use lentilreach_steer::process::agent::Arrival;
 use lentilreach_steer::request::segment::Segment;
 
-use super::drive::Missed;
+use super::round::Missed;
 use super::world::{Datagram, Payload, Peer, World};
 use crate::fixture;
 
