--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -159,6 +159,23 @@
     assert_kept(&explore(&start, 6));
 }
 
+/// A home node that knows the last two of three agents which accepted a flow must not deny
+/// the third one, which the caller has chosen.
+#[test]
+fn keeps_a_flow_that_was_accepted_three_times() {
+    let budget = Budget { requests: 2, doubles: 1, ..Budget::NONE };
+    let start = scenario::accepted_three_times(budget, Removed::Nothing);
+    assert_kept(&explore_and_check(&start, 2, &settle::check));
+}
+
+/// Announcements that arrive twice must not hide another one that is late or lost.
+#[test]
+fn keeps_a_flow_after_doubled_announcements() {
+    let budget = Budget { requests: 1, doubles: 1, ..Budget::NONE };
+    let start = scenario::accepted_after_doubles(3, budget, Removed::Nothing);
+    assert_kept(&explore(&start, 6));
+}
+
 /// A flow must be found within a bounded number of messages once the membership is stable
 /// after any two of the faults.
 #[test]
--- a/crates/steer/tests/model/scenario.rs
+++ b/crates/steer/tests/model/scenario.rs
@@ -2,11 +2,13 @@
 
 use std::net::SocketAddrV4;
 
+use lentilreach_steer::connection::flow;
 use lentilreach_steer::request::placement;
 
 use super::round::Missed;
 use super::step::{Budget, State, Step};
 use super::world::{Datagram, Payload, Peer, Removed, World};
+use crate::fixture;
 
 /// Number of heartbeat intervals after which all nodes know each other.
 pub const SETTLE_ROUNDS: usize = 3;
@@ -143,6 +145,53 @@
     State { budget, ..state }
 }
 
+/// A system of four agents in which three backend servers have accepted the flow, since
+/// copies of its opening came through three balancers. The caller has chosen the one that
+/// announced it first, whose agent is not a home node.
+pub fn accepted_three_times(budget: Budget, removed: Removed) -> State {
+    let mut state = stable(4, Budget::NONE, removed);
+    let homes = homes(&state.world);
+    let address = |index: &usize| state.world.agent(*index).address;
+    let is_home = |index: &usize| homes.contains(&Some(address(index)));
+    let mut others: Vec<_> = (0..4).filter(|index| !is_home(index)).collect();
+    others.extend((0..4).filter(|index| homes[1] == Some(address(index))));
+    for (copy, agent) in others.into_iter().enumerate() {
+        // The third copy comes through a balancer that hasn't seen the first one.
+        if copy == 2 {
+            state.world.restart_balancer(0);
+            state.world.round(None);
+        }
+        open_at(&mut state, copy % 2, agent);
+        drain(&mut state.world);
+    }
+    State { budget, ..state }
+}
+
+/// Like [`accepted`], but all announcements of an earlier flow of the same agent have
+/// arrived twice.
+pub fn accepted_after_doubles(agents: usize, budget: Budget, removed: Removed) -> State {
+    let mut state = stable(agents, Budget::NONE, removed);
+    let flow = state.world.flow;
+    let wanted = homes(&state.world);
+    let has_same_homes = |key: &flow::Key| {
+        placement::homes(&state.world.balancer(0).roster, key) == wanted && *key != flow
+    };
+    state.world.flow =
+        (1..).map(fixture::flow).find(has_same_homes).expect("some flow has");
+    let mut state = accept(state, Holder::Other, Budget { doubles: 2, ..Budget::NONE });
+    let is_announcement = |d: &Datagram| matches!(d.payload, Payload::Announcement(_));
+    let announced = state.world.in_flight.iter().filter(|d| is_announcement(d)).count();
+    for index in 0..announced {
+        let indices = (0..state.world.in_flight.len())
+            .filter(|index| is_announcement(&state.world.in_flight[*index]));
+        let nth = indices.collect::<Vec<_>>()[index];
+        state.apply(Step::Double(nth));
+    }
+    drain(&mut state.world);
+    state.world.change_flow(flow);
+    accept(state, Holder::Other, budget)
+}
+
 /// Lets the backend server of an agent accept the flow.
 fn accept_at(mut state: State, agent: usize, budget: Budget) -> State {
     open_at(&mut state, 0, agent);
--- a/crates/steer/tests/model/world.rs
+++ b/crates/steer/tests/model/world.rs
@@ -90,6 +90,20 @@
     pub received: u32,
 }
 
+impl Caller {
+    /// A caller that has sent nothing.
+    fn new(now: Millis) -> Self {
+        Self {
+            openings: 0,
+            opened_at: now,
+            chosen: None,
+            first: 0,
+            is_reset: false,
+            received: 0,
+        }
+    }
+}
+
 /// The whole system.
 #[derive(Clone)]
 pub struct World {
@@ -135,20 +149,22 @@
             routing: Arc::new(fixture::routing(1)),
             agents: agents.collect(),
             balancers: balancers.collect(),
-            caller: Caller {
-                openings: 0,
-                opened_at: now,
-                chosen: None,
-                first: 0,
-                is_reset: false,
-                received: 0,
-            },
+            caller: Caller::new(now),
             in_flight: Vec::new(),
             cut: Vec::new(),
             broken: None,
         }
     }
 
+    /// Turns to another flow. Backend servers keep the one before unseen.
+    pub fn change_flow(&mut self, flow: flow::Key) {
+        self.flow = flow;
+        self.caller = Caller::new(self.now);
+        for index in 0..self.agents() {
+            self.agent_mut(index).server.flow = Held::No;
+        }
+    }
+
     /// Number of agents.
     pub fn agents(&self) -> usize {
         self.agents.len()
