--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -9,6 +9,7 @@
     FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address, agent_and_roster,
     agent_heartbeat, announcement, arrival, flow, flow_homed_here, from_backend, hear,
     limits, open, opening, report, request, returned, roster, roster_of, routing,
+    searched,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
@@ -75,6 +76,38 @@
     assert_no_reset(&action);
 }
 
+/// Answers to a question about an earlier flow prove nothing about a later one between the
+/// same addresses.
+#[test]
+fn homes_do_not_deny_a_flow_whose_port_was_searched_for_before() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    let now = NOW.after(100);
+    search(now, &mut nodes, second, key, Search::Home(1), &[]);
+    ask(now, &mut nodes);
+    accept_at(now, &mut nodes, holder, key);
+
+    let later = arrival(request(key, FIRST_SEQUENCE + 9_000), Search::Home(1), 1);
+    let action = handle(now, node_mut(&mut nodes, second).expect("a node"), &later);
+
+    assert_no_reset(&action);
+}
+
+/// A balancer may have heard an agent, and opened the flow there, that no other agent has
+/// heard yet.
+#[test]
+fn homes_do_not_deny_a_flow_while_the_balancer_hears_an_agent_that_they_do_not_know() {
+    let Case { mut nodes, key, first, .. } = synchronised();
+    let mut segment = arrival(request(key, FIRST_SEQUENCE + 1), Search::Home(0), 1);
+    let unknown = roster_of(NOW, 1..=7);
+    segment.forwarding.view_hash = Some(unknown.view_hash());
+
+    for _ in 0..3 {
+        let action = handle(NOW, node_mut(&mut nodes, first).expect("a node"), &segment);
+        assert_no_reset(&action);
+        ask(NOW, &mut nodes);
+    }
+}
+
 /// The backend server of an agent that can't be heard may be running.
 #[test]
 fn a_balancer_does_not_reset_flows_of_a_silent_agent() {
@@ -517,6 +550,24 @@
     }
 }
 
+/// After a restart of its agent, a backend server that the caller did not choose may answer a
+/// segment on a walk with a reset. The flow continues at another backend server.
+#[test]
+fn a_restarted_agent_passes_on_no_reset_of_a_flow_that_it_does_not_know() {
+    let roster = roster(NOW, 6, &["a", "b"]);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, report(17));
+    let walk = arrival(request(flow(1), FIRST_SEQUENCE + 1), Search::Walk, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+
+    let reset = Flags { reset: true, ..Flags::default() };
+    let answer = from_backend(flow(1), reset, 9_000);
+    let action = agent.handle_backend_segment(NOW, &routing(1), &roster, &answer);
+
+    assert_eq!(action, Some(BackendAction::Drop(Cause::Elsewhere)));
+}
+
 /// The connection for reports may be cut while the backend server waits for requests.
 #[test]
 fn missing_reports_alone_end_no_flow() {
@@ -784,7 +835,9 @@
     search: Search,
     cut: &[u8],
 ) -> Action {
-    let mut arrival = arrival(request(key, FIRST_SEQUENCE + 1), search, 1);
+    let segment = request(key, FIRST_SEQUENCE + 1);
+    let mut arrival =
+        searched(&node_mut(nodes, first).expect("a node").roster, segment, search);
     let mut number = first;
     loop {
         let node = node_mut(nodes, number).expect("a node");
