--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -77,10 +77,12 @@
         let (now, routing) = (self.now, self.routing.clone());
         let node = self.balancer_mut(index);
         let origin = node.address;
+        let view_hash = (!segment.is_opening()).then(|| node.roster.view_hash());
         match node.balancer.handle_segment(now, &routing, &node.roster, &segment) {
             balancer::Action::Send { to, search, service, is_newly_selected } => {
                 let mut arrival = fixture::arrival(segment, search, routing.revision);
                 arrival.forwarding.origin = origin;
+                arrival.forwarding.view_hash = view_hash;
                 arrival.service = service;
                 if is_newly_selected && search == Search::Open {
                     node.roster.record_placement(now, to);
