--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -162,10 +162,10 @@
             return;
         }
         let (now, flow, first) = (self.now, self.flow, server.first);
-        if !(segment.is_opening() && server.flow == Held::Accepted) {
+        let is_chosen = segment.acknowledged == first + 1;
+        if is_chosen || (segment.is_opening() && server.flow == Held::No) {
             self.agent_mut(index).server.used_at = now;
         }
-        let is_chosen = segment.acknowledged == first + 1;
         let answer = match self.agent(index).server.flow {
             Held::No | Held::Accepted if segment.is_opening() => {
                 self.agent_mut(index).server.flow = Held::Accepted;
@@ -184,10 +184,14 @@
                 Segment { length: 100, ..answer }
             }
             // The caller acknowledges what this backend server never sent.
-            Held::Accepted | Held::Open => {
+            Held::Accepted => {
                 let flags = Flags { reset: true, ..Flags::default() };
                 fixture::from_backend(flow, flags, segment.acknowledged)
             }
+            Held::Open => {
+                let flags = Flags { acknowledge: true, ..Flags::default() };
+                fixture::from_backend(flow, flags, first + 1)
+            }
         };
         self.handle_backend_segment(index, answer);
     }
