--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -159,6 +159,15 @@
     assert_kept(&explore(&start, 5));
 }
 
+/// A restarted agent must not give a segment to its backend server if it knows that this one
+/// has accepted another copy of the opening.
+#[test]
+fn keeps_a_flow_that_was_accepted_twice_after_a_restart() {
+    let budget = Budget { rounds: 1, requests: 2, ..Budget::NONE };
+    let start = scenario::accepted_twice_after_restart(3, budget, Removed::Nothing);
+    assert_kept(&explore(&start, 5));
+}
+
 /// A home node that knows the last two of three agents which accepted a flow must not deny
 /// the third one, which the caller has chosen.
 #[test]
--- a/crates/steer/tests/model/scenario.rs
+++ b/crates/steer/tests/model/scenario.rs
@@ -145,6 +145,25 @@
     State { budget, ..state }
 }
 
+/// Like [`accepted_twice`], but the agent that the caller didn't choose has restarted before,
+/// while it was cut off from the other agents.
+pub fn accepted_twice_after_restart(
+    agents: usize,
+    budget: Budget,
+    removed: Removed,
+) -> State {
+    let change = Budget { restarts: 1, cuts: 1, rounds: 1, ..Budget::NONE };
+    let mut state = stable(agents, change, removed);
+    open_at(&mut state, 0, 0);
+    drain(&mut state.world);
+    state.apply(Step::Cut(1));
+    state.apply(Step::Restart(1));
+    state.apply(Step::Round(None));
+    open_at(&mut state, 1, 1);
+    drain(&mut state.world);
+    State { budget, ..state }
+}
+
 /// A system of four agents in which three backend servers have accepted the flow, since
 /// copies of its opening came through three balancers. The caller has chosen the one that
 /// announced it first, whose agent is not a home node.
