--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -102,8 +102,6 @@
     /// Generation of the roster at the last call of [`Self::announcements`]; `None` if
     /// flows may have to be announced although the generation is the same.
     announced_generation: Option<u64>,
-    /// Hash of the set of agents from which home nodes were selected.
-    view_hash: u32,
 }
 
 impl Agent {
@@ -131,7 +129,6 @@
             questions: Questions::new(limits.flows),
             unannounced: Vec::new(),
             announced_generation: None,
-            view_hash: 0,
         }
     }
 
@@ -161,16 +158,18 @@
         report: Report,
     ) -> (backend::Change, Vec<Ended>) {
         let is_initial = report.is_initial();
+        let last_report = self.backend.last_report();
         let change = self.backend.record_report(now, report);
         let mut ended = Vec::new();
         if let backend::Change::Started { is_replacement } = change {
             self.knows_all_flows = is_initial;
             if is_replacement {
-                ended = self.end_all();
-            } else {
-                // If the backend server was considered gone by mistake, it may still hold
-                // these flows.
-                self.flows.retain(|_, state| state.stage != Stage::Lost);
+                // The new instance may have accepted those that were offered since.
+                ended = self.end_flows(|state| {
+                    state.offered_at.is_none_or(|offered_at| offered_at <= last_report)
+                });
+            } else if self.forget_lost_flows() {
+                self.recorded_since = now;
             }
         }
         (change, ended)
@@ -208,7 +207,7 @@
 
     /// Whether there is no backend server next to this agent.
     pub fn has_no_backend(&self) -> bool {
-        !self.backend.may_be_running()
+        self.backend.is_leaving() || !self.backend.may_be_running()
     }
 
     /// Whether a probe must show now if the backend server is running.
@@ -223,7 +222,7 @@
             return Vec::new();
         }
         self.knows_all_flows = true;
-        self.end_all()
+        self.end_flows(|_| true)
     }
 
     /// Records that the backend server is shutting down. Returns whether it is the
@@ -245,7 +244,7 @@
             return Vec::new();
         }
         self.knows_all_flows = true;
-        self.end_all()
+        self.end_flows(|_| true)
     }
 
     /// Stops admitting openings, because the process is about to stop.
@@ -317,9 +316,11 @@
         state.stage = match state.stage {
             _ if segment.flags.close || segment.flags.reset => Stage::Closing,
             Stage::Offered if is_accept => Stage::Accepted,
-            // If the agent was restarted meanwhile, only data of the flow shows that it
-            // is open.
-            Stage::Offered if segment.length > 0 => Stage::Open,
+            // If the agent was restarted meanwhile, any segment but an acceptance shows
+            // that the flow is open.
+            Stage::Offered if segment.length > 0 || state.offered_at.is_none() => {
+                Stage::Open
+            }
             stage => stage,
         };
         let is_closing = state.stage == Stage::Closing;
@@ -384,6 +385,12 @@
             Some(state) if !state.accepts_ack(ack) => {
                 self.locate(now, routing, roster, arrival)
             }
+            // The caller opened the flow elsewhere meanwhile.
+            Some(state) if state.stage == Stage::Held => {
+                self.admission.remove(&flow);
+                self.flows.remove(&flow);
+                self.locate(now, routing, roster, arrival)
+            }
             Some(state) if state.stage == Stage::Lost => self.reset(arrival, Cause::Lost),
             Some(_) => self.deliver(now, arrival, false),
             // As long as some flows are unknown, only the backend server can tell whether
@@ -418,7 +425,8 @@
             }
             let Segment { sequence, length, .. } = arrival.segment;
             is_request = length > 0 && state.record_request(sequence, length);
-            if arrival.segment.flags.close || arrival.segment.flags.reset {
+            let is_last = arrival.segment.flags.close || arrival.segment.flags.reset;
+            if is_last && state.stage == Stage::Open {
                 state.stage = Stage::Closing;
             }
         }
@@ -488,7 +496,7 @@
             forwarding: delivered.forwarding,
             service: delivered.service,
         };
-        let stage = self.flows.remove(&flow).map(|state| state.stage);
+        let state = self.flows.remove(&flow);
         self.in_flight.remove(&flow);
         if segment.is_opening() {
             return Some(self.redirect_or_refuse(
@@ -499,26 +507,28 @@
                 Cause::Returned,
             ));
         }
-        Some(match stage {
-            // The backend server did hold the flow: it was restarted or has dropped the
-            // flow.
-            Some(Stage::Open | Stage::Closing | Stage::Lost) => {
-                self.reset(&arrival, Cause::Lost)
-            }
-            Some(Stage::Held | Stage::Offered | Stage::Accepted) | None => {
-                self.locate(now, routing, roster, &arrival)
-            }
+        // The backend server did hold the flow if it has accepted it and the caller has
+        // chosen it: it was restarted or has dropped the flow.
+        let was_held = state.is_some_and(|state| {
+            state.first_sequence.is_some()
+                && (state.is_established() || state.stage == Stage::Lost)
+        });
+        Some(if was_held {
+            self.reset(&arrival, Cause::Lost)
+        } else {
+            self.locate(now, routing, roster, &arrival)
         })
     }
 
-    /// Marks all flows as ended with their backend server. Returns those that were open.
-    fn end_all(&mut self) -> Vec<Ended> {
+    /// Marks flows as ended with their backend server. Returns those that were open.
+    fn end_flows(&mut self, has_ended: impl Fn(&State) -> bool) -> Vec<Ended> {
         let mut ended = Vec::new();
-        self.in_flight.clear();
+        let in_flight = &mut self.in_flight;
         self.flows.retain(|flow, state| {
-            if state.stage == Stage::Held {
+            if state.stage == Stage::Held || !has_ended(state) {
                 return true;
             }
+            in_flight.remove(flow);
             // The callers of all other flows may have chosen another backend server.
             let is_kept = state.is_established() || state.stage == Stage::Lost;
             if state.stage == Stage::Open {
@@ -529,4 +539,16 @@
         });
         ended
     }
+
+    /// Forgets the flows of a backend server that was considered gone by mistake and may
+    /// still hold them. Returns whether there were any.
+    fn forget_lost_flows(&mut self) -> bool {
+        let mut had_any = false;
+        self.flows.retain(|_, state| {
+            let is_lost = state.stage == Stage::Lost;
+            had_any |= is_lost;
+            !is_lost
+        });
+        had_any
+    }
 }
