--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -43,7 +43,7 @@
                 let known = node.roster.get(sender).map(|member| member.incarnation);
                 let incarnation = known.filter(|_| !is_checked).unwrap_or(incarnation);
                 if sender != node.address && node.roster.remove(sender, incarnation) {
-                    node.agent.handle_leave(sender);
+                    node.agent.handle_leave(sender, incarnation);
                 }
             }
             (Peer::Balancer(index), Payload::Leave(incarnation)) => {
--- a/crates/steer/tests/model/round.rs
+++ b/crates/steer/tests/model/round.rs
@@ -104,17 +104,17 @@
     pub fn ask_if_due(&mut self, index: usize) {
         let (now, routing) = (self.now, self.routing.clone());
         let node = self.agent_mut(index);
-        if !node.agent.is_question_due(now) {
+        if !node.agent.is_question_due(now, &node.roster) {
             return;
         }
         let question = Heartbeat { wants_reply: true, ..node.heartbeat(now, &routing) };
         let node = self.agent(index);
-        let heard = node.roster.agents().filter(|member| !member.is_silent);
-        let others = heard.filter(|member| member.address != node.address);
-        let sent: Vec<_> = others
-            .map(|member| {
-                let sync_status = node.sync_status(member);
-                (member.address, Heartbeat { sync_status, ..question.clone() })
+        let others = node.roster.agents().filter(|member| member.address != node.address);
+        let asked = others.filter(|member| !node.agent.has_answered(member));
+        let sent: Vec<_> = asked
+            .filter_map(|member| {
+                let sync_status = Some(node.sync_status(member)?);
+                Some((member.address, Heartbeat { sync_status, ..question.clone() }))
             })
             .collect();
         for (to, question) in sent {
