--- a/crates/steer/tests/model/node.rs
+++ b/crates/steer/tests/model/node.rs
@@ -151,10 +151,10 @@
 
 impl BalancerNode {
     /// Creates a balancer without members.
-    pub fn new(now: Millis, index: usize, restarts: u64) -> Self {
+    pub fn new(now: Millis, index: usize, incarnation: u64) -> Self {
         Self {
             address: fixture::balancer_address(index as u8 + 1),
-            incarnation: 1_000 + restarts,
+            incarnation,
             sequence: 0,
             balancer: Balancer::new(now, DOMAIN.into(), 1_000),
             roster: Roster::new(),
--- a/crates/steer/tests/model/round.rs
+++ b/crates/steer/tests/model/round.rs
@@ -224,8 +224,8 @@
         }
     }
 
-    /// A new process starts at an agent's address. It reads the list of members and asks
-    /// them for heartbeats.
+    /// A new process starts at an agent's address and reads the list of members. They get
+    /// its first heartbeat in the next round.
     pub fn restart_agent(&mut self, index: usize) {
         let now = self.now;
         self.agent_mut(index).restart(now);
@@ -235,7 +235,7 @@
     /// A new process starts at a balancer's address.
     pub fn restart_balancer(&mut self, index: usize) {
         let (now, before) = (self.now, self.balancer(index).incarnation);
-        *self.balancer_mut(index) = BalancerNode::new(now, index, before - 999);
+        *self.balancer_mut(index) = BalancerNode::new(now, index, before + 1);
         self.list_members(Peer::Balancer(index));
     }
 
--- a/crates/steer/tests/model/world.rs
+++ b/crates/steer/tests/model/world.rs
@@ -17,6 +17,9 @@
 use super::node::{AgentNode, BalancerNode, Held, Server};
 use crate::fixture;
 
+/// Incarnation of the first process of each balancer.
+const FIRST_BALANCER: u64 = 1_000;
+
 /// A rule of the protocol that is taken out, to show that the model check notices it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Removed {
@@ -139,7 +142,7 @@
             (Arc::new(node), None)
         });
         let balancers = (0..2).map(|index| {
-            let node = BalancerNode::new(now, index, 0);
+            let node = BalancerNode::new(now, index, FIRST_BALANCER);
             (Arc::new(node), None)
         });
         Self {
