--- a/crates/lentilreach/src/connection/session.rs
+++ b/crates/lentilreach/src/connection/session.rs
@@ -39,49 +39,84 @@
     let quic = connection.clone();
     let wrapped = h3_quinn::Connection::new(connection);
     let Ok(mut session) = Connection::new(wrapped).await else { return End::Caller };
-    let mut requests: Vec<Task<()>> = Vec::new();
+    let mut requests = Requests::default();
     let mut deadline = None;
     loop {
         match next(&context, drain, &mut session, deadline).await {
+            // Its GOAWAY has told the caller that this request is rejected.
+            Event::Request(resolver) if deadline.is_some() => {
+                requests.push(pool.spawn(reject(*resolver)));
+            }
             Event::Request(resolver) => {
-                requests.retain(|task| !task.is_finished());
                 requests.push(pool.spawn(serve_request(context.clone(), *resolver)));
             }
             Event::Drain => {
-                // GOAWAY tells the caller to open a new flow. One more request may already be
-                // on its way; the limiter refuses it as not run.
+                // GOAWAY tells the caller to open a new flow. It names the first request that
+                // is rejected: with 0, that would be the last one that was accepted.
                 if session.shutdown(1).await.is_err() {
                     return End::Caller;
                 }
                 deadline = Some(Instant::now() + context.drain_timeout());
             }
             Event::End => break,
-            Event::Expired => return close(&quic),
+            Event::Expired => {
+                close(&quic);
+                return End::Drained;
+            }
         }
     }
-    let Some(deadline) = deadline.filter(|_| quic.close_reason().is_none()) else {
-        detach(requests);
+    if quic.close_reason().is_some() {
         return End::Caller;
-    };
+    }
+    let end = if deadline.is_some() { End::Drained } else { End::Caller };
+    let deadline = deadline.unwrap_or_else(|| Instant::now() + context.drain_timeout());
     // The caller closes the connection once it has all responses. Closing it here could
     // truncate a response that is not yet acknowledged.
-    future::or(sleep_until(Some(deadline)), finished(requests, &quic)).await;
-    close(&quic)
+    let finished = async {
+        requests.finished().await;
+        quic.closed().await;
+    };
+    future::or(sleep_until(Some(deadline)), finished).await;
+    close(&quic);
+    end
 }
 
-/// Closes a connection at the end of its drain.
-fn close(quic: &quinn::Connection) -> End {
+/// Closes a connection without an error.
+fn close(quic: &quinn::Connection) {
     let code = h3::error::Code::H3_NO_ERROR.value();
     quic.close(code.try_into().unwrap_or_default(), b"");
-    End::Drained
 }
 
-/// Waits until all requests are complete and the caller has closed the connection.
-async fn finished(requests: Vec<Task<()>>, quic: &quinn::Connection) {
-    for request in requests {
-        request.await;
+/// The requests of a connection.
+///
+/// They continue without their caller when the connection ends, however it ends, since the
+/// result of a request that has started must be recorded.
+#[derive(Debug, Default)]
+struct Requests {
+    /// The requests, some of which may be complete.
+    tasks: Vec<Task<()>>,
+}
+
+impl Requests {
+    /// Adds a request.
+    fn push(&mut self, task: Task<()>) {
+        self.tasks.retain(|task| !task.is_finished());
+        self.tasks.push(task);
+    }
+
+    /// Waits until all requests are complete.
+    async fn finished(&mut self) {
+        while let Some(task) = self.tasks.last_mut() {
+            task.await;
+            self.tasks.pop();
+        }
+    }
+}
+
+impl Drop for Requests {
+    fn drop(&mut self) {
+        self.tasks.drain(..).for_each(Task::detach);
     }
-    quic.closed().await;
 }
 
 /// The next event of a session.
@@ -90,7 +125,7 @@
     Request(Box<RequestResolver<h3_quinn::Connection, Bytes>>),
     /// A drain has begun.
     Drain,
-    /// No more requests will arrive.
+    /// No more requests will arrive: the caller said so, or the connection is closed.
     End,
     /// The drain has timed out.
     Expired,
@@ -130,14 +165,6 @@
     }
 }
 
-/// Lets requests continue without their caller, since the result of a request that has started
-/// must be recorded.
-fn detach(requests: Vec<Task<()>>) {
-    for request in requests {
-        request.detach();
-    }
-}
-
 /// Serves one request.
 async fn serve_request<U: Upstream, L: Link>(
     context: Arc<Context<U, L>>,
@@ -150,3 +177,10 @@
         Err(Error::Backend(error)) => log::debug!("step=answer peer=backend {error}"),
     }
 }
+
+/// Rejects a request without processing it.
+async fn reject(resolver: RequestResolver<h3_quinn::Connection, Bytes>) {
+    let Ok((_, mut stream)) = resolver.resolve_request().await else { return };
+    stream.stop_sending(h3::error::Code::H3_REQUEST_REJECTED);
+    stream.stop_stream(h3::error::Code::H3_REQUEST_REJECTED);
+}
