--- a/crates/steer/src/process/agent/question.rs
+++ b/crates/steer/src/process/agent/question.rs
@@ -22,7 +22,7 @@
 const RETENTION_MS: u64 = 3_000;
 
 /// The questions that were sent, and the flows that they are about.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Questions {
     /// Number of the last question; 0 before the first one.
     sent: u32,
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -37,7 +37,7 @@
 const VIEW_CHANGE_MS: u64 = 2 * SILENT_MS;
 
 /// The members known to a node.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Roster {
     /// Sorted by address, without duplicates.
     members: Vec<Member>,
