--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -1,7 +1,7 @@
 //! The agent daemon, which runs next to a backend server.
 
 use std::borrow::Cow;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,18 +19,19 @@
 use super::receive::{self, count_invalid};
 use super::{Dependencies, Node, probe, send_datagram, start};
 use crate::process::agent::{
-    self, Action, Arrival, BackendAction, Ended, Forwarding, Limits, Outgoing, Release,
+    self, Action, Arrival, BackendAction, Ended, Forwarding, Limits, Release,
 };
 use crate::process::backend::{Bounds, TICK_MS};
 use crate::process::documents::Source;
 use crate::process::metric;
-use crate::process::roster::{HEARTBEAT_INTERVAL_MS, Member, Role, Roster};
+use crate::process::roster::{HEARTBEAT_INTERVAL_MS, Role};
 use crate::process::settings;
-use crate::request::message::{BackendStatus, Envelope, Message, SyncStatus};
+use crate::request::message::{Envelope, Message};
 use crate::request::placement;
 use crate::request::segment::{Format, Segment};
 
 mod report;
+mod status;
 
 pub use report::{Foreign, ReportHandler};
 
@@ -228,62 +229,6 @@
         }
     }
 
-    /// Sends a heartbeat to all members.
-    fn broadcast_heartbeat(&self) {
-        let backend_status = self.backend_status();
-        *self.node.backend_status.write() = backend_status;
-        self.node.record_own_heartbeat(Role::Agent);
-        self.node.broadcast_heartbeat(Role::Agent, |roster, member| {
-            self.sync_status(roster, member)
-        });
-    }
-
-    /// The synchronisation status to include in a heartbeat to a member.
-    fn sync_status(&self, roster: &Roster, member: &Member) -> Option<SyncStatus> {
-        let is_home = member.role == Role::Agent && member.incarnation != 0;
-        is_home.then(|| self.flows.read().sync_status(roster, member))
-    }
-
-    /// Replies to a heartbeat. The reply includes the answer to the sender's question, if
-    /// there was one.
-    fn reply_heartbeat(&self, to: SocketAddrV4) {
-        let sync_status = {
-            let roster = self.node.roster.read();
-            roster.get(to).and_then(|member| self.sync_status(&roster, member))
-        };
-        self.node.reply_heartbeat(to, Role::Agent, sync_status);
-    }
-
-    /// Asks the other agents for a heartbeat if a home node needs their answers to decide
-    /// whether a flow has ended.
-    fn ask_if_due(&self) {
-        let is_due = {
-            let roster = self.node.roster.read();
-            self.flows.write().is_question_due(self.node.now(), &roster)
-        };
-        if is_due {
-            metric::count(&metric::QUESTIONS);
-            self.node.ask_agents(|roster, member| {
-                let has_answered = self.flows.read().has_answered(member);
-                self.sync_status(roster, member).filter(|_| !has_answered)
-            });
-        }
-    }
-
-    /// Sends announcements to home nodes.
-    fn send_announcements(&self, announcements: Vec<Outgoing>) {
-        for Outgoing { to, announcement } in announcements {
-            self.node.send(to, &Message::Announcement(announcement));
-        }
-    }
-
-    /// The state of the backend server to advertise to balancers.
-    fn backend_status(&self) -> Option<BackendStatus<'static>> {
-        let routing = self.node.routing();
-        let balancers = self.node.roster.read().balancers(&self.node.settings.domain);
-        self.flows.write().backend_status(self.node.now(), &routing, balancers)
-    }
-
     /// Sends resets to the callers of flows that ended with the backend server.
     fn reset_callers(&self, flows: &[Ended], cause: &'static str) {
         for Ended { flow, sequence } in flows {
--- /dev/null
+++ b/crates/steer/src/process/driver/agent/status.rs
@@ -0,0 +1,74 @@
+//! Tells other nodes what an agent's backend server bears and which flows it holds.
+
+use std::net::SocketAddrV4;
+
+use lentilreach::process::link::Link;
+
+use super::State;
+use crate::process::agent::Outgoing;
+use crate::process::metric;
+use crate::process::roster::{Member, Role, Roster};
+use crate::request::message::{BackendStatus, Message, SyncStatus};
+use crate::request::segment::Format;
+
+impl<F: Format, L: Link> State<F, L> {
+    /// Sends a heartbeat to all members.
+    pub(super) fn broadcast_heartbeat(&self) {
+        let backend_status = self.backend_status();
+        *self.node.backend_status.write() = backend_status;
+        self.node.record_own_heartbeat(Role::Agent);
+        self.node.broadcast_heartbeat(Role::Agent, |roster, member| {
+            self.sync_status(roster, member)
+        });
+    }
+
+    /// The synchronisation status to include in a heartbeat to a member.
+    pub(super) fn sync_status(
+        &self,
+        roster: &Roster,
+        member: &Member,
+    ) -> Option<SyncStatus> {
+        let is_home = member.role == Role::Agent && member.incarnation != 0;
+        is_home.then(|| self.flows.read().sync_status(roster, member))
+    }
+
+    /// Replies to a heartbeat. The reply includes the answer to the sender's question, if
+    /// there was one.
+    pub(super) fn reply_heartbeat(&self, to: SocketAddrV4) {
+        let sync_status = {
+            let roster = self.node.roster.read();
+            roster.get(to).and_then(|member| self.sync_status(&roster, member))
+        };
+        self.node.reply_heartbeat(to, Role::Agent, sync_status);
+    }
+
+    /// Asks the other agents for a heartbeat if a home node needs their answers to decide
+    /// whether a flow has ended.
+    pub(super) fn ask_if_due(&self) {
+        let is_due = {
+            let roster = self.node.roster.read();
+            self.flows.write().is_question_due(self.node.now(), &roster)
+        };
+        if is_due {
+            metric::count(&metric::QUESTIONS);
+            self.node.ask_agents(|roster, member| {
+                let has_answered = self.flows.read().has_answered(member);
+                self.sync_status(roster, member).filter(|_| !has_answered)
+            });
+        }
+    }
+
+    /// Sends announcements to home nodes.
+    pub(super) fn send_announcements(&self, announcements: Vec<Outgoing>) {
+        for Outgoing { to, announcement } in announcements {
+            self.node.send(to, &Message::Announcement(announcement));
+        }
+    }
+
+    /// The state of the backend server to advertise to balancers.
+    pub(super) fn backend_status(&self) -> Option<BackendStatus<'static>> {
+        let routing = self.node.routing();
+        let balancers = self.node.roster.read().balancers(&self.node.settings.domain);
+        self.flows.write().backend_status(self.node.now(), &routing, balancers)
+    }
+}
