--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -12,9 +12,8 @@
 //!
 //! What the model leaves out: a message takes no time, time passes in steps of 200 ms and of
 //! heartbeat intervals; heartbeats of one interval arrive in a fixed order, except for one
-//! that may be lost or late; an agent and its backend server exchange segments at once; the
-//! wait of a segment in the socket of an agent that stands still is not added to its age;
-//! there is one flow, and all nodes have the same routes and are in one failure domain. States
+//! that may be lost or late; an agent and its backend server exchange segments at once; there
+//! is one flow, and all nodes have the same routes and are in one failure domain. States
 //! are told apart by a hash of 64 bits.
 //!
 //! The bounds are chosen for a run of some seconds in a debug build. Deeper searches and
--- a/crates/steer/tests/model/round.rs
+++ b/crates/steer/tests/model/round.rs
@@ -6,7 +6,7 @@
 use lentilreach_steer::request::message::Heartbeat;
 
 use super::node::{BalancerNode, DOMAIN, Held};
-use super::world::{Payload, Peer, Removed, World, role};
+use super::world::{Payload, Peer, Removed, World, hash, role};
 
 const TICKS: u64 = HEARTBEAT_INTERVAL_MS / TICK_MS;
 
@@ -35,6 +35,7 @@
                 self.tick(index);
             }
         }
+        self.age_waiting_segments();
         let mut sent = Vec::new();
         for index in 0..self.agents() {
             if self.is_running(index) {
@@ -56,6 +57,22 @@
         }
     }
 
+    /// Adds the interval to the wait of segments in the sockets of agents that stand still,
+    /// as their drivers do when they go on.
+    fn age_waiting_segments(&mut self) {
+        let frozen: Vec<_> =
+            (0..self.agents()).map(|index| self.agent(index).is_frozen).collect();
+        for datagram in &mut self.in_flight {
+            let is_waiting = matches!(datagram.to, Peer::Agent(index) if frozen[index]);
+            if let Payload::Segment(arrival) = &mut datagram.payload
+                && is_waiting
+            {
+                arrival.forwarding.delay_ms += HEARTBEAT_INTERVAL_MS as u32;
+                datagram.hash = hash(&(datagram.from, datagram.to, &datagram.payload));
+            }
+        }
+    }
+
     /// Backend servers drop flows that are idle for as long as the routes allow.
     fn drop_idle_flows(&mut self) {
         let (now, idle_ms) = (self.now, self.routing.idle_ms);
