Add a fault soak of the real daemons

lentilreach soak starts the daemons with the front end for segments as processes on loopback, a store, routers, callers and backend servers of its own, and plays a schedule drawn from a seed: pauses, stops and kills of processes, backend servers that drain or die, a store that is away, silent or late, loses answers and revokes leases, and changes of the configuration. It judges by what callers and backend servers see.

--- a/crates/lentilreach-cli/src/command.rs
+++ b/crates/lentilreach-cli/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, ArgAction, Command, crate_version, value_parser};
 use lentilreach_cli::{status, timeline};
 
-use crate::{check, completions, demo, domain, explain, measure, show, submit};
+use crate::{check, completions, demo, domain, explain, measure, show, soak, submit};
 
 /// Name of the binary.
 pub const BINARY_NAME: &str = "lentilreach";
@@ -44,6 +44,7 @@
         completions::command(),
         demo::command(),
         measure::command(),
+        soak::command(),
         status::command(),
         timeline::command(),
         explain::command(),
--- a/crates/lentilreach-cli/src/main.rs
+++ b/crates/lentilreach-cli/src/main.rs
@@ -13,6 +13,7 @@
 mod measure;
 mod reply;
 mod show;
+mod soak;
 mod store;
 mod submit;
 mod wait;
@@ -47,6 +48,7 @@
         Some((domain::NAME, matches)) => domain::run(context, matches),
         Some((completions::NAME, matches)) => completions::run(matches),
         Some((demo::NAME, matches)) => demo::run(matches),
+        Some((soak::NAME, matches)) => soak::run(matches),
         Some((explain::NAME, matches)) => explain::run(matches),
         // clap requires one of the subcommands above.
         _ => Reply::bad_input("no subcommand"),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod record;
 pub mod report;
 pub mod rush;
+pub mod soak;
 pub mod store;
 pub mod target;
 pub mod tls;
