--- a/crates/standin/src/soak/verdict.rs
+++ b/crates/standin/src/soak/verdict.rs
@@ -173,8 +173,8 @@
     ran: Vec<u64>,
     /// The time of the last copy of each opening, and its balancer, sorted by flow.
     openings: Vec<(flow::Key, std::net::SocketAddr)>,
-    /// When faults of the store and of nodes last ended; `None` while there is one.
-    faults: Vec<(Scope, Option<u64>)>,
+    /// Faults with their begin and end, in the order of begin; no end while they last.
+    faults: Vec<(Scope, u64, Option<u64>)>,
     /// The violations so far.
     violations: Vec<Violation>,
 }
@@ -230,11 +230,15 @@
                 let (version, routes) = (*version, routes.clone());
                 self.routings.push(Routing { from_ms: at_ms, version, routes });
             }
-            Fact::Fault { scope, begins, .. } => {
-                let end = (!begins).then_some(at_ms);
-                match self.faults.iter_mut().find(|(other, _)| other == scope) {
-                    Some(entry) => entry.1 = end,
-                    None => self.faults.push((*scope, end)),
+            Fact::Fault { scope, begins: true, .. } => {
+                self.faults.push((*scope, at_ms, None));
+            }
+            Fact::Fault { scope, begins: false, .. } => {
+                let mut faults = self.faults.iter_mut();
+                if let Some(fault) =
+                    faults.find(|(s, _, end)| s == scope && end.is_none())
+                {
+                    fault.2 = Some(at_ms);
                 }
             }
             Fact::NotOpened { .. } | Fact::Sent { .. } | Fact::Answered { .. } => {}
@@ -261,10 +265,9 @@
         }
         self.check_service(at_ms, &server, flow);
         // A configuration replaces those before it once it is in force.
-        let since_ms = at_ms.saturating_sub(IN_FORCE_MS);
         let first = self.routings.iter().rposition(|routing| {
-            routing.from_ms <= since_ms
-                && self.was_in_reach(routing.from_ms, since_ms, &server, flow)
+            let in_force_ms = self.in_force_ms(routing.from_ms, &server, flow);
+            in_force_ms.is_some_and(|in_force_ms| in_force_ms <= at_ms)
         });
         let valid = &self.routings[first.unwrap_or(0)..];
         if !valid.iter().any(|routing| routing.allows(flow, server.service)) {
@@ -278,27 +281,32 @@
         }
     }
 
-    /// Whether the store, the agent of a backend server and the balancer of an opening had no
-    /// fault from some moment between the acceptance of a configuration and `since_ms`, so
-    /// that they had 3 s to learn it.
-    fn was_in_reach(
+    /// When a configuration must be in force on the way of an opening: once the store, the
+    /// balancer and the agent had no fault for 3 s since its acceptance. It stays in force
+    /// through later faults.
+    fn in_force_ms(
         &self,
-        from_ms: u64,
-        since_ms: u64,
+        accepted_ms: u64,
         server: &Server,
         flow: &flow::Key,
-    ) -> bool {
+    ) -> Option<u64> {
         let via = self.openings.binary_search_by(|(key, _)| key.cmp(flow));
         let via = via.ok().map(|index| Scope::Balancer(self.openings[index].1));
-        let concerns = |scope: &Scope| {
-            *scope == Scope::Store
-                || *scope == Scope::Agent(server.number)
-                || Some(*scope) == via
+        let concerns = |scope: Scope| {
+            scope == Scope::Store
+                || scope == Scope::Agent(server.number)
+                || Some(scope) == via
         };
-        self.faults
-            .iter()
-            .filter(|(scope, _)| concerns(scope))
-            .all(|(_, end)| end.is_some_and(|end_ms| end_ms.max(from_ms) <= since_ms))
+        let mut from_ms = accepted_ms;
+        for (scope, begin_ms, end_ms) in &self.faults {
+            if *begin_ms >= from_ms + IN_FORCE_MS {
+                break;
+            }
+            if concerns(*scope) && end_ms.is_none_or(|end_ms| end_ms > from_ms) {
+                from_ms = (*end_ms)?;
+            }
+        }
+        Some(from_ms + IN_FORCE_MS)
     }
 
     /// A backend server got a segment of a flow that should be open.
