--- a/crates/standin/src/soak/deployment.rs
+++ b/crates/standin/src/soak/deployment.rs
@@ -67,16 +67,25 @@
     _store: store::Server,
 }
 
-/// What steps of the schedule share. Each process, and each backend server, has a lock that is
-/// held over a step of the schedule that is about it.
+impl Drop for Deployment {
+    /// Kills all processes. Steps of the schedule may still run, but start no other ones.
+    fn drop(&mut self) {
+        for process in self.stage.balancers.iter().chain(&self.stage.agents) {
+            process.end();
+        }
+    }
+}
+
+/// What steps of the schedule share. The schedule has one step at a time for each process and
+/// backend server.
 #[derive(Debug)]
 struct Stage {
     /// The addresses.
     layout: Layout,
     /// Balancers by number.
-    balancers: Vec<smol::lock::Mutex<Process>>,
+    balancers: Vec<Process>,
     /// Agents by number.
-    agents: Vec<smol::lock::Mutex<Process>>,
+    agents: Vec<Process>,
     /// Backend servers by number.
     servers: Vec<smol::lock::Mutex<Option<Server>>>,
     /// Injects faults of the store.
@@ -109,10 +118,10 @@
         let stage = Arc::new(Stage {
             layout,
             balancers: (0..layout.balancers)
-                .map(|number| daemons.balancer(number).map(smol::lock::Mutex::new))
+                .map(|number| daemons.balancer(number))
                 .collect::<Result<_, _>>()?,
             agents: (0..layout.agents)
-                .map(|number| daemons.agent(number).map(smol::lock::Mutex::new))
+                .map(|number| daemons.agent(number))
                 .collect::<Result<_, _>>()?,
             servers: (0..layout.agents).map(|_| smol::lock::Mutex::new(None)).collect(),
             store: handle,
@@ -177,7 +186,7 @@
     async fn take(self: Arc<Self>, step: Step) -> Result<(), Error> {
         match step.action {
             Action::Pause(node, ms) => {
-                let process = self.process(node).lock().await;
+                let process = self.process(node);
                 self.fault(&step, self.scope(node), true);
                 process.pause();
                 sleep(ms).await;
@@ -185,7 +194,7 @@
                 self.fault(&step, self.scope(node), false);
             }
             Action::Stop(node, ms) | Action::Kill(node, ms) => {
-                let mut process = self.process(node).lock().await;
+                let process = self.process(node);
                 self.fault(&step, self.scope(node), true);
                 match step.action {
                     Action::Stop(..) => process.stop().await,
@@ -284,7 +293,7 @@
     }
 
     /// The process of a node.
-    fn process(&self, node: Node) -> &smol::lock::Mutex<Process> {
+    fn process(&self, node: Node) -> &Process {
         match node {
             Node::Balancer(number) => &self.balancers[usize::from(number)],
             Node::Agent(number) => &self.agents[usize::from(number)],
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -80,7 +80,10 @@
     let reset = (30, Fact::Reset { flow, from: balancer() });
     let with = |fact| [&open[..], &[(20, fact), reset.clone()]].concat();
 
-    assert_eq!(broken(&[&open[..], &[reset.clone()]].concat()), [(30, Promise::Flow)]);
+    assert_eq!(
+        broken(&[&open[..], std::slice::from_ref(&reset)].concat()),
+        [(30, Promise::Flow)]
+    );
     // Another server's reset is no excuse, nor is the end of another server.
     assert_eq!(
         broken(&with(Fact::ServerReset { server: 2, flow })),
@@ -133,8 +136,9 @@
 #[test]
 fn new_flow_of_a_draining_server_is_a_violation() {
     let drain = (1_000, Fact::Draining { server: 1 });
-    let opened =
-        |at_ms| broken(&[&[drain.clone()][..], &opening(at_ms, 1, flow(0))].concat());
+    let opened = |at_ms| {
+        broken(&[std::slice::from_ref(&drain), &opening(at_ms, 1, flow(0))].concat())
+    };
 
     assert_eq!(opened(1_000 + IN_FORCE_MS), []);
     assert_eq!(opened(1_001 + IN_FORCE_MS), [(1_001 + IN_FORCE_MS, Promise::Drain)]);
@@ -146,7 +150,9 @@
 fn late_or_former_configuration_is_a_violation() {
     let changed = (1_000, configured(2, "kasse-neu"));
     let opened = |at_ms, server| {
-        broken(&[&[changed.clone()][..], &opening(at_ms, server, flow(1))].concat())
+        broken(
+            &[std::slice::from_ref(&changed), &opening(at_ms, server, flow(1))].concat(),
+        )
     };
 
     assert_eq!(opened(1_000 + IN_FORCE_MS - 1, 2), []);
