--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -6,6 +6,7 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
+use crate::connection::flow;
 use crate::connection::in_flight::InFlight;
 use crate::connection::index::Index;
 use crate::connection::lifetime::Lifetime;
@@ -24,6 +25,7 @@
 mod announce;
 mod delivered;
 mod locate;
+mod question;
 mod sync;
 
 pub use action::{
@@ -32,6 +34,7 @@
 };
 
 use delivered::{Delivered, Ring};
+use question::Questions;
 use sync::{Received, Sent};
 
 /// Maximum number of agents that an opening segment is forwarded to after the first agent
@@ -79,6 +82,9 @@
     index: Index,
     /// Recently delivered segments, which the backend server may return.
     delivered: Ring,
+    /// Since when every flow of the backend server has been recorded in `flows`: the start
+    /// of the agent, or the last eviction of a flow.
+    recorded_since: Millis,
     /// Whether `flows` contains all flows of the backend server.
     knows_all_flows: bool,
     /// The highest routing revision that a delivered opening was based on. Openings based
@@ -88,13 +94,13 @@
     sent: Sent,
     /// Announcements received as a home node.
     received: Received,
+    /// Questions about flows that this agent doesn't know although it is a home node.
+    questions: Questions,
     /// Generation of the roster at the last call of [`Self::announcements`]; `None` if
     /// flows may have to be announced although the generation is the same.
     announced_generation: Option<u64>,
     /// Hash of the set of agents from which home nodes were selected.
     view_hash: u32,
-    /// Number of agents in that set.
-    view_size: u16,
 }
 
 impl Agent {
@@ -114,13 +120,14 @@
             health: Health::default(),
             index: Index::new(limits.flows),
             delivered: Ring::new(fastrand::u32(1..)),
+            recorded_since: now,
             knows_all_flows: false,
             min_revision: 0,
             sent: Sent::default(),
             received: Received::default(),
+            questions: Questions::new(limits.flows),
             announced_generation: None,
             view_hash: 0,
-            view_size: 0,
         }
     }
 
@@ -166,27 +173,53 @@
     }
 
     /// Determines whether all flows of the backend server are known. That is the case if
-    /// the backend server started too late to have other flows, or if this process has
-    /// been running for longer than any flow may be idle or may exist.
+    /// the backend server started too late to have other flows, or if all flows have been
+    /// recorded for longer than any flow may be idle or may exist.
     pub fn update_knows_all_flows(&mut self, now: Millis, routing: &Routing) {
         let service = self.backend.report().and_then(|r| routing.service(&r.service));
         let age_ms =
             service.and_then(|service| self.backend.age_ms(now, service.cold_ms));
-        let uptime_ms = now.since(self.start);
-        self.knows_all_flows |= age_ms
-            .is_some_and(|age_ms| age_ms <= uptime_ms + MIN_RESTART_MS)
-            || (routing.idle_ms > 0 && uptime_ms > routing.idle_ms)
-            || uptime_ms > self.max_flow_age_ms;
+        let recorded_ms = now.since(self.recorded_since);
+        let is_recorded = |age_ms| age_ms <= recorded_ms + MIN_RESTART_MS;
+        self.knows_all_flows |= (self.recorded_since == self.start
+            && age_ms.is_some_and(is_recorded))
+            || (routing.idle_ms > 0 && recorded_ms > routing.idle_ms)
+            || recorded_ms > self.max_flow_age_ms;
+    }
+
+    /// Records a flow of the backend server. If another one has to be evicted for it, not
+    /// all flows are known any more.
+    fn record_flow(&mut self, now: Millis, flow: flow::Key, state: State) {
+        self.flows.insert(now, flow, state);
+        if self.flows.evicted_at() == Some(now) {
+            self.recorded_since = now;
+            self.knows_all_flows = false;
+        }
     }
 
     /// Whether all flows of the backend server are known or there is no backend server.
-    pub fn knows_all_flows(&self, now: Millis) -> bool {
-        !self.may_hold_unknown_flows(now)
+    pub fn knows_all_flows(&self) -> bool {
+        !self.may_hold_unknown_flows()
     }
 
     /// Whether there is no backend server next to this agent.
-    pub fn has_no_backend(&self, now: Millis) -> bool {
-        self.backend.is_leaving() || !self.backend.may_be_running(now, self.start)
+    pub fn has_no_backend(&self) -> bool {
+        !self.backend.may_be_running()
+    }
+
+    /// Whether a probe must show now if the backend server is running.
+    pub fn is_probe_due(&mut self) -> bool {
+        self.backend.is_probe_due()
+    }
+
+    /// Records that a probe which began at `since` found no process at the address of the
+    /// backend server. Returns the flows that ended with it, each of them once.
+    pub fn record_absence(&mut self, since: Millis) -> Vec<Ended> {
+        if !self.backend.record_absence(since) {
+            return Vec::new();
+        }
+        self.knows_all_flows = true;
+        self.end_all()
     }
 
     /// Records that the backend server is shutting down. Returns whether it is the
@@ -195,8 +228,8 @@
         self.backend.record_leave(now, id)
     }
 
-    /// Detects whether the backend server is gone. Returns the flows that ended with it,
-    /// each of them once.
+    /// Detects whether the backend server is gone as it had said. Returns the flows that
+    /// ended with it, each of them once.
     pub fn tick(&mut self, now: Millis) -> Vec<Ended> {
         self.count_open();
         self.lifetime.tick(self.open);
@@ -257,7 +290,7 @@
         }
         let flow = segment.flow_from_backend();
         if self.flows.get(now, &flow).is_none() {
-            self.flows.insert(now, flow, State::new(Stage::Offered));
+            self.record_flow(now, flow, State::new(Stage::Offered));
         }
         let state = self.flows.get(now, &flow)?;
         if segment.flags.reset && state.stage == Stage::Accepted {
@@ -302,6 +335,7 @@
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.flows.expire(now, idle_ms);
         self.index.expire(now, idle_ms);
+        self.questions.expire(now);
     }
 
     /// The number of open flows, and of requests in progress.
@@ -336,7 +370,7 @@
     ) -> Action {
         let flow = arrival.segment.flow_from_caller();
         let ack = arrival.segment.acknowledged;
-        let may_hold_unknown_flows = self.may_hold_unknown_flows(now);
+        let may_hold_unknown_flows = self.may_hold_unknown_flows();
         match self.flows.get(now, &flow).copied() {
             // The caller opened the flow at another backend server. This one would answer
             // with a reset.
@@ -348,7 +382,10 @@
             // As long as some flows are unknown, only the backend server can tell whether
             // it holds this one.
             None if may_hold_unknown_flows
-                && !matches!(arrival.forwarding.search, Search::Home(_)) =>
+                && !matches!(
+                    arrival.forwarding.search,
+                    Search::Home(_) | Search::Fallback
+                ) =>
             {
                 self.deliver(now, arrival, false)
             }
@@ -398,8 +435,8 @@
     }
 
     /// Whether the backend server may hold flows that this agent doesn't know.
-    fn may_hold_unknown_flows(&self, now: Millis) -> bool {
-        !self.knows_all_flows && self.backend.may_be_running(now, self.start)
+    fn may_hold_unknown_flows(&self) -> bool {
+        !self.knows_all_flows && self.backend.may_be_running()
     }
 
     /// Failure domain of the balancer that received the segment; the agent's own domain
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -4,8 +4,8 @@
 
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
-use xxhash_rust::xxh3::Xxh3Default;
 
+use super::view::{self, View};
 use crate::request::message::{BackendStatus, Heartbeat, Stage, SyncStatus};
 
 /// Interval between heartbeats of a node, in milliseconds. It determines how soon a lost
@@ -32,9 +32,9 @@
 /// lives longer.
 pub const REMOVAL_MS: u64 = 60_000;
 
-/// Time for which an agent that has left may still be listed by other nodes, in
-/// milliseconds: until they consider it silent and their next heartbeats reflect that.
-const LEFT_RETENTION_MS: u64 = 2 * SILENT_MS;
+/// Time within which other nodes notice that an agent has left or joined, in milliseconds:
+/// until they consider it silent and their next heartbeats reflect that.
+const VIEW_CHANGE_MS: u64 = 2 * SILENT_MS;
 
 /// The members known to a node.
 #[derive(Debug, Default)]
@@ -46,8 +46,19 @@
     /// Hash of the addresses of all live agents. Only changes together with the
     /// generation.
     view_hash: u32,
-    /// Agents that left recently, with the time of their last heartbeat.
-    left: Vec<(SocketAddrV4, Millis)>,
+    /// Agents that left recently.
+    left: Vec<Left>,
+}
+
+/// An agent that has left.
+#[derive(Debug, Clone, Copy)]
+struct Left {
+    /// Its address.
+    address: SocketAddrV4,
+    /// Its incarnation.
+    incarnation: u64,
+    /// When its last heartbeat arrived.
+    last_heard: Millis,
 }
 
 /// A node of the system.
@@ -57,6 +68,9 @@
     pub address: SocketAddrV4,
     /// Its incarnation; 0 until its first heartbeat arrives.
     pub incarnation: u64,
+    /// Incarnation of the process that it replaced; 0 if there is none. Heartbeats of that
+    /// one were delayed.
+    replaced: u64,
     /// Sequence number of its last heartbeat.
     pub sequence: u32,
     /// Its function.
@@ -70,6 +84,8 @@
     pub last_heard: Millis,
     /// Whether its heartbeats are overdue. Also set until its first heartbeat arrives.
     pub is_silent: bool,
+    /// When it joined or, if it was silent after that, returned.
+    heard_since: Millis,
     /// Estimated number of its open flows at `estimated_at`.
     open: f64,
     /// When its last heartbeat arrived or a flow was last placed on it.
@@ -186,14 +202,24 @@
     /// All agents that other nodes may have in their rosters: live ones, silent ones, and
     /// those that left recently.
     pub fn known_agents(&self) -> impl Iterator<Item = SocketAddrV4> {
-        let left = self.left.iter().map(|(address, _)| *address);
+        let left = self.left.iter().map(|left| left.address);
         self.agents().map(|member| member.address).chain(left)
     }
 
-    /// Number of agents that are not silent.
-    pub fn live_agents(&self) -> u16 {
-        let live = self.agents().filter(|member| !member.is_silent).count();
-        u16::try_from(live).unwrap_or(u16::MAX)
+    /// The sets of agents that other nodes may hear if they hear none that is unknown to
+    /// this node, whose address is `own`.
+    pub fn view(&self, now: Millis, own: SocketAddrV4) -> View {
+        let heard = || self.agents().filter(|member| !member.is_silent);
+        let silent = self.agents().filter(|member| member.is_silent);
+        let left = self.left.iter().map(|left| left.address);
+        let recent = heard().filter(|member| {
+            member.address != own && now.since(member.heard_since) <= VIEW_CHANGE_MS
+        });
+        View::new(
+            heard().map(|member| member.address),
+            left.chain(silent.map(|member| member.address)),
+            recent.map(|member| member.address),
+        )
     }
 
     /// Counts the agents by what is known of them.
@@ -254,12 +280,14 @@
         let member = Member {
             address,
             incarnation: 0,
+            replaced: 0,
             sequence: 0,
             role,
             domain,
             backend_status: None,
             last_heard: now,
             is_silent: true,
+            heard_since: now,
             open: 0.0,
             estimated_at: now,
             lifetime_ms: 0,
@@ -272,7 +300,8 @@
     /// Processes a heartbeat.
     ///
     /// # Errors
-    /// If a later heartbeat of the same incarnation has already arrived.
+    /// If a later heartbeat has already arrived, or if its sender has been replaced or has
+    /// left.
     pub fn record_heartbeat(
         &mut self,
         now: Millis,
@@ -280,6 +309,14 @@
         heartbeat: &Heartbeat<'_>,
     ) -> Result<Change, Outdated> {
         let role = if heartbeat.is_agent { Role::Agent } else { Role::Balancer };
+        let left = self.left.iter().position(|left| left.address == from);
+        let left_incarnation = left.map_or(0, |index| self.left[index].incarnation);
+        if left_incarnation == heartbeat.incarnation {
+            return Err(Outdated);
+        }
+        if let Some(index) = left {
+            self.left.remove(index);
+        }
         let index = match self.find(from) {
             Ok(index) => index,
             Err(index) => {
@@ -289,7 +326,12 @@
         };
         let member = &mut self.members[index];
         let is_new = member.incarnation != heartbeat.incarnation;
-        if !is_new && heartbeat.sequence <= member.sequence {
+        let is_late = if is_new {
+            heartbeat.incarnation == member.replaced
+        } else {
+            heartbeat.sequence <= member.sequence
+        };
+        if is_late {
             return Err(Outdated);
         }
         let change = match () {
@@ -303,10 +345,16 @@
             () => Change::None,
         };
         let is_view_changed = (member.is_silent || is_new) && role == Role::Agent;
+        if member.is_silent {
+            member.heard_since = now;
+        }
         if is_new || heartbeat.sync_status.is_some() {
             member.sync_status = heartbeat.sync_status;
         }
         member.role = role;
+        if is_new {
+            member.replaced = member.incarnation.max(left_incarnation);
+        }
         member.incarnation = heartbeat.incarnation;
         member.sequence = heartbeat.sequence;
         member.last_heard = now;
@@ -347,12 +395,17 @@
         member.estimated_at = now;
     }
 
-    /// Removes a member that announced its departure. Returns whether it was known.
-    pub fn remove(&mut self, address: SocketAddrV4) -> bool {
+    /// Removes a member that announced its departure. Returns whether this incarnation of
+    /// it was known.
+    pub fn remove(&mut self, address: SocketAddrV4, incarnation: u64) -> bool {
         let Ok(index) = self.find(address) else { return false };
+        if self.members[index].incarnation != incarnation {
+            return false;
+        }
         let member = self.members.remove(index);
         if member.role == Role::Agent {
-            self.left.push((address, member.last_heard));
+            let last_heard = member.last_heard;
+            self.left.push(Left { address, incarnation, last_heard });
         }
         self.update_view();
         true
@@ -369,7 +422,7 @@
             }
         }
         self.update_lifetimes();
-        self.left.retain(|(_, last_heard)| now.since(*last_heard) <= LEFT_RETENTION_MS);
+        self.left.retain(|left| now.since(left.last_heard) <= VIEW_CHANGE_MS);
         let before = self.members.len();
         self.members.retain(|member| now.since(member.last_heard) <= REMOVAL_MS);
         if !silent.is_empty() || self.members.len() != before {
@@ -407,14 +460,8 @@
     /// Updates the generation and the hash after the set of live agents has changed.
     fn update_view(&mut self) {
         self.generation += 1;
-        let mut hash = Xxh3Default::new();
-        for member in
-            self.members.iter().filter(|m| m.role == Role::Agent && !m.is_silent)
-        {
-            hash.update(&member.address.ip().octets());
-            hash.update(&member.address.port().to_be_bytes());
-        }
-        self.view_hash = hash.digest() as u32;
+        let heard = self.agents().filter(|member| !member.is_silent);
+        self.view_hash = view::hash(heard.map(|member| member.address));
     }
 
     /// The index of an address, or the index at which to insert it.
