--- a/crates/lentilreach-cli/src/soak.rs
+++ b/crates/lentilreach-cli/src/soak.rs
@@ -3,8 +3,9 @@
 use std::io;
 use std::path::PathBuf;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use lentilreach_standin::soak::schedule::Size;
+use lentilreach_standin::soak::verdict::Promise;
 use lentilreach_standin::soak::{self, Report, Settings};
 use serde_json::Value;
 
@@ -34,6 +35,14 @@
             number("agents", "N", "8", "Number of agents, each with a backend server")
                 .value_parser(value_parser!(u8).range(6..=32)),
         )
+        .arg(
+            Arg::new("known")
+                .long("known")
+                .value_name("PROMISE")
+                .action(ArgAction::Append)
+                .value_parser(Promise::ALL.map(Promise::as_str))
+                .help("A promise that is known to be broken: reported, but no failure"),
+        )
         .arg(folder("programs", "Folder of the daemons [default: that of this program]"))
         .arg(folder("logs", "Folder for logs, which are kept then"))
 }
@@ -77,11 +86,14 @@
         Some(folder) => folder.clone(),
         None => std::env::current_exe()?.parent().map(PathBuf::from).unwrap_or_default(),
     };
+    let names: Vec<&String> = matches.get_many("known").into_iter().flatten().collect();
+    let is_known = |promise: &Promise| names.iter().any(|name| *name == promise.as_str());
     Ok(Settings {
         seed: *matches.get_one("seed").expect("has a default"),
         seconds: *matches.get_one("seconds").expect("has a default"),
         size,
         programs,
+        known: Promise::ALL.into_iter().filter(is_known).collect(),
         logs: matches.get_one::<PathBuf>("logs").cloned(),
     })
 }
@@ -93,6 +105,9 @@
     let lines = lines.filter(|(_, value)| !value.is_array());
     let mut lines: Vec<_> =
         lines.map(|(name, value)| format!("{name:20} {}", plain(value))).collect();
+    lines.extend(
+        report.known.iter().map(|v| format!("known     seed={} {v}", report.seed)),
+    );
     let violations = report.violations.iter();
     lines.extend(violations.map(|v| format!("violation seed={} {v}", report.seed)));
     let status = if report.violations.is_empty() { Status::Done } else { Status::Failed };
--- a/crates/standin/src/soak/verdict.rs
+++ b/crates/standin/src/soak/verdict.rs
@@ -36,6 +36,32 @@
     Recovery,
 }
 
+impl Promise {
+    /// All promises.
+    pub const ALL: [Self; 7] = [
+        Self::Flow,
+        Self::Service,
+        Self::Answer,
+        Self::Once,
+        Self::Drain,
+        Self::Config,
+        Self::Recovery,
+    ];
+
+    /// The name in options and reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Flow => "flow",
+            Self::Service => "service",
+            Self::Answer => "answer",
+            Self::Once => "once",
+            Self::Drain => "drain",
+            Self::Config => "config",
+            Self::Recovery => "recovery",
+        }
+    }
+}
+
 impl Display for Promise {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
