--- a/crates/standin/src/soak/backend.rs
+++ b/crates/standin/src/soak/backend.rs
@@ -121,11 +121,6 @@
         self.shared.is_draining.store(true, Ordering::Relaxed);
     }
 
-    /// Number of flows that it holds.
-    pub fn flows(&self) -> usize {
-        self.shared.flows.lock().len()
-    }
-
     /// Ends it. All its flows are gone from the moment that is recorded.
     pub fn end(self) {
         self.shared.record.add(Fact::Ended { server: self.lifetime });
--- a/crates/standin/src/soak/caller.rs
+++ b/crates/standin/src/soak/caller.rs
@@ -30,9 +30,13 @@
 /// Shortest and longest pause between two requests on a flow, in milliseconds.
 const THINK_MS: (u64, u64) = (100, 400);
 
-/// Shortest and longest life of a flow, in milliseconds. The longest, with the time of the
+/// Shortest and longest life of every other flow, in milliseconds, so that there are openings
+/// at all times.
+const SHORT_LIFE_MS: (u64, u64) = (100, 2_000);
+
+/// Shortest and longest life of the others, in milliseconds. The longest, with the time of the
 /// longest fault, is far below the longest life that the settings state.
-const LIFE_MS: (u64, u64) = (1_000, 20_000);
+const LIFE_MS: (u64, u64) = (2_000, 20_000);
 
 /// Time for which a caller goes on with a flow whose backend server is gone, waiting for a
 /// reset, in milliseconds.
@@ -160,7 +164,8 @@
 
     /// Sends requests on a flow until its life has passed or it is gone.
     async fn use_flow(&mut self, mut flow: Flow) {
-        let life_ms = self.rng.u64(LIFE_MS.0..=LIFE_MS.1);
+        let (least, most) = if self.rng.bool() { SHORT_LIFE_MS } else { LIFE_MS };
+        let life_ms = self.rng.u64(least..=most);
         let end_ms = self.record.now_ms() + life_ms;
         while self.record.now_ms() < end_ms {
             if !self.request(&mut flow).await {
--- a/crates/standin/src/soak/deployment.rs
+++ b/crates/standin/src/soak/deployment.rs
@@ -53,9 +53,6 @@
 /// Interval at which this process checks that it is not standing still, in milliseconds.
 const OWN_CHECK_MS: u64 = 20;
 
-/// Time that a backend server drains before it ends, in milliseconds.
-const DRAIN_MS: u64 = 5_000;
-
 /// A running deployment. Dropping it kills its processes.
 #[derive(Debug)]
 pub(super) struct Deployment {
@@ -210,10 +207,7 @@
                 let server = slot.take();
                 if let (Action::Drain(..), Some(server)) = (step.action, &server) {
                     server.drain();
-                    let end_ms = self.record.now_ms() + DRAIN_MS;
-                    while server.flows() > 0 && self.record.now_ms() < end_ms {
-                        sleep(OWN_CHECK_MS).await;
-                    }
+                    sleep(schedule::DRAIN_MS).await;
                 }
                 match (step.action, server) {
                     (Action::Drain(..), Some(server)) => server.leave().await,
--- a/crates/standin/src/soak/schedule.rs
+++ b/crates/standin/src/soak/schedule.rs
@@ -19,8 +19,9 @@
 /// Time that is kept for a process to stop when it is asked to, in milliseconds.
 const STOP_MS: u64 = 6_500;
 
-/// Time that a backend server drains before it ends, in milliseconds.
-const DRAIN_MS: u64 = 5_000;
+/// Time that a backend server drains before it ends, in milliseconds: twice the time in which
+/// it may still get new flows.
+pub const DRAIN_MS: u64 = 6_000;
 
 /// Shortest and longest fault of the store, in milliseconds.
 const STORE_MS: (u64, u64) = (500, 8_000);
