--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -36,8 +36,8 @@
 /// know.
 #[derive(Debug, Clone, Copy)]
 struct Evidence {
-    /// Whether the statement was made after the first search for the flow, and no agent is
-    /// known to its sender only.
+    /// Whether the statement was made after the first search for the flow, and its sender
+    /// hears the agents that it knows, none of which is known to it only.
     is_current: bool,
     /// Whether the agent had announced all of its flows to the home node.
     is_announced: bool,
@@ -77,7 +77,7 @@
                 {
                     return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
                 }
-                let plan = self.plan(now, roster, &flow, &forwarding);
+                let plan = self.plan(now, roster, arrival, &forwarding);
                 match other_home {
                     Some(to) if is_home && rank == 0 && !plan.is_proof() => {
                         forwarding.search = Search::Home(1);
@@ -88,7 +88,7 @@
             }
             Search::Walk => self.continue_walk(arrival, forwarding),
             Search::Fallback => {
-                let plan = self.plan(now, roster, &flow, &forwarding);
+                let plan = self.plan(now, roster, arrival, &forwarding);
                 self.start_walk(now, routing, roster, arrival, forwarding, plan)
             }
             Search::Open | Search::Known | Search::Indexed => {
@@ -104,7 +104,7 @@
                         Action::Forward { to, forwarding, cause: Cause::Elsewhere }
                     }
                     None => {
-                        let plan = self.plan(now, roster, &flow, &forwarding);
+                        let plan = self.plan(now, roster, arrival, &forwarding);
                         self.start_walk(now, routing, roster, arrival, forwarding, plan)
                     }
                 }
@@ -140,25 +140,31 @@
         &mut self,
         now: Millis,
         roster: &Roster,
-        flow: &flow::Key,
+        arrival: &Arrival,
         forwarding: &Forwarding,
     ) -> Plan {
+        let flow = &arrival.segment.flow_from_caller();
         let homes = placement::homes(roster, flow);
         let is_home = homes.contains(&Some(self.address));
         let is_undisputed =
             is_home && placement::is_home_in_all_views(roster, flow, self.address);
-        let question = self.questions.number(now, flow);
+        let question = self.questions.number(now, &arrival.segment);
         let view = roster.view(now, self.address);
         let is_index_complete = self.index.is_complete(now, self.max_flow_age_ms);
         // A process that has just started knows no other agent yet.
         let is_alone = roster.agents().all(|member| member.address == self.address);
-        let is_exhaustive = is_home && is_index_complete && !is_alone;
-        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive };
-        let mut is_question_needed = false;
+        // The balancer may hear an agent that no agent has heard yet.
+        let is_origin_known =
+            forwarding.view_hash.is_some_and(|hash| view.contains(hash));
+        let can_be_certain = is_home
+            && is_index_complete
+            && is_origin_known
+            && !is_alone
+            && roster.hears_all();
+        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive: can_be_certain };
         for member in roster.agents().filter(|member| member.address != self.address) {
             let evidence = self.evidence(roster, &view, is_undisputed, member, question);
             plan.is_exhaustive &= evidence.is_current;
-            is_question_needed |= is_home && !member.is_silent && !evidence.is_current;
             let is_left_out = if is_home {
                 evidence.is_announced
             } else {
@@ -169,7 +175,7 @@
                 plan.to_visit.push(member.address);
             }
         }
-        if is_question_needed {
+        if can_be_certain && !plan.is_exhaustive {
             self.questions.request();
         }
         plan
@@ -195,7 +201,7 @@
         let selects_this_home = status.view_hash == roster.view_hash()
             || (is_undisputed_home && is_view_known);
         Evidence {
-            is_current: is_view_known && status.answered >= question,
+            is_current: is_view_known && status.hears_all && status.answered >= question,
             is_announced: selects_this_home && self.has_received_all(member, status),
         }
     }
--- a/crates/steer/src/process/agent/sync.rs
+++ b/crates/steer/src/process/agent/sync.rs
@@ -36,11 +36,11 @@
 }
 
 impl Sent {
-    /// Counts an announcement to a home node. Returns its epoch.
-    pub fn count(&mut self, now: Millis, home: Home) -> u32 {
+    /// Counts an announcement to a home node. Returns the progress that includes it.
+    pub fn count(&mut self, now: Millis, home: Home) -> Progress {
         let receiver = self.receiver(now, home);
         receiver.progress.count += 1;
-        receiver.progress.epoch
+        receiver.progress
     }
 
     /// Announcements sent to an incarnation of a node.
@@ -141,7 +141,17 @@
                 index
             }
         };
-        self.senders[index].progress.count += 1;
+        // One that arrives twice doesn't make up for a lost one.
+        let count = &mut self.senders[index].progress.count;
+        if announcement.number == *count + 1 {
+            *count += 1;
+        }
+    }
+
+    /// Whether the last announcement from an address came from another incarnation.
+    pub fn has_other(&self, from: SocketAddrV4, incarnation: u64) -> bool {
+        let found = self.senders.binary_search_by_key(&from, |known| known.address);
+        found.is_ok_and(|index| self.senders[index].incarnation != incarnation)
     }
 
     /// Announcements received from an incarnation of a node.
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -65,6 +65,8 @@
     pub tried: Vec<SocketAddrV4>,
     /// Agents that a walk has still to visit, in this order.
     pub to_visit: Vec<SocketAddrV4>,
+    /// Hash of the set of agents that the origin hears; `None` for an opening segment.
+    pub view_hash: Option<u32>,
     /// Whether the flow can only be held by agents that the walk has still to visit.
     pub is_exhaustive: bool,
     /// The unmodified segment.
@@ -139,6 +141,8 @@
     pub receiver: u64,
     /// Epoch in which the message is counted, see [`Progress`].
     pub epoch: u32,
+    /// Number of the message in this epoch, from 1.
+    pub number: u32,
     /// The flows, at most [`MAX_ANNOUNCED`].
     pub flows: Vec<flow::Key>,
 }
@@ -150,8 +154,10 @@
 pub struct SyncStatus {
     /// Incarnation of the receiver that the message is addressed to.
     pub receiver: u64,
-    /// Hash of the set of agents from which the sender selected home nodes.
+    /// Hash of the set of agents that the sender hears.
     pub view_hash: u32,
+    /// Whether the sender hears all agents that it knows.
+    pub hears_all: bool,
     /// Whether the sender has announced every flow of its backend server that it has to
     /// announce to the receiver.
     pub is_complete: bool,
@@ -171,7 +177,8 @@
 pub struct Progress {
     /// Incremented when the sender starts to announce all flows again.
     pub epoch: u32,
-    /// Number of announcements in this epoch.
+    /// Number of announcements in this epoch; as a receiver counts them, of those before
+    /// the first one that is missing.
     pub count: u32,
 }
 
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -6,19 +6,20 @@
 use std::net::SocketAddrV4;
 
 use fixture::{
-    FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address, agent_and_roster,
-    agent_heartbeat, announcement, arrival, flow, flow_homed_here, from_backend, hear,
-    limits, open, opening, report, request, returned, roster, roster_of, routing,
+    CALENDAR, FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address,
+    agent_and_roster, agent_heartbeat, announcement, arrival, flow, flow_homed_elsewhere,
+    flow_homed_here, from_backend, hear, limits, open, opening, report, request,
+    returned, roster, roster_of, routing, searched,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{
     Action, Agent, Arrival, BackendAction, Cause, Limits, Outgoing,
 };
-use lentilreach_steer::process::backend::TICK_MS;
+use lentilreach_steer::process::backend::{Report, TICK_MS};
 use lentilreach_steer::process::balancer::{self, Balancer};
 use lentilreach_steer::process::roster::{Outdated, Role, Roster};
-use lentilreach_steer::request::message::{Search, Stage};
+use lentilreach_steer::request::message::{Announcement, Search, Stage};
 use lentilreach_steer::request::placement::{fallback, homes};
 use lentilreach_steer::request::segment::{Flags, Segment};
 
@@ -63,18 +64,45 @@
     announce(NOW.after(100), &mut nodes, |from, _| from == holder);
     let now = NOW.after(300);
     search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
-    for node in &mut nodes {
-        node.agent.is_question_due(now);
-    }
-    for _ in 0..2 {
-        beat(now, &mut nodes, |from, to| from == holder || to == holder);
-    }
+    ask_unless(now, &mut nodes, |from, to| from == holder || to == holder);
 
     let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
 
     assert_no_reset(&action);
 }
 
+/// Answers to a question about an earlier flow prove nothing about a later one between the
+/// same addresses.
+#[test]
+fn homes_do_not_deny_a_flow_whose_port_was_searched_for_before() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    let now = NOW.after(100);
+    search(now, &mut nodes, second, key, Search::Home(1), &[]);
+    ask(now, &mut nodes);
+    accept_at(now, &mut nodes, holder, key);
+
+    let later = arrival(request(key, FIRST_SEQUENCE + 9_000), Search::Home(1), 1);
+    let action = handle(now, node_mut(&mut nodes, second).expect("a node"), &later);
+
+    assert_no_reset(&action);
+}
+
+/// A balancer may have heard an agent, and opened the flow there, that no other agent has
+/// heard yet.
+#[test]
+fn homes_do_not_deny_a_flow_while_the_balancer_hears_an_agent_that_they_do_not_know() {
+    let Case { mut nodes, key, first, .. } = synchronised();
+    let mut segment = arrival(request(key, FIRST_SEQUENCE + 1), Search::Home(0), 1);
+    let unknown = roster_of(NOW, 1..=7);
+    segment.forwarding.view_hash = Some(unknown.view_hash());
+
+    for _ in 0..3 {
+        let action = handle(NOW, node_mut(&mut nodes, first).expect("a node"), &segment);
+        assert_no_reset(&action);
+        ask(NOW, &mut nodes);
+    }
+}
+
 /// The backend server of an agent that can't be heard may be running.
 #[test]
 fn a_balancer_does_not_reset_flows_of_a_silent_agent() {
@@ -447,7 +475,7 @@
     nodes.retain(|node| node.number != holder);
     for node in &mut nodes {
         assert!(node.roster.remove(agent_address(holder), node.incarnation));
-        node.agent.handle_leave(agent_address(holder));
+        node.agent.handle_leave(agent_address(holder), node.incarnation);
     }
     announce(NOW, &mut nodes, |_, _| false);
 
@@ -517,6 +545,279 @@
     }
 }
 
+/// After a restart of its agent, a backend server that the caller did not choose may answer a
+/// segment on a walk with a reset. The flow continues at another backend server.
+#[test]
+fn a_restarted_agent_passes_on_no_reset_of_a_flow_that_it_does_not_know() {
+    let roster = roster(NOW, 6, &["a", "b"]);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, report(17));
+    let walk = arrival(request(flow(1), FIRST_SEQUENCE + 1), Search::Walk, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+
+    let reset = Flags { reset: true, ..Flags::default() };
+    let answer = from_backend(flow(1), reset, 9_000);
+    let action = agent.handle_backend_segment(NOW, &routing(1), &roster, &answer);
+
+    assert_eq!(action, Some(BackendAction::Drop(Cause::Elsewhere)));
+}
+
+/// An opening that waits here was accepted elsewhere, where the caller closes the flow.
+#[test]
+fn a_closing_segment_on_a_waiting_opening_is_no_proof_that_the_flow_was_here() {
+    let (mut agent, roster) = agent_and_roster();
+    let key = flow_homed_elsewhere(&roster);
+    let waiting = arrival(opening(key, 0), Search::Open, 1);
+    agent.hold(NOW, &routing(1), waiting, Vec::new());
+    let mut close = request(key, FIRST_SEQUENCE + 1);
+    close.flags.close = true;
+    let known = arrival(close, Search::Known, 1);
+
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &known);
+
+    let to = homes(&roster, &key)[0].expect("a home");
+    assert_forwarded(&action, to);
+    assert_eq!(agent.release(NOW.after(5_000), &routing(1), &roster), None);
+}
+
+/// As above for an opening that the backend server has not accepted.
+#[test]
+fn a_returned_segment_ends_no_flow_that_was_not_accepted_here() {
+    let (mut agent, roster) = agent_and_roster();
+    let key = flow_homed_elsewhere(&roster);
+    let offered = arrival(opening(key, 0), Search::Open, 1);
+    agent.handle_caller_segment(NOW, &routing(1), &roster, &offered);
+    let mut close = request(key, FIRST_SEQUENCE + 1);
+    close.flags.close = true;
+    let known = arrival(close, Search::Known, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &known);
+    let Action::Deliver { mark, .. } = action else { panic!("{action:?}") };
+
+    let back = returned(close, mark);
+    let answer = agent.handle_backend_segment(NOW, &routing(1), &roster, &back);
+
+    let Some(BackendAction::Returned(action)) = answer else { panic!("{answer:?}") };
+    assert_no_reset(&action);
+}
+
+/// A backend server may accept flows between its start and its first report.
+#[test]
+fn the_first_report_of_a_new_instance_ends_no_flow_opened_since_the_last_one() {
+    let (mut agent, roster) = agent_and_roster();
+    let [older, younger] = [1, 2].map(flow);
+    open(NOW, &mut agent, &roster, older, FIRST_SEQUENCE);
+    agent.report(NOW.after(1_000), report(2));
+    open(NOW.after(1_500), &mut agent, &roster, younger, FIRST_SEQUENCE);
+
+    let next = Report { id: "i-2".into(), started_ms: Some(2_200), ..report(1) };
+    let (_, ended) = agent.report(NOW.after(2_000), next);
+
+    let ended: Vec<_> = ended.iter().map(|ended| ended.flow).collect();
+    assert_eq!(ended, [older]);
+}
+
+/// An agent that took its backend server for gone has forgotten its flows.
+#[test]
+fn an_agent_knows_not_all_flows_after_its_backend_server_was_taken_for_gone() {
+    let (mut agent, roster) = agent_and_roster();
+    open(NOW, &mut agent, &roster, flow(1), FIRST_SEQUENCE);
+    let now = NOW.after(20_000);
+    agent.record_absence(now);
+
+    agent.report(now.after(100), report(9));
+    agent.update_knows_all_flows(now.after(100), &routing(1));
+
+    assert!(!agent.knows_all_flows());
+}
+
+/// During a long upload a backend server only acknowledges, and its agent may have been
+/// restarted.
+#[test]
+fn a_restarted_agent_announces_flows_whose_backend_server_only_acknowledges() {
+    let roster = roster(NOW, 6, &["a", "b"]);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, report(17));
+    let flags = Flags { acknowledge: true, ..Flags::default() };
+
+    let answer = from_backend(flow_homed_elsewhere(&roster), flags, 9_000);
+    agent.handle_backend_segment(NOW, &routing(1), &roster, &answer);
+
+    assert_eq!(agent.announcements(NOW, &roster).len(), 2);
+}
+
+/// A datagram that arrives twice must not make up for a lost one.
+#[test]
+fn a_doubled_announcement_hides_no_lost_one() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    let other = (2..).map(flow).find(|other| {
+        homes(&nodes[0].roster, other).contains(&Some(agent_address(second)))
+    });
+    let now = NOW.after(100);
+    for (number, lost) in [(other.expect("another flow"), false), (key, true)] {
+        open_at(now, &mut nodes, holder, number);
+        for _ in 0..2 {
+            announce(now, &mut nodes, |_, _| lost);
+        }
+        if !lost {
+            let home = node_mut(&mut nodes, second).expect("a node");
+            let from = agent_address(holder);
+            home.agent.handle_announcement(
+                now,
+                &home.roster,
+                from,
+                &announcement(&[number]),
+            );
+        }
+    }
+
+    search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+    ask(now, &mut nodes);
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+    assert_no_reset(&action);
+}
+
+/// An agent that others know and don't hear may hold the flow. A home node that has just
+/// started may know nothing of it.
+#[test]
+fn a_restarted_home_denies_no_flow_while_others_miss_an_agent() {
+    let Case { mut nodes, key, holder, second, .. } = synchronised();
+    open_at(NOW, &mut nodes, holder, key);
+    announce(NOW, &mut nodes, |_, _| false);
+    let now = cut_off(&mut nodes, holder, 4);
+    restart(now, &mut nodes, second);
+    let home = node_mut(&mut nodes, second).expect("a node");
+    home.roster = roster_of(now, others(holder, second));
+    for _ in 0..2 {
+        beat(now, &mut nodes, |from, to| [from, to].contains(&holder));
+        announce(now, &mut nodes, |from, to| [from, to].contains(&holder));
+    }
+
+    search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+    ask_unless(now, &mut nodes, |from, to| [from, to].contains(&holder));
+    let action = search(now, &mut nodes, second, key, Search::Home(1), &[holder]);
+
+    assert_no_reset(&action);
+}
+
+/// An agent left, and all but one node have heard its successor.
+#[test]
+fn a_home_does_not_take_the_successor_of_an_agent_that_left_for_that_agent() {
+    let (mut nodes, key) = homed_at_the_first_node(0);
+    nodes.retain(|node| node.number != 6);
+    for node in &mut nodes {
+        assert!(node.roster.remove(agent_address(6), INCARNATION));
+        node.agent.handle_leave(agent_address(6), INCARNATION);
+    }
+    announce(NOW, &mut nodes, |_, _| false);
+    nodes.push(Node { incarnation: INCARNATION + 1, ..node(6, 2..=5) });
+    let is_cut = |from, to| from == 6 && to == 1 || from == 1 && to == 6;
+    for _ in 0..2 {
+        beat(NOW, &mut nodes, is_cut);
+    }
+    announce(NOW, &mut nodes, is_cut);
+    open_at(NOW, &mut nodes, 6, key);
+    announce(NOW, &mut nodes, is_cut);
+
+    search(NOW, &mut nodes, 1, key, Search::Home(0), &[]);
+    ask_unless(NOW, &mut nodes, is_cut);
+    let action = search(NOW, &mut nodes, 1, key, Search::Home(0), &[]);
+
+    assert_no_reset(&action);
+}
+
+/// Agents that already hear another one must not state the set from before.
+#[test]
+fn a_home_does_not_overlook_an_agent_that_others_have_just_heard() {
+    let (mut nodes, key) = homed_at_the_first_node(1);
+    nodes.push(node(7, 2..=6));
+    let is_cut = |from, to| from == 7 && to == 1 || from == 1 && to == 7;
+    beat(NOW, &mut nodes, is_cut);
+    open_at(NOW, &mut nodes, 7, key);
+
+    search(NOW, &mut nodes, 1, key, Search::Home(1), &[7]);
+    ask_unless(NOW, &mut nodes, is_cut);
+    let action = search(NOW, &mut nodes, 1, key, Search::Home(1), &[7]);
+
+    assert_no_reset(&action);
+}
+
+/// A backend server that has said that it leaves serves its flows for a moment.
+#[test]
+fn an_agent_of_a_leaving_backend_server_does_not_claim_to_know_all_flows_at_once() {
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, report(17));
+
+    assert!(agent.record_leave(NOW, "i-1"));
+
+    assert!(!agent.knows_all_flows());
+}
+
+/// The warm-up time may have been lowered after the backend server started. It can't have
+/// started at a time that the configured one doesn't allow.
+#[test]
+fn an_agent_does_not_compute_the_age_of_a_backend_server_from_another_warm_up_time() {
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let configured = routing(1);
+    let service = configured.service(CALENDAR).expect("a service");
+    let cold_ms = service.cold_ms + 1_000;
+    agent.report(NOW, Report { cold_ms, ..report(5) });
+
+    agent.update_knows_all_flows(NOW, &configured);
+
+    assert!(!agent.knows_all_flows());
+}
+
+/// An announcement of the process that has taken over an address may arrive before a
+/// farewell that was delayed.
+#[test]
+fn a_late_departure_does_not_remove_flows_of_the_next_process() {
+    let (mut agent, mut roster) = agent_and_roster();
+    let key = flow_homed_here(&roster);
+    let next = Announcement { sender: INCARNATION + 1, ..announcement(&[key]) };
+    agent.handle_announcement(NOW, &roster, agent_address(4), &next);
+
+    if roster.remove(agent_address(4), INCARNATION) {
+        agent.handle_leave(agent_address(4), INCARNATION);
+    }
+
+    let arrival = arrival(request(key, FIRST_SEQUENCE), Search::Home(0), 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival);
+    assert!(
+        matches!(action, Action::Forward { to, .. } if to == agent_address(4)),
+        "{action:?}"
+    );
+}
+
+/// An opening that was delayed for seconds says nothing about a later flow.
+#[test]
+fn an_expired_opening_does_not_end_a_flow() {
+    let (mut agent, roster) = agent_and_roster();
+    open(NOW, &mut agent, &roster, flow(1), FIRST_SEQUENCE);
+    let late = Segment { sequence: 77, age_ms: 30_000, ..opening(flow(1), 0) };
+    let late = arrival(late, Search::Open, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &late);
+    assert!(matches!(action, Action::Drop(_)), "{action:?}");
+
+    let arrival = arrival(request(flow(1), FIRST_SEQUENCE + 1), Search::Known, 1);
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival);
+
+    assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+}
+
+/// Questions that can't lead to a proof must not load the nodes that are left.
+#[test]
+fn a_home_asks_nobody_while_an_agent_is_silent() {
+    let Case { mut nodes, key, holder, first, .. } = synchronised();
+    let now = cut_off(&mut nodes, holder, 4);
+
+    search(now, &mut nodes, first, key, Search::Home(0), &[]);
+
+    let home = node_mut(&mut nodes, first).expect("a node");
+    assert!(!home.agent.is_question_due(now, &home.roster));
+}
+
 /// The connection for reports may be cut while the backend server waits for requests.
 #[test]
 fn missing_reports_alone_end_no_flow() {
@@ -617,6 +918,15 @@
     Case { nodes, key, holder, first, second }
 }
 
+/// Nodes as above, and a flow that has the first of them as its home node with a rank.
+fn homed_at_the_first_node(rank: usize) -> (Vec<Node>, flow::Key) {
+    let Case { nodes, .. } = synchronised();
+    let is_homed =
+        |key: &flow::Key| homes(&nodes[0].roster, key)[rank] == Some(agent_address(1));
+    let key = (1..).map(flow).find(is_homed).expect("one flow in six");
+    (nodes, key)
+}
+
 /// Nodes of which the first one has not heard that the seventh one joined, and a flow
 /// that the seventh one announces to other home nodes than the first one. All know that
 /// the sixth one left.
@@ -747,12 +1057,17 @@
 
 /// Lets all nodes that need answers ask for them, and all nodes answer.
 fn ask(now: Millis, nodes: &mut [Node]) {
+    ask_unless(now, nodes, |_, _| false);
+}
+
+/// As [`ask`], except for messages that are lost between two numbers.
+fn ask_unless(now: Millis, nodes: &mut [Node], is_lost: impl Fn(u8, u8) -> bool) {
     for node in nodes.iter_mut() {
-        node.agent.is_question_due(now);
+        node.agent.is_question_due(now, &node.roster);
     }
     // The first heartbeats carry the questions, the second ones the answers.
     for _ in 0..2 {
-        beat(now, nodes, |_, _| false);
+        beat(now, nodes, &is_lost);
     }
 }
 
@@ -784,7 +1099,9 @@
     search: Search,
     cut: &[u8],
 ) -> Action {
-    let mut arrival = arrival(request(key, FIRST_SEQUENCE + 1), search, 1);
+    let segment = request(key, FIRST_SEQUENCE + 1);
+    let mut arrival =
+        searched(&node_mut(nodes, first).expect("a node").roster, segment, search);
     let mut number = first;
     loop {
         let node = node_mut(nodes, number).expect("a node");
