Let retransmissions visit the agents that earlier walks left out

Callers saw: an open flow got no answer for seconds, while its segments reached other backend servers and none its own.

Cause: the flow was idle while its agent and its home nodes were restarted, so nobody knew it, and more agents than a message can carry might have held it. A walk visits 40, always in the same order, among them agents of other services; in the log the flow's walks ended after 40 visits, or at an agent that was just restarting, and the next one took the same way.

Now a home node counts the searches for an unknown flow, and each walk begins where the one before had to stop. Agents of services that the flow's route doesn't include are not carried, since they would pass the segment on.

Evidence: retransmissions_visit_the_agents_that_earlier_walks_left_out and a_walk_carries_no_agents_of_other_services failed before and pass now.

--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -23,6 +23,8 @@
     to_visit: Vec<SocketAddrV4>,
     /// Whether no other agent can hold it.
     is_exhaustive: bool,
+    /// Number of earlier searches for the flow.
+    searches: u32,
 }
 
 impl Plan {
@@ -77,7 +79,7 @@
                 {
                     return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
                 }
-                let plan = self.plan(now, roster, arrival, &forwarding);
+                let plan = self.plan(now, routing, roster, arrival, &forwarding);
                 match other_home {
                     Some(to) if is_home && rank == 0 && !plan.is_proof() => {
                         forwarding.search = Search::Home(1);
@@ -88,7 +90,7 @@
             }
             Search::Walk => self.continue_walk(arrival, forwarding),
             Search::Fallback => {
-                let plan = self.plan(now, roster, arrival, &forwarding);
+                let plan = self.plan(now, routing, roster, arrival, &forwarding);
                 self.start_walk(now, routing, roster, arrival, forwarding, plan)
             }
             Search::Open | Search::Known | Search::Indexed => {
@@ -104,7 +106,7 @@
                         Action::Forward { to, forwarding, cause: Cause::Elsewhere }
                     }
                     None => {
-                        let plan = self.plan(now, roster, arrival, &forwarding);
+                        let plan = self.plan(now, routing, roster, arrival, &forwarding);
                         self.start_walk(now, routing, roster, arrival, forwarding, plan)
                     }
                 }
@@ -139,6 +141,7 @@
     fn plan(
         &mut self,
         now: Millis,
+        routing: &Routing,
         roster: &Roster,
         arrival: &Arrival,
         forwarding: &Forwarding,
@@ -148,7 +151,7 @@
         let is_home = homes.contains(&Some(self.address));
         let is_undisputed =
             is_home && placement::is_home_in_all_views(roster, flow, self.address);
-        let question = self.questions.number(now, &arrival.segment);
+        let (question, searches) = self.questions.record_search(now, &arrival.segment);
         let view = roster.view(now, self.address);
         let is_index_complete = self.index.is_complete(now, self.max_flow_age_ms);
         // A process that has just started knows no other agent yet.
@@ -164,7 +167,8 @@
             && is_origin_known
             && !is_alone
             && roster.hears_all();
-        let mut plan = Plan { to_visit: Vec::new(), is_exhaustive: can_be_certain };
+        let mut plan =
+            Plan { to_visit: Vec::new(), is_exhaustive: can_be_certain, searches };
         for member in roster.agents().filter(|member| member.address != self.address) {
             let evidence = self.evidence(roster, &view, is_undisputed, member, question);
             plan.is_exhaustive &= evidence.is_current;
@@ -174,8 +178,17 @@
                 homes.contains(&Some(member.address))
             };
             let is_tried = forwarding.tried.contains(&member.address);
-            if !is_left_out && !is_tried && !member.is_silent {
+            if is_left_out || is_tried || member.is_silent {
+                continue;
+            }
+            // See `Self::visit`.
+            let status = member.backend_status.as_ref();
+            let can_deliver =
+                status.is_none_or(|status| routing.allows(flow.service, &status.service));
+            if can_deliver {
                 plan.to_visit.push(member.address);
+            } else {
+                plan.is_exhaustive = false;
             }
         }
         if can_be_certain && !plan.is_exhaustive {
@@ -227,7 +240,12 @@
             plan.is_exhaustive && forwarding.to_visit.len() <= MAX_TO_VISIT;
         let to_visit = &mut forwarding.to_visit;
         placement::sort_by_likelihood(routing, roster, &flow, &domain, to_visit);
-        to_visit.truncate(MAX_TO_VISIT);
+        if to_visit.len() > MAX_TO_VISIT {
+            // Each search visits other agents than the one before.
+            let first = plan.searches as usize * MAX_TO_VISIT % to_visit.len();
+            to_visit.rotate_left(first);
+            to_visit.truncate(MAX_TO_VISIT);
+        }
         // The walk visits this agent first, unless its backend server has another flow
         // between the same addresses.
         if self.may_hold_unknown_flows() && self.flows.get(now, &flow).is_none() {
--- a/crates/steer/src/process/agent/question.rs
+++ b/crates/steer/src/process/agent/question.rs
@@ -44,6 +44,8 @@
     acknowledged: u32,
     /// Number of the first question that was sent after the first search for the flow.
     question: u32,
+    /// Number of searches for the flow.
+    searches: u32,
 }
 
 impl Questions {
@@ -58,18 +60,20 @@
         self.sent
     }
 
-    /// The number of the first question about the unknown flow of a segment. It may not
-    /// have been sent yet.
-    pub fn number(&mut self, now: Millis, segment: &Segment) -> u32 {
+    /// Counts a search for the unknown flow of a segment. Returns the number of the first
+    /// question about it, which may not have been sent yet, and the number of searches
+    /// before.
+    pub fn record_search(&mut self, now: Millis, segment: &Segment) -> (u32, u32) {
         let (flow, acknowledged) = (segment.flow_from_caller(), segment.acknowledged);
-        let known = self.flows.get(now, &flow).copied();
+        let known = self.flows.get(now, &flow);
         if let Some(known) = known.filter(|known| known.acknowledged == acknowledged) {
-            return known.question;
+            known.searches += 1;
+            return (known.question, known.searches - 1);
         }
         let question = self.sent + 1;
         self.is_new = true;
-        self.flows.insert(now, flow, Unknown { acknowledged, question });
-        question
+        self.flows.insert(now, flow, Unknown { acknowledged, question, searches: 1 });
+        (question, 0)
     }
 
     /// Requests a question, or a repetition of it for the agents that have not answered.
--- a/crates/steer/tests/locate.rs
+++ b/crates/steer/tests/locate.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddrV4;
 
 use fixture::{
-    FIRST_SEQUENCE, INCARNATION, NOW, accept, agent, agent_address, agent_and_roster,
-    agent_heartbeat, announcement, arrival, balancer_address, flow, flow_homed_elsewhere,
-    flow_homed_here, forwarded, limits, open, opening, report, request, roster, routing,
-    searched, sync_all, sync_status,
+    FIRST_SEQUENCE, INCARNATION, INVOICES, NOW, accept, agent, agent_address,
+    agent_and_roster, agent_heartbeat, announcement, arrival, balancer_address, flow,
+    flow_homed_elsewhere, flow_homed_here, forwarded, limits, open, opening, report,
+    request, roster, routing, searched, sync_all, sync_status,
 };
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, Agent, Cause, Outgoing};
@@ -388,6 +388,48 @@
     }
 }
 
+/// A walk can't carry all agents of a large deployment. Retransmissions must reach the others,
+/// or a flow that lives at one of them gets no segment for as long as it is searched for.
+#[test]
+fn retransmissions_visit_the_agents_that_earlier_walks_left_out() {
+    let roster = roster(NOW, 90, &["a", "b", "c"]);
+    let mut agent = agent(NOW, 1, "a");
+    let key = flow_homed_here(&roster);
+    let mut visited = Vec::new();
+
+    for attempt in 0..3 {
+        let now = NOW.after(attempt * 200);
+        let last = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
+        let action = agent.handle_caller_segment(now, &routing(1), &roster, &last);
+        let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
+        visited.push(to);
+        visited.extend(forwarding.to_visit);
+    }
+
+    for number in 2..=90 {
+        assert!(visited.contains(&agent_address(number)), "agent {number}");
+    }
+}
+
+/// A walk must not carry agents that can't deliver the segment, since it can't carry many.
+#[test]
+fn a_walk_carries_no_agents_of_other_services() {
+    let mut roster = roster(NOW, 6, &["a"]);
+    let mut other = agent_heartbeat(9, "a", Stage::Ready, 0);
+    other.backend_status.as_mut().expect("a status").service = INVOICES.into();
+    roster.record_heartbeat(NOW, agent_address(3), &other).expect("a later heartbeat");
+    let mut agent = agent(NOW, 1, "a");
+    let key = flow_homed_here(&roster);
+
+    let last = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &last);
+
+    let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
+    assert_eq!(forwarding.to_visit.len() + 1, 4);
+    assert!(to != agent_address(3) && !forwarding.to_visit.contains(&agent_address(3)));
+    assert!(!forwarding.is_exhaustive);
+}
+
 /// A walk must end even if nodes know different members. Two nodes used to send the
 /// segment back and forth until the hop limit.
 #[test]
