--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -6,6 +6,7 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
+use crate::connection::flow;
 use crate::connection::in_flight::InFlight;
 use crate::connection::index::Index;
 use crate::connection::lifetime::Lifetime;
@@ -24,6 +25,7 @@
 mod announce;
 mod delivered;
 mod locate;
+mod question;
 mod sync;
 
 pub use action::{
@@ -32,6 +34,7 @@
 };
 
 use delivered::{Delivered, Ring};
+use question::Questions;
 use sync::{Received, Sent};
 
 /// Maximum number of agents that an opening segment is forwarded to after the first agent
@@ -79,6 +82,9 @@
     index: Index,
     /// Recently delivered segments, which the backend server may return.
     delivered: Ring,
+    /// Since when every flow of the backend server has been recorded in `flows`: the start
+    /// of the agent, or the last eviction of a flow.
+    recorded_since: Millis,
     /// Whether `flows` contains all flows of the backend server.
     knows_all_flows: bool,
     /// The highest routing revision that a delivered opening was based on. Openings based
@@ -88,13 +94,14 @@
     sent: Sent,
     /// Announcements received as a home node.
     received: Received,
+    /// Questions about flows that this agent doesn't know although it is a home node.
+    questions: Questions,
+    /// Home nodes that don't know of some flow which the backend server has accepted and the
+    /// caller may have chosen since. Sorted, without duplicates.
+    unannounced: Vec<SocketAddrV4>,
     /// Generation of the roster at the last call of [`Self::announcements`]; `None` if
     /// flows may have to be announced although the generation is the same.
     announced_generation: Option<u64>,
-    /// Hash of the set of agents from which home nodes were selected.
-    view_hash: u32,
-    /// Number of agents in that set.
-    view_size: u16,
 }
 
 impl Agent {
@@ -114,13 +121,14 @@
             health: Health::default(),
             index: Index::new(limits.flows),
             delivered: Ring::new(fastrand::u32(1..)),
+            recorded_since: now,
             knows_all_flows: false,
             min_revision: 0,
             sent: Sent::default(),
             received: Received::default(),
+            questions: Questions::new(limits.flows),
+            unannounced: Vec::new(),
             announced_generation: None,
-            view_hash: 0,
-            view_size: 0,
         }
     }
 
@@ -150,43 +158,71 @@
         report: Report,
     ) -> (backend::Change, Vec<Ended>) {
         let is_initial = report.is_initial();
+        let last_report = self.backend.last_report();
         let change = self.backend.record_report(now, report);
         let mut ended = Vec::new();
         if let backend::Change::Started { is_replacement } = change {
             self.knows_all_flows = is_initial;
             if is_replacement {
-                ended = self.end_all();
-            } else {
-                // If the backend server was considered gone by mistake, it may still hold
-                // these flows.
-                self.flows.retain(|_, state| state.stage != Stage::Lost);
+                // The new instance may have accepted those that were offered since.
+                ended = self.end_flows(|state| {
+                    state.offered_at.is_none_or(|offered_at| offered_at <= last_report)
+                });
+            } else if self.forget_lost_flows() {
+                self.recorded_since = now;
             }
         }
         (change, ended)
     }
 
     /// Determines whether all flows of the backend server are known. That is the case if
-    /// the backend server started too late to have other flows, or if this process has
-    /// been running for longer than any flow may be idle or may exist.
+    /// the backend server started too late to have other flows, or if all flows have been
+    /// recorded for longer than any flow may be idle or may exist.
     pub fn update_knows_all_flows(&mut self, now: Millis, routing: &Routing) {
         let service = self.backend.report().and_then(|r| routing.service(&r.service));
         let age_ms =
             service.and_then(|service| self.backend.age_ms(now, service.cold_ms));
-        let uptime_ms = now.since(self.start);
-        self.knows_all_flows |= age_ms
-            .is_some_and(|age_ms| age_ms <= uptime_ms + MIN_RESTART_MS)
-            || (routing.idle_ms > 0 && uptime_ms > routing.idle_ms)
-            || uptime_ms > self.max_flow_age_ms;
+        let recorded_ms = now.since(self.recorded_since);
+        let is_recorded = |age_ms| age_ms <= recorded_ms + MIN_RESTART_MS;
+        self.knows_all_flows |= (self.recorded_since == self.start
+            && age_ms.is_some_and(is_recorded))
+            || (routing.idle_ms > 0 && recorded_ms > routing.idle_ms)
+            || recorded_ms > self.max_flow_age_ms;
+    }
+
+    /// Records a flow of the backend server. If another one has to be evicted for it, not
+    /// all flows are known any more.
+    fn record_flow(&mut self, now: Millis, flow: flow::Key, state: State) {
+        self.flows.insert(now, flow, state);
+        if self.flows.evicted_at() == Some(now) {
+            self.recorded_since = now;
+            self.knows_all_flows = false;
+        }
     }
 
     /// Whether all flows of the backend server are known or there is no backend server.
-    pub fn knows_all_flows(&self, now: Millis) -> bool {
-        !self.may_hold_unknown_flows(now)
+    pub fn knows_all_flows(&self) -> bool {
+        !self.may_hold_unknown_flows()
     }
 
     /// Whether there is no backend server next to this agent.
-    pub fn has_no_backend(&self, now: Millis) -> bool {
-        self.backend.is_leaving() || !self.backend.may_be_running(now, self.start)
+    pub fn has_no_backend(&self) -> bool {
+        self.backend.is_leaving() || !self.backend.may_be_running()
+    }
+
+    /// Whether a probe must show now if the backend server is running.
+    pub fn is_probe_due(&mut self) -> bool {
+        self.backend.is_probe_due()
+    }
+
+    /// Records that a probe which began at `since` found no process at the address of the
+    /// backend server. Returns the flows that ended with it, each of them once.
+    pub fn record_absence(&mut self, since: Millis) -> Vec<Ended> {
+        if !self.backend.record_absence(since) {
+            return Vec::new();
+        }
+        self.knows_all_flows = true;
+        self.end_flows(|_| true)
     }
 
     /// Records that the backend server is shutting down. Returns whether it is the
@@ -195,8 +231,8 @@
         self.backend.record_leave(now, id)
     }
 
-    /// Detects whether the backend server is gone. Returns the flows that ended with it,
-    /// each of them once.
+    /// Detects whether the backend server is gone as it had said. Returns the flows that
+    /// ended with it, each of them once.
     pub fn tick(&mut self, now: Millis) -> Vec<Ended> {
         self.count_open();
         self.lifetime.tick(self.open);
@@ -208,7 +244,7 @@
             return Vec::new();
         }
         self.knows_all_flows = true;
-        self.end_all()
+        self.end_flows(|_| true)
     }
 
     /// Stops admitting openings, because the process is about to stop.
@@ -257,12 +293,15 @@
         }
         let flow = segment.flow_from_backend();
         if self.flows.get(now, &flow).is_none() {
-            self.flows.insert(now, flow, State::new(Stage::Offered));
+            self.record_flow(now, flow, State::new(Stage::Offered));
         }
         let state = self.flows.get(now, &flow)?;
-        if segment.flags.reset && state.stage == Stage::Accepted {
+        let is_unchosen = matches!(state.stage, Stage::Offered | Stage::Accepted);
+        if segment.flags.reset && is_unchosen {
             // The caller may have opened the flow at another backend server, where it
             // continues.
+            self.flows.remove(&flow);
+            self.in_flight.remove(&flow);
             return Some(BackendAction::Drop(Cause::Elsewhere));
         }
         if state.stage == Stage::Open && (segment.flags.reset || segment.flags.close) {
@@ -277,9 +316,11 @@
         state.stage = match state.stage {
             _ if segment.flags.close || segment.flags.reset => Stage::Closing,
             Stage::Offered if is_accept => Stage::Accepted,
-            // If the agent was restarted meanwhile, only data of the flow shows that it
-            // is open.
-            Stage::Offered if segment.length > 0 => Stage::Open,
+            // If the agent was restarted meanwhile, any segment but an acceptance shows
+            // that the flow is open.
+            Stage::Offered if segment.length > 0 || state.offered_at.is_none() => {
+                Stage::Open
+            }
             stage => stage,
         };
         let is_closing = state.stage == Stage::Closing;
@@ -302,6 +343,7 @@
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.flows.expire(now, idle_ms);
         self.index.expire(now, idle_ms);
+        self.questions.expire(now);
     }
 
     /// The number of open flows, and of requests in progress.
@@ -336,23 +378,35 @@
     ) -> Action {
         let flow = arrival.segment.flow_from_caller();
         let ack = arrival.segment.acknowledged;
-        let may_hold_unknown_flows = self.may_hold_unknown_flows(now);
+        let forwarding = &arrival.forwarding;
         match self.flows.get(now, &flow).copied() {
             // The caller opened the flow at another backend server. This one would answer
             // with a reset.
             Some(state) if !state.accepts_ack(ack) => {
                 self.locate(now, routing, roster, arrival)
             }
+            // The caller opened the flow elsewhere meanwhile.
+            Some(state) if state.stage == Stage::Held => {
+                self.admission.remove(&flow);
+                self.flows.remove(&flow);
+                self.locate(now, routing, roster, arrival)
+            }
             Some(state) if state.stage == Stage::Lost => self.reset(arrival, Cause::Lost),
             Some(_) => self.deliver(now, arrival, false),
             // As long as some flows are unknown, only the backend server can tell whether
             // it holds this one.
-            None if may_hold_unknown_flows
-                && !matches!(arrival.forwarding.search, Search::Home(_)) =>
-            {
-                self.deliver(now, arrival, false)
-            }
-            None => self.locate(now, routing, roster, arrival),
+            None => match forwarding.search {
+                Search::Home(_) | Search::Fallback => {
+                    self.locate(now, routing, roster, arrival)
+                }
+                _ if !self.may_hold_unknown_flows() => {
+                    self.locate(now, routing, roster, arrival)
+                }
+                Search::Walk => self.visit(now, routing, arrival, forwarding.clone()),
+                Search::Open | Search::Known | Search::Indexed => {
+                    self.deliver(now, arrival, false)
+                }
+            },
         }
     }
 
@@ -371,7 +425,8 @@
             }
             let Segment { sequence, length, .. } = arrival.segment;
             is_request = length > 0 && state.record_request(sequence, length);
-            if arrival.segment.flags.close || arrival.segment.flags.reset {
+            let is_last = arrival.segment.flags.close || arrival.segment.flags.reset;
+            if is_last && state.stage == Stage::Open {
                 state.stage = Stage::Closing;
             }
         }
@@ -398,8 +453,8 @@
     }
 
     /// Whether the backend server may hold flows that this agent doesn't know.
-    fn may_hold_unknown_flows(&self, now: Millis) -> bool {
-        !self.knows_all_flows && self.backend.may_be_running(now, self.start)
+    fn may_hold_unknown_flows(&self) -> bool {
+        !self.knows_all_flows && self.backend.may_be_running()
     }
 
     /// Failure domain of the balancer that received the segment; the agent's own domain
@@ -441,7 +496,7 @@
             forwarding: delivered.forwarding,
             service: delivered.service,
         };
-        let stage = self.flows.remove(&flow).map(|state| state.stage);
+        let state = self.flows.remove(&flow);
         self.in_flight.remove(&flow);
         if segment.is_opening() {
             return Some(self.redirect_or_refuse(
@@ -452,26 +507,28 @@
                 Cause::Returned,
             ));
         }
-        Some(match stage {
-            // The backend server did hold the flow: it was restarted or has dropped the
-            // flow.
-            Some(Stage::Open | Stage::Closing | Stage::Lost) => {
-                self.reset(&arrival, Cause::Lost)
-            }
-            Some(Stage::Held | Stage::Offered | Stage::Accepted) | None => {
-                self.locate(now, routing, roster, &arrival)
-            }
+        // The backend server did hold the flow if it has accepted it and the caller has
+        // chosen it: it was restarted or has dropped the flow.
+        let was_held = state.is_some_and(|state| {
+            state.first_sequence.is_some()
+                && (state.is_established() || state.stage == Stage::Lost)
+        });
+        Some(if was_held {
+            self.reset(&arrival, Cause::Lost)
+        } else {
+            self.locate(now, routing, roster, &arrival)
         })
     }
 
-    /// Marks all flows as ended with their backend server. Returns those that were open.
-    fn end_all(&mut self) -> Vec<Ended> {
+    /// Marks flows as ended with their backend server. Returns those that were open.
+    fn end_flows(&mut self, has_ended: impl Fn(&State) -> bool) -> Vec<Ended> {
         let mut ended = Vec::new();
-        self.in_flight.clear();
+        let in_flight = &mut self.in_flight;
         self.flows.retain(|flow, state| {
-            if state.stage == Stage::Held {
+            if state.stage == Stage::Held || !has_ended(state) {
                 return true;
             }
+            in_flight.remove(flow);
             // The callers of all other flows may have chosen another backend server.
             let is_kept = state.is_established() || state.stage == Stage::Lost;
             if state.stage == Stage::Open {
@@ -482,4 +539,16 @@
         });
         ended
     }
+
+    /// Forgets the flows of a backend server that was considered gone by mistake and may
+    /// still hold them. Returns whether there were any.
+    fn forget_lost_flows(&mut self) -> bool {
+        let mut had_any = false;
+        self.flows.retain(|_, state| {
+            let is_lost = state.stage == Stage::Lost;
+            had_any |= is_lost;
+            !is_lost
+        });
+        had_any
+    }
 }
--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -22,12 +22,21 @@
     ) {
         for flow in &announcement.flows {
             self.index.insert(now, *flow, from);
+            self.questions.remove(flow);
         }
         if announcement.receiver == self.incarnation(roster) {
             self.received.count(from, announcement);
         }
     }
 
+    /// Records that another agent has left, and that its flows have ended. The process that
+    /// takes over its address may have announced flows already.
+    pub fn handle_leave(&mut self, from: SocketAddrV4, incarnation: u64) {
+        if !self.received.has_other(from, incarnation) {
+            self.index.remove_agent(from);
+        }
+    }
+
     /// Processes a heartbeat of another agent. If an announcement to that agent was lost,
     /// the next call of [`Self::announcements`] announces all flows to it again.
     pub fn handle_heartbeat(
@@ -39,7 +48,10 @@
     ) {
         let Some(sync_status) = heartbeat.sync_status else { return };
         let home = Home { address: from, incarnation: heartbeat.incarnation };
-        if sync_status.receiver != self.incarnation(roster)
+        let is_replaced =
+            roster.get(from).is_none_or(|member| member.incarnation != home.incarnation);
+        if is_replaced
+            || sync_status.receiver != self.incarnation(roster)
             || !self.sent.detect_loss(now, home, sync_status.received)
         {
             return;
@@ -56,31 +68,57 @@
     }
 
     /// The synchronisation status to send to another agent with the next heartbeat.
-    pub fn sync_status(&self, now: Millis, member: &Member) -> SyncStatus {
+    pub fn sync_status(&self, roster: &Roster, member: &Member) -> SyncStatus {
         let home = Home { address: member.address, incarnation: member.incarnation };
+        // Otherwise some announcements are due, which the count doesn't include yet.
+        let has_announced = self.announced_generation == Some(roster.generation())
+            && self.unannounced.binary_search(&member.address).is_err();
         SyncStatus {
             receiver: member.incarnation,
-            view_hash: self.view_hash,
-            view_size: self.view_size,
-            knows_all_flows: self.knows_all_flows(now),
+            view_hash: roster.view_hash(),
+            hears_all: roster.hears_all(),
+            is_complete: has_announced && self.knows_all_flows(),
             sent: self.sent.progress(home),
             received: self.received.progress(member.address, member.incarnation),
+            question: self.questions.sent(),
+            answered: member.sync_status.map_or(0, |status| status.question),
         }
     }
 
+    /// Whether other agents must be asked for a heartbeat now, because this home node was
+    /// asked for a flow that it doesn't know: those that [`Self::has_answered`] excludes.
+    pub fn is_question_due(&mut self, now: Millis, roster: &Roster) -> bool {
+        self.questions.is_due(now, roster.agents().count() as u64)
+    }
+
+    /// Whether another agent has answered the last question.
+    pub fn has_answered(&self, member: &Member) -> bool {
+        let status = member.sync_status;
+        status.is_some_and(|status| status.answered >= self.questions.sent())
+    }
+
     /// The announcements that have become due since the last call.
     pub fn announcements(&mut self, now: Millis, roster: &Roster) -> Vec<Outgoing> {
         let generation = roster.generation();
         let is_changed = self.announced_generation != Some(generation);
         self.announced_generation = Some(generation);
-        self.view_hash = roster.view_hash();
-        self.view_size = roster.live_agents();
         let mut due: Vec<(Home, Vec<flow::Key>)> = Vec::new();
         let own = self.address;
+        let unannounced = &mut self.unannounced;
+        unannounced.clear();
         self.flows.retain(|flow, state| {
-            if (state.announced_generation != Some(generation) || is_changed)
-                && state.is_established()
-            {
+            let is_due = state.announced_generation != Some(generation) || is_changed;
+            if is_due && state.stage == Stage::Accepted {
+                let before = unannounced.len();
+                let homes = current_homes(roster, flow).into_iter().flatten();
+                let others = homes.filter(|home| home.address != own);
+                let uninformed =
+                    others.filter(|home| !state.homes.contains(&Some(*home)));
+                unannounced.extend(uninformed.map(|home| home.address));
+                let is_known = unannounced.len() == before;
+                state.announced_generation = is_known.then_some(generation);
+            }
+            if is_due && state.is_established() {
                 for home in uninformed_homes(roster, own, flow, state) {
                     match due.binary_search_by_key(&home, |(known, _)| *known) {
                         Ok(index) => due[index].1.push(*flow),
@@ -90,6 +128,8 @@
             }
             true
         });
+        unannounced.sort_unstable();
+        unannounced.dedup();
         let sender = self.incarnation(roster);
         let chunks = due.iter().flat_map(|(home, flows)| {
             flows.chunks(MAX_ANNOUNCED).map(|flows| (*home, flows.to_vec()))
@@ -125,9 +165,14 @@
         home: Home,
         flows: Vec<flow::Key>,
     ) -> Outgoing {
-        let epoch = self.sent.count(now, home);
-        let announcement =
-            Announcement { sender, receiver: home.incarnation, epoch, flows };
+        let progress = self.sent.count(now, home);
+        let announcement = Announcement {
+            sender,
+            receiver: home.incarnation,
+            epoch: progress.epoch,
+            number: progress.count,
+            flows,
+        };
         Outgoing { to: home.address, announcement }
     }
 }
@@ -140,12 +185,17 @@
     flow: &flow::Key,
     state: &mut State,
 ) -> impl Iterator<Item = Home> + use<> {
-    let homes = placement::homes(roster, flow).map(|home| {
-        let member = roster.get(home?)?;
-        Some(Home { address: member.address, incarnation: member.incarnation })
-    });
+    let homes = current_homes(roster, flow);
     state.announced_generation = Some(roster.generation());
     let informed = std::mem::replace(&mut state.homes, homes);
     let others = homes.into_iter().flatten().filter(move |home| home.address != own);
     others.filter(move |home| !informed.contains(&Some(*home)))
 }
+
+/// The home nodes of a flow with their incarnations.
+fn current_homes(roster: &Roster, flow: &flow::Key) -> [Option<Home>; 2] {
+    placement::homes(roster, flow).map(|home| {
+        let member = roster.get(home?)?;
+        Some(Home { address: member.address, incarnation: member.incarnation })
+    })
+}
--- /dev/null
+++ b/crates/steer/src/process/agent/question.rs
@@ -0,0 +1,103 @@
+//! Questions of a home node to the other agents.
+//!
+//! What an agent said before a flow was opened proves nothing about the flow. A home node
+//! that doesn't know a flow therefore asks all agents for a heartbeat, and only takes a
+//! flow for ended if each of them has answered that question.
+
+use lentilreach::process::clock::Millis;
+
+use crate::connection::flow;
+use crate::connection::table::Table;
+use crate::request::segment::Segment;
+
+/// Minimum interval between questions, in milliseconds. Callers retransmit after 200 ms.
+const INTERVAL_MS: u64 = 100;
+
+/// Minimum time for each agent that is asked, in milliseconds. Limits the rate of messages,
+/// whatever the number of agents is.
+const INTERVAL_PER_AGENT_MS: u64 = 2;
+
+/// Time after which an unknown flow that is no longer searched for is forgotten, in
+/// milliseconds. Callers retransmit every 1.6 s at least.
+const RETENTION_MS: u64 = 3_000;
+
+/// The questions that were sent, and the flows that they are about.
+#[derive(Debug)]
+pub(super) struct Questions {
+    /// Number of the last question; 0 before the first one.
+    sent: u32,
+    /// When it was sent.
+    sent_at: Option<Millis>,
+    /// Whether a flow became unknown after the last question.
+    is_new: bool,
+    /// Whether answers are missing for some unknown flow.
+    is_needed: bool,
+    /// Unknown flows.
+    flows: Table<Unknown>,
+}
+
+/// An unknown flow.
+#[derive(Debug, Clone, Copy)]
+struct Unknown {
+    /// What the caller has acknowledged. It doesn't change while nobody answers, and tells
+    /// the flow from an earlier one between the same addresses.
+    acknowledged: u32,
+    /// Number of the first question that was sent after the first search for the flow.
+    question: u32,
+}
+
+impl Questions {
+    /// Creates the state for approximately `limit` unknown flows.
+    pub fn new(limit: usize) -> Self {
+        let flows = Table::new(limit);
+        Self { sent: 0, sent_at: None, is_new: false, is_needed: false, flows }
+    }
+
+    /// Number of the last question.
+    pub fn sent(&self) -> u32 {
+        self.sent
+    }
+
+    /// The number of the first question about the unknown flow of a segment. It may not
+    /// have been sent yet.
+    pub fn number(&mut self, now: Millis, segment: &Segment) -> u32 {
+        let (flow, acknowledged) = (segment.flow_from_caller(), segment.acknowledged);
+        let known = self.flows.get(now, &flow).copied();
+        if let Some(known) = known.filter(|known| known.acknowledged == acknowledged) {
+            return known.question;
+        }
+        let question = self.sent + 1;
+        self.is_new = true;
+        self.flows.insert(now, flow, Unknown { acknowledged, question });
+        question
+    }
+
+    /// Requests a question, or a repetition of it for the agents that have not answered.
+    pub fn request(&mut self) {
+        self.is_needed = true;
+    }
+
+    /// Forgets a flow that is not unknown any more.
+    pub fn remove(&mut self, flow: &flow::Key) {
+        self.flows.remove(flow);
+    }
+
+    /// Whether a question must be sent or repeated now, if there are `agents` agents. Counts
+    /// it as sent.
+    pub fn is_due(&mut self, now: Millis, agents: u64) -> bool {
+        let interval_ms = INTERVAL_MS.max(agents * INTERVAL_PER_AGENT_MS);
+        let is_allowed = self.sent_at.is_none_or(|at| now.since(at) >= interval_ms);
+        if !self.is_needed || !is_allowed {
+            return false;
+        }
+        self.sent += u32::from(std::mem::take(&mut self.is_new));
+        self.sent_at = Some(now);
+        self.is_needed = false;
+        true
+    }
+
+    /// Removes flows that are no longer searched for.
+    pub fn expire(&mut self, now: Millis) {
+        self.flows.expire(now, RETENTION_MS);
+    }
+}
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -5,9 +5,9 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
-use crate::connection::cache::{Cache, Entry};
+use crate::connection::cache::{Attempt, Cache, Entry};
 use crate::connection::flow;
-use crate::process::roster::{JOIN_TIMEOUT_MS, Roster};
+use crate::process::roster::{JOIN_TIMEOUT_MS, Member, Roster};
 use crate::request::message::Search;
 use crate::request::placement::{self, Request};
 use crate::request::segment::Segment;
@@ -64,8 +64,6 @@
     NoRoute,
     /// No agent accepts flows of the service.
     NoAgent,
-    /// The agent that holds the flow is unreachable.
-    AgentSilent,
 }
 
 impl Refusal {
@@ -74,7 +72,6 @@
         match self {
             Self::NoRoute => "no_route",
             Self::NoAgent => "no_agent",
-            Self::AgentSilent => "agent_silent",
         }
     }
 }
@@ -188,7 +185,8 @@
     }
 
     /// Sends a segment to the agent that holds its flow, or to a home node if that agent
-    /// is unknown.
+    /// is unknown. Never resets a flow: its backend server may be alive although its agent
+    /// is silent.
     fn handle_established(
         &mut self,
         now: Millis,
@@ -196,29 +194,30 @@
         segment: &Segment,
     ) -> Action {
         let flow = &segment.flow_from_caller();
-        let known = self.cache.get(now, flow).and_then(|entry| entry.agent());
-        if let Some(member) = known.and_then(|agent| roster.get(agent)) {
-            // The agent doesn't respond. After a reset the caller can open a new flow
-            // sooner than after a timeout.
-            if roster.is_unreachable(now, member) && !segment.flags.reset {
-                return Action::Refuse {
-                    sequence: segment.acknowledged,
-                    cause: Refusal::AgentSilent,
-                };
-            }
-            let to = member.address;
+        let entry = self.cache.get(now, flow);
+        let known = entry.and_then(|entry| entry.agent()).and_then(|to| roster.get(to));
+        let is_overdue = |member: &Member| member.is_silent && member.incarnation != 0;
+        if let Some(member) = known
+            && (!is_overdue(member) || roster.is_isolated())
+        {
             return Action::Send {
-                to,
+                to: member.address,
                 search: Search::Known,
                 service: None,
                 is_newly_selected: false,
             };
         }
+        // The flow may be at another agent than the silent one: a copy of its opening may
+        // have been accepted there.
+        let silent = known.map(|member| member.address);
         let [first, second] = placement::homes(roster, flow);
-        let (to, search) = match self.cache.next_attempt(now, flow) {
-            0 => (first, Search::Home(0)),
-            1 if second.is_some() => (second, Search::Home(1)),
-            _ => (placement::fallback(roster, flow), Search::Walk),
+        let (to, search) = match self.cache.next_attempt(now, flow, silent) {
+            Attempt::Home(0) => (first, Search::Home(0)),
+            Attempt::Home(_) if second.is_some() => (second, Search::Home(1)),
+            Attempt::Silent(agent) => (Some(agent), Search::Known),
+            Attempt::Home(_) | Attempt::Fallback => {
+                (placement::fallback(roster, flow), Search::Fallback)
+            }
         };
         match to {
             Some(to) => {
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -196,7 +196,7 @@
     pub fn broadcast_heartbeat(
         &self,
         role: Role,
-        sync_status: impl Fn(&Member) -> Option<SyncStatus>,
+        sync_status: impl Fn(&Roster, &Member) -> Option<SyncStatus>,
     ) {
         let round = self.rounds.fetch_add(1, Ordering::Relaxed);
         let to: Vec<_> = {
@@ -209,11 +209,37 @@
                 role == Role::Agent || (member.role == Role::Agent && is_near(member))
             };
             let members = roster.members().iter().filter(needs);
-            members.map(|member| (member.address, sync_status(member))).collect()
+            members.map(|member| (member.address, sync_status(&roster, member))).collect()
         };
         self.send_heartbeats(to, role, false);
     }
 
+    /// Asks agents for a heartbeat: those for which `sync_status` returns a status to
+    /// include.
+    pub fn ask_agents(
+        &self,
+        sync_status: impl Fn(&Roster, &Member) -> Option<SyncStatus>,
+    ) {
+        let to: Vec<_> = {
+            let roster = self.roster.read();
+            let asked = roster.agents().filter_map(|member| {
+                Some((member.address, Some(sync_status(&roster, member)?)))
+            });
+            asked.collect()
+        };
+        self.send_heartbeats(to, Role::Agent, true);
+    }
+
+    /// Sends a heartbeat to one node with its synchronisation status.
+    pub fn reply_heartbeat(
+        &self,
+        to: SocketAddrV4,
+        role: Role,
+        sync_status: Option<SyncStatus>,
+    ) {
+        self.send_heartbeats([(to, sync_status)], role, false);
+    }
+
     /// Sends a heartbeat to some nodes.
     pub fn send_heartbeat(&self, to: &[SocketAddrV4], role: Role, wants_reply: bool) {
         self.send_heartbeats(
@@ -353,11 +379,17 @@
         or(answer, timeout).await
     }
 
-    /// Processes the departure of a member.
-    pub fn handle_leave(&self, from: SocketAddrV4) {
-        if self.roster.write().remove(from) {
-            log::info!(target: "member", member:% = from, change = "left"; "member left");
+    /// Processes the departure of a member. Returns whether it was known.
+    pub fn handle_leave(&self, from: SocketAddrV4, incarnation: u64) -> bool {
+        let is_known =
+            from != self.settings.nodes && self.roster.write().remove(from, incarnation);
+        if is_known {
+            log::info!(
+                target: "member", member:% = from, change = "left", incarnation = incarnation;
+                "member left"
+            );
         }
+        is_known
     }
 
     /// Time for which a datagram that is read now may have waited because the process was
@@ -381,7 +413,7 @@
         self.has_left.store(true, Ordering::Relaxed);
         let roster = self.roster.read();
         for member in roster.members() {
-            self.send(member.address, &Message::Leave);
+            self.send(member.address, &Message::Leave(self.incarnation));
         }
         // If the channel is full, the registration has already been signalled.
         let _ = self.leave_signal.0.try_send(());
