--- a/crates/lentilreach/tests/session.rs
+++ b/crates/lentilreach/tests/session.rs
@@ -456,6 +456,21 @@
 /// time in which it could not read the response that was there.
 #[test]
 fn a_response_that_arrives_during_a_pause_is_an_answer() {
+    let program = std::env::current_exe().expect("the path of this program");
+    let name = "a_response_that_arrives_while_the_process_is_stopped_is_an_answer";
+    let output = Command::new(program)
+        .args(["--exact", "--ignored", name])
+        .output()
+        .expect("this program can be started");
+
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success() && text.contains("1 passed"), "{text}");
+}
+
+/// As above, in a process of its own: it stops itself, and other tests must go on.
+#[test]
+#[ignore = "run by the test above"]
+fn a_response_that_arrives_while_the_process_is_stopped_is_an_answer() {
     let backend = Backend::start();
     let deployment = Deployment::start(backend.address, 30_000);
     let flow = wait("a flow", deployment.open());
