--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -6,7 +6,7 @@
 use crate::check;
 use crate::deployment::{Deployment, Route, SIGKILL, SIGTERM, Service};
 use crate::record;
-use crate::target::{Settings, Target};
+use crate::target::{OddWriter, Settings, Target};
 
 const CALENDAR: &str = "abo-kalender";
 const INVOICES: &str = "beleg-dienst";
@@ -30,6 +30,7 @@
         "cold-return" => cold_return(has_trouble),
         "agent-kill" => agent_kill(has_trouble),
         "early-restart" => early_restart(has_trouble),
+        "odd-report" => odd_report(has_trouble),
         "silent-store" => silent_store(has_trouble),
         _ => return Err(format!("there is no case {case}")),
     };
@@ -244,6 +245,54 @@
     Ok(!found.is_empty())
 }
 
+/// The process beside a target is restarted as planned. Another writer sends status reports
+/// that name an unknown service, before, meanwhile and after.
+fn odd_report(has_trouble: bool) -> Outcome {
+    const PAUSE: Duration = Duration::from_millis(200);
+    let sides =
+        [("raum-nord", CALENDAR), ("raum-nord", INVOICES), ("raum-sued", INVOICES)];
+    let mut deployment = Deployment::new(&["raum-nord", "raum-sued"], &sides)?;
+    let routes = routes(&deployment);
+    deployment.configure(4, &routes, &services());
+    deployment.start_nodes()?;
+    let mut targets = Vec::new();
+    for side in &deployment.sides {
+        targets.push(Target::start(side.target.clone())?);
+    }
+    deployment.wait_ready()?;
+    sleep(4_000);
+    let _others = deployment.client(1, &routes[1], 5.0)?;
+    let client = deployment.client_with(2, &routes[0], 10.0, 60, PAUSE)?;
+    let settings = deployment.sides[0].target.clone();
+    let id = settings.id.clone();
+    let writer = has_trouble.then(|| OddWriter::start(settings));
+    sleep(2_000);
+    client.open_no_more();
+    sleep(2_000);
+    wait_report(&targets[0])?;
+    let node = &mut deployment.sides[0].node;
+    node.signal(SIGTERM);
+    node.wait();
+    sleep(200);
+    node.start()?;
+    sleep(5_000);
+    drop(writer);
+    drop(client);
+    let ended = deployment.ended();
+    let events = record::events();
+    check::summarize(&events);
+    let found = check::ended_flows(&events, &id);
+    record::say(&format!("processes that ended by themselves: {ended:?}"));
+    record::say(&format!(
+        "open flows of live target {id} that a reset of the system ended: {}",
+        found.len()
+    ));
+    for line in &found {
+        record::say(line);
+    }
+    Ok(!found.is_empty())
+}
+
 fn judge_cold(deployment: &mut Deployment, id: &str, since: f64) -> Outcome {
     let ended = deployment.ended();
     let events = record::events();
--- a/review/standin/target.rs
+++ b/review/standin/target.rs
@@ -213,6 +213,47 @@
     Ok(BufReader::new(stream))
 }
 
+/// Another writer, whose status reports name no target to use: their service isn't one of the
+/// deployment's, and fields are missing.
+pub struct OddWriter {
+    is_ended: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl OddWriter {
+    const INTERVAL: Duration = Duration::from_millis(500);
+
+    /// Sends reports to the address at which those of a target are received.
+    pub fn start(settings: Settings) -> Self {
+        let is_ended = Arc::new(AtomicBool::new(false));
+        let ended = is_ended.clone();
+        let thread = thread::spawn(move || {
+            let mut sequence = 0;
+            while !ended.load(SeqCst) {
+                sequence += 1;
+                let body = format!(
+                    "{{\"service\":\"unbekannt\",\"slots\":1,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{sequence}}}"
+                );
+                let path = "/lentilreach/targets/i-0dd0dd00";
+                let outcome = connect(&settings)
+                    .and_then(|mut stream| http::call(&mut stream, "PUT", path, &body));
+                record::note(format!("report {sequence} of another writer: {outcome:?}"));
+                thread::sleep(Self::INTERVAL);
+            }
+        });
+        Self { is_ended, thread: Some(thread) }
+    }
+}
+
+impl Drop for OddWriter {
+    fn drop(&mut self) {
+        self.is_ended.store(true, SeqCst);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
 /// A flow at the target.
 struct Held {
     is_open: bool,
