--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 for program in target/review/standin target/release/lentilreach-agent target/release/lentilreach-balancer; do
     [ -x "$program" ] || { echo "$program is missing" >&2; exit 2; }
 done
-exec target/review/standin odd-report review/3/record.txt
+exec target/review/standin reused-address review/3/record.txt
