Claim to know all flows only if none can have been missed

Cause: a new process took all flows of its backend server for known if the backend server was at most 1 s older than the process (MIN_RESTART_MS), or if the first report that arrived was the first of the backend server. Both are assumptions about what an earlier process had done. Home nodes take the claim as proof that nobody holds a flow.

Now the claim needs evidence: the instance replaced one that had reported to this process, a connection to its address had been refused, or flows have been recorded for longer than any may be idle or exist. After a replacement it also requires that no flow was evicted since the last report of the instance before. Withholding the claim costs callers of dead flows a walk or a time-out.

Ruled out: a shorter constant, since no duration is a proof; the age of the backend server with a margin for the time that its report took, since that time has no bound.

Fixtures whose agent is to know all flows now let it find no backend server before the first report.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -52,8 +52,6 @@
     address: SocketAddrV4,
     /// The agent's failure domain.
     domain: Name,
-    /// When the agent started.
-    start: Millis,
     /// Maximum lifetime of a flow, in milliseconds.
     max_flow_age_ms: u64,
     /// The backend server next to the agent.
@@ -79,7 +77,8 @@
     /// Since when every flow of the backend server has been recorded in `flows`: the start
     /// of the agent, or the last eviction of a flow.
     recorded_since: Millis,
-    /// Whether `flows` contains all flows of the backend server.
+    /// Whether `flows` contains all flows of the backend server: this process has recorded
+    /// everything that could open one. Home nodes take it as proof that a flow has ended.
     knows_all_flows: bool,
     /// The highest routing revision that a delivered opening was based on. Openings based
     /// on an older revision are dropped.
@@ -104,7 +103,6 @@
         Self {
             address,
             domain,
-            start: now,
             max_flow_age_ms: limits.max_flow_age_ms,
             backend: Backend::new(limits.bounds),
             flows: Table::new(limits.flows),
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -9,12 +9,6 @@
 use crate::process::backend::{self, Report};
 use crate::version::routing::Routing;
 
-/// Minimum time between the end of an agent's process and the moment when its successor
-/// delivers segments, in milliseconds: it has to start and to read the configuration. A
-/// backend server that started at most this long before its agent can't hold flows that
-/// an earlier process of the agent delivered.
-const MIN_RESTART_MS: u64 = 1_000;
-
 impl Agent {
     /// Whether a report would replace a backend server that reports in time by another one
     /// with a service that the configuration doesn't have. Other writers may send anything,
@@ -31,41 +25,45 @@
 
     /// Processes a report of the backend server. Returns the flows that ended with a
     /// previous instance of it.
+    ///
+    /// Neither the age of the backend server nor the number of its report shows that it
+    /// started after this process: an earlier process of the agent may have delivered flows
+    /// to it. Only an instance that replaces one which has reported to this process did, or
+    /// one at whose address there was no process before.
     pub fn report(
         &mut self,
         now: Millis,
         report: Report,
     ) -> (backend::Change, Vec<Ended>) {
-        let is_initial = report.is_initial();
+        let is_first = self.backend.report().is_none();
         let last_report = self.backend.last_report();
         let change = self.backend.record_report(now, report);
         let mut ended = Vec::new();
-        if let backend::Change::Started { is_replacement } = change {
-            self.knows_all_flows = is_initial;
-            if is_replacement {
+        match change {
+            backend::Change::Started { is_replacement: true } => {
+                self.knows_all_flows = self.recorded_since <= last_report;
                 // The new instance may have accepted those that were offered since.
                 ended = self.end_flows(|state| {
                     state.offered_at.is_none_or(|offered_at| offered_at <= last_report)
                 });
-            } else if self.forget_lost_flows() {
-                self.recorded_since = now;
             }
+            // It was taken for gone by mistake.
+            backend::Change::Started { .. } if !is_first => {
+                self.knows_all_flows = false;
+                if self.forget_lost_flows() {
+                    self.recorded_since = now;
+                }
+            }
+            _ => {}
         }
         (change, ended)
     }
 
-    /// Determines whether all flows of the backend server are known. That is the case if
-    /// the backend server started too late to have other flows, or if all flows have been
+    /// Determines whether all flows of the backend server are known because they have been
     /// recorded for longer than any flow may be idle or may exist.
     pub fn update_knows_all_flows(&mut self, now: Millis, routing: &Routing) {
-        let service = self.backend.report().and_then(|r| routing.service(&r.service));
-        let age_ms =
-            service.and_then(|service| self.backend.age_ms(now, service.cold_ms));
         let recorded_ms = now.since(self.recorded_since);
-        let is_recorded = |age_ms| age_ms <= recorded_ms + MIN_RESTART_MS;
-        self.knows_all_flows |= (self.recorded_since == self.start
-            && age_ms.is_some_and(is_recorded))
-            || (routing.idle_ms > 0 && recorded_ms > routing.idle_ms)
+        self.knows_all_flows |= (routing.idle_ms > 0 && recorded_ms > routing.idle_ms)
             || recorded_ms > self.max_flow_age_ms;
     }
 
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -31,14 +31,6 @@
 /// milliseconds: two ticks.
 const LEAVE_DELAY_MS: u64 = 400;
 
-/// Sequence number up to which a report shows that the backend server started after its
-/// agent.
-const INITIAL_REPORTS: u64 = 1;
-
-/// Maximum number of reports that a backend server makes while it is cold after its
-/// start: about one per 0.8 s, and more while they are not answered.
-const EARLY_REPORTS: u64 = 8;
-
 /// A status report of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Report {
@@ -313,20 +305,6 @@
         })
     }
 
-    /// Time since its start in milliseconds, given the warm-up time `cold_ms` of its
-    /// service. Returns `None` if it is already warm, or if it may have become cold again
-    /// later.
-    pub fn age_ms(&self, now: Millis, cold_ms: u64) -> Option<u64> {
-        let has_started_recently =
-            self.report.as_ref().is_some_and(Report::has_started_recently);
-        let left_ms = self.cold_until.since(now);
-        if !has_started_recently || left_ms == 0 {
-            return None;
-        }
-        // Otherwise another warm-up time applied when it started.
-        cold_ms.checked_sub(left_ms)
-    }
-
     /// Whether it may be running. Missing reports don't show that it isn't.
     pub fn may_be_running(&self) -> bool {
         !self.is_gone
@@ -405,14 +383,4 @@
     pub fn is_same_instance(&self, other: &Self) -> bool {
         self.id == other.id && self.started_ms == other.started_ms
     }
-
-    /// Whether the backend server has started recently.
-    fn has_started_recently(&self) -> bool {
-        self.sequence <= EARLY_REPORTS
-    }
-
-    /// Whether it is one of the first reports of its instance.
-    pub fn is_initial(&self) -> bool {
-        self.sequence <= INITIAL_REPORTS
-    }
 }
--- a/crates/steer/tests/model/node.rs
+++ b/crates/steer/tests/model/node.rs
@@ -114,6 +114,7 @@
         node.restart(now);
         node.is_present = is_present;
         if is_present {
+            node.agent.record_absence(now);
             node.report(now);
             node.server.reports = LATE_REPORT;
         }
