Apply decisions on openings to one instance of a backend server only

Cause: a decision that was made for one instance was applied to the next one at the same address. A copy of an opening was delivered without a check because the first one had been delivered; flows offered since the last report were kept even if the next instance ran another service; and an agent believed its backend server to run for three report intervals after its last report, longer than an address stays unused.

Now a copy is free only for the instance that the opening was decided for, while nobody else can have taken over its address, and a copy of an opening that was not accepted counts towards the limit of a cold backend server. Openings are delivered only within address_reuse_s after the last report or segment of the backend server, less the time that it may have waited in a socket. All flows end with an instance that is replaced by one of another service. Copies of openings of lost flows are dropped.

Ruled out: more frequent probes, which cost calls and leave a window; a check of copies alone, since openings themselves reach the next service while the agent believes in the one before.

--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -36,6 +36,9 @@
 /// Interval between reports of a backend server and between heartbeats.
 const HEARTBEAT_MS: Tick = 1_000;
 
+/// Time from which another service may use the address of a backend server, in milliseconds.
+const ADDRESS_REUSE_MS: Tick = 2_000;
+
 /// Interval between ticks of an agent.
 const TICK_MS: Tick = 200;
 
@@ -268,6 +271,7 @@
                 cold_ms,
                 sequence: side.reports,
                 started_ms: Some(u64::from(self.incarnation)),
+                delay_ms: 0,
             };
             side.agent.report(Millis(now), report);
         }
@@ -417,6 +421,7 @@
             cold_slack: 5.0,
             limits_zero_rate: load.policy == Policy::ColdLimit,
             report_ms: HEARTBEAT_MS,
+            address_reuse_ms: ADDRESS_REUSE_MS,
         },
         max_flow_age_ms: 60_000,
         flows: 10_000,
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -29,7 +29,8 @@
                 return Action::Drop(Cause::Held);
             }
             Some(state) if state.is_opened_by(sequence) => {
-                return self.deliver(now, arrival, false);
+                let state = *state;
+                return self.handle_copy(now, routing, roster, arrival, &state);
             }
             // The caller gave up this opening, which may be older than the known flow.
             Some(_) if now > opening(now, routing, arrival).give_up_at() => {
@@ -62,6 +63,47 @@
         }
     }
 
+    /// Decides on a copy of an opening that was delivered.
+    ///
+    /// What was decided on the opening holds for the instance of the backend server that it
+    /// was decided for, and for no other one. Unless that instance has accepted the flow, the
+    /// copy may be the first that it gets, so it counts as an opening while it is cold.
+    fn handle_copy(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        roster: &Roster,
+        arrival: &Arrival,
+        state: &State,
+    ) -> Action {
+        if state.stage == Stage::Lost {
+            return Action::Drop(Cause::Lost);
+        }
+        let is_decided = self.is_of_instance(state) && self.backend.is_trusted(now);
+        if is_decided && state.stage != Stage::Offered {
+            return self.deliver(now, arrival, false);
+        }
+        if !is_decided {
+            match self.check(now, routing, arrival) {
+                Ok(()) => {}
+                Err(Cause::Stale) => return Action::Drop(Cause::Stale),
+                Err(cause) => {
+                    return self.redirect_or_refuse(now, routing, roster, arrival, cause);
+                }
+            }
+        }
+        let rate = self.cold_rate(routing);
+        if self.backend.opening_at(now, 0, rate).is_none_or(|at| at > now) {
+            let cause = backend::Refusal::Cold.into();
+            let action = self.redirect_or_refuse(now, routing, roster, arrival, cause);
+            // The backend server has probably accepted the flow, and its answer was lost.
+            let is_redirected = matches!(action, Action::Forward { .. });
+            return if is_redirected { action } else { Action::Drop(cause) };
+        }
+        self.record_delivery(now, routing, arrival);
+        self.deliver(now, arrival, false)
+    }
+
     /// Lets an opening wait for which [`Action::Hold`] was returned. Must be called before
     /// any other segment is processed.
     pub fn hold(
@@ -234,9 +276,7 @@
         arrival: &Arrival,
     ) -> Action {
         let flow = arrival.segment.flow_from_caller();
-        let revision = arrival.forwarding.revision.max(routing.revision);
-        self.min_revision = self.min_revision.max(revision);
-        self.backend.record_opening(now);
+        self.record_delivery(now, routing, arrival);
         self.lifetime.record_opening();
         self.open += 1;
         self.in_flight.open(now, flow);
@@ -244,6 +284,13 @@
         self.deliver(now, arrival, true)
     }
 
+    /// Counts an opening, or a copy of one, that is delivered now.
+    fn record_delivery(&mut self, now: Millis, routing: &Routing, arrival: &Arrival) {
+        let revision = arrival.forwarding.revision.max(routing.revision);
+        self.min_revision = self.min_revision.max(revision);
+        self.backend.record_opening(now);
+    }
+
     /// Removes the flow of an opening that waited, unless it is another flow by now.
     fn end_hold(&mut self, now: Millis, arrival: &Arrival) {
         let flow = arrival.segment.flow_from_caller();
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -36,15 +36,19 @@
         report: Report,
     ) -> (backend::Change, Vec<Ended>) {
         let is_first = self.backend.report().is_none();
+        let is_other_service =
+            self.backend.report().is_some_and(|last| last.service != report.service);
         let last_report = self.backend.last_report();
         let change = self.backend.record_report(now, report);
         let mut ended = Vec::new();
         match change {
             backend::Change::Started { is_replacement: true } => {
                 self.knows_all_flows = self.recorded_since <= last_report;
-                // The new instance may have accepted those that were offered since.
+                // The new instance may have accepted those that were offered since, unless it
+                // runs another service, which gets the address later.
                 ended = self.end_flows(|state| {
-                    state.offered_at.is_none_or(|offered_at| offered_at <= last_report)
+                    let is_older = |offered_at| offered_at <= last_report;
+                    is_other_service || state.offered_at.is_none_or(is_older)
                 });
             }
             // It was taken for gone by mistake.
@@ -102,6 +106,16 @@
         self.end_flows(|_| true)
     }
 
+    /// Records that the backend server was running at a time, since it sent a segment.
+    pub fn record_life(&mut self, at: Millis) {
+        self.backend.record_life(at);
+    }
+
+    /// Whether a flow was offered to no other instance than the current one.
+    pub(super) fn is_of_instance(&self, state: &State) -> bool {
+        state.offered_at.is_none_or(|at| at >= self.backend.instance_since())
+    }
+
     /// Records that the backend server is shutting down. Returns whether it is the
     /// current one.
     pub fn record_leave(&mut self, now: Millis, id: &str) -> bool {
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -24,6 +24,10 @@
 /// segments.
 const COLD_WINDOW_MS: u64 = 1_100;
 
+/// Longest time between the decision to deliver an opening and its arrival at the backend
+/// server, in milliseconds.
+const DELIVERY_MS: u64 = 100;
+
 /// Interval between ticks, in milliseconds.
 pub const TICK_MS: u64 = 200;
 
@@ -48,6 +52,8 @@
     pub sequence: u64,
     /// Start time of the instance in milliseconds since the Unix epoch, if known.
     pub started_ms: Option<u64>,
+    /// Time for which the report may have waited in a socket, in milliseconds.
+    pub delay_ms: u64,
 }
 
 /// The effect of a report.
@@ -70,7 +76,8 @@
 /// Why an opening is not admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
-    /// There is no report yet, or the last one is overdue.
+    /// There is no report yet, the last one is overdue, or another service may have taken
+    /// over the address meanwhile.
     Unknown,
     /// The backend server is draining or shutting down.
     Draining,
@@ -113,6 +120,9 @@
     pub limits_zero_rate: bool,
     /// Usual interval between reports, in milliseconds.
     pub report_ms: u64,
+    /// Time after the end of a backend server from which another service may use its
+    /// address, in milliseconds.
+    pub address_reuse_ms: u64,
 }
 
 /// The backend server next to an agent.
@@ -124,6 +134,11 @@
     report: Option<Report>,
     /// When the last report arrived.
     last_report: Millis,
+    /// When the current instance was last known to run, by its reports and segments. Never
+    /// later than that was the case: another service may use its address soon after its end.
+    alive_at: Millis,
+    /// When the first report of the current instance arrived.
+    instance_since: Millis,
     /// Sequence number and arrival of the first outdated report since then.
     outdated: Option<(u64, Millis)>,
     /// When the backend server said that it is shutting down.
@@ -153,6 +168,8 @@
             bounds,
             report: None,
             last_report: Millis(0),
+            alive_at: Millis(0),
+            instance_since: Millis(0),
             outdated: None,
             leaving_since: None,
             is_gone: false,
@@ -201,7 +218,12 @@
             Some(_) if self.is_gone => Change::Started { is_replacement: false },
             Some(_) => Change::None,
         };
+        if matches!(change, Change::Started { .. }) {
+            self.instance_since = now;
+            self.alive_at = Millis(0);
+        }
         self.last_report = now;
+        self.record_life(Millis(now.0.saturating_sub(report.delay_ms)));
         self.outdated = None;
         self.leaving_since = None;
         self.is_gone = false;
@@ -216,6 +238,17 @@
         change
     }
 
+    /// Records that the current instance was running at a time.
+    pub fn record_life(&mut self, at: Millis) {
+        self.alive_at = self.alive_at.max(at);
+    }
+
+    /// When the first report of the current instance arrived. What was delivered before may
+    /// have reached the instance before it.
+    pub fn instance_since(&self) -> Millis {
+        self.instance_since
+    }
+
     /// Whether an outdated report has to be taken for a current one: no other report
     /// counts, and it follows an earlier outdated one as reports of a running backend
     /// server do. Reports that were delayed arrive together.
@@ -297,7 +330,7 @@
         let is_closed = self.is_leaving()
             || self.is_stopping
             || report.is_draining
-            || self.is_overdue(now);
+            || !self.is_trusted(now);
         Some(match () {
             () if is_closed => Stage::Closed,
             () if self.is_cold(now) => Stage::Cold,
@@ -315,6 +348,13 @@
         now.since(self.last_report) > self.bounds.report_ms * OVERDUE_REPORTS
     }
 
+    /// Whether an opening that is delivered now can only reach the current instance, or a
+    /// later one of the same service.
+    pub fn is_trusted(&self, now: Millis) -> bool {
+        let trusted_ms = self.bounds.address_reuse_ms.saturating_sub(DELIVERY_MS);
+        now.since(self.alive_at) < trusted_ms && !self.is_overdue(now)
+    }
+
     /// Checks whether it may be given an opening, apart from the rate limit of a cold one.
     /// `open` is the number of open flows, `connections` their maximum.
     ///
@@ -328,7 +368,7 @@
         if report.is_draining || self.leaving_since.is_some() {
             return Err(Refusal::Draining);
         }
-        if self.is_overdue(now) {
+        if !self.is_trusted(now) {
             return Err(Refusal::Unknown);
         }
         if open >= connections { Err(Refusal::Full) } else { Ok(()) }
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -9,6 +9,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use lentilreach::Name;
+use lentilreach::process::clock::Millis;
 use lentilreach::process::link::Link;
 use lentilreach::process::lock::Ranked;
 use lentilreach::process::pool::Pool;
@@ -100,6 +101,7 @@
             cold_slack: settings.cold_slack,
             limits_zero_rate: settings.limits_zero_rate,
             report_ms: settings.report_ms,
+            address_reuse_ms: settings.address_reuse.as_millis() as u64,
         };
         let limits = Limits {
             bounds,
@@ -359,9 +361,14 @@
         };
         let now = self.node.now();
         let routing = self.node.routing();
+        let sent_at = Millis(now.0.saturating_sub(self.node.delay_ms(now).into()));
         let (action, announcements) = {
             let roster = self.node.roster.read();
             let mut flows = self.flows.write();
+            // A segment that is returned may come from another service.
+            if !segment.flags.returned {
+                flows.record_life(sent_at);
+            }
             let action = flows.handle_backend_segment(now, &routing, &roster, &segment);
             let is_accept =
                 matches!(action, Some(BackendAction::Send { is_accept: true, .. }));
--- a/crates/steer/src/process/driver/agent/report.rs
+++ b/crates/steer/src/process/driver/agent/report.rs
@@ -27,12 +27,13 @@
     ///
     /// # Errors
     /// If the report can't come from the backend server. It is ignored.
-    pub fn report(&self, report: Report) -> Result<(), Foreign> {
+    pub fn report(&self, mut report: Report) -> Result<(), Foreign> {
         let state = &self.state;
         let (id, is_draining) = (report.id.clone(), report.is_draining);
         let (service, sequence) = (report.service.clone(), report.sequence);
         let cold_ms = report.cold_ms;
         let (now, routing) = (state.node.now(), state.node.routing());
+        report.delay_ms += u64::from(state.node.delay_ms(now));
         let (change, ended) = {
             let mut flows = state.flows.write();
             if flows.is_foreign(now, &routing, &report) {
--- a/crates/steer/src/process/settings.rs
+++ b/crates/steer/src/process/settings.rs
@@ -35,8 +35,17 @@
 ];
 
 /// Additional keys of an agent.
-const AGENT_KEYS: [&str; 5] =
-    ["server", "report_ms", "cold_overage", "cold_slack", "zero_cold_rate"];
+const AGENT_KEYS: [&str; 6] = [
+    "server",
+    "report_ms",
+    "address_reuse_s",
+    "cold_overage",
+    "cold_slack",
+    "zero_cold_rate",
+];
+
+/// Value of the key `address_reuse_s` if it is missing.
+const DEFAULT_ADDRESS_REUSE: Duration = Duration::from_secs(2);
 
 /// Value of the key `zero_cold_rate` by which a rate of zero is a limit.
 const ZERO_IS_LIMIT: &str = "limit";
@@ -103,6 +112,9 @@
     pub server: SocketAddr,
     /// Usual interval between reports of the backend server, in milliseconds.
     pub report_ms: u64,
+    /// Time after the end of a backend server from which another service may use its
+    /// address.
+    pub address_reuse: Duration,
     /// Factor applied to the rate of requests that the service allows for a cold backend
     /// server.
     pub cold_overage: f64,
@@ -167,6 +179,10 @@
             let reports = parser.listen("reports", &listen);
             let server = parser.address("server");
             let report_ms = parser.integer("report_ms", 1, MAX_MS, "ms");
+            let address_reuse = match root.get("address_reuse_s") {
+                Some(_) => parser.seconds("address_reuse_s"),
+                None => Some(DEFAULT_ADDRESS_REUSE),
+            };
             let overage = parser.decimal("cold_overage", 0.0..=MAX_RATE);
             let slack = parser.decimal("cold_slack", 0.0..=MAX_RATE);
             let limits_zero_rate = parser.limits_zero_rate();
@@ -177,6 +193,7 @@
                 reports: reports?,
                 server: server?,
                 report_ms: report_ms?,
+                address_reuse: address_reuse?,
                 cold_overage: overage?,
                 cold_slack: slack?,
                 limits_zero_rate: limits_zero_rate?,
