Visit agents by where a flow may be, not by what is configured now

Cause: a walk left out agents whose backend servers run a service that the route doesn't have now, and such an agent passed the segment on although its backend server might hold the flow. The same happened until a backend server had reported to a restarted agent. An open flow stays where it was opened, whatever the route says now, and a backend server returns segments of flows that it doesn't hold.

As every agent is visited, the walk can also prove that the flow has ended.

Three tests asserted the fault. Two are replaced by tests of the same situations with the opposite demand, a_walk_carries_no_agents_of_other_ services by a_walk_includes_agents_of_other_services and by two_searches_visit_all_agents for its concern, the room in a message.

Evidence: a_walk_delivers_to_a_backend_server_whatever_it_runs_now, a_walk_includes_agents_of_other_services and an_agent_without_a_backend_ server_continues_a_walk failed before.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -279,8 +279,7 @@
                 _ if !self.may_hold_unknown_flows() => {
                     self.locate(now, routing, roster, arrival)
                 }
-                Search::Walk => self.visit(now, routing, arrival, forwarding.clone()),
-                Search::Open | Search::Known | Search::Indexed => {
+                Search::Open | Search::Known | Search::Indexed | Search::Walk => {
                     self.deliver(now, arrival, false)
                 }
             },
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -23,7 +23,8 @@
 /// Where a home node that doesn't know a flow searches for it.
 #[derive(Debug)]
 struct Plan {
-    /// Agents that may hold the flow without having announced it.
+    /// Agents that may hold the flow without having announced it, whatever their backend
+    /// servers run now: the flow stays where it was opened when its route changes.
     to_visit: Vec<SocketAddrV4>,
     /// Whether no other agent can hold it.
     is_exhaustive: bool,
@@ -87,7 +88,7 @@
                 {
                     return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
                 }
-                let plan = self.plan(now, routing, roster, arrival, &forwarding);
+                let plan = self.plan(now, roster, arrival, &forwarding);
                 match other_home {
                     Some(to) if is_home && rank == 0 && !plan.is_proof() => {
                         forwarding.search = Search::Home(1);
@@ -98,7 +99,7 @@
             }
             Search::Walk => self.continue_walk(arrival, forwarding),
             Search::Fallback => {
-                let plan = self.plan(now, routing, roster, arrival, &forwarding);
+                let plan = self.plan(now, roster, arrival, &forwarding);
                 self.start_walk(now, routing, roster, arrival, forwarding, plan)
             }
             Search::Open | Search::Known | Search::Indexed => {
@@ -114,7 +115,7 @@
                         Action::Forward { to, forwarding, cause: Cause::Elsewhere }
                     }
                     None => {
-                        let plan = self.plan(now, routing, roster, arrival, &forwarding);
+                        let plan = self.plan(now, roster, arrival, &forwarding);
                         self.start_walk(now, routing, roster, arrival, forwarding, plan)
                     }
                 }
@@ -149,7 +150,6 @@
     fn plan(
         &mut self,
         now: Millis,
-        routing: &Routing,
         roster: &Roster,
         arrival: &Arrival,
         forwarding: &Forwarding,
@@ -193,17 +193,9 @@
             if is_left_out || is_tried || member.is_silent {
                 continue;
             }
-            // See `Self::visit`.
-            let status = member.backend_status.as_ref();
-            let can_deliver =
-                status.is_none_or(|status| routing.allows(flow.service, &status.service));
-            if can_deliver {
-                plan.to_visit.push(member.address);
-                if evidence.has_answered {
-                    plan.answered.push(member.address);
-                }
-            } else {
-                plan.is_exhaustive = false;
+            plan.to_visit.push(member.address);
+            if evidence.has_answered {
+                plan.answered.push(member.address);
             }
         }
         let may_become_certain = can_be_certain && !plan.is_exhaustive;
@@ -267,38 +259,22 @@
             let first = plan.searches as usize * MAX_TO_VISIT % to_visit.len();
             to_visit.rotate_left(first);
         }
-        // A walk ends at an agent that has stopped.
-        to_visit.sort_by_key(|agent| !plan.answered.contains(agent));
         to_visit.truncate(MAX_TO_VISIT);
+        // A walk ends at an agent that has stopped, or whose backend server doesn't run.
+        let has_reported = |agent: &SocketAddrV4| {
+            roster.get(*agent).is_some_and(|member| member.backend_status.is_some())
+        };
+        to_visit
+            .sort_by_key(|agent| (!has_reported(agent), !plan.answered.contains(agent)));
         // The walk visits this agent first, unless its backend server has another flow
         // between the same addresses.
         if self.may_hold_unknown_flows() && self.flows.get(now, &flow).is_none() {
-            return self.visit(now, routing, arrival, forwarding);
+            let arrival = Arrival { forwarding, ..arrival.clone() };
+            return self.deliver(now, &arrival, false);
         }
         self.continue_walk(arrival, forwarding)
     }
 
-    /// Delivers a segment on a walk to a backend server that may hold its flow and returns
-    /// the segment otherwise. One of a service that isn't known, or that the flow's route
-    /// doesn't include, must not receive it, although it may hold the flow since an earlier
-    /// configuration.
-    pub(super) fn visit(
-        &mut self,
-        now: Millis,
-        routing: &Routing,
-        arrival: &Arrival,
-        mut forwarding: Forwarding,
-    ) -> Action {
-        let service = arrival.segment.flow_from_caller().service;
-        let report = self.backend.report();
-        if !report.is_some_and(|report| routing.allows(service, &report.service)) {
-            forwarding.is_exhaustive = false;
-            return self.continue_walk(arrival, forwarding);
-        }
-        let arrival = Arrival { forwarding, ..arrival.clone() };
-        self.deliver(now, &arrival, false)
-    }
-
     /// Forwards a segment to the next agent of a walk. If there is none left, resets the
     /// flow or drops the segment.
     fn continue_walk(&self, arrival: &Arrival, mut forwarding: Forwarding) -> Action {
