Hand over the index of home nodes when agents restart

Cause: only the agent of a flow announced it to home nodes, and a restarted agent has forgotten its flows. Once it and both home nodes had been restarted, a walk was the only way to find the flow.

Which agent accepted a flow is a fact that no restart changes, so home nodes now pass it on. When a home node joins or restarts, others hand over their entries of flows whose agent has forgotten them; a stopping agent hands over all of its entries to the two agents that follow the home nodes of each flow, since both may stop at once. The agent that searches in place of home nodes looks at its entries first. An entry is a hint only: nothing is ended by it.

Ruled out: longer walks, which show segments to more backend servers that don't have the flow.

--- a/crates/steer/src/connection/index.rs
+++ b/crates/steer/src/connection/index.rs
@@ -5,6 +5,7 @@
 use lentilreach::process::clock::Millis;
 
 use super::flow::Key;
+use super::state::Home;
 use super::table::Table;
 
 /// Maps flows to agents, for the flows that this node is a home node of.
@@ -22,9 +23,28 @@
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Holders {
     /// The most recent ones, latest first.
-    pub agents: [Option<SocketAddrV4>; 2],
+    pub agents: [Option<Holder>; 2],
     /// Whether there was another one.
     pub are_more: bool,
+    /// The home nodes that have this entry: those that the agents announced the flow to, or
+    /// that this node has handed it over to.
+    pub homes: [Option<Home>; 2],
+}
+
+/// An agent that announced a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Holder {
+    /// Its address. Its backend server holds the flow even if the agent was restarted.
+    pub address: SocketAddrV4,
+    /// Its incarnation when it announced the flow.
+    pub incarnation: u64,
+}
+
+impl Holders {
+    /// The addresses of the agents, latest first.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddrV4> + use<> {
+        self.agents.into_iter().flatten().map(|holder| holder.address)
+    }
 }
 
 impl Index {
@@ -33,14 +53,47 @@
         Self { flows: Table::new(limit) }
     }
 
-    /// Records that an agent holds a flow.
-    pub fn insert(&mut self, now: Millis, flow: Key, agent: SocketAddrV4) {
+    /// Records that an agent has announced a flow to its home nodes.
+    pub fn insert(
+        &mut self,
+        now: Millis,
+        flow: Key,
+        holder: Holder,
+        homes: [Option<Home>; 2],
+    ) {
         let before = self.get(now, &flow);
-        let mut others =
-            before.agents.into_iter().flatten().filter(|known| *known != agent);
-        let agents = [Some(agent), others.next()];
+        let agents = before.agents.into_iter().flatten();
+        let mut others = agents.filter(|known| known.address != holder.address);
+        let agents = [Some(holder), others.next()];
         let are_more = before.are_more || others.next().is_some();
-        self.flows.insert(now, flow, Holders { agents, are_more });
+        self.flows.insert(now, flow, Holders { agents, are_more, homes });
+    }
+
+    /// Records an entry of another index. It may be older than what is known here.
+    pub fn insert_handed_over(
+        &mut self,
+        now: Millis,
+        flow: Key,
+        holder: Holder,
+        homes: [Option<Home>; 2],
+    ) {
+        let mut entry = self.get(now, &flow);
+        if entry.addresses().any(|known| known == holder.address) {
+            return;
+        }
+        match entry.agents.iter_mut().find(|slot| slot.is_none()) {
+            Some(slot) => *slot = Some(holder),
+            None => entry.are_more = true,
+        }
+        self.flows.insert(now, flow, Holders { homes, ..entry });
+    }
+
+    /// Visits all entries.
+    pub fn for_each(&mut self, mut visit: impl FnMut(&Key, &mut Holders)) {
+        self.flows.retain(|flow, holders| {
+            visit(flow, holders);
+            true
+        });
     }
 
     /// The agents that announced a flow.
@@ -56,9 +109,8 @@
     /// Removes an agent that has left together with its flows.
     pub fn remove_agent(&mut self, agent: SocketAddrV4) {
         self.flows.retain(|_, holders| {
-            let left = |holder: &&mut _| **holder == Some(agent);
-            for holder in holders.agents.iter_mut().filter(left) {
-                *holder = None;
+            for slot in &mut holders.agents {
+                *slot = slot.filter(|holder| holder.address != agent);
             }
             holders.are_more || holders.agents.iter().any(Option::is_some)
         });
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -23,6 +23,7 @@
 mod admit;
 mod announce;
 mod delivered;
+mod handover;
 mod instance;
 mod locate;
 mod question;
@@ -33,6 +34,8 @@
     Waiting,
 };
 
+pub use handover::HandedOver;
+
 use delivered::{Delivered, Ring};
 use question::Questions;
 use sync::{Received, Sent};
@@ -95,6 +98,8 @@
     /// Generation of the roster at the last call of [`Self::announcements`]; `None` if
     /// flows may have to be announced although the generation is the same.
     announced_generation: Option<u64>,
+    /// Generation of the roster at the last call of [`Self::handovers`].
+    handed_generation: Option<u64>,
 }
 
 impl Agent {
@@ -121,6 +126,7 @@
             questions: Questions::new(limits.flows),
             unannounced: Vec::new(),
             announced_generation: None,
+            handed_generation: None,
         }
     }
 
--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -6,6 +6,7 @@
 
 use super::{Agent, Outgoing};
 use crate::connection::flow;
+use crate::connection::index::Holder;
 use crate::connection::state::{Home, Stage, State};
 use crate::process::roster::{Member, Roster};
 use crate::request::message::{Announcement, Heartbeat, MAX_ANNOUNCED, SyncStatus};
@@ -20,8 +21,9 @@
         from: SocketAddrV4,
         announcement: &Announcement,
     ) {
+        let holder = Holder { address: from, incarnation: announcement.sender };
         for flow in &announcement.flows {
-            self.index.insert(now, *flow, from);
+            self.index.insert(now, *flow, holder, current_homes(roster, flow));
             self.questions.remove(flow);
         }
         if announcement.receiver == self.incarnation(roster) {
@@ -193,7 +195,7 @@
 }
 
 /// The home nodes of a flow with their incarnations.
-fn current_homes(roster: &Roster, flow: &flow::Key) -> [Option<Home>; 2] {
+pub(super) fn current_homes(roster: &Roster, flow: &flow::Key) -> [Option<Home>; 2] {
     placement::homes(roster, flow).map(|home| {
         let member = roster.get(home?)?;
         Some(Home { address: member.address, incarnation: member.incarnation })
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -99,6 +99,11 @@
             }
             Search::Walk => self.continue_walk(arrival, forwarding),
             Search::Fallback => {
+                // A home node that stopped may have handed over its index to this one.
+                if let Some(to) = self.indexed_holder(now, roster, &flow, &forwarding) {
+                    forwarding.search = Search::Indexed;
+                    return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
+                }
                 let plan = self.plan(now, roster, arrival, &forwarding);
                 self.start_walk(now, routing, roster, arrival, forwarding, plan)
             }
@@ -134,7 +139,7 @@
     ) -> Option<SocketAddrV4> {
         let is_candidate =
             |to: &SocketAddrV4| *to != self.address && !forwarding.tried.contains(to);
-        let holders = self.index.get(now, flow).agents.into_iter().flatten();
+        let holders = self.index.get(now, flow).addresses();
         let candidates: Vec<_> = holders.filter(is_candidate).collect();
         let heard = candidates.iter().find(|to| roster.is_heard(**to));
         heard.or(candidates.first()).copied()
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -160,6 +160,7 @@
             return;
         }
         state.broadcast_heartbeat();
+        state.hand_over_all();
         state.release();
         Timer::after(FORWARDING_GRACE).await;
         let limit = DRAIN_TIMEOUT.min(state.node.settings.stop_timeout / 2);
@@ -202,6 +203,7 @@
             self.reset_callers(&ended, "backend_gone");
             self.release();
             self.send_announcements(announcements);
+            self.hand_over();
             self.ask_if_due();
             // Home nodes send searches to this agent until they learn that it knows all
             // of its flows.
@@ -259,6 +261,7 @@
                 if wants_reply {
                     self.reply_heartbeat(from);
                 }
+                self.hand_over();
             }
             Some(Message::Announcement(announcement)) => {
                 let roster = self.node.roster.read();
@@ -269,6 +272,11 @@
                     &announcement,
                 );
             }
+            Some(Message::Handover(handover)) => {
+                let roster = self.node.roster.read();
+                let now = self.node.now();
+                self.flows.write().handle_handover(now, &roster, &handover);
+            }
             Some(Message::Leave(incarnation)) => {
                 if self.node.handle_leave(from, incarnation) {
                     self.flows.write().handle_leave(from, incarnation);
--- a/crates/steer/src/process/driver/agent/status.rs
+++ b/crates/steer/src/process/driver/agent/status.rs
@@ -5,7 +5,7 @@
 use lentilreach::process::link::Link;
 
 use super::State;
-use crate::process::agent::Outgoing;
+use crate::process::agent::{HandedOver, Outgoing};
 use crate::process::metric;
 use crate::process::roster::{Member, Role, Roster};
 use crate::request::message::{BackendStatus, Message, SyncStatus};
@@ -65,6 +65,32 @@
         }
     }
 
+    /// Sends the entries of the index that new home nodes need.
+    pub(super) fn hand_over(&self) {
+        let handovers = {
+            let roster = self.node.roster.read();
+            self.flows.write().handovers(&roster)
+        };
+        self.send_handovers(handovers);
+    }
+
+    /// Sends all entries of the index to agents that may become home nodes.
+    pub(super) fn hand_over_all(&self) {
+        let handovers = {
+            let roster = self.node.roster.read();
+            self.flows.write().final_handovers(&roster)
+        };
+        self.send_handovers(handovers);
+    }
+
+    /// Sends entries of the index.
+    fn send_handovers(&self, handovers: Vec<HandedOver>) {
+        for HandedOver { to, handover } in handovers {
+            metric::count(&metric::HANDOVERS);
+            self.node.send(to, &Message::Handover(handover));
+        }
+    }
+
     /// The state of the backend server to advertise to balancers.
     pub(super) fn backend_status(&self) -> Option<BackendStatus<'static>> {
         let routing = self.node.routing();
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -202,7 +202,9 @@
             }
             Some(Message::DocumentsRequest) => self.node.send_documents(from),
             Some(Message::Documents(chunk)) => self.node.handle_documents(&chunk),
-            Some(Message::Segment(_) | Message::Announcement(_)) => count_invalid("role"),
+            Some(
+                Message::Segment(_) | Message::Announcement(_) | Message::Handover(_),
+            ) => count_invalid("role"),
             None => count_invalid("message"),
         }
     }
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -91,6 +91,13 @@
     "Questions of a home node to all other agents whether a flow has ended.",
 );
 
+/// Messages with entries of a home node's index for other agents.
+pub const HANDOVERS: Metric = counter(
+    "lentilreach_steer_handovers_total",
+    &[],
+    "Messages with entries of a home node's index that were sent to other agents.",
+);
+
 /// Heartbeats that arrived after a later one of the same process.
 pub const HEARTBEATS_OUTDATED: Metric = counter(
     "lentilreach_steer_beats_outdated_total",
@@ -151,6 +158,7 @@
     &INVALID,
     &SEND_ERRORS,
     &QUESTIONS,
+    &HANDOVERS,
     &HEARTBEATS_OUTDATED,
     &DOCUMENTS_RECEIVED,
     &LINES_DROPPED,
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -42,6 +42,8 @@
     /// A part of the operators' documents.
     #[serde(borrow)]
     Documents(Chunk<'a>),
+    /// Another agent than the sender holds the flows.
+    Handover(Handover),
 }
 
 /// A caller's segment with the forwarding state that it carries between nodes.
@@ -147,6 +149,19 @@
     pub flows: Vec<flow::Key>,
 }
 
+/// Entries of a home node's index, for an agent that is a home node now or may become one.
+/// The holder may have forgotten the flows in a restart, so it can't announce them again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Handover {
+    /// Address of the agent that announced the flows.
+    pub holder: SocketAddrV4,
+    /// Incarnation of the holder when it announced them.
+    pub incarnation: u64,
+    /// The flows, at most [`MAX_ANNOUNCED`].
+    pub flows: Vec<flow::Key>,
+}
+
 /// Tells a home node whether it has received announcements of all flows that the sender
 /// holds and the receiver is responsible for, at the time when it is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/steer/src/request/placement.rs
+++ b/crates/steer/src/request/placement.rs
@@ -144,6 +144,20 @@
     third.or(first)
 }
 
+/// The agents that become home nodes of a flow when its home nodes and those in `excluded`
+/// fail.
+pub fn successors(
+    roster: &Roster,
+    flow: &flow::Key,
+    excluded: &[SocketAddrV4],
+) -> [Option<SocketAddrV4>; 2] {
+    let homes = homes(roster, flow);
+    let is_left = |agent: &SocketAddrV4| {
+        !homes.contains(&Some(*agent)) && !excluded.contains(agent)
+    };
+    top_ranked(flow, live_agents(roster).filter(is_left))
+}
+
 /// The agents that are not silent.
 fn live_agents(roster: &Roster) -> impl Iterator<Item = SocketAddrV4> {
     roster.agents().filter(|member| !member.is_silent).map(|member| member.address)
--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -37,6 +37,11 @@
                 }
                 node.agent.handle_announcement(now, &node.roster, sender, &announcement);
             }
+            (Peer::Agent(index), Payload::Handover(handover)) => {
+                let now = self.now;
+                let node = self.agent_mut(index);
+                node.agent.handle_handover(now, &node.roster, &handover);
+            }
             (Peer::Agent(index), Payload::Leave(incarnation)) => {
                 let is_checked = self.removed != Removed::IncarnationCheck;
                 let node = self.agent_mut(index);
--- a/crates/steer/tests/model/round.rs
+++ b/crates/steer/tests/model/round.rs
@@ -100,10 +100,20 @@
             let payload = Payload::Announcement(outgoing.announcement);
             self.send(Peer::Agent(index), outgoing.to, payload);
         }
+        self.hand_over(index);
         self.ask_if_due(index);
         self.probe_server(index);
     }
 
+    /// Hands over entries of an agent's index.
+    fn hand_over(&mut self, index: usize) {
+        let node = self.agent_mut(index);
+        for handed_over in node.agent.handovers(&node.roster) {
+            let payload = Payload::Handover(handed_over.handover);
+            self.send(Peer::Agent(index), handed_over.to, payload);
+        }
+    }
+
     /// Ends the flows of a backend server that doesn't run any more, when its reports are
     /// missing.
     fn probe_server(&mut self, index: usize) {
--- a/crates/steer/tests/model/world.rs
+++ b/crates/steer/tests/model/world.rs
@@ -9,7 +9,7 @@
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::Arrival;
 use lentilreach_steer::process::roster::Role;
-use lentilreach_steer::request::message::{Announcement, Heartbeat};
+use lentilreach_steer::request::message::{Announcement, Handover, Heartbeat};
 use lentilreach_steer::request::segment::Segment;
 use lentilreach_steer::version::routing::Routing;
 use xxhash_rust::xxh3::Xxh3Default;
@@ -68,6 +68,8 @@
     NotFound,
     /// The sender holds flows.
     Announcement(Announcement),
+    /// Another agent holds flows.
+    Handover(Handover),
     /// The state of the sender.
     Heartbeat(Heartbeat<'static>),
     /// The process of the sender with this incarnation has left.
