Keep segments for an agent that has just started until it can decide

Segments of open flows were dropped when they reached a process that had just started: a balancer sent them to it as a home node, it knew neither configuration nor members, and dropped them as unknown.

Ruled out: to tell the sender, which has no better node to ask in that moment; to read no messages before, since heartbeats make the process ready.

--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -32,10 +32,13 @@
 use crate::request::segment::{Format, Segment};
 
 mod report;
+mod startup;
 mod status;
 
 pub use report::{Foreign, ReportHandler};
 
+use startup::Startup;
+
 /// Number of flows to track per megabyte of the memory limit. A table entry takes about
 /// 150 bytes, so most of the memory remains free.
 const FLOWS_PER_MB: usize = 500;
@@ -81,6 +84,8 @@
     server: SocketAddr,
     /// Decides on segments and tracks flows.
     flows: Ranked<agent::Agent>,
+    /// Segments that wait for the process to be ready.
+    startup: Startup,
     /// Signals that an opening has begun to wait.
     hold_signal: (Sender<()>, Receiver<()>),
 }
@@ -118,6 +123,7 @@
             backend,
             server,
             flows,
+            startup: Startup::new(),
             hold_signal: async_channel::bounded(1),
         });
         let shared = state.clone();
@@ -133,6 +139,7 @@
         tasks.push(pool.spawn(receive::run(link, "nodes", move |from, bytes| {
             shared.handle_message(from, bytes);
         })));
+        tasks.push(pool.spawn(state.clone().start_up()));
         tasks.push(pool.spawn(state.clone().tick()));
         tasks.push(pool.spawn(state.clone().release_in_time()));
         Self { state, _tasks: tasks }
@@ -248,7 +255,9 @@
         let SocketAddr::V4(from) = from else { return count_invalid("sender") };
         match Message::decode(bytes) {
             Some(Message::Segment(envelope)) => {
-                self.clone().handle_caller_segment(&envelope)
+                if !self.wait_for_startup(&envelope, bytes) {
+                    self.clone().handle_caller_segment(&envelope);
+                }
             }
             Some(Message::Heartbeat(heartbeat)) => {
                 let wants_reply = self.node.handle_heartbeat(from, &heartbeat);
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -98,6 +98,13 @@
     "Messages with entries of a home node's index that were sent to other agents.",
 );
 
+/// Segments that arrived before the process was ready.
+pub const KEPT: Metric = counter(
+    "lentilreach_steer_kept_total",
+    &[],
+    "Segments that waited until the process knew the configuration and the members.",
+);
+
 /// Heartbeats that arrived after a later one of the same process.
 pub const HEARTBEATS_OUTDATED: Metric = counter(
     "lentilreach_steer_beats_outdated_total",
@@ -159,6 +166,7 @@
     &SEND_ERRORS,
     &QUESTIONS,
     &HANDOVERS,
+    &KEPT,
     &HEARTBEATS_OUTDATED,
     &DOCUMENTS_RECEIVED,
     &LINES_DROPPED,
