Give up a watch of the store whose answer was lost

Cause: a long poll had no time limit at the client. A connection whose answer was lost stays open, and the peer's system answers keep-alive probes, so all watching agents waited without end. The others poll each 2 s, but their reads may be seconds old.

A long poll now ends 0.4 s after its wait. The first two agents of all wait for 1 s only, so a lost answer is noticed within 1.4 s, and their heartbeats tell the others, whose watches are then opened anew.

Ruled out: short waits of all watching agents, which cost two calls a second for each failure domain; polls that read current data, which cost ten times as much as those that may be stale; renewals of the lease as a sign, since an outage may fall between two of them.

--- a/crates/lentilreach/src/process/store/mod.rs
+++ b/crates/lentilreach/src/process/store/mod.rs
@@ -102,6 +102,12 @@
     /// gap. Other watches end with the first error. After [`Error::Compacted`], every watch has
     /// ended.
     fn next(&mut self) -> impl Future<Output = Result<Batch, Error>> + Send;
+
+    /// Limits the time for which the watch relies on a single answer of the store. An answer
+    /// that is lost is noticed soon after, at the cost of a call for each such time.
+    ///
+    /// Has no effect on a watch whose connection notices a loss itself.
+    fn limit_wait(&mut self, _max: Duration) {}
 }
 
 /// The keys under a prefix with their values, at one revision.
--- a/crates/lentilreach/src/process/store/retry.rs
+++ b/crates/lentilreach/src/process/store/retry.rs
@@ -204,6 +204,7 @@
             open: Some(open),
             backoff: self.backoff(),
             not_before: Millis(0),
+            max_wait: None,
         })
     }
 }
@@ -226,6 +227,8 @@
     backoff: Backoff,
     /// Earliest time at which the watch may be reopened.
     not_before: Millis,
+    /// Limit of [`super::Watch::limit_wait`], if there is one.
+    max_wait: Option<Duration>,
 }
 
 impl<S: Store> super::Watch for Watch<S> {
@@ -244,6 +247,13 @@
             }
         }
     }
+
+    fn limit_wait(&mut self, max: Duration) {
+        self.max_wait = Some(max);
+        if let Some(open) = &mut self.open {
+            open.limit_wait(max);
+        }
+    }
 }
 
 impl<S: Store> Watch<S> {
@@ -253,7 +263,11 @@
             sleep(self.not_before.since(self.retry.shared.clock.now())).await;
             let call_ms = self.retry.shared.settings.call_ms;
             let call = self.retry.store.watch(&self.prefix, self.from);
-            self.open = Some(self.retry.attempt(Step::Watch, call_ms, call).await?);
+            let mut open = self.retry.attempt(Step::Watch, call_ms, call).await?;
+            if let Some(max_wait) = self.max_wait {
+                open.limit_wait(max_wait);
+            }
+            self.open = Some(open);
         }
         match &mut self.open {
             Some(open) => open.next().await,
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -5,10 +5,15 @@
 //! watch. Their heartbeats tell the other processes that there is a new revision, and those
 //! ask the agent for it. Only if that fails, they read the store. They also poll at
 //! intervals, in case there is no watching agent left.
+//!
+//! The answer to a watch may be lost, without any sign of it. The first agents of all therefore
+//! ask again at short intervals.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use async_io::Timer;
 use futures_lite::future::or;
 use lentilreach::process::link::Link;
 use lentilreach::process::store::backoff::Backoff;
@@ -24,6 +29,15 @@
 /// Number of agents per failure domain that watch the store. One of them may fail.
 const WATCHERS_PER_DOMAIN: usize = 2;
 
+/// Number of agents that notice soon if an answer to their watch was lost. The others learn
+/// from them that there is a newer revision. One of them may fail.
+const SENTINELS: usize = 2;
+
+/// Time for which a sentinel relies on a single answer of the store. Together with
+/// [`WATCH_LAG_MS`] and the duration of two calls, it is below the 3 s within which a
+/// configuration must become active.
+const SENTINEL_WAIT: Duration = Duration::from_secs(1);
+
 /// Pause after a change, in milliseconds, since changes may follow each other quickly. It is
 /// a sixth of the time within which a configuration must become active.
 const CHANGE_PAUSE_MS: u64 = 500;
@@ -128,6 +142,8 @@
 
     /// Waits for the next change that the watch reports.
     async fn next_watched_change(&mut self) -> Result<Option<Update>, Error> {
+        let (node, role) = (self.node.clone(), self.role);
+        let is_sentinel = is_sentinel(&node, role);
         let watch = match &mut self.watch {
             Some(watch) => watch,
             empty => {
@@ -136,16 +152,25 @@
                 empty.insert(watch)
             }
         };
+        watch.limit_wait(if is_sentinel { SENTINEL_WAIT } else { Duration::MAX });
         let change = async { Some(watch.next().await) };
         let newer = async {
             self.node.wait_for_newer().await;
             sleep(WATCH_LAG_MS).await;
             None
         };
-        match or(change, newer).await {
+        let other_sentinels = async {
+            loop {
+                Timer::after(SENTINEL_WAIT).await;
+                if self::is_sentinel(&node, role) != is_sentinel {
+                    return None;
+                }
+            }
+        };
+        match or(or(change, newer), other_sentinels).await {
             Some(Ok(batch)) => Ok(Some(Update::Changes(batch))),
             Some(Err(error)) => Err(error),
-            // The watch lags behind, or no longer reports changes.
+            // The watch lags behind, no longer reports changes, or needs another limit.
             None => {
                 if self.node.newest_revision() > self.documents.revision() {
                     self.resync();
@@ -207,3 +232,11 @@
         true
     }
 }
+
+/// Whether a process is among the first agents of all.
+fn is_sentinel<L: Link>(node: &Node<L>, role: Role) -> bool {
+    let own = node.settings.nodes;
+    let roster = node.roster.read();
+    let before = roster.agents().filter(|m| !m.is_silent && m.address < own);
+    role == Role::Agent && before.count() < SENTINELS
+}
