Take the limit of a cold backend server for used in a new process

Cause: the openings of the last second were known to the process only, and a new process began with an empty list.

A new process now gives a cold backend server nothing until it has counted for 1.1 s, unless the backend server started after the process. Openings wait or go to another agent.

Three tests that let an agent start together with its cold backend server now let it find no backend server before, as a new machine does.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -109,7 +109,7 @@
             address,
             domain,
             max_flow_age_ms: limits.max_flow_age_ms,
-            backend: Backend::new(limits.bounds),
+            backend: Backend::new(now, limits.bounds),
             flows: Table::new(limits.flows),
             open: 0,
             in_flight: InFlight::default(),
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -36,6 +36,7 @@
         report: Report,
     ) -> (backend::Change, Vec<Ended>) {
         let is_first = self.backend.report().is_none();
+        let was_absent = !self.backend.may_be_running();
         let is_other_service =
             self.backend.report().is_some_and(|last| last.service != report.service);
         let last_report = self.backend.last_report();
@@ -43,6 +44,7 @@
         let mut ended = Vec::new();
         match change {
             backend::Change::Started { is_replacement: true } => {
+                self.backend.record_later_start();
                 self.knows_all_flows = self.recorded_since <= last_report;
                 // The new instance may have accepted those that were offered since, unless it
                 // runs another service, which gets the address later.
@@ -51,8 +53,13 @@
                     is_other_service || state.offered_at.is_none_or(is_older)
                 });
             }
+            backend::Change::Started { .. } if is_first => {
+                if was_absent {
+                    self.backend.record_later_start();
+                }
+            }
             // It was taken for gone by mistake.
-            backend::Change::Started { .. } if !is_first => {
+            backend::Change::Started { .. } => {
                 self.knows_all_flows = false;
                 if self.forget_lost_flows() {
                     self.recorded_since = now;
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -155,6 +155,9 @@
     cold_until: Millis,
     /// Whether it may have become cold since its last report.
     may_be_cold: bool,
+    /// Since when all openings that the current instance was given are in `openings`. An
+    /// earlier process of the agent may have delivered others before.
+    counted_since: Millis,
     /// Delivery times of openings within [`COLD_WINDOW_MS`].
     openings: VecDeque<Millis>,
     /// Whether the agent's process is about to stop.
@@ -162,8 +165,8 @@
 }
 
 impl Backend {
-    /// Creates a backend server that has not reported yet.
-    pub fn new(bounds: Bounds) -> Self {
+    /// Creates a backend server that has not reported yet, for a process that starts now.
+    pub fn new(now: Millis, bounds: Bounds) -> Self {
         Self {
             bounds,
             report: None,
@@ -177,6 +180,7 @@
             probed_tick: None,
             cold_until: Millis(0),
             may_be_cold: true,
+            counted_since: now,
             openings: VecDeque::new(),
             is_stopping: false,
         }
@@ -249,6 +253,12 @@
         self.instance_since
     }
 
+    /// Records that the current instance started after this process, so that no other one
+    /// can have given it openings.
+    pub fn record_later_start(&mut self) {
+        self.counted_since = Millis(0);
+    }
+
     /// Whether an outdated report has to be taken for a current one: no other report
     /// counts, and it follows an earlier outdated one as reports of a running backend
     /// server do. Reports that were delayed arrive together.
@@ -389,11 +399,14 @@
         while self.openings.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW_MS) {
             self.openings.pop_front();
         }
-        let limit = self.cold_limit(rate);
-        let Some(index) = (self.openings.len() + ahead).checked_sub(limit) else {
-            return Some(now);
+        let counted_at = self.counted_since.after(COLD_WINDOW_MS);
+        let free_at = match (self.openings.len() + ahead)
+            .checked_sub(self.cold_limit(rate))
+        {
+            None => Some(now),
+            Some(index) => self.openings.get(index).map(|at| at.after(COLD_WINDOW_MS)),
         };
-        let free_at = self.openings.get(index).map(|at| at.after(COLD_WINDOW_MS));
+        let free_at = free_at.map(|at| at.max(counted_at));
         let warm_at = (!self.may_be_cold).then_some(self.cold_until);
         free_at.into_iter().chain(warm_at).min()
     }
--- a/crates/steer/tests/admit.rs
+++ b/crates/steer/tests/admit.rs
@@ -3,9 +3,8 @@
 mod fixture;
 
 use fixture::{
-    COLD_LIMIT, FIRST_SEQUENCE, NOW, accept, agent_address, agent_and_roster, arrival,
-    flow, forwarded, from_backend, limits, open, opening, report, request, roster,
-    routing,
+    COLD_LIMIT, FIRST_SEQUENCE, NOW, accept, agent_and_roster, arrival, cold_agent, flow,
+    forwarded, from_backend, open, opening, report, request, roster, routing,
 };
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, Agent, Arrival, Cause};
@@ -31,8 +30,7 @@
 /// server wait or are refused, and none is delivered early.
 #[test]
 fn a_burst_waits_for_a_cold_backend_server() {
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
-    agent.report(NOW, Report { cold_ms: 5_000, ..report(1) });
+    let mut agent = cold_agent();
     let alone = roster(NOW, 1, &["a"]);
     let routing = routing(1);
 
@@ -71,8 +69,7 @@
 /// A backend server that starts to drain must not get an opening that waited for it.
 #[test]
 fn a_waiting_opening_is_not_delivered_after_a_drain() {
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
-    agent.report(NOW, Report { cold_ms: 5_000, ..report(1) });
+    let mut agent = cold_agent();
     let alone = roster(NOW, 1, &["a"]);
     for port in 1..=6 {
         let arrival = arrival(opening(flow(port), 0), Search::Open, 1);
--- a/crates/steer/tests/backend.rs
+++ b/crates/steer/tests/backend.rs
@@ -11,7 +11,7 @@
 
 /// Creates a backend server that has reported.
 fn backend(report: Report) -> Backend {
-    let mut backend = Backend::new(bounds());
+    let mut backend = Backend::new(Millis(0), bounds());
     backend.record_report(NOW, report);
     backend
 }
@@ -116,7 +116,7 @@
     assert_eq!(admit(&mut silent, late), Err(Refusal::Unknown));
     assert_eq!(silent.stage(late), Some(Stage::Closed));
 
-    let mut unknown = Backend::new(bounds());
+    let mut unknown = Backend::new(Millis(0), bounds());
     assert_eq!(admit(&mut unknown, NOW), Err(Refusal::Unknown));
     assert_eq!(unknown.stage(NOW), None);
 }
@@ -209,3 +209,28 @@
     assert_ne!(change, Change::Outdated);
     assert_eq!(backend.stage(NOW.after(REPORT_MS + 100)), Some(Stage::Ready));
 }
+
+/// An agent that was killed while its backend server was cold gave it the whole amount of a
+/// second again.
+#[test]
+fn a_new_process_takes_the_limit_of_a_cold_backend_server_for_used() {
+    let mut unknown = Backend::new(NOW, bounds());
+    unknown.record_report(NOW.after(100), Report { cold_ms: 5_000, ..report(3) });
+    let mut later = Backend::new(NOW, bounds());
+    later.record_later_start();
+    later.record_report(NOW.after(100), Report { cold_ms: 5_000, ..report(3) });
+
+    assert_eq!(admit(&mut unknown, NOW.after(100)), Err(Refusal::Cold));
+    assert_eq!(waiting(&mut unknown, NOW.after(100), 1), [Some(NOW.after(1_100))]);
+    assert_eq!(admit(&mut unknown, NOW.after(1_100)), Ok(()));
+    assert_eq!(admit(&mut later, NOW.after(100)), Ok(()));
+}
+
+/// A process that starts beside a warm backend server must not make callers wait.
+#[test]
+fn a_new_process_gives_openings_to_a_warm_backend_server_at_once() {
+    let mut backend = Backend::new(NOW, bounds());
+    backend.record_report(NOW.after(100), report(30));
+
+    assert_eq!(admit(&mut backend, NOW.after(100)), Ok(()));
+}
--- a/crates/steer/tests/instance.rs
+++ b/crates/steer/tests/instance.rs
@@ -5,7 +5,7 @@
 
 use fixture::{
     ADDRESS_REUSE_MS, COLD_LIMIT, FIRST_SEQUENCE, INVOICES, NOW, accept, agent,
-    agent_and_roster, arrival, flow, open, opening, report, routing,
+    agent_and_roster, arrival, cold_agent, flow, open, opening, report, routing,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::process::agent::{Action, Agent, Cause};
@@ -155,10 +155,8 @@
 /// server gets. Copies of accepted ones are not counted.
 #[test]
 fn a_cold_backend_server_gets_no_uncounted_copies() {
-    let mut agent =
-        Agent::new(NOW, fixture::agent_address(1), "a".into(), fixture::limits());
+    let mut agent = cold_agent();
     let roster = fixture::roster(NOW, 1, &["a"]);
-    agent.report(NOW, Report { cold_ms: 5_000, ..report(1) });
     for port in 1..=COLD_LIMIT as u16 {
         assert!(is_delivered(&offer(NOW, &mut agent, &roster, port, 0)));
     }
