End no flow because of a report of another writer

Cause: a new process accepted any first report. If that one came first, the next report of the backend server itself looked like one of an instance that had replaced it.

Such a report is now rejected if it would be the first. Before the configuration is known it is still accepted, so that an agent serves while the store is away, but a replacement ends flows only if the configuration has had the service of the instance before.

Ruled out: to reject all reports until the configuration is known, which would stop new flows at restarted agents during an outage of the store.

--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -274,6 +274,7 @@
                 delay_ms: 0,
             };
             side.agent.report(Millis(now), report);
+            side.agent.confirm_service(&self.routing);
         }
     }
 
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -59,6 +59,8 @@
     max_flow_age_ms: u64,
     /// The backend server next to the agent.
     backend: Backend,
+    /// Whether the configuration has the service that the backend server has reported.
+    is_confirmed: bool,
     /// The known flows of the backend server.
     flows: Table<State>,
     /// Upper bound of the number of open flows: their number when it was last counted,
@@ -110,6 +112,7 @@
             domain,
             max_flow_age_ms: limits.max_flow_age_ms,
             backend: Backend::new(now, limits.bounds),
+            is_confirmed: false,
             flows: Table::new(limits.flows),
             open: 0,
             in_flight: InFlight::default(),
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -10,17 +10,25 @@
 use crate::version::routing::Routing;
 
 impl Agent {
-    /// Whether a report would replace a backend server that reports in time by another one
-    /// with a service that the configuration doesn't have. Other writers may send anything,
-    /// and a replacement ends all flows.
+    /// Whether a report names a service that the configuration doesn't have, and would be
+    /// the first one, or replace a backend server that reports in time. Other writers may
+    /// send anything, and a replacement ends all flows.
     pub fn is_foreign(&self, now: Millis, routing: &Routing, report: &Report) -> bool {
-        let is_replacement =
-            self.backend.report().is_some_and(|last| !last.is_same_instance(report));
-        is_replacement
-            && !self.backend.is_overdue(now)
-            && !self.backend.is_leaving()
-            && routing.is_loaded()
-            && routing.service(&report.service).is_none()
+        let last = self.backend.report();
+        let is_new = last.is_none_or(|last| {
+            let is_replacement = !last.is_same_instance(report);
+            is_replacement && !self.backend.is_overdue(now) && !self.backend.is_leaving()
+        });
+        is_new && routing.is_loaded() && routing.service(&report.service).is_none()
+    }
+
+    /// Checks the service of a backend server that has reported against the configuration,
+    /// which may not have been known yet.
+    pub fn confirm_service(&mut self, routing: &Routing) {
+        let report = self.backend.report();
+        let is_known =
+            report.is_some_and(|last| routing.service(&last.service).is_some());
+        self.is_confirmed |= is_known;
     }
 
     /// Processes a report of the backend server. Returns the flows that ended with a
@@ -35,15 +43,20 @@
         now: Millis,
         report: Report,
     ) -> (backend::Change, Vec<Ended>) {
-        let is_first = self.backend.report().is_none();
+        let had_reported = self.backend.report().is_some();
         let was_absent = !self.backend.may_be_running();
         let is_other_service =
             self.backend.report().is_some_and(|last| last.service != report.service);
         let last_report = self.backend.last_report();
         let change = self.backend.record_report(now, report);
         let mut ended = Vec::new();
-        match change {
-            backend::Change::Started { is_replacement: true } => {
+        let backend::Change::Started { is_replacement } = change else {
+            return (change, ended);
+        };
+        // A report that was not confirmed may have come from another writer.
+        let was_confirmed = std::mem::replace(&mut self.is_confirmed, false);
+        match is_replacement {
+            true if was_confirmed => {
                 self.backend.record_later_start();
                 self.knows_all_flows = self.recorded_since <= last_report;
                 // The new instance may have accepted those that were offered since, unless it
@@ -53,18 +66,14 @@
                     is_other_service || state.offered_at.is_none_or(is_older)
                 });
             }
-            backend::Change::Started { .. } if is_first => {
-                if was_absent {
-                    self.backend.record_later_start();
-                }
-            }
             // It was taken for gone by mistake.
-            backend::Change::Started { .. } => {
+            false if had_reported => {
                 self.knows_all_flows = false;
                 if self.forget_lost_flows() {
                     self.recorded_since = now;
                 }
             }
+            _ if was_absent => self.backend.record_later_start(),
             _ => {}
         }
         (change, ended)
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -196,6 +196,7 @@
                 let routing = self.node.routing();
                 let mut flows = self.flows.write();
                 flows.expire(now, idle_ms);
+                flows.confirm_service(&routing);
                 flows.update_knows_all_flows(now, &routing);
             }
             let (ended, announcements, knows_all_flows) = {
--- a/crates/steer/src/process/driver/agent/report.rs
+++ b/crates/steer/src/process/driver/agent/report.rs
@@ -40,6 +40,7 @@
                 return Err(Foreign { service });
             }
             let outcome = flows.report(now, report);
+            flows.confirm_service(&routing);
             flows.update_knows_all_flows(now, &routing);
             outcome
         };
--- a/crates/steer/tests/instance.rs
+++ b/crates/steer/tests/instance.rs
@@ -5,13 +5,16 @@
 
 use fixture::{
     ADDRESS_REUSE_MS, COLD_LIMIT, FIRST_SEQUENCE, INVOICES, NOW, accept, agent,
-    agent_and_roster, arrival, cold_agent, flow, open, opening, report, routing,
+    agent_and_roster, arrival, cold_agent, flow, from_backend, open, opening, report,
+    routing,
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::process::agent::{Action, Agent, Cause};
 use lentilreach_steer::process::backend::Report;
 use lentilreach_steer::process::roster::Roster;
 use lentilreach_steer::request::message::Search;
+use lentilreach_steer::request::segment::Flags;
+use lentilreach_steer::version::routing::Routing;
 
 /// What an agent does with the copy of an opening with a certain number, or with the
 /// opening itself.
@@ -169,3 +172,33 @@
     assert!(is_delivered(&copy_of_accepted));
     assert!(matches!(other_copy, Action::Drop(Cause::Admission(_))), "{other_copy:?}");
 }
+
+/// A report of another writer was accepted by an agent that had just been restarted. With
+/// the next report of the backend server itself, all flows seemed to belong to an instance
+/// that had been replaced, and were reset.
+#[test]
+fn a_report_of_another_writer_ends_no_flow() {
+    let foreign = Report {
+        id: "i-9".into(),
+        service: "unbekannt".into(),
+        started_ms: None,
+        ..report(5)
+    };
+    let roster = fixture::roster(NOW, 6, &["a", "b"]);
+    let new =
+        || Agent::new(NOW, fixture::agent_address(1), "a".into(), fixture::limits());
+
+    // Before the configuration is known, the report can't be told from a valid one.
+    let mut agent = new();
+    assert!(!agent.is_foreign(NOW, &Routing::default(), &foreign));
+    agent.report(NOW, foreign.clone());
+    agent.confirm_service(&routing(1));
+    let flags = Flags { acknowledge: true, ..Flags::default() };
+    let answer = from_backend(flow(1), flags, FIRST_SEQUENCE);
+    agent.handle_backend_segment(NOW, &routing(1), &roster, &answer);
+    let (_, ended) = agent.report(NOW.after(100), report(30));
+
+    assert_eq!(ended, []);
+    assert!(!agent.knows_all_flows());
+    assert!(new().is_foreign(NOW, &routing(1), &foreign));
+}
--- a/crates/steer/tests/locate.rs
+++ b/crates/steer/tests/locate.rs
@@ -82,6 +82,7 @@
 
     let mut replaced = new();
     replaced.report(NOW, report(9));
+    replaced.confirm_service(&routing(1));
     let knows_before = replaced.knows_all_flows();
     replaced.report(NOW.after(900), next.clone());
     let mut absent = new();
--- a/crates/steer/tests/model/node.rs
+++ b/crates/steer/tests/model/node.rs
@@ -192,7 +192,9 @@
         let mut report = fixture::report(self.server.reports);
         report.id = format!("{}-{}", self.address, self.server.lifetime).as_str().into();
         report.started_ms = Some(1_000 + u64::from(self.server.lifetime));
-        self.agent.report(now, report).1.len()
+        let (_, ended) = self.agent.report(now, report);
+        self.agent.confirm_service(&fixture::routing(1));
+        ended.len()
     }
 }
 
