Merge the samples of histograms although nobody reads the metrics

An agent's memory grew by 16 bytes for each delivered segment without end, so agents that were started together would reach their limit together after some hours.

Cause: the recorder keeps samples one by one until the metrics are read or its upkeep runs, and the daemons ran none.

A task of each daemon now runs the upkeep every 5 s.

Evidence: memory_does_not_grow_while_nobody_reads_the_metrics grew by 31,354,880 bytes without the upkeep and stays below 8 MB with it.

--- a/crates/steer/src/process/daemon.rs
+++ b/crates/steer/src/process/daemon.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use async_channel::Sender;
 use lentilreach::process::admin::{Handler, Server};
@@ -24,6 +25,10 @@
 const HISTOGRAM_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
 
+/// Interval at which the samples of histograms are merged. At 10,000 samples a second they
+/// take less than 1 MB meanwhile.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The settings of a daemon.
 pub trait Settings: Sized + PartialEq {
     /// Reads a settings file.
@@ -101,6 +106,7 @@
         describe_metrics(metric::ALL);
         let pool = Pool::new(settings.node().threads);
         let pool = pool.map_err(|error| Error::new("threads", "system", error))?;
+        pool.spawn(metric::keep_up(metrics.clone(), UPKEEP_INTERVAL)).detach();
         Ok(Self { settings, pool, metrics, path: path.to_owned(), signals })
     }
 
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -3,8 +3,12 @@
 //! Segments of established flows that are delivered directly are not counted. Exceptional
 //! events are counted by cause.
 
+use std::time::Duration;
+
+use async_io::Timer;
 use lentilreach::process::metric::{Kind, Metric};
 use metrics::Unit;
+use metrics_exporter_prometheus::PrometheusHandle;
 
 /// Defines a counter.
 const fn counter(
@@ -176,6 +180,15 @@
     &HOPS,
 ];
 
+/// Merges recorded samples into their histograms at an interval, until it is cancelled.
+/// The recorder keeps each sample in memory until then, unless the metrics are read.
+pub async fn keep_up(handle: PrometheusHandle, interval: Duration) {
+    loop {
+        Timer::after(interval).await;
+        handle.run_upkeep();
+    }
+}
+
 /// Increments a counter without labels.
 pub fn count(metric: &Metric) {
     metrics::counter!(metric.name).increment(1);
