--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -134,8 +134,9 @@
     report: Option<Report>,
     /// When the last report arrived.
     last_report: Millis,
-    /// When the current instance was last known to run, by its reports and segments. Never
-    /// later than that was the case: another service may use its address soon after its end.
+    /// When the current instance was last known to run, by its reports and segments. Another
+    /// service may use its address from `address_reuse_ms` after its end, which may have
+    /// come right after that time.
     alive_at: Millis,
     /// When the first report of the current instance arrived.
     instance_since: Millis,
