--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -1,6 +1,5 @@
 //! The agent daemon, which runs next to a backend server.
 
-use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -8,7 +7,6 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 use lentilreach::process::link::Link;
 use lentilreach::process::lock::Ranked;
@@ -28,9 +26,9 @@
 use crate::process::roster::{HEARTBEAT_INTERVAL_MS, Role};
 use crate::process::settings;
 use crate::request::message::{Envelope, Message};
-use crate::request::placement;
-use crate::request::segment::{Format, Segment};
+use crate::request::segment::Format;
 
+mod action;
 mod report;
 mod startup;
 mod status;
@@ -434,78 +432,4 @@
             }
         }
     }
-
-    /// Performs the action that was decided for a segment from a caller.
-    fn perform(&self, segment: &Segment, action: Action, bytes: &[u8], version: u64) {
-        let flow = segment.flow_from_caller();
-        match action {
-            Action::Deliver { mark, notify, is_new } => {
-                let mut bytes = bytes.to_vec();
-                self.format.mark(&mut bytes, mark);
-                send_datagram(&self.backend, self.server, &bytes);
-                if let Some(origin) = notify {
-                    self.node.send(origin, &Message::Found(flow));
-                }
-                if is_new {
-                    metric::count(&metric::OFFERED);
-                    log::info!(target: "offered", flow:% = flow, version = version; "flow offered to the backend server");
-                }
-            }
-            Action::Hold { notify } => {
-                self.node.send(notify, &Message::Found(flow));
-                metric::count(&metric::HELD);
-                log::info!(
-                    target: "held", flow:% = flow, version = version;
-                    "opening waits for the backend server"
-                );
-                // If the channel is full, the task has already been signalled.
-                let _ = self.hold_signal.0.try_send(());
-                self.release();
-            }
-            Action::Forward { to, forwarding, cause } => {
-                metric::count_labelled(&metric::PASSED, cause.as_str());
-                log::info!(
-                    target: "passed", flow:% = flow, agent:% = to, cause = cause.as_str(),
-                    search = forwarding.search.as_str(), hops = forwarding.hops, version = version; "segment forwarded to another agent"
-                );
-                let service =
-                    if segment.is_opening() { self.service(segment) } else { None };
-                let service = Cow::Borrowed(service.as_deref().unwrap_or_default());
-                let envelope = forwarding.envelope(service, bytes);
-                self.node.send(to, &Message::Segment(envelope));
-                if segment.is_opening() {
-                    self.node.roster.write().record_offer(self.node.now(), to);
-                }
-            }
-            Action::Refuse { sequence, notify, cause } => {
-                let bytes = self.format.reset(&flow, sequence);
-                send_datagram(&self.node.link, self.node.caller_address(&flow), &bytes);
-                if let Some(origin) = notify {
-                    self.node.send(origin, &Message::NotFound(flow));
-                }
-                metric::count_labelled(&metric::REFUSED, cause.as_str());
-                let summary = self.node.roster.read().summary();
-                log::info!(
-                    target: "refused", flow:% = flow, cause = cause.as_str(), version = version,
-                    opening = segment.is_opening(), detail:? = cause, agents:? = summary;
-                    "flow refused"
-                );
-            }
-            Action::Drop(cause) => {
-                metric::count_labelled(&metric::DROPPED, cause.as_str());
-                let summary = self.node.roster.read().summary();
-                log::info!(
-                    target: "dropped", flow:% = flow, cause = cause.as_str(), version = version,
-                    agents:? = summary; "segment dropped"
-                );
-            }
-        }
-    }
-
-    /// Selects the service of an opening segment according to the active routing.
-    fn service(&self, segment: &Segment) -> Option<Name> {
-        let routing = self.node.routing();
-        let service = placement::choose_service(&routing, &segment.flow_from_caller())?;
-        routing.service(service).map(|service| service.name.clone())
-    }
 }
