Let walks visit only services that a route leads to or has led to

A process now records which services each route led to for the longest life of a flow, and a walk goes to agents of these services besides those that the route leads to now. What a process hasn't seen doesn't count; flows are found by the index then.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -14,6 +14,7 @@
 use crate::process::admission::Admission;
 use crate::process::backend::Backend;
 use crate::process::health::Health;
+use crate::process::history::History;
 use crate::process::roster::Roster;
 use crate::request::message::Search;
 use crate::request::segment::Segment;
@@ -75,6 +76,8 @@
     lifetime: Lifetime,
     /// Whether the backend server resets flows or leaves requests unanswered.
     health: Health,
+    /// Services that routes led to before they were changed.
+    history: History,
     /// Which agents hold the flows that this agent is a home node of.
     index: Index,
     /// Recently delivered segments, which the backend server may return.
@@ -119,6 +122,7 @@
             admission: Admission::default(),
             lifetime: Lifetime::default(),
             health: Health::default(),
+            history: History::default(),
             index: Index::new(limits.flows),
             delivered: Ring::new(fastrand::u32(1..)),
             recorded_since: now,
@@ -139,7 +143,8 @@
     }
 
     /// Processes a change of the active routes.
-    pub fn routing_changed(&mut self, before: &Routing, after: &Routing) {
+    pub fn routing_changed(&mut self, now: Millis, before: &Routing, after: &Routing) {
+        self.history.record(now, before);
         // A backend server that received no requests for a while may be cold again.
         if before.is_out(&self.domain) && !after.is_out(&self.domain) {
             self.backend.suspect_cold();
@@ -229,6 +234,7 @@
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.flows.expire(now, idle_ms);
         self.index.expire(now, idle_ms);
+        self.history.expire(now, self.max_flow_age_ms);
         self.questions.expire(now);
     }
 
@@ -288,7 +294,8 @@
                 _ if !self.may_hold_unknown_flows() => {
                     self.locate(now, routing, roster, arrival)
                 }
-                Search::Open | Search::Known | Search::Indexed | Search::Walk => {
+                Search::Walk => self.visit(now, routing, arrival, forwarding.clone()),
+                Search::Open | Search::Known | Search::Indexed => {
                     self.deliver(now, arrival, false)
                 }
             },
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -23,8 +23,8 @@
 /// Where a home node that doesn't know a flow searches for it.
 #[derive(Debug)]
 struct Plan {
-    /// Agents that may hold the flow without having announced it, whatever their backend
-    /// servers run now: the flow stays where it was opened when its route changes.
+    /// Agents that may hold the flow without having announced it. Their backend servers run
+    /// services that the flow's route leads to or has led to.
     to_visit: Vec<SocketAddrV4>,
     /// Whether no other agent can hold it.
     is_exhaustive: bool,
@@ -88,7 +88,7 @@
                 {
                     return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
                 }
-                let plan = self.plan(now, roster, arrival, &forwarding);
+                let plan = self.plan(now, routing, roster, arrival, &forwarding);
                 match other_home {
                     Some(to) if is_home && rank == 0 && !plan.is_proof() => {
                         forwarding.search = Search::Home(1);
@@ -104,7 +104,7 @@
                     forwarding.search = Search::Indexed;
                     return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
                 }
-                let plan = self.plan(now, roster, arrival, &forwarding);
+                let plan = self.plan(now, routing, roster, arrival, &forwarding);
                 self.start_walk(now, routing, roster, arrival, forwarding, plan)
             }
             Search::Open | Search::Known | Search::Indexed => {
@@ -120,7 +120,7 @@
                         Action::Forward { to, forwarding, cause: Cause::Elsewhere }
                     }
                     None => {
-                        let plan = self.plan(now, roster, arrival, &forwarding);
+                        let plan = self.plan(now, routing, roster, arrival, &forwarding);
                         self.start_walk(now, routing, roster, arrival, forwarding, plan)
                     }
                 }
@@ -155,6 +155,7 @@
     fn plan(
         &mut self,
         now: Millis,
+        routing: &Routing,
         roster: &Roster,
         arrival: &Arrival,
         forwarding: &Forwarding,
@@ -198,9 +199,18 @@
             if is_left_out || is_tried || member.is_silent {
                 continue;
             }
-            plan.to_visit.push(member.address);
-            if evidence.has_answered {
-                plan.answered.push(member.address);
+            // See `Self::visit`.
+            let status = member.backend_status.as_ref();
+            let can_deliver = status.is_none_or(|status| {
+                self.history.allows(routing, flow.service, &status.service)
+            });
+            if can_deliver {
+                plan.to_visit.push(member.address);
+                if evidence.has_answered {
+                    plan.answered.push(member.address);
+                }
+            } else {
+                plan.is_exhaustive = false;
             }
         }
         let may_become_certain = can_be_certain && !plan.is_exhaustive;
@@ -265,21 +275,39 @@
             to_visit.rotate_left(first);
         }
         to_visit.truncate(MAX_TO_VISIT);
-        // A walk ends at an agent that has stopped, or whose backend server doesn't run.
-        let has_reported = |agent: &SocketAddrV4| {
-            roster.get(*agent).is_some_and(|member| member.backend_status.is_some())
-        };
-        to_visit
-            .sort_by_key(|agent| (!has_reported(agent), !plan.answered.contains(agent)));
+        // A walk ends at an agent that has stopped.
+        to_visit.sort_by_key(|agent| !plan.answered.contains(agent));
         // The walk visits this agent first, unless its backend server has another flow
         // between the same addresses.
         if self.may_hold_unknown_flows() && self.flows.get(now, &flow).is_none() {
-            let arrival = Arrival { forwarding, ..arrival.clone() };
-            return self.deliver(now, &arrival, false);
+            return self.visit(now, routing, arrival, forwarding);
         }
         self.continue_walk(arrival, forwarding)
     }
 
+    /// Delivers a segment on a walk to a backend server that may hold its flow and returns
+    /// the segment otherwise. One of a service that isn't known, or that the flow's route is
+    /// not known to have led to, must not receive it, although it may hold the flow since a
+    /// configuration that this process hasn't seen.
+    pub(super) fn visit(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        arrival: &Arrival,
+        mut forwarding: Forwarding,
+    ) -> Action {
+        let address = arrival.segment.flow_from_caller().service;
+        let report = self.backend.report();
+        let can_deliver = report
+            .is_some_and(|report| self.history.allows(routing, address, &report.service));
+        if !can_deliver {
+            forwarding.is_exhaustive = false;
+            return self.continue_walk(arrival, forwarding);
+        }
+        let arrival = Arrival { forwarding, ..arrival.clone() };
+        self.deliver(now, &arrival, false)
+    }
+
     /// Forwards a segment to the next agent of a walk. If there is none left, resets the
     /// flow or drops the segment.
     fn continue_walk(&self, arrival: &Arrival, mut forwarding: Forwarding) -> Action {
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -127,7 +127,7 @@
         let shared = state.clone();
         let mut tasks =
             start(pool, &node, dependencies, Role::Agent, move |before, after| {
-                shared.flows.write().routing_changed(before, after);
+                shared.flows.write().routing_changed(shared.node.now(), before, after);
             });
         let (link, shared) = (state.backend.clone(), state.clone());
         tasks.push(pool.spawn(receive::run(link, "backend", move |_, bytes| {
--- a/crates/steer/src/process/mod.rs
+++ b/crates/steer/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod documents;
 pub mod driver;
 pub mod health;
+pub mod history;
 pub mod logging;
 pub mod membership;
 pub mod metric;
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -4,8 +4,9 @@
 
 use fixture::{
     CALENDAR, COLD_LIMIT, FIRST_SEQUENCE, INVOICES, NOW, accept, agent_address,
-    agent_and_roster, arrival, flow, flow_homed_elsewhere, forwarded, from_backend,
-    limits, mark, open, opening, report, request, returned, roster, routing,
+    agent_and_roster, arrival, calendar_led_to_invoices, flow, flow_homed_elsewhere,
+    forwarded, from_backend, limits, mark, open, opening, report, request, returned,
+    roster, routing,
 };
 use lentilreach_steer::process::agent::{Action, Agent, BackendAction, Cause, Ended};
 use lentilreach_steer::process::backend::{Change, Refusal, Report};
@@ -89,7 +90,7 @@
     let (mut agent, _) = agent_and_roster();
     let alone = roster(NOW, 1, &["a"]);
     let out = Routing { domains_out: vec!["a".into()], ..routing(1) };
-    agent.routing_changed(&out, &routing(1));
+    agent.routing_changed(NOW, &out, &routing(1));
 
     let actions: Vec<_> = (1..=20)
         .map(|port| {
@@ -228,38 +229,54 @@
     assert_eq!(forwarded(action), (Cause::Elsewhere, Search::Home(0)));
 }
 
-/// After a change of a route, open flows stay at backend servers of services that the route
-/// had before. A walk passed them by, also before their first report to a new process, and
-/// took the segments to backend servers that could not hold the flow.
+/// A walk must not take segments to backend servers of other services, and can't deny a
+/// flow that one of them may hold since an earlier configuration.
 #[test]
-fn a_walk_delivers_to_a_backend_server_whatever_it_runs_now() {
+fn a_walk_delivers_no_segment_to_another_service() {
     let roster = roster(NOW, 6, &["a", "b"]);
-    let new = || Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, Report { service: INVOICES.into(), ..report(17) });
     let segment = request(flow_homed_elsewhere(&roster), FIRST_SEQUENCE);
     let mut walk = arrival(segment, Search::Walk, 1);
-    walk.forwarding.to_visit = vec![agent_address(2)];
     walk.forwarding.is_exhaustive = true;
-    let mut other_service = new();
-    other_service.report(NOW, Report { service: INVOICES.into(), ..report(17) });
-
-    for mut agent in [other_service, new()] {
-        let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
-
-        // If the backend server doesn't hold the flow, the walk goes on, and is as certain.
-        let answer = agent.handle_backend_segment(
-            NOW,
-            &routing(1),
-            &roster,
-            &returned(segment, mark(&action)),
-        );
-        let Some(BackendAction::Returned(Action::Forward { to, forwarding, .. })) =
-            answer
-        else {
-            panic!("{answer:?}")
-        };
-        assert_eq!(to, agent_address(2));
-        assert!(forwarding.is_exhaustive && forwarding.to_visit.is_empty());
-    }
+
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    assert_eq!(action, Action::Drop(Cause::Unknown));
+
+    walk.forwarding.to_visit = vec![agent_address(2)];
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    let Action::Forward { forwarding, .. } = action else { panic!("{action:?}") };
+    assert!(!forwarding.is_exhaustive);
+
+    // Before the first report, the service is not known.
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    walk.forwarding.to_visit.clear();
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    assert_eq!(action, Action::Drop(Cause::Unknown));
+}
+
+/// After a change of a route, open flows stay at backend servers of services that the route
+/// had before. A walk passed them by, and took the segments to backend servers that could not
+/// hold the flow.
+#[test]
+fn a_walk_delivers_to_a_service_that_the_route_led_to() {
+    let roster = roster(NOW, 6, &["a", "b"]);
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    agent.report(NOW, Report { service: INVOICES.into(), ..report(17) });
+    agent.routing_changed(NOW, &calendar_led_to_invoices(), &routing(1));
+    let segment = request(flow_homed_elsewhere(&roster), FIRST_SEQUENCE);
+    let walk = arrival(segment, Search::Walk, 1);
+
+    let now = NOW.after(50_000);
+    agent.expire(now, 60_000);
+    let action = agent.handle_caller_segment(now, &routing(1), &roster, &walk);
+    // No flow is older than that.
+    let late = NOW.after(60_001);
+    agent.expire(late, 60_000);
+    let later = agent.handle_caller_segment(late, &routing(1), &roster, &walk);
+
+    assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+    assert_eq!(later, Action::Drop(Cause::Unknown));
 }
 
 /// Segments must not be delivered to a backend server that is known not to hold their
--- a/crates/steer/tests/walk.rs
+++ b/crates/steer/tests/walk.rs
@@ -6,8 +6,9 @@
 
 use fixture::{
     FIRST_SEQUENCE, INCARNATION, INVOICES, NOW, agent, agent_address, agent_and_roster,
-    agent_heartbeat, arrival, balancer_address, flow, flow_homed_elsewhere,
-    flow_homed_here, limits, request, roster, routing, searched, sync_all, sync_status,
+    agent_heartbeat, arrival, balancer_address, calendar_led_to_invoices, flow,
+    flow_homed_elsewhere, flow_homed_here, limits, request, roster, routing, searched,
+    sync_all, sync_status,
 };
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, Agent, Cause};
@@ -15,8 +16,8 @@
 use lentilreach_steer::request::message::{BackendStatus, Search, Stage, SyncStatus};
 use lentilreach_steer::request::placement::homes;
 
-/// A walk must not end at an agent that has found no backend server, since nobody would
-/// return the segment. Before that, the backend server may be there and hold the flow.
+/// A walk must not end at an agent without a backend server, since nobody would return
+/// the segment.
 #[test]
 fn an_agent_without_a_backend_server_continues_a_walk() {
     let (_, roster) = agent_and_roster();
@@ -26,14 +27,21 @@
     walk.forwarding.to_visit = vec![agent_address(2)];
     walk.forwarding.is_exhaustive = true;
     let later = NOW.after(2_100);
+    let is_exhaustive = |agent: &mut Agent| match agent.handle_caller_segment(
+        later,
+        &routing(1),
+        &roster,
+        &walk,
+    ) {
+        Action::Forward { forwarding, .. } => forwarding.is_exhaustive,
+        other => panic!("{other:?}"),
+    };
 
-    let before = agent.handle_caller_segment(later, &routing(1), &roster, &walk);
-    agent.record_absence(later);
-    let after = agent.handle_caller_segment(later, &routing(1), &roster, &walk);
+    // Without a report, a backend server that can't report may still be there.
+    assert!(!is_exhaustive(&mut agent));
 
-    assert!(matches!(before, Action::Deliver { .. }), "{before:?}");
-    let Action::Forward { forwarding, .. } = after else { panic!("{after:?}") };
-    assert!(forwarding.is_exhaustive);
+    agent.record_absence(later);
+    assert!(is_exhaustive(&mut agent));
     assert!(agent.has_no_backend() && agent.knows_all_flows());
 }
 
@@ -50,13 +58,32 @@
         .expect("a later heartbeat");
 }
 
+/// A walk must not carry agents that can't deliver the segment, since it can't carry many.
+#[test]
+fn a_walk_carries_no_agents_of_other_services() {
+    let mut roster = roster(NOW, 6, &["a"]);
+    let mut other = agent_heartbeat(9, "a", Stage::Ready, 0);
+    other.backend_status.as_mut().expect("a status").service = INVOICES.into();
+    roster.record_heartbeat(NOW, agent_address(3), &other).expect("a later heartbeat");
+    let mut agent = agent(NOW, 1, "a");
+    let key = flow_homed_here(&roster);
+
+    let last = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
+    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &last);
+
+    let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
+    assert_eq!(forwarding.to_visit.len() + 1, 4);
+    assert!(to != agent_address(3) && !forwarding.to_visit.contains(&agent_address(3)));
+    assert!(!forwarding.is_exhaustive);
+}
+
 /// An open flow whose route now leads to another service was shown to all backend servers
 /// that could not hold it, and to none that could.
 #[test]
-fn a_walk_includes_agents_of_other_services() {
+fn a_walk_includes_agents_of_services_that_the_route_led_to() {
     let (mut agent, mut roster) = agent_and_roster();
     change_backend(&mut roster, 2, Some(INVOICES));
-    change_backend(&mut roster, 4, None);
+    agent.routing_changed(NOW, &calendar_led_to_invoices(), &routing(1));
     let key = flow_homed_here(&roster);
     let search = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
 
@@ -65,10 +92,9 @@
     let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
     let mut visited = vec![to];
     visited.extend(forwarding.to_visit);
-    // Agents of the route's service come first. Last comes the one whose backend server
-    // may not run, since nobody would return the segment.
+    // Agents of the services that the route leads to now come first.
     assert_eq!(visited.len(), 5);
-    assert_eq!(visited[3..], [agent_address(2), agent_address(4)]);
+    assert_eq!(visited[4], agent_address(2));
 }
 
 /// More agents than a message can carry may hold a flow, among them some that have not
