Give schedule, roster and documents of the segment front end folders of their own

The folder process/ had grown to thirty modules side by side. What decides which requests a backend server gets, what is known of the members, and the operators' documents now lie in one folder each. Moves only: no code changed but paths.

--- a/crates/standin/src/rush/mod.rs
+++ b/crates/standin/src/rush/mod.rs
@@ -20,7 +20,7 @@
 /// The policy by which agents admit openings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
-    /// As decided by [`lentilreach_steer::process::admission`].
+    /// As decided by [`lentilreach_steer::process::schedule::admission`].
     Objective,
     /// Every opening is delivered at once, in order of arrival.
     Arrival,
--- a/crates/standin/src/soak/deployment.rs
+++ b/crates/standin/src/soak/deployment.rs
@@ -9,7 +9,7 @@
 use lentilreach::process::store::Txn;
 use lentilreach_platform_standin::document::{self, Route};
 use lentilreach_platform_standin::{settings as template, store};
-use lentilreach_steer::process::membership;
+use lentilreach_steer::process::roster::membership;
 use parking_lot::Mutex;
 use smol::Task;
 
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -6,9 +6,9 @@
 use super::{
     Action, Agent, Arrival, Cause, MAX_OPENING_FORWARDS, Release, Stage, State, Waiting,
 };
-use crate::process::admission::{Capacity, Opening, Verdict};
 use crate::process::backend;
 use crate::process::roster::Roster;
+use crate::process::schedule::admission::{Capacity, Opening, Verdict};
 use crate::request::message::{self, BackendStatus};
 use crate::request::placement::{self, Request};
 use crate::version::routing::Routing;
@@ -368,7 +368,7 @@
     }
 }
 
-/// Describes an opening for [`crate::process::admission`].
+/// Describes an opening for [`crate::process::schedule::admission`].
 fn opening(now: Millis, routing: &Routing, arrival: &Arrival) -> Opening {
     let flow = arrival.segment.flow_from_caller();
     let age_ms = arrival.segment.age_ms + u64::from(arrival.forwarding.delay_ms);
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -6,8 +6,8 @@
 
 use super::{Action, Agent, Arrival, Cause, Forwarding};
 use crate::connection::flow;
+use crate::process::roster::view::View;
 use crate::process::roster::{Member, Roster};
-use crate::process::view::View;
 use crate::request::message::{MAX_TO_VISIT, Progress, Search, SyncStatus};
 use crate::request::placement;
 use crate::version::routing::Routing;
--- a/crates/steer/src/process/documents.rs
+++ b/crates/steer/src/process/documents.rs
@@ -8,6 +8,9 @@
 
 use crate::version::routing::{Route, Routing, Service};
 
+pub mod history;
+pub mod share;
+
 /// Provides the key names and the encoding of the operators' documents.
 pub trait Source: Clone + Send + Sync + 'static {
     /// Prefix of the store keys that operators write to.
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -15,13 +15,13 @@
 
 use super::{send_datagram, sleep};
 use crate::connection::flow;
+use crate::process::documents::share::{Assembly, Encoded};
 use crate::process::metric;
 use crate::process::pause::Pause;
 use crate::process::roster::{
     Change, HEARTBEAT_INTERVAL_MS, Member, Outdated, Role, Roster,
 };
 use crate::process::settings;
-use crate::process::share::{Assembly, Encoded};
 use crate::request::message::{BackendStatus, Chunk, Heartbeat, Message, SyncStatus};
 use crate::version::routing::Routing;
 
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -12,7 +12,7 @@
 use lentilreach::process::store::{Error, Lease, Range, Store, Txn};
 
 use super::{Node, TASK_BACKOFF_MS, sleep};
-use crate::process::membership::{
+use crate::process::roster::membership::{
     CHECK_INTERVAL_MS, LEASE_TTL_MS, Listed, PREFIX, RENEWAL_INTERVAL_MS,
 };
 use crate::process::roster::{PROBE_INTERVAL_MS, PROBES, Role};
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -5,9 +5,13 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
-use super::view::{self, Element, View};
 use crate::request::message::{BackendStatus, Heartbeat, Stage, SyncStatus};
 
+pub mod membership;
+pub mod view;
+
+use view::{Element, View};
+
 /// Interval between heartbeats of a node, in milliseconds. It determines how soon a lost
 /// member is noticed ([`SILENT_MS`]), and each heartbeat causes traffic between failure
 /// domains.
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -229,7 +229,7 @@
     }
 }
 
-/// A part of the operators' documents, see [`crate::process::share`].
+/// A part of the operators' documents, see [`crate::process::documents::share`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Chunk<'a> {
--- a/crates/steer/tests/admission.rs
+++ b/crates/steer/tests/admission.rs
@@ -4,7 +4,7 @@
 
 use fixture::{NOW, flow};
 use lentilreach::process::clock::Millis;
-use lentilreach_steer::process::admission::{
+use lentilreach_steer::process::schedule::admission::{
     Admission, Capacity, MAX_OPENING_AGE_MS, Opening, Verdict,
 };
 
--- a/crates/steer/tests/health.rs
+++ b/crates/steer/tests/health.rs
@@ -8,8 +8,8 @@
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::process::agent::Agent;
-use lentilreach_steer::process::health::Health;
 use lentilreach_steer::process::roster::Roster;
+use lentilreach_steer::process::schedule::health::Health;
 use lentilreach_steer::request::message::Stage;
 use lentilreach_steer::request::placement::{Request, choose_agent};
 use lentilreach_steer::request::segment::Flags;
--- a/crates/steer/tests/membership.rs
+++ b/crates/steer/tests/membership.rs
@@ -1,8 +1,8 @@
 //! Decoding of entries in the list of members.
 
 use lentilreach::process::store::Entry;
-use lentilreach_steer::process::membership::{Listed, PREFIX};
 use lentilreach_steer::process::roster::Role;
+use lentilreach_steer::process::roster::membership::{Listed, PREFIX};
 
 /// An entry under a key after the prefix.
 fn entry(key: &str, value: &[u8]) -> Entry {
--- a/crates/steer/tests/node.rs
+++ b/crates/steer/tests/node.rs
@@ -11,10 +11,10 @@
 use fixture::{agent_address, agent_heartbeat, balancer_address, routing};
 use lentilreach::process::link::Link;
 use lentilreach::process::store::Range;
+use lentilreach_steer::process::documents::share::Encoded;
 use lentilreach_steer::process::driver::Node;
 use lentilreach_steer::process::roster::Role;
 use lentilreach_steer::process::settings;
-use lentilreach_steer::process::share::Encoded;
 use lentilreach_steer::request::message::{Heartbeat, Stage};
 use smol::Timer;
 
--- a/crates/steer/tests/share.rs
+++ b/crates/steer/tests/share.rs
@@ -1,7 +1,7 @@
 //! Tests of documents that pass from node to node.
 
 use lentilreach::process::store::{Entry, Range};
-use lentilreach_steer::process::share::{Assembly, Encoded};
+use lentilreach_steer::process::documents::share::{Assembly, Encoded};
 use lentilreach_steer::request::message::{Chunk, Message};
 
 /// Documents with a long configuration.
--- a/crates/steer/tests/view.rs
+++ b/crates/steer/tests/view.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use fixture::{INCARNATION, agent_address};
-use lentilreach_steer::process::view::{Element, View, hash};
+use lentilreach_steer::process::roster::view::{Element, View, hash};
 
 /// Some agents.
 fn agents(numbers: &[u8]) -> impl Iterator<Item = Element> {
