--- a/crates/lentilreach-cli/src/measure.rs
+++ b/crates/lentilreach-cli/src/measure.rs
@@ -85,6 +85,17 @@
             "Backend servers that answer half of all requests",
         ))
         .arg(number_arg("silent", "N", "0", "Agents that don't return"))
+        .arg(number_arg("slow", "N", "0", "Backend servers that are slower than others"))
+        .arg(positive_arg("slow-factor", "N", "3", "Factor by which they are slower"))
+        .arg(number_arg("tail", "PERCENT", "0", "Requests that take 7 times as long"))
+        .arg(number_arg(
+            "open-flows",
+            "N",
+            "0",
+            "Flows that callers of the less urgent requests keep open",
+        ))
+        .arg(positive_arg("balancers", "N", "4", "Balancers"))
+        .arg(positive_arg("domains", "N", "3", "Failure domains"))
         .arg(positive_arg("seed", "N", "1", "Seed of all random choices"))
         .arg(
             Arg::new("policy")
@@ -117,6 +128,12 @@
         failing: small("failing"),
         mute: small("mute"),
         silent: small("silent").min(small("servers")),
+        slow: small("slow").min(small("servers")),
+        slow_factor: number("slow-factor") as f64,
+        tail_percent: u32::try_from(number("tail")).unwrap_or(100),
+        open_flows: usize::try_from(number("open-flows")).unwrap_or(0),
+        balancers: small("balancers"),
+        domains: small("domains"),
         policy: policy.unwrap_or(Policy::Objective),
         seed: number("seed"),
         ..Load::default()
--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -1,7 +1,7 @@
 //! Nodes, callers and backend servers that play a [`Load`].
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 
 use fastrand::Rng;
 use lentilreach::process::clock::Millis;
@@ -39,6 +39,9 @@
 /// Time from which another service may use the address of a backend server, in milliseconds.
 const ADDRESS_REUSE_MS: Tick = 2_000;
 
+/// Time in which callers open the flows that they keep open, in milliseconds.
+const SESSIONS_MS: Tick = 1_000;
+
 /// Interval between ticks of an agent.
 const TICK_MS: Tick = 200;
 
@@ -79,6 +82,8 @@
     End(usize, usize, u32),
     /// An answer arrives at its caller.
     Answer(usize),
+    /// A caller gives up a request on an open flow.
+    Abandon(usize),
     /// A refusal or rejection arrives at a caller.
     Refused(Attempt),
     /// An agent checks its waiting openings.
@@ -106,6 +111,25 @@
     pub refused: u8,
     /// Attempts that ran, as bits.
     pub ran: u8,
+    /// The open flow that it is made on; `None` if it has one of its own.
+    pub session: Option<usize>,
+}
+
+/// A flow that a caller keeps open for many requests.
+#[derive(Debug, Default)]
+pub(super) struct Session {
+    /// Number of the request that opens the flow.
+    pub opener: usize,
+    /// The agent whose backend server has accepted the flow.
+    pub side: Option<usize>,
+    /// The request that is not answered yet.
+    pub current: Option<usize>,
+    /// Requests that wait for the answer to the one before.
+    pub waiting: VecDeque<usize>,
+    /// Number of requests sent.
+    pub sent: u32,
+    /// Whether its caller has reset it.
+    pub is_closed: bool,
 }
 
 /// A balancer with its view of the members.
@@ -154,6 +178,8 @@
     pub incarnation: u32,
     /// Requests by number.
     pub requests: Vec<Request>,
+    /// Flows that callers keep open.
+    pub sessions: Vec<Session>,
     /// What was seen.
     pub outcome: Outcome,
 }
@@ -166,12 +192,13 @@
             rng: Rng::with_seed(load.seed),
             events: BinaryHeap::new(),
             created: 0,
-            routing: routing(),
+            routing: routing(load),
             fronts: Vec::new(),
             sides: Vec::new(),
             is_out: false,
             incarnation: 0,
             requests: Vec::new(),
+            sessions: Vec::new(),
             outcome: Outcome::default(),
         };
         fleet.start(START, 0);
@@ -196,29 +223,50 @@
         for now in (START..end).step_by(TICK_MS as usize) {
             self.at(now + 1, Event::Tick);
         }
+        for session in 0..self.load.open_flows {
+            let opener = self.add_request(START, 0, 1.0, Some(session));
+            let current = Some(opener);
+            self.sessions.push(Session { opener, current, ..Session::default() });
+            let delay_ms = self.rng.u64(..SESSIONS_MS);
+            self.at(START + delay_ms, Event::Request(opener));
+        }
         let mut at = START as f64;
         while (at as Tick) < self.back() + AFTER_MS {
             let is_after = at as Tick >= self.back();
             let crowd = if is_after { self.load.crowd } else { 1.0 };
             let class = usize::from(self.rng.u32(..100) >= FIRST_CLASS_PERCENT);
             let work_ms = server::work_ms(&mut self.rng, self.load);
-            let number = self.requests.len();
-            self.requests.push(Request {
-                made: at as Tick,
-                class,
-                work_ms,
-                attempt: 0,
-                is_open: false,
-                answered: None,
-                runs: 0,
-                refused: 0,
-                ran: 0,
-            });
+            let is_on_session = class == 0 && !self.sessions.is_empty();
+            let session = is_on_session.then(|| self.rng.usize(..self.sessions.len()));
+            let number = self.add_request(at as Tick, class, work_ms, session);
             self.at(at as Tick, Event::Request(number));
             at += 2.0 * self.rng.f64() * 1_000.0 / (self.load.per_s * crowd);
         }
     }
 
+    /// Adds a request. Returns its number.
+    fn add_request(
+        &mut self,
+        made: Tick,
+        class: usize,
+        work_ms: f64,
+        session: Option<usize>,
+    ) -> usize {
+        self.requests.push(Request {
+            made,
+            class,
+            work_ms,
+            attempt: 0,
+            is_open: false,
+            answered: None,
+            runs: 0,
+            refused: 0,
+            ran: 0,
+            session,
+        });
+        self.requests.len() - 1
+    }
+
     /// Schedules an event.
     pub fn at(&mut self, at: Tick, event: Event) {
         self.created += 1;
@@ -245,7 +293,7 @@
                 limits(load),
             ),
             roster: Roster::new(),
-            server: Server::new(load, now + cold_ms, number < load.failing),
+            server: Server::new(load, now + cold_ms, number),
             reports: 0,
             requests: 0,
             is_silent: has_returned && number >= load.servers - load.silent,
@@ -259,7 +307,9 @@
     fn report(&mut self, now: Tick, cold_ms: Tick) {
         let slots = match self.load.policy {
             Policy::Arrival => u32::MAX / 4,
-            Policy::Objective | Policy::ColdLimit => self.load.slots,
+            Policy::Objective | Policy::ExpectedWork | Policy::ColdLimit => {
+                self.load.slots
+            }
         };
         for (number, side) in self.sides.iter_mut().enumerate() {
             side.reports += 1;
@@ -288,6 +338,7 @@
                 continue;
             }
             let status = side.agent.backend_status(Millis(now), &self.routing, balancers);
+            let stated = side.agent.stated_load(Millis(now));
             let domain = domain(load, number as u8).to_string();
             let heartbeat = Heartbeat {
                 incarnation: u64::from(self.incarnation),
@@ -298,6 +349,7 @@
                 is_agent: true,
                 backend_status: status,
                 sync_status: None,
+                load: stated,
             };
             heartbeats.push((agent_address(number as u8), heartbeat));
         }
@@ -332,7 +384,7 @@
                 }
             }
             Event::Heartbeat | Event::Tick => {}
-            Event::Request(request) => self.try_again(now, request),
+            Event::Request(request) => self.begin(now, request),
             Event::Open(attempt, copy) => self.open(now, attempt, copy),
             Event::GiveUp(attempt) => self.give_up(now, attempt),
             _ if self.is_out => {}
@@ -348,7 +400,9 @@
             }
             Event::Answer(request) => {
                 self.requests[request].answered.get_or_insert(now);
+                self.next_on_session(now, request);
             }
+            Event::Abandon(request) => self.abandon(now, request),
             Event::Refused(attempt) => self.refused(now, attempt),
             Event::Release(side) => self.release(now, side),
         }
@@ -392,12 +446,13 @@
 }
 
 /// The routes: one address for each class.
-fn routing() -> Routing {
+fn routing(load: &Load) -> Routing {
     let routes = CLASSES.iter().enumerate().map(|(class, kind)| Route {
         address: service_address(class),
         split: vec![Share { service: SERVICE.into(), weight: 1 }],
         objective_ms: kind.objective_ms,
-        priority: kind.priority,
+        deadline_ms: Some(kind.deadline_ms),
+        priority: if load.has_priorities { kind.priority } else { 0 },
     });
     Routing {
         revision: 1,
@@ -426,5 +481,6 @@
         },
         max_flow_age_ms: 60_000,
         flows: 10_000,
+        states_load: load.policy == Policy::ExpectedWork,
     }
 }
--- a/crates/standin/src/rush/mod.rs
+++ b/crates/standin/src/rush/mod.rs
@@ -22,6 +22,8 @@
 pub enum Policy {
     /// As decided by [`lentilreach_steer::process::schedule::admission`].
     Objective,
+    /// As [`Self::Objective`], and flows are placed by expected work.
+    ExpectedWork,
     /// Every opening is delivered at once, in order of arrival.
     Arrival,
     /// As [`Self::Objective`], and a rate of zero for cold backend servers is a limit.
@@ -30,12 +32,14 @@
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 3] = [Self::Objective, Self::Arrival, Self::ColdLimit];
+    pub const ALL: [Self; 4] =
+        [Self::Objective, Self::ExpectedWork, Self::Arrival, Self::ColdLimit];
 
     /// The name on the command line.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Objective => "objective",
+            Self::ExpectedWork => "expected-work",
             Self::Arrival => "arrival",
             Self::ColdLimit => "cold-limit",
         }
@@ -69,6 +73,17 @@
     pub mute: u8,
     /// Number of agents that don't return after the outage.
     pub silent: u8,
+    /// Number of backend servers that are slower than the others.
+    pub slow: u8,
+    /// Factor by which requests take longer on them.
+    pub slow_factor: f64,
+    /// Share of requests in percent that take [`TAIL_FACTOR`] times as long.
+    pub tail_percent: u32,
+    /// Number of flows that callers of the first class keep open; 0 if each of its requests
+    /// has a flow of its own.
+    pub open_flows: usize,
+    /// Whether the classes differ in priority.
+    pub has_priorities: bool,
     /// How agents admit openings.
     pub policy: Policy,
     /// Seed of all random choices.
@@ -91,6 +106,11 @@
             failing: 0,
             mute: 0,
             silent: 0,
+            slow: 0,
+            slow_factor: 1.0,
+            tail_percent: 0,
+            open_flows: 0,
+            has_priorities: true,
             policy: Policy::Objective,
             seed: 1,
         }
@@ -114,6 +134,9 @@
     Class { objective_ms: 250, deadline_ms: 4_000, priority: 1 },
 ];
 
+/// Factor by which requests of the tail take longer.
+pub(crate) const TAIL_FACTOR: f64 = 7.0;
+
 /// Share of the first class in percent.
 pub(crate) const FIRST_CLASS_PERCENT: u32 = 78;
 
--- a/crates/standin/src/rush/path.rs
+++ b/crates/standin/src/rush/path.rs
@@ -31,6 +31,78 @@
 const RELEASE_INTERVAL_MS: Tick = 50;
 
 impl Fleet<'_> {
+    /// Lets a caller make a request.
+    pub(super) fn begin(&mut self, now: Tick, number: usize) {
+        let Request { session, class, .. } = self.requests[number];
+        let Some(session) = session.filter(|s| self.sessions[*s].opener != number) else {
+            return self.try_again(now, number);
+        };
+        if self.sessions[session].is_closed {
+            self.requests[number].session = None;
+            return self.try_again(now, number);
+        }
+        let deadline_ms = CLASSES[class].deadline_ms;
+        self.at(now + deadline_ms, Event::Abandon(number));
+        let session = &mut self.sessions[session];
+        if session.current.is_some() {
+            return session.waiting.push_back(number);
+        }
+        self.send_on_session(now, number);
+    }
+
+    /// Lets a caller give up a request on an open flow. It resets the flow, and makes its
+    /// further requests on flows of their own. One that runs is still answered.
+    pub(super) fn abandon(&mut self, now: Tick, number: usize) {
+        let Some(index) = self.requests[number].session else { return };
+        let session = &mut self.sessions[index];
+        if session.current != Some(number) || self.requests[number].runs > 0 {
+            return session.waiting.retain(|waiting| *waiting != number);
+        }
+        session.current = None;
+        session.is_closed = true;
+        let waiting = std::mem::take(&mut session.waiting);
+        if let Some(side) = session.side {
+            let attempt = self.current_attempt(number);
+            self.deliver(now, side, attempt.reset(side));
+        }
+        for next in waiting {
+            self.requests[next].session = None;
+            self.try_again(now, next);
+        }
+    }
+
+    /// Lets a caller send the next request on an open flow after one was answered.
+    pub(super) fn next_on_session(&mut self, now: Tick, number: usize) {
+        let Some(index) = self.requests[number].session else { return };
+        let session = &mut self.sessions[index];
+        if session.current != Some(number) {
+            return;
+        }
+        session.current = None;
+        if let Some(next) = session.waiting.pop_front() {
+            self.send_on_session(now, next);
+        }
+    }
+
+    /// Lets a caller send a request on its open flow.
+    fn send_on_session(&mut self, now: Tick, number: usize) {
+        let Some(index) = self.requests[number].session else { return };
+        let session = &mut self.sessions[index];
+        session.current = Some(number);
+        session.sent += 1;
+        let Some(side) = session.side else { return };
+        let attempt = self.current_attempt(number);
+        self.at(now + CALLER_DELAY_MS, Event::Data(side, attempt));
+    }
+
+    /// The request that an attempt's flow carries now.
+    fn carried(&self, attempt: Attempt) -> usize {
+        let session = self.requests[attempt.request].session;
+        session
+            .and_then(|session| self.sessions[session].current)
+            .unwrap_or(attempt.request)
+    }
+
     /// Lets a caller begin its next attempt.
     pub(super) fn try_again(&mut self, now: Tick, number: usize) {
         let request = &mut self.requests[number];
@@ -51,6 +123,8 @@
 
     /// The current attempt of a request.
     pub(super) fn current_attempt(&self, number: usize) -> Attempt {
+        let session = self.requests[number].session;
+        let number = session.map_or(number, |session| self.sessions[session].opener);
         let Request { class, attempt, .. } = self.requests[number];
         Attempt { class, request: number, number: attempt }
     }
@@ -179,6 +253,9 @@
         self.server_segment(now, index, attempt.acceptance(index));
         if self.is_current(attempt) && !self.requests[attempt.request].is_open {
             self.requests[attempt.request].is_open = true;
+            if let Some(session) = self.requests[attempt.request].session {
+                self.sessions[session].side = Some(index);
+            }
             let round_trip_ms = 2 * CALLER_DELAY_MS;
             self.at(now + round_trip_ms, Event::Data(index, attempt));
         }
@@ -188,8 +265,15 @@
     pub(super) fn data(&mut self, now: Tick, index: usize, attempt: Attempt) {
         let envelope =
             Envelope { copy: 0, origin: balancer_address(0), tried: Vec::new() };
-        let mut arrival = arrival(attempt.request(index), &envelope);
+        let session = self.requests[attempt.request].session;
+        let earlier = session.map_or(0, |session| self.sessions[session].sent);
+        let mut arrival = arrival(attempt.request(index, earlier), &envelope);
         arrival.forwarding.search = Search::Known;
+        let is_abandoned =
+            session.is_some_and(|session| self.sessions[session].is_closed);
+        if is_abandoned {
+            return;
+        }
         let side = &mut self.sides[index];
         let action = side.agent.handle_caller_segment(
             Millis(now),
@@ -197,10 +281,31 @@
             &side.roster,
             &arrival,
         );
-        if !matches!(action, Action::Deliver { .. }) {
-            return;
+        match action {
+            Action::Deliver { .. } => self.serve(now, index, attempt),
+            Action::Hold { .. } => {
+                side.agent.hold(Millis(now), &self.routing, arrival, Vec::new());
+                self.release(now, index);
+            }
+            _ => {}
         }
-        let number = attempt.request;
+    }
+
+    /// Delivers a segment that begins no request to an agent.
+    fn deliver(&mut self, now: Tick, index: usize, segment: Segment) {
+        let envelope =
+            Envelope { copy: 0, origin: balancer_address(0), tried: Vec::new() };
+        let mut arrival = arrival(segment, &envelope);
+        arrival.forwarding.search = Search::Known;
+        let side = &mut self.sides[index];
+        let now = Millis(now);
+        side.agent.handle_caller_segment(now, &self.routing, &side.roster, &arrival);
+    }
+
+    /// Gives a request to a backend server.
+    fn serve(&mut self, now: Tick, index: usize, attempt: Attempt) {
+        let number = self.carried(attempt);
+        let side = &mut self.sides[index];
         let request = &mut self.requests[number];
         side.requests += 1;
         match side.server.request(now, number, request.work_ms) {
@@ -214,7 +319,7 @@
                 request.ran |= 1 << attempt.number;
             }
             Served::Rejected => {
-                self.server_segment(now, index, attempt.answer(index));
+                self.server_segment(now, index, attempt.answer(index, true));
                 self.at(now + CALLER_DELAY_MS, Event::Refused(attempt));
             }
         }
@@ -230,7 +335,8 @@
             return;
         }
         let attempt = self.current_attempt(number);
-        self.server_segment(now, index, attempt.answer(index));
+        let is_last = self.requests[number].session.is_none();
+        self.server_segment(now, index, attempt.answer(index, is_last));
         self.at(now + CALLER_DELAY_MS, Event::Answer(number));
     }
 
@@ -255,6 +361,12 @@
             let release = side.agent.release(Millis(now), &self.routing, &side.roster);
             let Some(Release { waiting, action }) = release else { break };
             let attempt = Attempt::from(&waiting.arrival.segment);
+            if !waiting.arrival.segment.is_opening() {
+                if matches!(action, Action::Deliver { .. }) {
+                    self.serve(now, index, attempt);
+                }
+                continue;
+            }
             let envelope = Envelope {
                 copy: waiting.arrival.segment.acknowledged,
                 origin: waiting.arrival.forwarding.origin,
--- a/crates/standin/src/rush/segment.rs
+++ b/crates/standin/src/rush/segment.rs
@@ -16,6 +16,9 @@
 /// Times at which a caller sends copies of an opening segment after the first one.
 pub(super) const COPIES_MS: [Tick; 3] = [0, 200, 600];
 
+/// Length of a request.
+const REQUEST_BYTES: u16 = 100;
+
 /// Port of a caller's first attempt.
 const FIRST_PORT: u16 = 40_000;
 
@@ -46,11 +49,21 @@
         Segment { age_ms, ..from_caller(self.key(), flags, copy) }
     }
 
-    /// The request on a flow that the backend server of an agent has accepted.
-    pub fn request(self, agent: usize) -> Segment {
+    /// A request on a flow that the backend server of an agent has accepted, after a number
+    /// of others.
+    pub fn request(self, agent: usize, earlier: u32) -> Segment {
         let flags = Flags { acknowledge: true, ..Flags::default() };
         let acknowledged = self.first_sequence(agent).wrapping_add(1);
-        Segment { length: 100, ..from_caller(self.key(), flags, acknowledged) }
+        let sequence = 1 + earlier * u32::from(REQUEST_BYTES);
+        let segment = from_caller(self.key(), flags, acknowledged);
+        Segment { sequence, length: REQUEST_BYTES, ..segment }
+    }
+
+    /// The reset of a flow that the backend server of an agent has accepted.
+    pub fn reset(self, agent: usize) -> Segment {
+        let flags = Flags { reset: true, ..Flags::default() };
+        let acknowledged = self.first_sequence(agent).wrapping_add(1);
+        from_caller(self.key(), flags, acknowledged)
     }
 
     /// The segment with which the backend server of an agent accepts the flow.
@@ -59,9 +72,9 @@
         from_backend(self.key(), flags, self.first_sequence(agent), 0)
     }
 
-    /// The answer of the backend server of an agent, which closes the flow.
-    pub fn answer(self, agent: usize) -> Segment {
-        let flags = Flags { acknowledge: true, close: true, ..Flags::default() };
+    /// The answer of the backend server of an agent. It may close the flow.
+    pub fn answer(self, agent: usize, close: bool) -> Segment {
+        let flags = Flags { acknowledge: true, close, ..Flags::default() };
         let sequence = self.first_sequence(agent).wrapping_add(1);
         from_backend(self.key(), flags, sequence, 600)
     }
--- a/crates/standin/src/rush/server.rs
+++ b/crates/standin/src/rush/server.rs
@@ -4,7 +4,7 @@
 
 use fastrand::Rng;
 
-use super::{Load, Tick};
+use super::{Load, TAIL_FACTOR, Tick};
 
 /// Requests that a backend server queues for each of its slots before it rejects more.
 const QUEUE_PER_SLOT: usize = 4;
@@ -21,6 +21,8 @@
     cold_until: Tick,
     /// Whether it rejects every request.
     is_failing: bool,
+    /// Factor by which requests take longer than usual.
+    slowness: f64,
     /// Number of requests in slots.
     running: usize,
     /// Requests that wait for a slot, oldest first, with their work.
@@ -41,12 +43,15 @@
 }
 
 impl Server {
-    /// Creates a backend server that is cold until a time.
-    pub fn new(load: &Load, cold_until: Tick, is_failing: bool) -> Self {
+    /// Creates the backend server with a number, which is cold until a time.
+    pub fn new(load: &Load, cold_until: Tick, number: u8) -> Self {
+        // Those with the highest numbers are slow.
+        let is_slow = number >= load.servers - load.slow;
         Self {
             slots: load.slots as usize,
             cold_until,
-            is_failing,
+            is_failing: number < load.failing,
+            slowness: if is_slow { load.slow_factor } else { 1.0 },
             running: 0,
             queue: VecDeque::new(),
             rejected: 0,
@@ -80,11 +85,14 @@
     fn start(&mut self, now: Tick, work_ms: f64) -> Tick {
         self.running += 1;
         let factor = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
-        now + (work_ms * factor).ceil() as Tick
+        now + (work_ms * factor * self.slowness).ceil() as Tick
     }
 }
 
-/// Draws the work of a request: half to one and a half times the mean.
+/// Draws the work of a request: half to one and a half times the mean, and many times as
+/// much for a few.
 pub(super) fn work_ms(rng: &mut Rng, load: &Load) -> f64 {
-    load.work_ms * (0.5 + rng.f64())
+    let work_ms = load.work_ms * (0.5 + rng.f64());
+    let is_tail = load.tail_percent > 0 && rng.u32(..100) < load.tail_percent;
+    if is_tail { work_ms * TAIL_FACTOR } else { work_ms }
 }
--- a/crates/steer/src/connection/in_flight.rs
+++ b/crates/steer/src/connection/in_flight.rs
@@ -49,9 +49,9 @@
     is_request: bool,
     /// Whether it was found to be overdue.
     is_overdue: bool,
-    /// Whether fewer requests were running than the backend server has slots when this
-    /// one was delivered. Only then does its duration not include time in a queue.
-    is_unqueued: bool,
+    /// When it got a slot; `None` for an opening and for a request in the backend server's
+    /// own queue.
+    started: Option<Millis>,
 }
 
 /// The duration of a request that was answered.
@@ -59,8 +59,9 @@
 pub struct Answer {
     /// Time from the delivery of the request to its answer, in milliseconds.
     pub ms: u64,
-    /// Whether a slot was free when the request was delivered.
-    pub is_unqueued: bool,
+    /// Time that it took in a slot, in milliseconds; `None` if it got none as far as is
+    /// known.
+    pub slot_ms: Option<u64>,
 }
 
 impl InFlight {
@@ -71,7 +72,7 @@
             since: now,
             is_request: false,
             is_overdue: false,
-            is_unqueued: false,
+            started: None,
         };
         match self.find(&flow) {
             Ok(_) => {}
@@ -82,9 +83,9 @@
     /// Records that a request was delivered to a backend server with a number of slots.
     /// Further segments of the same request don't change its start.
     pub fn request(&mut self, now: Millis, flow: Key, slots: u32) {
-        let is_unqueued = self.requests(now) < slots;
+        let started = (self.running(now) < slots).then_some(now);
         let entry =
-            Entry { flow, since: now, is_request: true, is_overdue: false, is_unqueued };
+            Entry { flow, since: now, is_request: true, is_overdue: false, started };
         match self.find(&flow) {
             Ok(index) if self.entries[index].is_request => {}
             Ok(index) => {
@@ -96,14 +97,39 @@
         }
     }
 
-    /// Records that the backend server has begun to answer a request.
+    /// Records that the backend server has begun to answer a request. The slot goes to the
+    /// request that has waited longest in the backend server's queue.
     pub fn answer(&mut self, now: Millis, flow: &Key) -> Option<Answer> {
         let index = self.find(flow).ok()?;
         if !self.entries[index].is_request {
             return None;
         }
-        let Entry { since, is_unqueued, .. } = self.entries.remove(index);
-        Some(Answer { ms: now.since(since), is_unqueued })
+        let Entry { since, started, .. } = self.entries.remove(index);
+        if started.is_some() {
+            self.start_next(now);
+        }
+        let slot_ms = started.map(|started| now.since(started));
+        Some(Answer { ms: now.since(since), slot_ms })
+    }
+
+    /// Whether a request of a flow is in progress or expected.
+    pub fn contains(&self, flow: &Key) -> bool {
+        self.find(flow).is_ok()
+    }
+
+    /// Whether a request of a flow is in progress.
+    pub fn has_request(&self, flow: &Key) -> bool {
+        self.find(flow).is_ok_and(|index| self.entries[index].is_request)
+    }
+
+    /// The ages of the requests that have a slot, in milliseconds, and the number of those
+    /// that wait for one or are expected.
+    pub fn ages(&self, now: Millis) -> (Vec<u64>, usize) {
+        let counted = || self.entries.iter().filter(|entry| !entry.is_overdue);
+        let ages: Vec<_> =
+            counted().filter_map(|entry| Some(now.since(entry.started?))).collect();
+        let others = counted().count() - ages.len();
+        (ages, others)
     }
 
     /// Records that a flow has ended.
@@ -139,6 +165,23 @@
         self.entries.iter().filter(|entry| entry.is_request).count() as u32
     }
 
+    /// Number of requests that have a slot.
+    fn running(&mut self, now: Millis) -> u32 {
+        self.expire(now);
+        let running = self.entries.iter().filter(|entry| entry.started.is_some());
+        running.count() as u32
+    }
+
+    /// Gives a slot to the request that has waited longest for one.
+    fn start_next(&mut self, now: Millis) {
+        let waiting = self.entries.iter_mut().filter(|entry| {
+            entry.is_request && entry.started.is_none() && !entry.is_overdue
+        });
+        if let Some(next) = waiting.min_by_key(|entry| entry.since) {
+            next.started = Some(now);
+        }
+    }
+
     /// Removes entries that no answer is expected for any more.
     fn expire(&mut self, now: Millis) {
         let expected_ms = self.first_request_ms * FIRST_REQUEST_FACTOR;
--- a/crates/steer/src/connection/state.rs
+++ b/crates/steer/src/connection/state.rs
@@ -97,16 +97,21 @@
     /// Records that a segment with data was delivered to the backend server. Returns
     /// whether the data is new.
     pub fn record_request(&mut self, sequence: u32, length: u16) -> bool {
-        let end = sequence.wrapping_add(u32::from(length));
-        // Compares sequence numbers modulo 2^32.
-        let is_new =
-            self.requested_to.is_none_or(|known| end.wrapping_sub(known) as i32 > 0);
+        let is_new = self.is_new_data(sequence, length);
         if is_new {
-            self.requested_to = Some(end);
+            self.requested_to = Some(sequence.wrapping_add(u32::from(length)));
         }
         is_new
     }
 
+    /// Whether a segment has data that was not delivered to the backend server yet.
+    pub fn is_new_data(&self, sequence: u32, length: u16) -> bool {
+        let end = sequence.wrapping_add(u32::from(length));
+        // Compares sequence numbers modulo 2^32.
+        length > 0
+            && self.requested_to.is_none_or(|known| end.wrapping_sub(known) as i32 > 0)
+    }
+
     /// Whether the caller has chosen this backend server and may still send segments.
     pub fn is_established(&self) -> bool {
         matches!(self.stage, Stage::Open | Stage::Closing)
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -1,6 +1,7 @@
 //! Decides what an agent does with segments. The agent makes the final decision on what
 //! its backend server receives, whatever the balancer decided.
 
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 
 use lentilreach::Name;
@@ -15,7 +16,10 @@
 use crate::process::documents::history::History;
 use crate::process::roster::Roster;
 use crate::process::schedule::admission::Admission;
+use crate::process::schedule::backlog::Backlog;
+use crate::process::schedule::durations::Durations;
 use crate::process::schedule::health::Health;
+use crate::process::schedule::pressure::Pressure;
 use crate::request::message::Search;
 use crate::request::segment::Segment;
 use crate::version::routing::Routing;
@@ -25,7 +29,9 @@
 mod announce;
 mod delivered;
 mod handover;
+mod hold;
 mod instance;
+mod load;
 mod locate;
 mod question;
 mod sync;
@@ -69,9 +75,23 @@
     open: u32,
     /// What the backend server has been given and has not answered.
     in_flight: InFlight,
-    /// Openings that wait for the backend server. Each has an entry in `flows` with the
-    /// stage [`Stage::Held`].
-    admission: Admission<Waiting>,
+    /// Openings and requests that wait for the backend server, each with its segments, of
+    /// which there is at least one. Each opening has an entry in `flows` with the stage
+    /// [`Stage::Held`], and each request one with the stage [`Stage::Open`].
+    admission: Admission<Vec<Waiting>>,
+    /// Segments of requests that no longer wait, in the order in which they are delivered.
+    released: VecDeque<Waiting>,
+    /// Number of bytes of all waiting requests.
+    held_bytes: usize,
+    /// How long requests take at the backend server.
+    durations: Durations,
+    /// Mean number of openings and requests that the backend server has to do.
+    backlog: Backlog,
+    /// Which priorities the backend server has no room for.
+    pressure: Pressure,
+    /// Whether the agent states the load of its backend server, so that flows are placed by
+    /// expected work.
+    states_load: bool,
     /// Estimates how long flows stay open.
     lifetime: Lifetime,
     /// Whether the backend server resets flows or leaves requests unanswered.
@@ -120,6 +140,12 @@
             open: 0,
             in_flight: InFlight::default(),
             admission: Admission::default(),
+            released: VecDeque::new(),
+            held_bytes: 0,
+            durations: Durations::default(),
+            backlog: Backlog::default(),
+            pressure: Pressure::default(),
+            states_load: limits.states_load,
             lifetime: Lifetime::default(),
             health: Health::default(),
             history: History::default(),
@@ -219,13 +245,17 @@
             if segment.length > 0 { self.in_flight.answer(now, &flow) } else { None };
         if let Some(answer) = answer {
             self.health.record_answer();
-            if answer.is_unqueued {
-                self.admission.observe(answer.ms);
+            if let Some(slot_ms) = answer.slot_ms {
+                self.admission.observe(slot_ms);
+                self.durations.record(flow.service, slot_ms);
             }
         }
         if is_closing {
             self.in_flight.remove(&flow);
+            // The backend server answers it with a reset, after which its caller tries again.
+            self.release_request(&flow);
         }
+        self.record_backlog(now);
         let answer_ms = answer.map(|answer| answer.ms);
         Some(BackendAction::Send { is_accept, accept_ms, answer_ms })
     }
@@ -244,10 +274,10 @@
         (self.open, self.in_flight.requests(now))
     }
 
-    /// Whether the backend server has answered all that it was given, and no opening waits.
+    /// Whether the backend server has answered all that it was given, and nothing waits.
     pub fn is_idle(&mut self, now: Millis) -> bool {
         let is_expecting = self.in_flight.count(now) + self.in_flight.requests(now) > 0;
-        !is_expecting && self.admission.is_empty()
+        !is_expecting && self.admission.queue().is_empty() && self.released.is_empty()
     }
 
     /// Counts the open flows.
@@ -279,12 +309,12 @@
             }
             // The caller opened the flow elsewhere meanwhile.
             Some(state) if state.stage == Stage::Held => {
-                self.admission.remove(&flow);
+                self.discard(&flow);
                 self.flows.remove(&flow);
                 self.locate(now, routing, roster, arrival)
             }
             Some(state) if state.stage == Stage::Lost => self.reset(arrival, Cause::Lost),
-            Some(_) => self.deliver(now, arrival, false),
+            Some(state) => self.deliver_or_hold(now, routing, arrival, &state),
             // As long as some flows are unknown, only the backend server can tell whether
             // it holds this one.
             None => match forwarding.search {
@@ -324,11 +354,15 @@
         }
         if is_request {
             let slots = self.backend.report().map_or(1, |report| report.slots);
+            if !self.in_flight.has_request(&flow) {
+                self.durations.record_request(flow.service);
+            }
             self.in_flight.request(now, flow, slots);
         }
         if arrival.segment.flags.reset {
             self.in_flight.remove(&flow);
         }
+        self.record_backlog(now);
         let forwarding = &arrival.forwarding;
         let balancer_knows = match forwarding.search {
             Search::Known => true,
@@ -385,6 +419,7 @@
         };
         let state = self.flows.remove(&flow);
         self.in_flight.remove(&flow);
+        self.discard(&flow);
         if segment.is_opening() {
             return Some(self.redirect_or_refuse(
                 now,
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -20,6 +20,9 @@
     pub max_flow_age_ms: u64,
     /// Approximate number of flows to keep track of.
     pub flows: usize,
+    /// Whether the agent states the load of its backend server, see
+    /// [`Agent::stated_load`](super::Agent::stated_load).
+    pub states_load: bool,
 }
 
 /// A segment from a caller with its forwarding state.
@@ -106,8 +109,8 @@
     /// Pass it to [`Agent::hold`](super::Agent::hold), which lets it wait until the backend
     /// server has room for it.
     Hold {
-        /// The balancer to inform, so that it sends retransmissions to this agent.
-        notify: SocketAddrV4,
+        /// The balancer to inform, so that it sends further segments to this agent, if any.
+        notify: Option<SocketAddrV4>,
     },
     /// Forward it to another agent.
     Forward {
@@ -167,6 +170,10 @@
     /// The opening is waiting for the backend server, or could not be delivered after
     /// that.
     Held,
+    /// The request waited for the backend server until its caller gave up.
+    GivenUp,
+    /// No agent has room for openings of this priority.
+    Overloaded,
     /// Another agent holds the flow.
     Elsewhere,
     /// The flow ended with its backend server.
@@ -189,6 +196,8 @@
             Self::Route => "route",
             Self::Stale => "stale",
             Self::Held => "held",
+            Self::GivenUp => "given_up",
+            Self::Overloaded => "overloaded",
             Self::Elsewhere => "elsewhere",
             Self::Lost => "lost",
             Self::NotFound => "nowhere",
@@ -198,19 +207,19 @@
     }
 }
 
-/// An opening that no longer waits, and what to do with it.
+/// A segment that no longer waits, and what to do with it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Release {
-    /// The opening.
+    /// The segment.
     pub waiting: Waiting,
     /// What to do with it; never [`Action::Hold`].
     pub action: Action,
 }
 
-/// An opening that waits for the backend server.
+/// A segment that waits for the backend server: an opening, or a part of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Waiting {
-    /// The opening.
+    /// The segment.
     pub arrival: Arrival,
     /// The unmodified segment.
     pub bytes: Vec<u8>,
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -1,5 +1,5 @@
 //! Admits openings: delivers them, lets them wait, offers them to another agent, or refuses
-//! them.
+//! them. Releases what waits.
 
 use lentilreach::process::clock::Millis;
 
@@ -8,7 +8,8 @@
 };
 use crate::process::backend;
 use crate::process::roster::Roster;
-use crate::process::schedule::admission::{Capacity, Opening, Verdict};
+use crate::process::schedule::admission::{Capacity, MAX_OPENING_AGE_MS, Verdict};
+use crate::process::schedule::queue::{Job, Kind};
 use crate::request::message::{self, BackendStatus};
 use crate::request::placement::{self, Request};
 use crate::version::routing::Routing;
@@ -33,17 +34,18 @@
                 return self.handle_copy(now, routing, roster, arrival, &state);
             }
             // The caller gave up this opening, which may be older than the known flow.
-            Some(_) if now > opening(now, routing, arrival).give_up_at() => {
+            Some(_) if now > job(now, routing, arrival).give_up_at => {
                 return Action::Drop(backend::Refusal::Expired.into());
             }
             // The caller uses the port again, so the flow before has ended for it.
             Some(_) => {
                 self.flows.remove(&flow);
                 self.in_flight.remove(&flow);
+                self.discard(&flow);
             }
             None => {}
         }
-        if now > opening(now, routing, arrival).give_up_at() {
+        if now > job(now, routing, arrival).give_up_at {
             return self.refuse_opening(arrival, backend::Refusal::Expired.into());
         }
         match self.check(now, routing, arrival) {
@@ -56,7 +58,7 @@
         }
         match self.admit(now, routing, roster, arrival) {
             Ok(Verdict::Deliver) => self.deliver_opening(now, routing, arrival),
-            Ok(_) => Action::Hold { notify: arrival.forwarding.origin },
+            Ok(_) => Action::Hold { notify: Some(arrival.forwarding.origin) },
             Err(refusal) => {
                 self.redirect_or_refuse(now, routing, roster, arrival, refusal.into())
             }
@@ -104,7 +106,7 @@
         self.deliver(now, arrival, false)
     }
 
-    /// Lets an opening wait for which [`Action::Hold`] was returned. Must be called before
+    /// Lets a segment wait for which [`Action::Hold`] was returned. Must be called before
     /// any other segment is processed.
     pub fn hold(
         &mut self,
@@ -113,12 +115,18 @@
         arrival: Arrival,
         bytes: Vec<u8>,
     ) {
-        let opening = opening(now, routing, &arrival);
-        self.record_flow(now, opening.flow, State::new(Stage::Held));
-        self.admission.insert(opening, Waiting { arrival, bytes, since: now });
+        if arrival.segment.is_opening() {
+            let job = job(now, routing, &arrival);
+            self.record_flow(now, job.flow, State::new(Stage::Held));
+            let waiting = Waiting { arrival, bytes, since: now };
+            self.admission.insert(now, job, vec![waiting]);
+        } else {
+            self.hold_request(now, routing, arrival, bytes);
+        }
+        self.record_backlog(now);
     }
 
-    /// Returns the next opening that no longer waits. Must be called until it returns
+    /// Returns the next segment that no longer waits. Must be called until it returns
     /// `None` whenever the backend server has answered, and at the time that
     /// [`Self::next_release`] returns.
     pub fn release(
@@ -127,31 +135,48 @@
         routing: &Routing,
         roster: &Roster,
     ) -> Option<Release> {
-        if self.admission.is_empty() {
+        if let Some(waiting) = self.released.pop_front() {
+            let action = self.deliver(now, &waiting.arrival, false);
+            return Some(Release { waiting, action });
+        }
+        if self.admission.queue().is_empty() {
             return None;
         }
-        if let Some((_, waiting)) = self.admission.next_expired(now) {
-            self.end_hold(now, &waiting.arrival);
-            let action = self.refuse_opening(&waiting.arrival, Cause::Held);
-            return Some(Release { waiting, action });
+        if let Some((job, segments)) = self.admission.next_expired(now) {
+            return self.expire_job(now, &job, segments);
         }
-        // All of them leave if the backend server can't be given any.
+        // All openings leave if the backend server can't be given any.
         let is_closed =
             self.backend.stage(now).is_none_or(|s| s == message::Stage::Closed);
-        if is_closed || routing.is_out(&self.domain) {
-            let (_, waiting) = self.admission.pop()?;
+        let is_closed = is_closed || routing.is_out(&self.domain);
+        if is_closed && let Some((_, segments)) = self.admission.pop(Kind::Opening) {
+            let waiting = segments.into_iter().next()?;
             self.end_hold(now, &waiting.arrival);
             let arrival = &waiting.arrival;
             let action =
                 self.redirect_or_refuse(now, routing, roster, arrival, Cause::Held);
             return Some(Release { waiting, action });
         }
-        let rate = self.cold_rate(routing);
-        if self.backend.opening_at(now, 0, rate).is_none_or(|at| at > now) {
-            return None;
+        // Requests can't be given to another agent.
+        if self.backend.is_stopping()
+            && let Some((_, segments)) = self.admission.pop(Kind::Request)
+        {
+            self.release_segments(segments);
+            return self.release(now, routing, roster);
         }
+        let rate = self.cold_rate(routing);
+        let is_limited = self.backend.opening_at(now, 0, rate).is_none_or(|at| at > now);
+        let kind = is_limited.then_some(Kind::Request);
         let capacity = self.capacity(now);
-        let (_, waiting) = self.admission.next(now, capacity)?;
+        let (job, segments) = self.admission.next(now, capacity, kind)?;
+        let wait_ms = segments.first().map_or(0, |waiting| now.since(waiting.since));
+        self.pressure.record(job.priority, wait_ms);
+        if job.kind == Kind::Request {
+            self.admission.record_delivery();
+            self.release_segments(segments);
+            return self.release(now, routing, roster);
+        }
+        let waiting = segments.into_iter().next()?;
         let action = match self.check(now, routing, &waiting.arrival) {
             Ok(()) => self.deliver_opening(now, routing, &waiting.arrival),
             Err(cause) => {
@@ -162,8 +187,30 @@
         Some(Release { waiting, action })
     }
 
-    /// The latest time at which [`Self::release`] must be called again; `None` if no
-    /// opening waits.
+    /// Ends a job that may not be delivered any more: refuses an opening, and leaves out a
+    /// request, whose flow stays open.
+    fn expire_job(
+        &mut self,
+        now: Millis,
+        job: &Job,
+        segments: Vec<Waiting>,
+    ) -> Option<Release> {
+        if job.kind == Kind::Request {
+            self.count_removed(&segments);
+        }
+        let waiting = segments.into_iter().next()?;
+        let action = match job.kind {
+            Kind::Opening => {
+                self.end_hold(now, &waiting.arrival);
+                self.refuse_opening(&waiting.arrival, Cause::Held)
+            }
+            Kind::Request => Action::Drop(Cause::GivenUp),
+        };
+        Some(Release { waiting, action })
+    }
+
+    /// The latest time at which [`Self::release`] must be called again; `None` if nothing
+    /// waits.
     pub fn next_release(&mut self, now: Millis, routing: &Routing) -> Option<Millis> {
         let expiry = self.admission.next_expiry()?;
         let rate = self.cold_rate(routing);
@@ -186,12 +233,12 @@
         };
         let report = self.backend.report()?;
         // How much slower a cold backend server is isn't known.
-        let is_slow = self.backend.is_cold(now) && !is_limited;
+        let is_slow = self.backend.is_cold(now) && !is_limited && !self.states_load;
         let slots = if is_slow { report.slots.div_ceil(2) } else { report.slots };
         Some(BackendStatus {
             service: report.service.to_string().into(),
             stage,
-            open: open + self.admission.len() as u32,
+            open: open + self.admission.queue().openings() as u32,
             busy,
             slots,
             lifetime_ms: self.lifetime.ms(),
@@ -244,11 +291,12 @@
         roster: &Roster,
         arrival: &Arrival,
     ) -> Result<Verdict, backend::Refusal> {
-        let opening = opening(now, routing, arrival);
+        let job = job(now, routing, arrival);
         let rate = self.cold_rate(routing);
-        let allowed_at = self.backend.opening_at(now, self.admission.len(), rate);
+        let ahead = self.admission.queue().openings();
+        let allowed_at = self.backend.opening_at(now, ahead, rate);
         if allowed_at.is_none_or(|at| at > now) {
-            let can_wait = allowed_at.is_some_and(|at| at <= opening.give_up_at());
+            let can_wait = allowed_at.is_some_and(|at| at <= job.give_up_at);
             return if can_wait && !self.has_ready_alternative(routing, roster) {
                 Ok(Verdict::Wait)
             } else {
@@ -256,15 +304,30 @@
             };
         }
         let capacity = self.capacity(now);
-        match self.admission.decide(now, &opening, capacity, true) {
-            Verdict::Offer if !self.can_redirect(now, routing, roster, arrival) => {
-                match self.admission.decide(now, &opening, capacity, false) {
-                    Verdict::Refuse => Err(backend::Refusal::Busy),
-                    verdict => Ok(verdict),
-                }
+        let is_taken = capacity.in_flight >= capacity.slots;
+        if (is_taken || self.is_slow(roster))
+            && self.is_sooner_elsewhere(now, routing, roster, arrival)
+        {
+            return Err(backend::Refusal::Busy);
+        }
+        let verdict = match self.admission.decide(now, &job, capacity, true) {
+            Verdict::Offer if !self.can_offer(now, routing, roster, arrival, &job) => {
+                self.admission.decide(now, &job, capacity, false)
+            }
+            verdict => verdict,
+        };
+        match verdict {
+            Verdict::Deliver => {
+                self.admission.charge(now, &job);
+                self.pressure.record(job.priority, 0);
+                Ok(verdict)
+            }
+            Verdict::Wait => Ok(verdict),
+            Verdict::Offer => Err(backend::Refusal::Busy),
+            Verdict::Refuse => {
+                self.admission.charge(now, &job);
+                Err(backend::Refusal::Busy)
             }
-            Verdict::Offer | Verdict::Refuse => Err(backend::Refusal::Busy),
-            verdict => Ok(verdict),
         }
     }
 
@@ -278,6 +341,8 @@
         let flow = arrival.segment.flow_from_caller();
         self.record_delivery(now, routing, arrival);
         self.lifetime.record_opening();
+        self.durations.record_opening(flow.service);
+        self.admission.record_delivery();
         self.open += 1;
         self.in_flight.open(now, flow);
         self.record_flow(now, flow, State::offered(now, arrival.segment.sequence));
@@ -300,7 +365,7 @@
     }
 
     /// The load of the backend server.
-    fn capacity(&mut self, now: Millis) -> Capacity {
+    pub(super) fn capacity(&mut self, now: Millis) -> Capacity {
         let slots = self.backend.report().map_or(1, |report| report.slots);
         Capacity { slots, in_flight: self.in_flight.count(now) }
     }
@@ -322,14 +387,20 @@
         })
     }
 
-    /// Whether an opening can be offered to another agent.
-    fn can_redirect(
+    /// Whether an opening can be offered to another agent that may answer it in time.
+    fn can_offer(
         &self,
         now: Millis,
         routing: &Routing,
         roster: &Roster,
         arrival: &Arrival,
+        job: &Job,
     ) -> bool {
+        if let Some(choice) = self.other_choice(now, routing, roster, arrival)
+            && now.after(choice.completion_ms as u64) > job.due_at
+        {
+            return false;
+        }
         let refuse = self.redirect_or_refuse(now, routing, roster, arrival, Cause::Held);
         matches!(refuse, Action::Forward { .. })
     }
@@ -354,6 +425,10 @@
         let Some(service) = placement::choose_service(routing, &flow) else {
             return self.refuse_opening(arrival, cause);
         };
+        let priority = routing.route(flow.service).map_or(0, |route| route.priority);
+        if roster.floor(service).is_some_and(|floor| priority > floor) {
+            return self.refuse_opening(arrival, Cause::Overloaded);
+        }
         let domain = self.origin_domain(roster, &forwarding);
         let request = Request { flow: &flow, service, domain };
         match placement::choose_agent(now, routing, roster, request, &forwarding.tried) {
@@ -368,13 +443,31 @@
     }
 }
 
-/// Describes an opening for [`crate::process::schedule::admission`].
-fn opening(now: Millis, routing: &Routing, arrival: &Arrival) -> Opening {
+/// Describes an opening, or a request on an open flow, for
+/// [`crate::process::schedule::admission`].
+pub(super) fn job(now: Millis, routing: &Routing, arrival: &Arrival) -> Job {
     let flow = arrival.segment.flow_from_caller();
     let age_ms = arrival.segment.age_ms + u64::from(arrival.forwarding.delay_ms);
     let sent_at = Millis(now.0.saturating_sub(age_ms));
     let route = routing.route(flow.service);
     let (objective_ms, priority) =
         route.map_or((0, u8::MAX), |route| (route.objective_ms, route.priority));
-    Opening { flow, priority, sent_at, due_at: sent_at.after(objective_ms) }
+    let deadline_ms = route.and_then(|route| route.deadline_ms);
+    let (kind, give_up_ms) = if arrival.segment.is_opening() {
+        (Kind::Opening, MAX_OPENING_AGE_MS)
+    } else {
+        (Kind::Request, deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS))
+    };
+    Job {
+        flow,
+        kind,
+        priority,
+        sent_at,
+        due_at: sent_at.after(objective_ms),
+        give_up_at: sent_at.after(give_up_ms),
+    }
 }
+
+/// Time for which a request on an open flow may wait if its route states no deadline, in
+/// milliseconds.
+const DEFAULT_DEADLINE_MS: u64 = 2_000;
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -7,6 +7,7 @@
 use crate::connection::flow;
 use crate::connection::state::{Stage, State};
 use crate::process::backend::{self, Report};
+use crate::process::schedule::durations::Durations;
 use crate::version::routing::Routing;
 
 impl Agent {
@@ -53,6 +54,8 @@
         let backend::Change::Started { is_replacement } = change else {
             return (change, ended);
         };
+        // Another instance may run at another speed.
+        self.durations = Durations::default();
         // A report that was not confirmed may have come from another writer.
         let was_confirmed = std::mem::replace(&mut self.is_confirmed, false);
         match is_replacement {
@@ -145,6 +148,7 @@
         self.lifetime.tick(self.open);
         let overdue_ms = self.admission.overdue_ms();
         let overdue = self.in_flight.mark_overdue(now, overdue_ms);
+        self.pressure.tick(now, self.admission.queue().priorities());
         self.health.record_unanswered(overdue);
         self.health.tick(now);
         if !self.backend.tick(now) {
@@ -167,12 +171,14 @@
     /// Marks flows as ended with their backend server. Returns those that were open.
     fn end_flows(&mut self, has_ended: impl Fn(&State) -> bool) -> Vec<Ended> {
         let mut ended = Vec::new();
+        let mut lost = Vec::new();
         let in_flight = &mut self.in_flight;
         self.flows.retain(|flow, state| {
             if state.stage == Stage::Held || !has_ended(state) {
                 return true;
             }
             in_flight.remove(flow);
+            lost.push(*flow);
             // The callers of all other flows may have chosen another backend server.
             let is_kept = state.is_established() || state.stage == Stage::Lost;
             if state.stage == Stage::Open {
@@ -181,6 +187,9 @@
             state.stage = Stage::Lost;
             is_kept
         });
+        for flow in &lost {
+            self.discard(flow);
+        }
         ended
     }
 
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -330,6 +330,11 @@
         self.is_stopping = true;
     }
 
+    /// Whether the agent's process is about to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping
+    }
+
     /// Whether the backend server has said that it is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.leaving_since.is_some()
--- a/crates/steer/src/process/balancer.rs
+++ b/crates/steer/src/process/balancer.rs
@@ -64,6 +64,8 @@
     NoRoute,
     /// No agent accepts flows of the service.
     NoAgent,
+    /// No agent of the service has room for openings of the route's priority.
+    Overloaded,
 }
 
 impl Refusal {
@@ -72,6 +74,7 @@
         match self {
             Self::NoRoute => "no_route",
             Self::NoAgent => "no_agent",
+            Self::Overloaded => "overloaded",
         }
     }
 }
@@ -169,6 +172,11 @@
             }
             tried = Some(to);
         }
+        let priority = routing.route(flow.service).map_or(0, |route| route.priority);
+        if tried.is_none() && roster.floor(service).is_some_and(|floor| priority > floor)
+        {
+            return Action::Refuse { sequence: 0, cause: Refusal::Overloaded };
+        }
         let request = Request { flow: &flow, service, domain: &self.domain };
         let agent =
             placement::choose_agent(now, routing, roster, request, tried.as_slice());
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -110,6 +110,7 @@
             bounds,
             max_flow_age_ms: settings.node.max_flow_age.as_millis() as u64,
             flows: settings.node.memory_mb as usize * FLOWS_PER_MB,
+            states_load: settings.states_load,
         };
         let (address, domain) = (settings.node.nodes, settings.node.domain.clone());
         let flows = agent::Agent::new(node.now(), address, domain, limits);
@@ -213,7 +214,7 @@
             self.ask_if_due();
             // Home nodes send searches to this agent until they learn that it knows all
             // of its flows.
-            if is_due || knew_all_flows != knows_all_flows {
+            if is_due || knew_all_flows != knows_all_flows || self.is_load_changed() {
                 knew_all_flows = knows_all_flows;
                 self.broadcast_heartbeat();
             }
@@ -363,7 +364,8 @@
             metric::record_ms(&metric::WAIT_SECONDS, wait_ms);
             log::info!(
                 target: "released", flow:% = segment.flow_from_caller(), wait_ms = wait_ms,
-                delivered = matches!(action, Action::Deliver { .. }); "opening no longer waits"
+                opening = segment.is_opening(),
+                delivered = matches!(action, Action::Deliver { .. }); "segment no longer waits"
             );
             self.perform(segment, action, &waiting.bytes, routing.version);
         }
--- a/crates/steer/src/process/driver/agent/action.rs
+++ b/crates/steer/src/process/driver/agent/action.rs
@@ -37,11 +37,17 @@
                 }
             }
             Action::Hold { notify } => {
-                self.node.send(notify, &Message::Found(flow));
-                metric::count(&metric::HELD);
+                if let Some(origin) = notify {
+                    self.node.send(origin, &Message::Found(flow));
+                }
+                if segment.is_opening() {
+                    metric::count(&metric::HELD);
+                } else {
+                    metric::count(&metric::REQUESTS_HELD);
+                }
                 log::info!(
-                    target: "held", flow:% = flow, version = version;
-                    "opening waits for the backend server"
+                    target: "held", flow:% = flow, opening = segment.is_opening(),
+                    version = version; "segment waits for the backend server"
                 );
                 // If the channel is full, the task has already been signalled.
                 let _ = self.hold_signal.0.try_send(());
--- a/crates/steer/src/process/driver/agent/status.rs
+++ b/crates/steer/src/process/driver/agent/status.rs
@@ -6,16 +6,17 @@
 
 use super::State;
 use crate::process::agent::{HandedOver, Outgoing};
+use crate::process::driver::node::Stated;
 use crate::process::metric;
 use crate::process::roster::{Member, Role, Roster};
-use crate::request::message::{BackendStatus, Message, SyncStatus};
+use crate::request::message::{BackendStatus, Load, Message, SyncStatus};
 use crate::request::segment::Format;
 
 impl<F: Format, L: Link> State<F, L> {
     /// Sends a heartbeat to all members.
     pub(super) fn broadcast_heartbeat(&self) {
-        let backend_status = self.backend_status();
-        *self.node.backend_status.write() = backend_status;
+        let stated = Stated { status: self.backend_status(), load: self.load() };
+        *self.node.stated.write() = stated;
         self.node.record_own_heartbeat(Role::Agent);
         self.node.broadcast_heartbeat(Role::Agent, |roster, member| {
             self.sync_status(roster, member)
@@ -91,6 +92,19 @@
         }
     }
 
+    /// What the backend server has to do, to advertise to balancers.
+    fn load(&self) -> Option<Load> {
+        self.flows.read().stated_load(self.node.now())
+    }
+
+    /// Whether other nodes should know the load of the backend server at once.
+    pub(super) fn is_load_changed(&self) -> bool {
+        let flows = self.flows.read();
+        let stated = self.node.stated.read();
+        let load = stated.load.as_ref();
+        load.is_some_and(|load| flows.is_load_changed(load, self.node.now()))
+    }
+
     /// The state of the backend server to advertise to balancers.
     pub(super) fn backend_status(&self) -> Option<BackendStatus<'static>> {
         let routing = self.node.routing();
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -22,7 +22,9 @@
     Change, HEARTBEAT_INTERVAL_MS, Member, Outdated, Role, Roster,
 };
 use crate::process::settings;
-use crate::request::message::{BackendStatus, Chunk, Heartbeat, Message, SyncStatus};
+use crate::request::message::{
+    BackendStatus, Chunk, Heartbeat, Load, Message, SyncStatus,
+};
 use crate::version::routing::Routing;
 
 /// Maximum time for which segments wait until a starting process is ready, in
@@ -49,6 +51,15 @@
     pub source: D,
 }
 
+/// What an agent states of its backend server.
+#[derive(Debug, Default, Clone)]
+pub struct Stated {
+    /// Its state; `None` until it has reported.
+    pub status: Option<BackendStatus<'static>>,
+    /// What it has to do; `None` if the settings say that it isn't stated.
+    pub load: Option<Load>,
+}
+
 /// The part of a daemon's state that both roles have.
 #[derive(Debug)]
 pub struct Node<L> {
@@ -62,8 +73,8 @@
     pub routing: Ranked<Arc<Routing>>,
     /// The known members.
     pub roster: Ranked<Roster>,
-    /// The state of the backend server to include in heartbeats; `None` for a balancer.
-    pub backend_status: Ranked<Option<BackendStatus<'static>>>,
+    /// What heartbeats state of the backend server; nothing for a balancer.
+    pub stated: Ranked<Stated>,
     /// Revision of the last change to the operators' documents that was read.
     pub revision: AtomicU64,
     /// Highest revision of a document that another node has reported.
@@ -110,7 +121,7 @@
             link,
             routing: Ranked::new(tables::CONFIG, Arc::default()),
             roster: Ranked::new(tables::MEMBERS, Roster::new()),
-            backend_status: Ranked::new(tables::SLOTS, None),
+            stated: Ranked::new(tables::SLOTS, Stated::default()),
             revision: AtomicU64::new(0),
             newest_revision: AtomicU64::new(0),
             newest_source: Ranked::new(tables::VIEW, None),
@@ -259,12 +270,9 @@
         if self.has_left.load(Ordering::Relaxed) {
             return;
         }
-        let backend_status = self.backend_status.read();
-        let mut message = Message::Heartbeat(self.next_heartbeat(
-            backend_status.as_ref(),
-            role,
-            wants_reply,
-        ));
+        let stated = self.stated.read();
+        let mut message =
+            Message::Heartbeat(self.next_heartbeat(&stated, role, wants_reply));
         for (address, sync_status) in to {
             if let Message::Heartbeat(heartbeat) = &mut message {
                 heartbeat.sync_status = sync_status;
@@ -278,8 +286,8 @@
     /// Adds the node itself to its roster, so that it selects the same home nodes as
     /// other nodes.
     pub fn record_own_heartbeat(&self, role: Role) {
-        let backend_status = self.backend_status.read().clone();
-        let heartbeat = self.next_heartbeat(backend_status.as_ref(), role, false);
+        let stated = self.stated.read().clone();
+        let heartbeat = self.next_heartbeat(&stated, role, false);
         // Can't be outdated, since sequence numbers increase.
         let _ = self.roster.write().record_heartbeat(
             self.now(),
@@ -289,12 +297,12 @@
     }
 
     /// Creates the next heartbeat.
-    fn next_heartbeat<'a>(
-        &'a self,
-        backend_status: Option<&BackendStatus<'a>>,
+    fn next_heartbeat(
+        &self,
+        stated: &Stated,
         role: Role,
         wants_reply: bool,
-    ) -> Heartbeat<'a> {
+    ) -> Heartbeat<'_> {
         Heartbeat {
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
@@ -302,8 +310,9 @@
             revision: self.revision.load(Ordering::Relaxed),
             wants_reply,
             is_agent: role == Role::Agent,
-            backend_status: backend_status.cloned(),
+            backend_status: stated.status.clone(),
             sync_status: None,
+            load: stated.load.clone(),
         }
     }
 
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -53,6 +53,13 @@
     "Openings that waited until the backend server had room for them.",
 );
 
+/// Segments of requests on open flows that waited until the backend server had room.
+pub const REQUESTS_HELD: Metric = counter(
+    "lentilreach_steer_requests_held_total",
+    &[],
+    "Segments of requests on open flows that waited until the backend server had room.",
+);
+
 /// Flows that were refused or ended with a reset.
 pub const REFUSED: Metric = counter(
     "lentilreach_steer_refused_total",
@@ -163,6 +170,7 @@
     &OFFERED,
     &PASSED,
     &HELD,
+    &REQUESTS_HELD,
     &REFUSED,
     &ENDED,
     &DROPPED,
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -5,11 +5,13 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
-use crate::request::message::{BackendStatus, Heartbeat, Stage, SyncStatus};
+use crate::request::message::{BackendStatus, Heartbeat, Load, Stage, SyncStatus};
 
+mod estimate;
 pub mod membership;
 pub mod view;
 
+use estimate::{Placed, ServiceLoad};
 use view::{Element, View};
 
 /// Interval between heartbeats of a node, in milliseconds. It determines how soon a lost
@@ -51,6 +53,8 @@
     view_hash: u32,
     /// Agents that left recently.
     left: Vec<Left>,
+    /// What agents state about their services. Sorted by name.
+    services: Vec<ServiceLoad>,
 }
 
 /// An agent that has left.
@@ -100,6 +104,12 @@
     /// Which announcements it has exchanged with this node, as it last reported; set if
     /// both are agents.
     pub sync_status: Option<SyncStatus>,
+    /// What its backend server has to do; `None` if it doesn't state that.
+    pub load: Option<Load>,
+    /// Requests that this node has placed on it.
+    placed: Placed,
+    /// Mean time that a request of its service takes, in milliseconds.
+    service_request_ms: Option<f64>,
 }
 
 /// The function of a node.
@@ -304,6 +314,9 @@
             estimated_at: now,
             lifetime_ms: 0,
             sync_status: None,
+            load: None,
+            placed: Placed::default(),
+            service_request_ms: None,
         };
         self.members.insert(index, member);
         true
@@ -386,9 +399,16 @@
         }
         member.backend_status =
             heartbeat.backend_status.as_ref().map(BackendStatus::to_owned);
+        let is_floor_changed = member.load.as_ref().and_then(|load| load.floor)
+            != heartbeat.load.as_ref().and_then(|load| load.floor);
+        member.load = heartbeat.load.clone();
+        member.observe_load();
         if is_view_changed {
             self.update_view();
         }
+        if is_floor_changed {
+            self.update_services();
+        }
         Ok(change)
     }
 
@@ -413,6 +433,9 @@
         let member = &mut self.members[index];
         member.open = member.open_at(now) + f64::from(flows);
         member.estimated_at = now;
+        if let Some(request_ms) = member.request_ms() {
+            member.placed.add(now, f64::from(flows), request_ms);
+        }
     }
 
     /// Removes a member that announced its departure. Returns whether this incarnation of
@@ -442,6 +465,7 @@
             }
         }
         self.update_lifetimes();
+        self.update_services();
         self.left.retain(|left| now.since(left.last_heard) <= VIEW_CHANGE_MS);
         let before = self.members.len();
         self.members.retain(|member| now.since(member.last_heard) <= REMOVAL_MS);
--- a/crates/steer/src/process/settings.rs
+++ b/crates/steer/src/process/settings.rs
@@ -35,13 +35,14 @@
 ];
 
 /// Additional keys of an agent.
-const AGENT_KEYS: [&str; 6] = [
+const AGENT_KEYS: [&str; 7] = [
     "server",
     "report_ms",
     "address_reuse_s",
     "cold_overage",
     "cold_slack",
     "zero_cold_rate",
+    "placement",
 ];
 
 /// Value of the key `address_reuse_s` if it is missing.
@@ -53,6 +54,14 @@
 /// Value of the key `zero_cold_rate` by which a rate of zero means that none is stated.
 const ZERO_IS_UNSTATED: &str = "unstated";
 
+/// Value of the key `placement` by which flows go where the fewest are open. It is the value
+/// if the key is missing.
+const PLACEMENT_BY_FLOWS: &str = "open_flows";
+
+/// Value of the key `placement` by which flows go where their requests are expected to be
+/// answered first.
+const PLACEMENT_BY_WORK: &str = "expected_work";
+
 /// Value of the key `front_end` that selects this front end.
 const FRONT_END: &str = "segments";
 
@@ -123,6 +132,9 @@
     /// Whether the limits also apply to services whose configured rate is zero. Otherwise
     /// a cold backend server of such a service gets what its slots take.
     pub limits_zero_rate: bool,
+    /// Whether the agent states what its backend server has to do, so that balancers place
+    /// flows by expected work. They do if all agents of a service state it.
+    pub states_load: bool,
 }
 
 impl Settings for Balancer {
@@ -186,6 +198,7 @@
             let overage = parser.decimal("cold_overage", 0.0..=MAX_RATE);
             let slack = parser.decimal("cold_slack", 0.0..=MAX_RATE);
             let limits_zero_rate = parser.limits_zero_rate();
+            let states_load = parser.states_load();
             let node = parser.node();
             Some(Self {
                 node: node?,
@@ -197,6 +210,7 @@
                 cold_overage: overage?,
                 cold_slack: slack?,
                 limits_zero_rate: limits_zero_rate?,
+                states_load: states_load?,
             })
         });
         reader.finish(settings)
@@ -275,6 +289,23 @@
         }
     }
 
+    /// Reads how flows are placed.
+    fn states_load(&mut self) -> Option<bool> {
+        let key = "placement";
+        let Some(property) = self.root.get(key) else { return Some(false) };
+        match self.reader.string(&property.value, key)? {
+            PLACEMENT_BY_FLOWS => Some(false),
+            PLACEMENT_BY_WORK => Some(true),
+            other => {
+                let message = format!("{key} is {other:?}");
+                let hint =
+                    format!("use \"{PLACEMENT_BY_FLOWS}\" or \"{PLACEMENT_BY_WORK}\"");
+                self.reader.error(&property.value, message, Some(hint));
+                None
+            }
+        }
+    }
+
     /// Reads a name.
     fn name(&mut self, key: &str) -> Option<Name> {
         let value = self.reader.require(self.root, "the file", key)?;
--- /dev/null
+++ b/crates/steer/src/request/completion.rs
@@ -0,0 +1,163 @@
+//! Selects the agent at which a request is expected to be answered first.
+//!
+//! Answers the load of backend servers that differ in speed or turn slow, and of failure
+//! domains whose peaks differ. Statements of agents are older than their queues: if nodes
+//! followed them, all would choose the same agent until its next statement. So they only
+//! tell durations, and means over seconds; what changes faster is what this node has placed
+//! itself. A bounded number of agents is compared, so the cost of a choice doesn't grow with
+//! their number.
+
+use std::cmp::Ordering;
+use std::net::SocketAddrV4;
+
+use lentilreach::process::clock::Millis;
+
+use super::placement::{self, Request};
+use crate::process::roster::{Member, Roster};
+use crate::request::message::Stage;
+use crate::version::routing::Routing;
+
+/// Maximum number of members that are looked at for one choice.
+const MAX_VISITED: usize = 64;
+
+/// Time by which an answer must be expected sooner in another failure domain than in the
+/// caller's, in milliseconds. It stands for the delay and the price of the link.
+const OTHER_DOMAIN_MS: f64 = 25.0;
+
+/// Stride between the members that are looked at. A prime, so that a sample of any fleet
+/// has agents of all failure domains, whose addresses are neighbours.
+const STRIDE: usize = 7_919;
+
+/// An agent for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// Its address.
+    pub agent: SocketAddrV4,
+    /// Expected time until the answer, in milliseconds.
+    pub completion_ms: f64,
+}
+
+/// Selects the agent at which a request is expected to be answered first. Skips the agents
+/// in `tried`.
+///
+/// Returns `None` if the flow has to be placed in another way: some candidate doesn't state
+/// its load, as agents of an older version, or flows of this route are open for many
+/// requests.
+pub fn choose(
+    now: Millis,
+    routing: &Routing,
+    roster: &Roster,
+    request: Request<'_>,
+    tried: &[SocketAddrV4],
+) -> Option<Choice> {
+    let hash = request.flow.hash();
+    let mut candidates = Vec::new();
+    for member in visited(roster, hash) {
+        let is_usable = placement::is_eligible(routing, member, request.service)
+            && !tried.contains(&member.address);
+        if is_usable {
+            candidates.push(Candidate::new(now, hash, request, member)?);
+        }
+    }
+    let failing = candidates.iter().filter(|candidate| candidate.is_failing).count();
+    // If many fail, the others may not be able to serve their requests as well.
+    if failing * placement::MAX_FAILING_SHARE > candidates.len() {
+        candidates.iter_mut().for_each(|candidate| candidate.is_failing = false);
+    }
+    let near = Group::new(&candidates, true);
+    let far = Group::new(&candidates, false);
+    let best = match (near, far) {
+        (Some(near), Some(far)) if far.is_preferred_to(&near) => far.best,
+        (Some(near), _) => near.best,
+        (None, far) => far?.best,
+    };
+    Some(best.choice)
+}
+
+/// Candidates in the caller's failure domain, or in others.
+#[derive(Debug)]
+struct Group<'a> {
+    /// The best one.
+    best: &'a Candidate,
+    /// Mean of the expected time until an answer, in milliseconds.
+    completion_ms: f64,
+}
+
+impl<'a> Group<'a> {
+    /// Creates the group of those that are in the caller's failure domain, or of those that
+    /// aren't. Returns `None` if there are none.
+    fn new(candidates: &'a [Candidate], is_near: bool) -> Option<Self> {
+        let members = candidates.iter().filter(|candidate| candidate.is_near == is_near);
+        let best = members.clone().min_by(|a, b| a.compare(b))?;
+        let sum: f64 = members.clone().map(|member| member.choice.completion_ms).sum();
+        Some(Self { best, completion_ms: sum / members.count() as f64 })
+    }
+
+    /// Whether this group, in other failure domains than the caller, is better.
+    fn is_preferred_to(&self, near: &Self) -> bool {
+        let (class, near_class) = (self.best.class(), near.best.class());
+        let gain_ms = near.completion_ms - self.completion_ms;
+        class < near_class || (class == near_class && gain_ms > OTHER_DOMAIN_MS)
+    }
+}
+
+/// An agent that could be chosen.
+#[derive(Debug)]
+struct Candidate {
+    /// The agent.
+    choice: Choice,
+    /// Whether it is in the caller's failure domain.
+    is_near: bool,
+    /// Whether its backend server fails.
+    is_failing: bool,
+    /// Stage of its backend server.
+    stage: Stage,
+    /// Work that this node has placed on it.
+    work: f64,
+    /// Decides between agents that are alike.
+    weight: u64,
+}
+
+impl Candidate {
+    /// Creates a candidate. Returns `None` if nothing can be expected of it.
+    fn new(
+        now: Millis,
+        hash: u64,
+        request: Request<'_>,
+        member: &Member,
+    ) -> Option<Self> {
+        let expectation = member.expectation(now, request.flow.service)?;
+        let agent = member.address;
+        let completion_ms = expectation.completion_ms;
+        Some(Self {
+            choice: Choice { agent, completion_ms },
+            is_near: *member.domain == *request.domain,
+            is_failing: member.is_failing(),
+            stage: member.stage()?,
+            work: expectation.work,
+            weight: placement::rendezvous_weight(hash, agent),
+        })
+    }
+
+    /// Orders candidates of the same failure domain, the best first.
+    fn compare(&self, other: &Self) -> Ordering {
+        let work = self.work.total_cmp(&other.work);
+        self.class().cmp(&other.class()).then(work).then(other.weight.cmp(&self.weight))
+    }
+
+    /// What comes before the amount of work.
+    fn class(&self) -> (bool, Stage) {
+        (self.is_failing, self.stage)
+    }
+}
+
+/// The members to look at for a flow with a hash, in an order that depends on it. All of a
+/// small fleet.
+fn visited(roster: &Roster, hash: u64) -> impl Iterator<Item = &Member> {
+    let members = roster.members();
+    let count = members.len();
+    let first = (hash % count.max(1) as u64) as usize;
+    // A stride that shares no factor with the number of members visits each once.
+    let stride = if count.is_multiple_of(STRIDE) { 1 } else { STRIDE % count.max(1) };
+    (0..count.min(MAX_VISITED)).map(move |step| &members[(first + step * stride) % count])
+}
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -131,6 +131,66 @@
     pub backend_status: Option<BackendStatus<'a>>,
     /// Which announcements the sending and the receiving agent have exchanged.
     pub sync_status: Option<SyncStatus>,
+    /// What the backend server of the sending agent has to do. It follows the encoded
+    /// message, where nodes of an earlier version don't read on.
+    #[serde(skip)]
+    pub load: Option<Load>,
+}
+
+/// What a backend server has to do, and how long that takes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Load {
+    /// Mean number of requests that it has been given, in tenths.
+    pub given: u32,
+    /// Requests that wait for it, by priority.
+    pub waiting: Vec<Waiting>,
+    /// Number of requests that it can run concurrently.
+    pub slots: u32,
+    /// Expected time that a request takes in a slot, in tenths of a millisecond; 0 until it
+    /// is known.
+    pub request: u32,
+    /// The same for single routes, a few of them.
+    pub routes: Vec<RouteLoad>,
+    /// The least urgent priority that it has room for; `None` if it has for all.
+    pub floor: Option<u8>,
+}
+
+/// Requests of a priority that wait for a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Waiting {
+    /// The priority.
+    pub priority: u8,
+    /// Their mean number, in tenths.
+    pub jobs: u32,
+}
+
+/// How long requests of a route take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct RouteLoad {
+    /// Hash of the route's address, see [`route_hash`].
+    pub route: u16,
+    /// Expected time that a request takes in a slot, in tenths of a millisecond.
+    pub request: u32,
+    /// Whether flows of the route are open for several requests.
+    pub is_long: bool,
+}
+
+/// A hash of a route's address. Two routes with the same hash share an estimate.
+pub fn route_hash(address: SocketAddrV4) -> u16 {
+    flow::Key { caller: address, service: address }.hash() as u16
+}
+
+/// Converts a number to tenths.
+pub fn tenths(value: f64) -> u32 {
+    (value * 10.0).round() as u32
+}
+
+/// Converts tenths to a number.
+pub fn from_tenths(tenths: u32) -> f64 {
+    f64::from(tenths) / 10.0
 }
 
 /// Announces flows that an agent holds to one of their home nodes.
@@ -260,7 +320,13 @@
     /// Encodes the message.
     pub fn encode(&self) -> Vec<u8> {
         let body = postcard::to_extend(self, vec![VERSION]);
-        body.expect("every field has a known length")
+        let bytes = body.expect("every field has a known length");
+        match self {
+            Self::Heartbeat(Heartbeat { load: Some(load), .. }) => {
+                postcard::to_extend(load, bytes).expect("every field has a known length")
+            }
+            _ => bytes,
+        }
     }
 
     /// Decodes a message. Returns `None` if the bytes are malformed or of another
@@ -270,6 +336,10 @@
         if version != VERSION {
             return None;
         }
-        postcard::from_bytes(body).ok()
+        let (mut message, rest) = postcard::take_from_bytes(body).ok()?;
+        if let Self::Heartbeat(heartbeat) = &mut message {
+            heartbeat.load = postcard::from_bytes(rest).ok();
+        }
+        Some(message)
     }
 }
--- a/crates/steer/src/request/placement.rs
+++ b/crates/steer/src/request/placement.rs
@@ -6,6 +6,7 @@
 use lentilreach::process::clock::Millis;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::completion;
 use crate::connection::flow;
 use crate::process::roster::{Member, Roster};
 use crate::request::message::Stage;
@@ -22,7 +23,7 @@
 
 /// Failing agents are avoided unless they are more than one in this number. If more fail,
 /// the others may not be able to serve their flows as well.
-const MAX_FAILING_SHARE: usize = 3;
+pub(super) const MAX_FAILING_SHARE: usize = 3;
 
 /// A flow to be placed.
 #[derive(Debug, Clone, Copy)]
@@ -55,8 +56,8 @@
     None
 }
 
-/// Selects the least loaded agent, preferring the balancer's failure domain unless it is
-/// overloaded.
+/// Selects the agent for a flow: where its request is expected to be answered first if
+/// agents state what they have to do, and the least loaded one otherwise.
 ///
 /// Skips the agents in `tried`.
 pub fn choose_agent(
@@ -65,6 +66,23 @@
     roster: &Roster,
     request: Request<'_>,
     tried: &[SocketAddrV4],
+) -> Option<SocketAddrV4> {
+    match completion::choose(now, routing, roster, request, tried) {
+        Some(choice) => Some(choice.agent),
+        None => least_loaded(now, routing, roster, request, tried),
+    }
+}
+
+/// Selects the agent with the fewest open flows for each slot, preferring the balancer's
+/// failure domain unless it is overloaded.
+///
+/// Skips the agents in `tried`.
+fn least_loaded(
+    now: Millis,
+    routing: &Routing,
+    roster: &Roster,
+    request: Request<'_>,
+    tried: &[SocketAddrV4],
 ) -> Option<SocketAddrV4> {
     let fits = |member: &&Member| is_eligible(routing, member, request.service);
     let candidates: Vec<_> = roster.agents().filter(fits).collect();
@@ -112,7 +130,7 @@
 const LOAD_RESOLUTION: f64 = 1_000.0;
 
 /// Whether an agent may receive new flows of a service.
-fn is_eligible(routing: &Routing, member: &Member, service: &str) -> bool {
+pub(super) fn is_eligible(routing: &Routing, member: &Member, service: &str) -> bool {
     let serves = member.backend_status.as_ref().is_some_and(|backend_status| {
         *backend_status.service == *service && backend_status.stage != Stage::Closed
     });
@@ -204,7 +222,7 @@
 }
 
 /// The rendezvous weight of an agent for a flow's hash.
-fn rendezvous_weight(hash: u64, agent: SocketAddrV4) -> u64 {
+pub(super) fn rendezvous_weight(hash: u64, agent: SocketAddrV4) -> u64 {
     let mut bytes = [0; 6];
     bytes[..4].copy_from_slice(&agent.ip().octets());
     bytes[4..].copy_from_slice(&agent.port().to_be_bytes());
--- a/crates/steer/src/version/routing.rs
+++ b/crates/steer/src/version/routing.rs
@@ -40,6 +40,18 @@
         split.any(|share| share.weight > 0 && *share.service == *service)
     }
 
+    /// Whether routes that lead to a service differ in priority, so that their requests
+    /// have to be scheduled.
+    pub fn has_priorities(&self, service: &str) -> bool {
+        let leads = |route: &&Route| {
+            let mut split = route.split.iter();
+            split.any(|share| share.weight > 0 && *share.service == *service)
+        };
+        let mut priorities = self.routes.iter().filter(leads).map(|route| route.priority);
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     /// The parameters of a service.
     pub fn service(&self, name: &str) -> Option<&Service> {
         let index = self.services.binary_search_by(|service| (*service.name).cmp(name));
@@ -61,6 +73,9 @@
     pub split: Vec<Share>,
     /// Time within which a request should be answered, in milliseconds.
     pub objective_ms: u64,
+    /// Time after which callers give up a request, in milliseconds; `None` if the operators
+    /// state none.
+    pub deadline_ms: Option<u64>,
     /// Priority of its flows while backend servers are overloaded; 0 is the highest.
     pub priority: u8,
 }
--- a/crates/steer/tests/admission.rs
+++ b/crates/steer/tests/admission.rs
@@ -5,14 +5,22 @@
 use fixture::{NOW, flow};
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::process::schedule::admission::{
-    Admission, Capacity, MAX_OPENING_AGE_MS, Opening, Verdict,
+    Admission, Capacity, MAX_OPENING_AGE_MS, Verdict,
 };
+use lentilreach_steer::process::schedule::queue::{Job, Kind};
 
 /// An opening with a priority whose first copy was sent `age_ms` ago. Its request should
 /// be answered within 200 ms.
-fn opening(port: u16, priority: u8, age_ms: u64) -> Opening {
+fn opening(port: u16, priority: u8, age_ms: u64) -> Job {
     let sent_at = Millis(NOW.0 - age_ms);
-    Opening { flow: flow(port), priority, sent_at, due_at: sent_at.after(200) }
+    Job {
+        flow: flow(port),
+        kind: Kind::Opening,
+        priority,
+        sent_at,
+        due_at: sent_at.after(200),
+        give_up_at: sent_at.after(MAX_OPENING_AGE_MS),
+    }
 }
 
 /// A backend server with five slots.
@@ -21,17 +29,17 @@
 }
 
 /// Lets openings wait. The value of each is its port.
-fn waiting(openings: &[Opening]) -> Admission<u16> {
+fn waiting(openings: &[Job]) -> Admission<u16> {
     let mut admission = Admission::default();
     for opening in openings {
-        admission.insert(*opening, opening.flow.caller.port());
+        admission.insert(NOW, *opening, opening.flow.caller.port());
     }
     admission
 }
 
 /// The ports of all waiting openings in the order in which they are served.
 fn served(admission: &mut Admission<u16>) -> Vec<u16> {
-    std::iter::from_fn(|| admission.next(NOW, capacity(0)).map(|(_, port)| port))
+    std::iter::from_fn(|| admission.next(NOW, capacity(0), None).map(|(_, port)| port))
         .collect()
 }
 
--- a/crates/steer/tests/in_flight.rs
+++ b/crates/steer/tests/in_flight.rs
@@ -21,7 +21,7 @@
     assert_eq!((in_flight.count(NOW), in_flight.requests(NOW)), (1, 1));
 
     let answer = in_flight.answer(NOW.after(40), &flow(1));
-    assert_eq!(answer, Some(Answer { ms: 30, is_unqueued: true }));
+    assert_eq!(answer, Some(Answer { ms: 30, slot_ms: Some(30) }));
     assert_eq!(in_flight.count(NOW), 0);
     assert_eq!(in_flight.answer(NOW.after(41), &flow(1)), None);
 }
@@ -29,16 +29,18 @@
 /// Requests that wait in the backend server's own queue would make it seem slower than it
 /// is.
 #[test]
-fn queued_requests_are_no_measure_of_durations() {
+fn the_time_in_a_slot_leaves_out_the_wait_in_the_queue() {
     let mut in_flight = InFlight::default();
-    for port in 1..=3 {
+    for port in 1..=4 {
         in_flight.request(NOW, flow(port), SLOTS);
     }
 
-    let unqueued = [1, 2, 3]
-        .map(|port| in_flight.answer(NOW, &flow(port)).map(|answer| answer.is_unqueued));
+    let slot_ms = [(1, 10), (2, 20), (3, 35), (4, 50)].map(|(port, ms)| {
+        in_flight.answer(NOW.after(ms), &flow(port)).and_then(|answer| answer.slot_ms)
+    });
 
-    assert_eq!(unqueued, [Some(true), Some(true), Some(false)]);
+    // The third request got the slot of the first, and the fourth that of the second.
+    assert_eq!(slot_ms, [Some(10), Some(20), Some(25), Some(30)]);
 }
 
 /// Requests without an answer must not keep others away for ever: the backend server may
--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -128,7 +128,11 @@
                 }
                 self.serve(index, Segment { mark, ..segment });
             }
-            Action::Hold { notify } => self.send(own, notify, Payload::Found),
+            Action::Hold { notify } => {
+                if let Some(origin) = notify {
+                    self.send(own, origin, Payload::Found);
+                }
+            }
             Action::Forward { to, mut forwarding, .. } => {
                 let now = self.now;
                 if segment.is_opening() {
--- a/crates/steer/tests/model/node.rs
+++ b/crates/steer/tests/model/node.rs
@@ -182,6 +182,7 @@
             is_agent: true,
             backend_status: self.agent.backend_status(now, routing, 2),
             sync_status: None,
+            load: None,
         }
     }
 
--- a/crates/steer/tests/placement.rs
+++ b/crates/steer/tests/placement.rs
@@ -170,7 +170,8 @@
     let part = |name: &str, weight| Share { service: name.into(), weight };
     let split = vec![part("a", 90), part("b", 10), part("c", 0)];
     let address = fixture::calendar();
-    let route = Route { address, split, objective_ms: 200, priority: 1 };
+    let route =
+        Route { address, split, objective_ms: 200, deadline_ms: None, priority: 1 };
 
     let chosen: Vec<_> =
         (0..10_000).map(|port| choose_share(&route, &flow(port))).collect();
