Test crowds on open flows and uneven backend servers in virtual time

Plays 1.3 times the capacity with callers that hold flows, and a quarter of slow backend servers with requests of uneven cost, and compares placement by open flows, two choices, expected work and an oracle that knows each duration. Without priorities the same crowd has less than 0.9 of the urgent requests in time; with them 0.97 or more. Expected work gains at least half of what the oracle gains over open flows.

--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -152,6 +152,8 @@
     pub reports: u64,
     /// Number of requests that reached the backend server.
     pub requests: u32,
+    /// Requests that were placed here by [`Policy::Oracle`] and have not begun to run.
+    pub placed: Vec<usize>,
     /// Whether it has no power.
     pub is_silent: bool,
 }
@@ -296,6 +298,7 @@
             server: Server::new(load, now + cold_ms, number),
             reports: 0,
             requests: 0,
+            placed: Vec::new(),
             is_silent: has_returned && number >= load.servers - load.silent,
         };
         self.sides = (0..load.servers).map(side).collect();
@@ -307,9 +310,7 @@
     fn report(&mut self, now: Tick, cold_ms: Tick) {
         let slots = match self.load.policy {
             Policy::Arrival => u32::MAX / 4,
-            Policy::Objective | Policy::ExpectedWork | Policy::ColdLimit => {
-                self.load.slots
-            }
+            _ => self.load.slots,
         };
         for (number, side) in self.sides.iter_mut().enumerate() {
             side.reports += 1;
--- a/crates/standin/src/rush/mod.rs
+++ b/crates/standin/src/rush/mod.rs
@@ -17,13 +17,18 @@
 /// Milliseconds of virtual time.
 pub type Tick = u64;
 
-/// The policy by which agents admit openings.
+/// The policy by which openings are placed and admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Policy {
     /// As decided by [`lentilreach_steer::process::schedule::admission`].
     Objective,
     /// As [`Self::Objective`], and flows are placed by expected work.
     ExpectedWork,
+    /// As [`Self::Objective`], and each opening goes to the less loaded of two agents.
+    TwoChoices,
+    /// As [`Self::Objective`], and each opening goes where it will be answered first,
+    /// according to what backend servers have to do now and for how long.
+    Oracle,
     /// Every opening is delivered at once, in order of arrival.
     Arrival,
     /// As [`Self::Objective`], and a rate of zero for cold backend servers is a limit.
@@ -32,14 +37,22 @@
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 4] =
-        [Self::Objective, Self::ExpectedWork, Self::Arrival, Self::ColdLimit];
+    pub const ALL: [Self; 6] = [
+        Self::Objective,
+        Self::ExpectedWork,
+        Self::TwoChoices,
+        Self::Oracle,
+        Self::Arrival,
+        Self::ColdLimit,
+    ];
 
     /// The name on the command line.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Objective => "objective",
             Self::ExpectedWork => "expected-work",
+            Self::TwoChoices => "two-choices",
+            Self::Oracle => "oracle",
             Self::Arrival => "arrival",
             Self::ColdLimit => "cold-limit",
         }
--- a/crates/standin/src/rush/path.rs
+++ b/crates/standin/src/rush/path.rs
@@ -16,7 +16,7 @@
     Attempt, COPIES_MS, Envelope, agent_address, arrival, balancer_address, side_number,
 };
 use super::server::Outcome as Served;
-use super::{CLASSES, Tick};
+use super::{CLASSES, Policy, Tick};
 
 /// One-way delay between callers and nodes.
 const CALLER_DELAY_MS: Tick = 3;
@@ -162,6 +162,8 @@
             front.balancer.handle_segment(time, &self.routing, &front.roster, &segment);
         match action {
             balancer::Action::Send { to, is_newly_selected, .. } => {
+                let to = self.redirected(now, index, attempt, to, is_newly_selected);
+                let front = &mut self.fronts[index];
                 if is_newly_selected {
                     front.roster.record_placement(time, to);
                 }
@@ -182,6 +184,48 @@
         }
     }
 
+    /// Where an opening goes if the policy replaces the choice of the balancer.
+    fn redirected(
+        &mut self,
+        now: Tick,
+        front: usize,
+        attempt: Attempt,
+        to: SocketAddrV4,
+        is_new: bool,
+    ) -> SocketAddrV4 {
+        let is_replaced = matches!(self.load.policy, Policy::TwoChoices | Policy::Oracle);
+        if !is_new || !is_replaced {
+            return to;
+        }
+        let sides = 0..self.sides.len();
+        let best = match self.load.policy {
+            Policy::TwoChoices => {
+                let roster = &self.fronts[front].roster;
+                let load = |side: &usize| {
+                    let member = roster.get(agent_address(*side as u8));
+                    member.map_or(f64::INFINITY, |member| member.load(Millis(now)))
+                };
+                let pair = [self.rng.usize(sides.clone()), self.rng.usize(sides)];
+                pair.into_iter().min_by(|a, b| load(a).total_cmp(&load(b)))
+            }
+            _ => sides.min_by_key(|side| self.end_at(now, *side, attempt.request)),
+        };
+        let best = best.unwrap_or_default();
+        if self.load.policy == Policy::Oracle {
+            self.sides[best].placed.push(attempt.request);
+        }
+        let agent = agent_address(best as u8);
+        self.fronts[front].balancer.flow_found(Millis(now), attempt.key(), agent);
+        agent
+    }
+
+    /// When a request would end at an agent's backend server, after those placed there.
+    fn end_at(&self, now: Tick, side: usize, request: usize) -> Tick {
+        let side = &self.sides[side];
+        let placed = side.placed.iter().chain([&request]);
+        side.server.end_of(now, placed.map(|number| self.requests[*number].work_ms))
+    }
+
     /// Lets an agent decide on an opening segment.
     pub(super) fn arrive(
         &mut self,
@@ -306,6 +350,7 @@
     fn serve(&mut self, now: Tick, index: usize, attempt: Attempt) {
         let number = self.carried(attempt);
         let side = &mut self.sides[index];
+        side.placed.retain(|placed| *placed != number);
         let request = &mut self.requests[number];
         side.requests += 1;
         match side.server.request(now, number, request.work_ms) {
--- a/crates/standin/src/rush/server.rs
+++ b/crates/standin/src/rush/server.rs
@@ -23,8 +23,8 @@
     is_failing: bool,
     /// Factor by which requests take longer than usual.
     slowness: f64,
-    /// Number of requests in slots.
-    running: usize,
+    /// When the requests in slots end.
+    running: Vec<Tick>,
     /// Requests that wait for a slot, oldest first, with their work.
     queue: VecDeque<(usize, f64)>,
     /// Number of requests that it rejected because its queue was full.
@@ -52,7 +52,7 @@
             cold_until,
             is_failing: number < load.failing,
             slowness: if is_slow { load.slow_factor } else { 1.0 },
-            running: 0,
+            running: Vec::new(),
             queue: VecDeque::new(),
             rejected: 0,
         }
@@ -63,7 +63,7 @@
         if self.is_failing {
             return Outcome::Rejected;
         }
-        if self.running < self.slots {
+        if self.running.len() < self.slots {
             return Outcome::Runs(self.start(now, work_ms));
         }
         if self.queue.len() >= QUEUE_PER_SLOT * self.slots {
@@ -76,16 +76,37 @@
 
     /// Ends a request. Returns the next one with the time at which it ends.
     pub fn end(&mut self, now: Tick) -> Option<(usize, Tick)> {
-        self.running -= 1;
+        let ended = self.running.iter().position(|end| *end == now)?;
+        self.running.swap_remove(ended);
         let (request, work_ms) = self.queue.pop_front()?;
         Some((request, self.start(now, work_ms)))
     }
 
     /// Starts a request. Returns when it ends.
     fn start(&mut self, now: Tick, work_ms: f64) -> Tick {
-        self.running += 1;
+        let end = now + self.takes_ms(now, work_ms);
+        self.running.push(end);
+        end
+    }
+
+    /// The time that a request takes in a slot.
+    fn takes_ms(&self, now: Tick, work_ms: f64) -> Tick {
         let factor = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
-        now + (work_ms * factor * self.slowness).ceil() as Tick
+        (work_ms * factor * self.slowness).ceil() as Tick
+    }
+
+    /// When the last of some requests would end that all arrive now, given their work.
+    pub fn end_of(&self, now: Tick, work_ms: impl Iterator<Item = f64>) -> Tick {
+        let mut slots: Vec<_> = self.running.iter().map(|end| (*end).max(now)).collect();
+        slots.resize(self.slots.max(slots.len()), now);
+        let mut last = now;
+        for work_ms in work_ms {
+            if let Some(first) = slots.iter_mut().min() {
+                *first += self.takes_ms(now, work_ms);
+                last = *first;
+            }
+        }
+        last
     }
 }
 
--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -131,3 +131,111 @@
         assert!(outcome.requests[0] <= mean * 5 / 4, "{domain:?}");
     }
 }
+
+/// Shares of the requests of all seconds after the beginning of the crowd that were
+/// answered in time, by class.
+fn shares_in_time(outcome: &Outcome) -> [f64; 2] {
+    [0, 1].map(|class| {
+        let crowded = outcome.seconds.iter().filter(|second| second.second >= 0);
+        let (in_time, all) = crowded.fold((0, 0), |(in_time, all), second| {
+            let others = second.late[class] + second.failed[class];
+            (in_time + second.in_time[class], all + second.in_time[class] + others)
+        });
+        f64::from(in_time) / f64::from(all.max(1))
+    })
+}
+
+/// The mean of shares over outcomes.
+fn mean_shares(outcomes: &[Outcome]) -> [f64; 2] {
+    [0, 1].map(|class| {
+        let sum: f64 = outcomes.iter().map(|o| shares_in_time(o)[class]).sum();
+        sum / outcomes.len() as f64
+    })
+}
+
+/// A crowd of 1.3 times the capacity of forty backend servers. Callers of the less urgent
+/// requests hold flows, so that they need not wait for an opening.
+fn crowd_on_open_flows() -> Load {
+    Load {
+        servers: 40,
+        balancers: 16,
+        domains: 4,
+        slots: 3,
+        per_s: 1_815.0,
+        crowd: 2.0,
+        outage_ms: 0,
+        cold_ms: 0,
+        open_flows: 2_000,
+        ..Load::default()
+    }
+}
+
+/// Requests on open flows must not win over more urgent ones that have to open a flow.
+#[test]
+fn urgent_openings_are_in_time_in_a_crowd_on_open_flows() {
+    let scheduled = play(&crowd_on_open_flows());
+    let alike = play(&Load { has_priorities: false, ..crowd_on_open_flows() });
+
+    scheduled.iter().for_each(check_promises);
+    let [others, urgent] = mean_shares(&scheduled);
+    assert!(urgent >= 0.97, "{urgent}");
+    // What is left over serves the others: 0.70 of them if every slot is used.
+    assert!(others >= 0.4, "{others}");
+    // Without the schedule the urgent ones wait; otherwise this load shows nothing.
+    let [_, urgent] = mean_shares(&alike);
+    assert!(urgent < 0.9, "{urgent}");
+}
+
+/// Backend servers of uneven speed and requests of uneven cost, at three quarters of the
+/// capacity.
+fn uneven() -> Load {
+    Load {
+        servers: 36,
+        balancers: 16,
+        domains: 4,
+        slots: 2,
+        work_ms: 14.0,
+        per_s: 1_300.0,
+        crowd: 2.0,
+        outage_ms: 0,
+        cold_ms: 0,
+        slow: 9,
+        slow_factor: 3.0,
+        tail_percent: 3,
+        ..Load::default()
+    }
+}
+
+/// Slow backend servers must get less, so that fewer requests are late, and what the oracle
+/// gains over the number of open flows must be gained by half at least.
+#[test]
+fn expected_work_serves_more_in_time_than_open_flows() {
+    for load in [uneven(), Load { slow: 0, crowd: 3.0, ..uneven() }] {
+        let share = |policy| {
+            let outcomes = play(&Load { policy, ..load.clone() });
+            outcomes.iter().for_each(check_promises);
+            mean_shares(&outcomes)[0]
+        };
+
+        let open_flows = share(Policy::Objective);
+        let expected_work = share(Policy::ExpectedWork);
+        let oracle = share(Policy::Oracle);
+
+        assert!(oracle > open_flows, "{oracle} {open_flows}");
+        let gained = (expected_work - open_flows) / (oracle - open_flows);
+        assert!(gained >= 0.5, "{open_flows} {expected_work} {oracle}");
+    }
+}
+
+/// After an outage all backend servers are cold and nothing is known of their speed. That
+/// must not cost callers what the number of open flows would give them.
+#[test]
+fn expected_work_serves_a_rush_after_an_outage() {
+    for outcome in play(&Load { policy: Policy::ExpectedWork, ..Load::default() }) {
+        check_promises(&outcome);
+        for number in 0..6 {
+            let second = second(&outcome, number);
+            assert!(second.share_in_time() >= 0.93, "{second:?}");
+        }
+    }
+}
