Show what agents know of the work, and expect nothing of agents that have just started

After the loss of power of all nodes every agent took the others for idle, because their first statements were made before the rush, and offered its openings twice. An agent now counts after three statements. Gauges show what a backend server has been given, what waits by priority, the expected time of a request, and which priorities have no room; a histogram compares the expected with the actual time.

The soak's backend servers run one request at a time, and two addresses of different priority lead to the same service, so that requests wait on open flows.

--- a/crates/standin/src/soak/backend.rs
+++ b/crates/standin/src/soak/backend.rs
@@ -26,8 +26,9 @@
 /// Interval at which a report is tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Number of requests that run concurrently, as reported.
-const SLOTS: u32 = 16;
+/// Number of requests that run concurrently, as reported. So few that requests have to wait
+/// for each other.
+const SLOTS: u32 = 1;
 
 /// Shortest and longest time that a request takes, in milliseconds.
 const WORK_MS: (u64, u64) = (5, 40);
--- a/crates/standin/src/soak/deployment.rs
+++ b/crates/standin/src/soak/deployment.rs
@@ -246,7 +246,7 @@
     fn configure(&self) -> Result<(), Error> {
         let mut version = self.version.lock();
         *version += 1;
-        let [first, second] = layout::routes();
+        let [first, second, third] = layout::routes();
         let [abo, one, other] = SERVICES;
         let services = match *version % 4 {
             1 => vec![(one, 1)],
@@ -255,8 +255,10 @@
             _ => vec![(one, 3), (other, 1)],
         };
         let routes = [
-            Route { address: first, services: vec![(abo, 1)] },
-            Route { address: second, services },
+            Route { address: first, services: vec![(abo, 1)], priority: 1 },
+            Route { address: second, services, priority: 1 },
+            // Competes with the first one for the same slots.
+            Route { address: third, services: vec![(abo, 1)], priority: 2 },
         ];
         let value = document::config(*version, &routes, MAX_FLOWS, IDLE_MS);
         let txn = Txn::new().put(document::CONFIG_KEY, value);
--- a/crates/standin/src/soak/layout.rs
+++ b/crates/standin/src/soak/layout.rs
@@ -127,6 +127,7 @@
 }
 
 /// The addresses that callers use.
-pub fn routes() -> [SocketAddrV4; 2] {
-    [8_443, 8_444].map(|port| SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port))
+pub fn routes() -> [SocketAddrV4; 3] {
+    [8_443, 8_444, 8_445]
+        .map(|port| SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port))
 }
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -28,7 +28,7 @@
 
 /// A configuration in which the second address leads to a service.
 fn configured(version: u64, service: &'static str) -> Fact {
-    let [first, second] = layout::routes();
+    let [first, second, _] = layout::routes();
     Fact::Configured {
         version,
         routes: vec![(first, vec!["abo"]), (second, vec![service])],
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -243,9 +243,12 @@
         let is_closing = state.stage == Stage::Closing;
         let answer =
             if segment.length > 0 { self.in_flight.answer(now, &flow) } else { None };
+        let mut cost_ratio = None;
         if let Some(answer) = answer {
             self.health.record_answer();
             if let Some(slot_ms) = answer.slot_ms {
+                let expected_ms = self.durations.mean_ms();
+                cost_ratio = expected_ms.map(|expected_ms| slot_ms as f64 / expected_ms);
                 self.admission.observe(slot_ms);
                 self.durations.record(flow.service, slot_ms);
             }
@@ -257,7 +260,7 @@
         }
         self.record_backlog(now);
         let answer_ms = answer.map(|answer| answer.ms);
-        Some(BackendAction::Send { is_accept, accept_ms, answer_ms })
+        Some(BackendAction::Send { is_accept, accept_ms, answer_ms, cost_ratio })
     }
 
     /// Removes flows that have been idle for `idle_ms` milliseconds.
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -135,7 +135,7 @@
 }
 
 /// What an agent does with a segment from its backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum BackendAction {
     /// Send it to the caller.
     Send {
@@ -146,6 +146,8 @@
         accept_ms: Option<u64>,
         /// Time from the delivery of the request to this answer, in milliseconds.
         answer_ms: Option<u64>,
+        /// Time of the request in a slot, relative to what was expected.
+        cost_ratio: Option<f64>,
     },
     /// The backend server returned a segment of the caller; do this with it.
     Returned(Action),
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -396,9 +396,9 @@
         arrival: &Arrival,
         job: &Job,
     ) -> bool {
-        if let Some(choice) = self.other_choice(now, routing, roster, arrival)
-            && now.after(choice.completion_ms as u64) > job.due_at
-        {
+        let choice = self.other_choice(now, routing, roster, arrival);
+        let there_ms = choice.and_then(|choice| choice.completion_ms);
+        if there_ms.is_some_and(|ms| now.after(ms as u64) > job.due_at) {
             return false;
         }
         let refuse = self.redirect_or_refuse(now, routing, roster, arrival, Cause::Held);
--- a/crates/steer/src/process/agent/load.rs
+++ b/crates/steer/src/process/agent/load.rs
@@ -109,7 +109,8 @@
         let priority = route.map_or(u8::MAX, |route| route.priority);
         let here_ms = self.completion_ms(now, roster, priority);
         let choice = self.other_choice(now, routing, roster, arrival);
-        choice.is_some_and(|choice| choice.completion_ms + MIN_GAIN_MS < here_ms)
+        let there_ms = choice.and_then(|choice| choice.completion_ms);
+        there_ms.is_some_and(|there_ms| there_ms + MIN_GAIN_MS < here_ms)
     }
 
     /// The best of the other agents for an opening, if all candidates state their load.
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -396,7 +396,7 @@
         };
         self.send_announcements(announcements);
         match action {
-            Some(BackendAction::Send { is_accept, accept_ms, answer_ms }) => {
+            Some(BackendAction::Send { is_accept, accept_ms, answer_ms, cost_ratio }) => {
                 let flow = segment.flow_from_backend();
                 if let Some(accept_ms) = accept_ms {
                     metric::record_ms(&metric::ACCEPT_SECONDS, accept_ms);
@@ -411,6 +411,9 @@
                 if let Some(answer_ms) = answer_ms {
                     metric::record_ms(&metric::ANSWER_SECONDS, answer_ms);
                 }
+                if let Some(cost_ratio) = cost_ratio {
+                    metric::record(&metric::COST_RATIO, cost_ratio);
+                }
                 send_datagram(&self.node.link, self.node.caller_address(&flow), bytes);
                 if answer_ms.is_some() || segment.flags.reset || segment.flags.close {
                     self.release();
--- a/crates/steer/src/process/driver/agent/status.rs
+++ b/crates/steer/src/process/driver/agent/status.rs
@@ -9,13 +9,16 @@
 use crate::process::driver::node::Stated;
 use crate::process::metric;
 use crate::process::roster::{Member, Role, Roster};
-use crate::request::message::{BackendStatus, Load, Message, SyncStatus};
+use crate::request::message::{BackendStatus, Load, Message, SyncStatus, from_tenths};
 use crate::request::segment::Format;
 
 impl<F: Format, L: Link> State<F, L> {
     /// Sends a heartbeat to all members.
     pub(super) fn broadcast_heartbeat(&self) {
         let stated = Stated { status: self.backend_status(), load: self.load() };
+        if let Some(load) = &stated.load {
+            self.report_load(load);
+        }
         *self.node.stated.write() = stated;
         self.node.record_own_heartbeat(Role::Agent);
         self.node.broadcast_heartbeat(Role::Agent, |roster, member| {
@@ -92,6 +95,23 @@
         }
     }
 
+    /// Updates the gauges of what the backend server has to do. The gauge of a priority goes
+    /// back to zero when nothing of it waits.
+    fn report_load(&self, load: &Load) {
+        metric::set(&metric::REQUEST_SECONDS, from_tenths(load.request) / 1_000.0);
+        metric::set(&metric::GIVEN, from_tenths(load.given));
+        metric::set(&metric::PRIORITY_FLOOR, f64::from(load.floor.unwrap_or(u8::MAX)));
+        let stated = self.node.stated.read();
+        let before = stated.load.iter().flat_map(|load| &load.waiting);
+        for waiting in before {
+            metric::set_priority(&metric::WAITING, waiting.priority, 0.0);
+        }
+        for waiting in &load.waiting {
+            let jobs = from_tenths(waiting.jobs);
+            metric::set_priority(&metric::WAITING, waiting.priority, jobs);
+        }
+    }
+
     /// What the backend server has to do, to advertise to balancers.
     fn load(&self) -> Option<Load> {
         self.flows.read().stated_load(self.node.now())
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -19,6 +19,16 @@
     Metric { name, kind: Kind::Counter, unit: Unit::Count, labels, help }
 }
 
+/// Defines a gauge.
+const fn gauge(
+    name: &'static str,
+    unit: Unit,
+    labels: &'static [&'static str],
+    help: &'static str,
+) -> Metric {
+    Metric { name, kind: Kind::Gauge, unit, labels, help }
+}
+
 /// Defines a histogram of durations in seconds.
 const fn seconds(name: &'static str, help: &'static str) -> Metric {
     Metric { name, kind: Kind::Histogram, unit: Unit::Seconds, labels: &[], help }
@@ -155,6 +165,47 @@
     "Time from the delivery of a request to the first segment of its answer.",
 );
 
+/// Time of a request in a slot, relative to what was expected.
+pub const COST_RATIO: Metric = Metric {
+    name: "lentilreach_steer_cost_ratio",
+    kind: Kind::Histogram,
+    unit: Unit::Count,
+    labels: &[],
+    help: "Time that a request took in a slot, divided by the time that was expected.",
+};
+
+/// Expected time of a request in a slot of the backend server.
+pub const REQUEST_SECONDS: Metric = gauge(
+    "lentilreach_steer_request_seconds",
+    Unit::Seconds,
+    &[],
+    "Expected time that a request takes in a slot of the backend server.",
+);
+
+/// Mean number of requests that the backend server has been given.
+pub const GIVEN: Metric = gauge(
+    "lentilreach_steer_given",
+    Unit::Count,
+    &[],
+    "Mean number of openings and requests that the backend server has been given.",
+);
+
+/// Mean number of waiting openings and requests by priority.
+pub const WAITING: Metric = gauge(
+    "lentilreach_steer_waiting",
+    Unit::Count,
+    &["priority"],
+    "Mean number of openings and requests that wait for the backend server.",
+);
+
+/// The least urgent priority that the backend server has room for.
+pub const PRIORITY_FLOOR: Metric = gauge(
+    "lentilreach_steer_priority_floor",
+    Unit::Count,
+    &[],
+    "The least urgent priority that the backend server has room for; 255 for all.",
+);
+
 /// Number of nodes that forwarded a segment before it was delivered.
 pub const HOPS: Metric = Metric {
     name: "lentilreach_steer_hops",
@@ -185,6 +236,11 @@
     &ACCEPT_SECONDS,
     &WAIT_SECONDS,
     &ANSWER_SECONDS,
+    &COST_RATIO,
+    &REQUEST_SECONDS,
+    &GIVEN,
+    &WAITING,
+    &PRIORITY_FLOOR,
     &HOPS,
 ];
 
@@ -209,6 +265,26 @@
     }
 }
 
+/// Sets a gauge without labels.
+pub fn set(metric: &Metric, value: f64) {
+    metrics::gauge!(metric.name).set(value);
+}
+
+/// Sets a gauge for a priority. Priorities from 4 share a label, so that a configuration
+/// can't create any number of series.
+pub fn set_priority(metric: &Metric, priority: u8, value: f64) {
+    if let [label] = metric.labels {
+        let name = PRIORITIES.get(usize::from(priority)).unwrap_or(&OTHER_PRIORITIES);
+        metrics::gauge!(metric.name, *label => *name).set(value);
+    }
+}
+
+/// Labels of the most urgent priorities.
+const PRIORITIES: [&str; 4] = ["0", "1", "2", "3"];
+
+/// Label of all other priorities.
+const OTHER_PRIORITIES: &str = "others";
+
 /// Records a value in a histogram.
 pub fn record(metric: &Metric, value: f64) {
     metrics::histogram!(metric.name).record(value);
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -386,6 +386,7 @@
         }
         member.role = role;
         if is_new {
+            member.placed = Placed::default();
             member.replaced = member.incarnation.max(left_incarnation);
         }
         member.incarnation = heartbeat.incarnation;
--- a/crates/steer/src/process/roster/estimate.rs
+++ b/crates/steer/src/process/roster/estimate.rs
@@ -33,6 +33,10 @@
 /// milliseconds: its flow has to open first.
 const OPENING_MS: f64 = 5.0;
 
+/// Number of statements after which the average counts. After the loss of power of all
+/// nodes, the first ones are made before the rush arrives.
+const MIN_STATEMENTS: u32 = 3;
+
 /// Weight of one statement in the average of an agent's jobs.
 const STATED_WEIGHT: f64 = 0.2;
 
@@ -44,8 +48,9 @@
     /// servers get less than their share by speed, but are not left idle.
     pub work: f64,
     /// Time until the answer, in milliseconds, according to what the agent has stated in
-    /// the last seconds. Compares failure domains, and agents with oneself.
-    pub completion_ms: f64,
+    /// the last seconds; `None` if it has stated little yet. Compares failure domains, and
+    /// agents with oneself.
+    pub completion_ms: Option<f64>,
 }
 
 /// Requests that this node has placed on an agent.
@@ -57,6 +62,8 @@
     at: Millis,
     /// Moving average of the number of jobs that the agent states.
     stated: f64,
+    /// Number of statements, saturating.
+    statements: u32,
 }
 
 impl Placed {
@@ -74,7 +81,9 @@
 
     /// Processes a statement of the number of jobs that the agent has to do.
     pub fn observe(&mut self, jobs: f64) {
-        self.stated += (jobs - self.stated) * STATED_WEIGHT;
+        self.statements = self.statements.saturating_add(1);
+        let weight = STATED_WEIGHT.max(1.0 / f64::from(self.statements));
+        self.stated += (jobs - self.stated) * weight;
     }
 }
 
@@ -93,10 +102,12 @@
         let slots = f64::from(load.slots.max(1));
         let jobs = self.placed.at(now, request_ms).jobs / slots;
         let cost = of_route.map_or(load.request, |known| known.request);
-        let busy = (self.placed.stated.max(0.0) / slots).min(MAX_BUSY);
+        let busy = (self.placed.stated / slots).min(MAX_BUSY);
+        let completion_ms = self.bounded_ms(cost) + request_ms * busy * busy;
+        let is_known = self.placed.statements >= MIN_STATEMENTS;
         Some(Expectation {
             work: (IDLE_JOBS + jobs) * request_ms.sqrt(),
-            completion_ms: self.bounded_ms(cost) + request_ms * busy * busy,
+            completion_ms: is_known.then_some(completion_ms),
         })
     }
 
--- a/crates/steer/src/process/schedule/queue.rs
+++ b/crates/steer/src/process/schedule/queue.rs
@@ -33,21 +33,28 @@
     Request,
 }
 
-/// The order in which waiting jobs are served while they are in time: by priority, then by
-/// the level of their caller, see [`Shares`](super::fairness::Shares), then the latest
-/// first.
+/// The order in which waiting jobs are served while they are in time, the first one greatest:
+/// by priority, then by the level of their caller, see
+/// [`Shares`](super::fairness::Shares), then the latest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     /// Priority of the job.
-    priority: u8,
+    priority: Reverse<u8>,
     /// Level of its caller.
-    level: u8,
+    level: Reverse<u8>,
     /// When its answer is due.
-    due_at: Reverse<Millis>,
+    due_at: Millis,
     /// Its index in [`Queue::entries`], which makes the rank unique.
     index: u32,
 }
 
+impl Rank {
+    /// Jobs of the same group differ in time only.
+    fn group(&self) -> (Reverse<u8>, Reverse<u8>) {
+        (self.priority, self.level)
+    }
+}
+
 /// A waiting job with its value.
 #[derive(Debug, Clone)]
 struct Entry<T> {
@@ -69,12 +76,13 @@
     entries: Vec<Option<Entry<T>>>,
     /// Unused indices of `entries`.
     free: Vec<u32>,
-    /// Sorted. Has one element for each job, like the following two.
+    /// Sorted, so that the first to be served is the last element. Has one element for each
+    /// job, like the following two.
     by_rank: Vec<Rank>,
     /// Sorted by the time at which the job was sent.
     by_age: Vec<(Millis, u32)>,
-    /// Sorted by flow.
-    by_flow: Vec<(flow::Key, u32)>,
+    /// Sorted by the hash of the flow.
+    by_flow: Vec<(u32, u32)>,
     /// Number of jobs that are openings.
     openings: usize,
     /// No job expires before this time.
@@ -113,33 +121,34 @@
 
     /// The value of the waiting job of a flow.
     pub fn get_mut(&mut self, flow: &flow::Key) -> Option<&mut T> {
-        let index = self.find(flow).ok()?;
-        let (_, entry) = self.by_flow[index];
-        self.entries[entry as usize].as_mut().map(|entry| &mut entry.value)
+        let index = self.find(flow)?;
+        self.entries[index as usize].as_mut().map(|entry| &mut entry.value)
     }
 
     /// The waiting job of a flow.
     pub fn get(&self, flow: &flow::Key) -> Option<&Job> {
-        let index = self.find(flow).ok()?;
-        let (_, entry) = self.by_flow[index];
-        self.entries[entry as usize].as_ref().map(|entry| &entry.job)
+        self.find(flow).map(|index| self.job(index))
     }
 
     /// Adds a job whose caller has a level, unless another job of its flow waits.
     pub fn insert(&mut self, job: Job, level: u8, value: T) {
-        let Err(flow_index) = self.find(&job.flow) else { return };
+        if self.find(&job.flow).is_some() {
+            return;
+        }
         let index = self.free.pop().unwrap_or_else(|| {
             self.entries.push(None);
             self.entries.len() as u32 - 1
         });
-        let Job { priority, due_at, .. } = job;
-        let rank = Rank { priority, level, due_at: Reverse(due_at), index };
+        let (priority, level) = (Reverse(job.priority), Reverse(level));
+        let rank = Rank { priority, level, due_at: job.due_at, index };
         let rank_index = self.by_rank.partition_point(|other| *other < rank);
         self.by_rank.insert(rank_index, rank);
         let age = (job.sent_at, index);
         let age_index = self.by_age.partition_point(|other| *other < age);
         self.by_age.insert(age_index, age);
-        self.by_flow.insert(flow_index, (job.flow, index));
+        let key = (hash(&job.flow), index);
+        let flow_index = self.by_flow.partition_point(|other| *other < key);
+        self.by_flow.insert(flow_index, key);
         self.openings += usize::from(job.kind == Kind::Opening);
         self.expires_from = self.expires_from.min(job.give_up_at.after(1));
         self.entries[index as usize] = Some(Entry { job, rank, value });
@@ -147,26 +156,22 @@
 
     /// Removes the job of a flow.
     pub fn remove(&mut self, flow: &flow::Key) -> Option<(Job, T)> {
-        let index = self.find(flow).ok()?;
-        let (_, entry) = self.by_flow[index];
-        self.take(entry)
+        self.take(self.find(flow)?)
     }
 
     /// Finds the first job in the order of service that is due at `earliest_due` or later.
     /// Leaves out openings if `kind` is [`Kind::Request`].
     pub fn first_due(&self, earliest_due: Millis, kind: Option<Kind>) -> Option<&Job> {
-        let mut start = 0;
-        while let Some(first) = self.by_rank.get(start) {
-            let end = self.end_of_group(start, first);
-            // Within a group, jobs that are due later come first.
-            let due = self.by_rank[start..end]
-                .iter()
-                .take_while(|r| r.due_at.0 >= earliest_due);
+        let mut end = self.by_rank.len();
+        while let Some(first) = self.by_rank[..end].last() {
+            let start = self.start_of_group(end, first);
+            let group = self.by_rank[start..end].iter().rev();
+            let due = group.take_while(|rank| rank.due_at >= earliest_due);
             let mut jobs = due.map(|rank| self.job(rank.index));
             if let Some(job) = jobs.find(|job| kind.is_none_or(|kind| job.kind == kind)) {
                 return Some(job);
             }
-            start = end;
+            end = start;
         }
         None
     }
@@ -179,59 +184,59 @@
 
     /// The job of the lowest priority that is served first among its like.
     pub fn least_urgent(&self) -> Option<&Job> {
-        let lowest = self.by_rank.last()?.priority;
-        let start = self.by_rank.partition_point(|rank| rank.priority < lowest);
-        Some(self.job(self.by_rank[start].index))
+        let lowest = self.by_rank.first()?.priority;
+        let end = self.by_rank.partition_point(|rank| rank.priority <= lowest);
+        self.by_rank[..end].last().map(|rank| self.job(rank.index))
     }
 
     /// Counts the jobs of a priority or a higher one that are due at `earliest_due` or
     /// later.
     pub fn count_due(&self, priority: u8, earliest_due: Millis) -> usize {
         let mut count = 0;
-        let mut start = 0;
-        while let Some(first) = self.by_rank.get(start) {
-            if first.priority > priority {
+        let mut end = self.by_rank.len();
+        while let Some(first) = self.by_rank[..end].last() {
+            if first.priority.0 > priority {
                 break;
             }
-            let end = self.end_of_group(start, first);
+            let start = self.start_of_group(end, first);
             let group = &self.by_rank[start..end];
-            count += group.partition_point(|rank| rank.due_at.0 >= earliest_due);
-            start = end;
+            count += group.len() - group.partition_point(|r| r.due_at < earliest_due);
+            end = start;
         }
         count
     }
 
     /// Number of jobs that wait with a priority or a higher one.
     pub fn count(&self, priority: u8) -> usize {
-        self.by_rank.partition_point(|rank| rank.priority <= priority)
+        self.by_rank.len() - self.by_rank.partition_point(|r| r.priority.0 > priority)
     }
 
     /// Number of waiting jobs by priority, the highest first.
     pub fn counts(&self) -> impl Iterator<Item = (u8, u32)> {
-        let mut start = 0;
-        std::iter::from_fn(move || {
-            let priority = self.by_rank.get(start)?.priority;
-            let end = self.count(priority);
-            let jobs = end - start;
-            start = end;
-            Some((priority, jobs as u32))
-        })
+        self.priority_groups().map(|(priority, group)| (priority, group.len() as u32))
     }
 
     /// The priorities of waiting jobs, the highest first, each with the time at which its
     /// oldest job was sent.
     pub fn priorities(&self) -> impl Iterator<Item = (u8, Millis)> {
-        let mut start = 0;
-        std::iter::from_fn(move || {
-            let priority = self.by_rank.get(start)?.priority;
-            let end = self.by_rank.partition_point(|rank| rank.priority <= priority);
-            let group = &self.by_rank[start..end];
-            start = end;
+        self.priority_groups().filter_map(|(priority, group)| {
             let oldest = group.iter().map(|rank| self.job(rank.index).sent_at).min()?;
             Some((priority, oldest))
         })
     }
 
+    /// The jobs of each priority, the highest first.
+    fn priority_groups(&self) -> impl Iterator<Item = (u8, &[Rank])> {
+        let mut end = self.by_rank.len();
+        std::iter::from_fn(move || {
+            let priority = self.by_rank[..end].last()?.priority;
+            let start = self.by_rank.partition_point(|rank| rank.priority < priority);
+            let group = &self.by_rank[start..end];
+            end = start;
+            Some((priority.0, group))
+        })
+    }
+
     /// Removes and returns a job that may not be delivered any more.
     pub fn next_expired(&mut self, now: Millis) -> Option<(Job, T)> {
         if now < self.expires_from {
@@ -258,14 +263,12 @@
 
     /// The waiting jobs, in the order of service.
     fn jobs(&self) -> impl Iterator<Item = &Job> {
-        self.by_rank.iter().map(|rank| self.job(rank.index))
+        self.by_rank.iter().rev().map(|rank| self.job(rank.index))
     }
 
-    /// The end of the jobs with the same priority and level as the one at `start`.
-    fn end_of_group(&self, start: usize, first: &Rank) -> usize {
-        let group = (first.priority, first.level);
-        let rest = &self.by_rank[start..];
-        start + rest.partition_point(|rank| (rank.priority, rank.level) <= group)
+    /// The start of the group of the last job before `end`.
+    fn start_of_group(&self, end: usize, last: &Rank) -> usize {
+        self.by_rank[..end].partition_point(|rank| rank.group() < last.group())
     }
 
     /// The job with an index that one of the sorted vectors refers to.
@@ -284,7 +287,7 @@
         if let Ok(found) = self.by_age.binary_search(&(job.sent_at, index)) {
             self.by_age.remove(found);
         }
-        if let Ok(found) = self.find(&job.flow) {
+        if let Ok(found) = self.by_flow.binary_search(&(hash(&job.flow), index)) {
             self.by_flow.remove(found);
         }
         self.openings -= usize::from(job.kind == Kind::Opening);
@@ -294,8 +297,16 @@
         Some((job, value))
     }
 
-    /// The index of a flow in `by_flow`, or the index at which to insert it.
-    fn find(&self, flow: &flow::Key) -> Result<usize, usize> {
-        self.by_flow.binary_search_by(|(known, _)| known.cmp(flow))
+    /// The index of the job of a flow in `entries`.
+    fn find(&self, flow: &flow::Key) -> Option<u32> {
+        let hash = hash(flow);
+        let start = self.by_flow.partition_point(|(known, _)| *known < hash);
+        let same = self.by_flow[start..].iter().take_while(|(known, _)| *known == hash);
+        same.map(|(_, index)| *index).find(|index| self.job(*index).flow == *flow)
     }
 }
+
+/// A hash of a flow. Flows may share one.
+fn hash(flow: &flow::Key) -> u32 {
+    flow.hash() as u32
+}
--- a/crates/steer/src/request/completion.rs
+++ b/crates/steer/src/request/completion.rs
@@ -33,8 +33,8 @@
 pub struct Choice {
     /// Its address.
     pub agent: SocketAddrV4,
-    /// Expected time until the answer, in milliseconds.
-    pub completion_ms: f64,
+    /// Expected time until the answer, in milliseconds; `None` if little is known yet.
+    pub completion_ms: Option<f64>,
 }
 
 /// Selects the agent at which a request is expected to be answered first. Skips the agents
@@ -79,8 +79,9 @@
 struct Group<'a> {
     /// The best one.
     best: &'a Candidate,
-    /// Mean of the expected time until an answer, in milliseconds.
-    completion_ms: f64,
+    /// Mean of the expected time until an answer, in milliseconds, of those of which it is
+    /// known; `None` if there are none.
+    completion_ms: Option<f64>,
 }
 
 impl<'a> Group<'a> {
@@ -89,15 +90,20 @@
     fn new(candidates: &'a [Candidate], is_near: bool) -> Option<Self> {
         let members = candidates.iter().filter(|candidate| candidate.is_near == is_near);
         let best = members.clone().min_by(|a, b| a.compare(b))?;
-        let sum: f64 = members.clone().map(|member| member.choice.completion_ms).sum();
-        Some(Self { best, completion_ms: sum / members.count() as f64 })
+        let known = members.filter_map(|member| member.choice.completion_ms);
+        let (sum, count) = known.fold((0.0, 0), |(sum, n), ms| (sum + ms, n + 1));
+        let completion_ms = (count > 0).then(|| sum / f64::from(count));
+        Some(Self { best, completion_ms })
     }
 
     /// Whether this group, in other failure domains than the caller, is better.
     fn is_preferred_to(&self, near: &Self) -> bool {
         let (class, near_class) = (self.best.class(), near.best.class());
-        let gain_ms = near.completion_ms - self.completion_ms;
-        class < near_class || (class == near_class && gain_ms > OTHER_DOMAIN_MS)
+        let is_sooner = near
+            .completion_ms
+            .zip(self.completion_ms)
+            .is_some_and(|(near_ms, ms)| near_ms - ms > OTHER_DOMAIN_MS);
+        class < near_class || (class == near_class && is_sooner)
     }
 }
 
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -442,7 +442,8 @@
         Some(BackendAction::Send {
             is_accept: false,
             accept_ms: None,
-            answer_ms: Some(30)
+            answer_ms: Some(30),
+            cost_ratio: None
         })
     );
     assert_eq!(agent.load(NOW.after(30)), (2, 0));
--- a/crates/steer/tests/completion.rs
+++ b/crates/steer/tests/completion.rs
@@ -114,6 +114,7 @@
 #[test]
 fn another_failure_domain_is_used_when_it_is_sooner() {
     let mut roster = roster(&[("a", load(20, 0)), ("b", load(20, 0))]);
+    hear(&mut roster, 2, "b", &load(20, 0));
     let calm = choose(&roster, 1);
 
     hear(&mut roster, 1, "a", &load(20, 1));
@@ -127,6 +128,18 @@
     assert_eq!(busy, Some(agent_address(2)));
 }
 
+/// After the loss of power of all nodes, agents that have stated nothing yet must not look
+/// idle to others.
+#[test]
+fn nothing_is_expected_of_an_agent_that_has_just_started() {
+    let mut roster = roster(&[("a", load(20, 0)), ("b", load(20, 0))]);
+    hear(&mut roster, 1, "a", &load(20, 4));
+
+    let busy = choose(&roster, 1);
+
+    assert_eq!(busy, Some(agent_address(1)));
+}
+
 /// Statements are a second old: one that shows an idle agent must not draw the flows of all
 /// nodes to it until the next one.
 #[test]
