Check a configuration before it is sent: findings and differences

Rules are functions of the parsed documents, each with an input that passes and one that doesn't. The examples have no findings.

Not covered: positions in documents of segments, costs of requests and the number of backend servers, which the documents don't state.

--- a/crates/lentilreach-cli/tests/command.rs
+++ b/crates/lentilreach-cli/tests/command.rs
@@ -86,6 +86,76 @@
     assert_snapshot!(out.replace(&path, "FILE"));
 }
 
+/// Writes a variant of the example of weilheim.
+fn variant(replacements: &[(&str, &str)]) -> NamedTempFile {
+    let mut text =
+        std::fs::read_to_string(example("weilheim.jsonc")).expect("an example");
+    for (from, to) in replacements {
+        assert!(text.contains(from), "{from}");
+        text = text.replacen(from, to, 1);
+    }
+    let mut file = NamedTempFile::new().expect("a temporary file");
+    file.write_all(text.as_bytes()).expect("the file is writable");
+    file
+}
+
+/// Guards against findings and differences that are missing from the output, and against
+/// warnings that fail a check unless they are denied.
+#[test]
+fn check_reports_findings_and_differences() {
+    let file = variant(&[
+        ("\"leave_ms\": 10000", "\"leave_ms\": 4000"),
+        ("\"queue\": 32", "\"queue\": 16"),
+        ("\"127.1.0.1:4433\"", "\"127.1.0.3:4433\""),
+    ]);
+    let path = file.path().display().to_string();
+    let against = example("weilheim.jsonc");
+
+    let text = run(&["check", &path, "--against", &against]);
+    let json = run(&["check", &path, "--against", &against, "--report", "json"]);
+    let denied = run(&["check", &path, "--deny", "warnings"]);
+    let allowed = run(&["check", &against, "--deny", "warnings"]);
+
+    assert_eq!([&text, &json, &denied, &allowed].map(status), [0, 0, 1, 0]);
+    assert_snapshot!(output_text(&text).0.replace(&path, "FILE"));
+    assert_snapshot!(output_text(&json).0.replace(&path, "FILE"));
+}
+
+/// Guards against a document of the other front end that is read as an organisation's file,
+/// and against errors that don't fail the check.
+#[test]
+fn check_reads_documents_of_segments() {
+    let document = |service: &str| {
+        format!(
+            r#"{{"version":3,"routes":[{{"name":"r","host":"198.18.0.1","prefix":"/443/",
+            "aimMs":300,"timeoutMs":1500,"priority":1,"service":"{service}"}}],
+            "services":[{{"name":"shop","maxConns":2000}}],
+            "limits":{{"idleTimeoutMs":15000}}}}"#
+        )
+    };
+    let write = |text: String| {
+        let mut file = NamedTempFile::new().expect("a temporary file");
+        file.write_all(text.as_bytes()).expect("the file is writable");
+        file
+    };
+    let (good, bad) = (write(document("shop")), write(document("shopp")));
+    let path = |file: &NamedTempFile| file.path().display().to_string();
+
+    let good_output = run(&["check", "--front-end", "segments", &path(&good)]);
+    let bad_output = run(&[
+        "check",
+        "--front-end",
+        "segments",
+        &path(&bad),
+        "--against",
+        &path(&good),
+    ]);
+
+    assert_eq!((status(&good_output), status(&bad_output)), (0, 2));
+    assert_snapshot!(output_text(&good_output).0);
+    assert_snapshot!(output_text(&bad_output).1.replace(&path(&bad), "FILE"));
+}
+
 /// Guards against an exit status other than bad input for a missing file.
 #[test]
 fn missing_file_is_bad_input() {
--- a/crates/lentilreach/src/version/config/document.rs
+++ b/crates/lentilreach/src/version/config/document.rs
@@ -69,6 +69,17 @@
         Errors::new(errors).map_or(Ok(()), Err)
     }
 
+    /// Its templates that no service uses, each with its position in the file.
+    pub fn unused_templates(&self) -> &[(Name, Place)] {
+        &self.source.unused_templates
+    }
+
+    /// Its services, each with its position in the file.
+    pub fn placed_services(&self) -> impl Iterator<Item = (&Service, Place)> {
+        let places = self.source.services.iter().map(|places| places.name);
+        self.services.iter().zip(places)
+    }
+
     /// Builds an error at a position in the file.
     fn error(&self, place: Place, message: String, hint: Option<String>) -> Error {
         Error { file: self.source.file.clone(), place, message, hint }
@@ -88,6 +99,8 @@
     domains: Place,
     /// The services, in the order of [`Document::services`].
     services: Vec<ServicePlaces>,
+    /// Templates that no service uses, with their positions.
+    unused_templates: Vec<(Name, Place)>,
 }
 
 /// The positions in the file from which a service was read.
--- a/crates/lentilreach/src/version/config/document/parse.rs
+++ b/crates/lentilreach/src/version/config/document/parse.rs
@@ -29,7 +29,12 @@
         let partial = read(&mut reader, &root);
         let (services, places) = partial.services.into_iter().unzip();
         let file = reader.file().clone();
-        let source = Source { file, domains: partial.place, services: places };
+        let source = Source {
+            file,
+            domains: partial.place,
+            services: places,
+            unused_templates: partial.unused_templates,
+        };
         let organisation = partial.organisation?;
         Some(Document { organisation, domains: partial.domains, services, source })
     });
@@ -46,12 +51,16 @@
     place: Place,
     /// The valid services, sorted by name.
     services: Vec<(Service, ServicePlaces)>,
+    /// Templates that no service uses, with their positions.
+    unused_templates: Vec<(Name, Place)>,
 }
 
 /// A template with its valid parameters.
 struct Template<'a> {
     /// Its name.
     name: &'a str,
+    /// Where the file defines it.
+    property: &'a ObjectProp<'a>,
     /// Its parameters.
     values: Values,
 }
@@ -73,18 +82,41 @@
     let templates = templates.map(|object| read_templates(reader, object));
     let services = reader.require(root, "the file", "services");
     let services = services.and_then(|value| reader.object(value, "services"));
+    let templates = templates.unwrap_or_default();
+    let unused_templates = services.map(|object| unused(reader, object, &templates));
     let services = services.map(|object| {
         let owner = organisation.clone().unwrap_or_default();
-        read_services(reader, object, &owner, &templates.unwrap_or_default())
+        read_services(reader, object, &owner, &templates)
     });
     PartialDocument {
         organisation,
         domains,
         place,
         services: services.unwrap_or_default(),
+        unused_templates: unused_templates.unwrap_or_default(),
     }
 }
 
+/// The templates that no service names.
+fn unused<'a>(
+    reader: &Reader<'a>,
+    services: &Object<'a>,
+    templates: &[Template<'_>],
+) -> Vec<(Name, Place)> {
+    let is_used = |template: &&Template<'_>| {
+        services.properties.iter().any(|property| {
+            let service = property.value.as_object();
+            let name = service.and_then(|service| service.get("template"));
+            name.and_then(|name| name.value.as_string_lit())
+                .is_some_and(|name| name.value == template.name)
+        })
+    };
+    let unused = templates.iter().filter(|template| !is_used(template));
+    unused
+        .map(|template| (template.name.into(), reader.place(template.property)))
+        .collect()
+}
+
 /// Reads the list of failure domains.
 fn domain_names<'a>(reader: &mut Reader<'a>, value: &Value<'a>) -> Vec<Name> {
     let mut names: Vec<Name> = Vec::new();
@@ -108,7 +140,10 @@
 fn read_templates<'a, 'o>(
     reader: &mut Reader<'a>,
     object: &'o Object<'a>,
-) -> Vec<Template<'o>> {
+) -> Vec<Template<'o>>
+where
+    'a: 'o,
+{
     reader.check_unique(object, "templates");
     let mut templates = Vec::new();
     for property in &object.properties {
@@ -122,7 +157,7 @@
             check_complete(reader, property, template, &what);
             check_cold_slots(reader, template, &values);
         }
-        templates.push(Template { name, values });
+        templates.push(Template { name, property, values });
     }
     templates.sort_by_key(|template| template.name);
     templates
--- a/crates/lentilreach/src/version/mod.rs
+++ b/crates/lentilreach/src/version/mod.rs
@@ -3,6 +3,7 @@
 pub mod assembly;
 pub mod config;
 pub mod diff;
+pub mod lint;
 pub mod load;
 pub mod table;
 pub mod view;
--- a/crates/steer/src/version/mod.rs
+++ b/crates/steer/src/version/mod.rs
@@ -1,3 +1,4 @@
 //! State that lives for one version of the operators' documents.
 
+pub mod lint;
 pub mod routing;
