Let an agent whose backend server is gone leave although it never heard of it

Cause: two agents started after the outage beside backend servers that had been leaving before it and did not return. Both were stopped for good before they could know that (one 0.2 ms after its start, the other while its first probe was on the way), so they went without a word. All others waited for them: a home node only says that nobody holds a flow if it hears all agents.

Change: an agent that stops without a report of its backend server probes its address at once, and leaves if no process is there, also if that shows while it stops. Before that it waits until it knows the members, and lets them hear it, since they only let a process go that they have heard. The proof is the one that was used before: the system refuses a connection to the address.

--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -105,6 +105,11 @@
         !self.may_hold_unknown_flows()
     }
 
+    /// Whether the backend server has reported to this process lately.
+    pub fn is_backend_heard(&self, now: Millis) -> bool {
+        self.backend.report().is_some() && !self.backend.is_overdue(now)
+    }
+
     /// Whether there is no backend server next to this agent.
     pub fn has_no_backend(&self) -> bool {
         self.backend.is_leaving() || !self.backend.may_be_running()
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -160,9 +160,10 @@
         let state = &self.state;
         state.node.is_stopping.store(true, Ordering::Relaxed);
         state.flows.write().stop();
-        if state.flows.read().has_no_backend() {
-            state.node.broadcast_leave();
-            Timer::after(RESET_GRACE).await;
+        if !state.flows.read().is_backend_heard(state.node.now()) {
+            state.probe_backend().await;
+        }
+        if state.leave_without_backend().await {
             return;
         }
         state.broadcast_heartbeat();
@@ -176,6 +177,8 @@
         {
             Timer::after(DRAIN_POLL_INTERVAL).await;
         }
+        // It may have ended meanwhile.
+        state.leave_without_backend().await;
     }
 }
 
@@ -225,6 +228,23 @@
         }
     }
 
+    /// Tells all nodes that a stopping agent leaves for good, and resets the remaining flows,
+    /// if there is no backend server any more. Returns whether that is the case.
+    ///
+    /// An agent that goes without a word is waited for: as long as it is silent, nobody can
+    /// tell whether its backend server holds a flow.
+    async fn leave_without_backend(&self) -> bool {
+        if !self.flows.read().has_no_backend() {
+            return false;
+        }
+        self.node.wait_for_members().await;
+        // Others only let a process go that they have heard.
+        self.broadcast_heartbeat();
+        self.node.broadcast_leave();
+        Timer::after(RESET_GRACE).await;
+        true
+    }
+
     /// Ends the flows of the backend server if there is no process at its address any more.
     async fn probe_backend(&self) {
         let since = self.node.now();
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -191,6 +191,16 @@
         }
     }
 
+    /// Waits until the list of members has been read, for a limited time.
+    pub async fn wait_for_members(&self) {
+        let start = self.now();
+        while !self.has_read_members.load(Ordering::Relaxed)
+            && self.now().since(start) < READY_WAIT_MS
+        {
+            sleep(READY_POLL_MS).await;
+        }
+    }
+
     /// Sends a message to another node.
     pub fn send(&self, to: SocketAddrV4, message: &Message<'_>) {
         send_datagram(&self.link, SocketAddr::V4(to), &message.encode());
