--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -304,7 +304,8 @@
             };
         }
         let capacity = self.capacity(now);
-        let is_taken = capacity.in_flight >= capacity.slots;
+        // Openings whose request is expected may be for later.
+        let is_taken = self.in_flight.requests(now) >= capacity.slots;
         if (is_taken || self.is_slow(roster))
             && self.is_sooner_elsewhere(now, routing, roster, arrival)
         {
