--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -34,6 +34,7 @@
 mod load;
 mod locate;
 mod question;
+mod release;
 mod sync;
 
 pub use action::{
--- a/crates/steer/src/process/agent/load.rs
+++ b/crates/steer/src/process/agent/load.rs
@@ -12,6 +12,9 @@
 use crate::request::placement::{self, Request};
 use crate::version::routing::Routing;
 
+/// Factor by which requests of a route differ from the mean to be stated on their own.
+const ROUTE_FACTOR: f64 = 1.25;
+
 /// Maximum number of routes in a statement.
 const MAX_ROUTES: usize = 4;
 
@@ -33,14 +36,18 @@
     /// that flows are not placed by expected work, or if it has not reported.
     pub fn stated_load(&self, now: Millis) -> Option<Load> {
         let report = self.backend.report().filter(|_| self.states_load)?;
-        let mut routes: Vec<_> = self.durations.routes().collect();
-        routes.truncate(MAX_ROUTES);
-        let routes =
-            routes.into_iter().map(|(address, ms, is_long)| message::RouteLoad {
-                route: message::route_hash(address),
-                request: message::tenths(ms),
-                is_long,
-            });
+        let mean_ms = self.durations.mean_ms();
+        // Others are like the mean, so they needn't be in every heartbeat.
+        let differs = |(_, ms, is_long): &(SocketAddrV4, f64, bool)| {
+            let factor = mean_ms.map_or(1.0, |mean_ms| ms / mean_ms);
+            *is_long || factor.max(1.0 / factor) >= ROUTE_FACTOR
+        };
+        let routes = self.durations.routes().filter(differs).take(MAX_ROUTES);
+        let routes = routes.map(|(address, ms, is_long)| message::RouteLoad {
+            route: message::route_hash(address),
+            request: message::tenths(ms),
+            is_long,
+        });
         let waiting = self.backlog.waiting(now).map(|(priority, jobs)| {
             message::Waiting { priority, jobs: message::tenths(jobs) }
         });
@@ -48,7 +55,7 @@
             given: message::tenths(self.backlog.given(now)),
             waiting: waiting.collect(),
             slots: report.slots,
-            request: self.durations.mean_ms().map_or(0, message::tenths),
+            request: mean_ms.map_or(0, message::tenths),
             routes: routes.collect(),
             floor: self.pressure.floor(),
         })
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -150,7 +150,8 @@
     /// Expected time that a request takes in a slot, in tenths of a millisecond; 0 until it
     /// is known.
     pub request: u32,
-    /// The same for single routes, a few of them.
+    /// The same for a few routes: those with long flows, and those that differ from the
+    /// mean.
     pub routes: Vec<RouteLoad>,
     /// The least urgent priority that it has room for; `None` if it has for all.
     pub floor: Option<u8>,
