Discard a waiting request when its caller closes, and average times of queued requests

A caller that gives up closes its flow; its request went on waiting until the deadline of the route, which is later than the caller's, and was then served with what was left over. Now the close discards it. A caller that only closes its direction repeats the request, which was not acknowledged. An agent that reads several answers at once gives all but the first a time near zero, which moves the mean of the logarithm, so that the busiest backend server seems the fastest. Times of queued requests now count in groups of eight.

--- a/crates/steer/src/connection/in_flight.rs
+++ b/crates/steer/src/connection/in_flight.rs
@@ -62,6 +62,8 @@
     /// Time that it took in a slot, in milliseconds; `None` if it got none as far as is
     /// known.
     pub slot_ms: Option<u64>,
+    /// Whether it had to wait for that slot in the backend server's queue.
+    pub is_queued: bool,
 }
 
 impl InFlight {
@@ -109,7 +111,8 @@
             self.start_next(now);
         }
         let slot_ms = started.map(|started| now.since(started));
-        Some(Answer { ms: now.since(since), slot_ms })
+        let is_queued = started != Some(since);
+        Some(Answer { ms: now.since(since), slot_ms, is_queued })
     }
 
     /// Whether a request of a flow is in progress or expected.
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -7,6 +7,7 @@
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 
+use crate::connection::flow;
 use crate::connection::in_flight::InFlight;
 use crate::connection::index::Index;
 use crate::connection::lifetime::Lifetime;
@@ -248,10 +249,7 @@
         if let Some(answer) = answer {
             self.health.record_answer();
             if let Some(slot_ms) = answer.slot_ms {
-                let expected_ms = self.durations.mean_ms();
-                cost_ratio = expected_ms.map(|expected_ms| slot_ms as f64 / expected_ms);
-                self.admission.observe(slot_ms);
-                self.durations.record(flow.service, slot_ms);
+                cost_ratio = self.record_duration(&flow, slot_ms, answer.is_queued);
             }
         }
         if is_closing {
@@ -382,6 +380,24 @@
         Action::Deliver { mark, notify, is_new }
     }
 
+    /// Records the time that a request took in a slot. Returns it relative to what was
+    /// expected, if it is known for the single request.
+    fn record_duration(
+        &mut self,
+        flow: &flow::Key,
+        slot_ms: u64,
+        is_queued: bool,
+    ) -> Option<f64> {
+        self.admission.observe(slot_ms);
+        if is_queued {
+            self.durations.record_queued(slot_ms);
+            return None;
+        }
+        let expected_ms = self.durations.mean_ms();
+        self.durations.record(flow.service, slot_ms);
+        expected_ms.map(|expected_ms| slot_ms as f64 / expected_ms)
+    }
+
     /// Failure domain of the balancer that received the segment; the agent's own domain
     /// if the balancer is unknown.
     fn origin_domain<'a>(
--- a/crates/steer/src/process/agent/hold.rs
+++ b/crates/steer/src/process/agent/hold.rs
@@ -39,7 +39,13 @@
             return self.deliver(now, arrival, false);
         }
         let is_waiting = self.admission.queue().get(&flow).is_some();
-        let is_part = is_waiting && (length > 0 || flags.close);
+        // The caller has given up. One that only closes its direction repeats the request,
+        // which was not acknowledged, and then it is delivered at once.
+        if is_waiting && flags.close && length == 0 {
+            self.discard(&flow);
+            return self.deliver(now, arrival, false);
+        }
+        let is_part = is_waiting && length > 0;
         let begins = !is_waiting
             && state.stage == Stage::Open
             && state.is_new_data(sequence, length)
--- a/crates/steer/src/process/schedule/durations.rs
+++ b/crates/steer/src/process/schedule/durations.rs
@@ -25,6 +25,9 @@
 /// Number of durations after which an average counts.
 const MIN_SAMPLES: u32 = 3;
 
+/// Number of queued requests whose times are recorded together.
+const QUEUED_REQUESTS: u32 = 8;
+
 /// Maximum number of routes to keep track of.
 const MAX_ROUTES: usize = 16;
 
@@ -139,10 +142,27 @@
     all: Average,
     /// Their distribution.
     shape: Shape,
+    /// Sum and number of times of queued requests, in milliseconds.
+    queued: (u64, u32),
 }
 
 impl Durations {
-    /// Records the time that a request of a route took in a slot, without any wait.
+    /// Records the time that a request took in a slot that it got when another one ended.
+    ///
+    /// A busy process sees several ends at once, so single times are too short or too long,
+    /// and only their sum is right.
+    pub fn record_queued(&mut self, ms: u64) {
+        self.queued = (self.queued.0 + ms, self.queued.1 + 1);
+        let (sum_ms, requests) = self.queued;
+        if requests == QUEUED_REQUESTS {
+            self.queued = (0, 0);
+            let mean_ms = sum_ms as f64 / f64::from(requests);
+            // The mean is above the average of the logarithm.
+            self.all.record(mean_ms / self.shape.mean);
+        }
+    }
+
+    /// Records the time that a request of a route took in a slot that was free.
     pub fn record(&mut self, route: SocketAddrV4, ms: u64) {
         let ms = ms as f64;
         if let Some(average) = self.all.ms() {
--- a/crates/steer/tests/durations.rs
+++ b/crates/steer/tests/durations.rs
@@ -60,6 +60,24 @@
     }
 }
 
+/// A busy agent sees several ends at once: of two requests that end together, the second seems
+/// to have taken no time in its slot. That must not make its backend server seem fast, or it
+/// would get more the busier it is.
+#[test]
+fn ends_that_are_seen_together_do_not_make_a_backend_server_seem_fast() {
+    let (mut durations, mut rng) = (Durations::default(), Rng::with_seed(1));
+    record(&mut durations, &mut rng, 300, REQUEST_MS);
+    let usual = mean(&durations);
+
+    for _ in 0..100 {
+        durations.record_queued(2 * REQUEST_MS as u64);
+        durations.record_queued(0);
+    }
+
+    let ratio = mean(&durations) / usual;
+    assert!((0.7..1.4).contains(&ratio), "{ratio}");
+}
+
 /// What has run for long will run longer, where a few requests take many times as long.
 #[test]
 fn the_remaining_time_grows_with_the_age() {
