--- a/crates/steer/src/process/roster/estimate.rs
+++ b/crates/steer/src/process/roster/estimate.rs
@@ -13,7 +13,7 @@
 
 /// Jobs for each slot that are added to those of every agent, so that among idle ones the
 /// fastest is chosen.
-const IDLE_JOBS: f64 = 0.1;
+const IDLE_JOBS: f64 = 0.01;
 
 /// Jobs for each slot from which more say nothing about the wait: beyond its limit, a
 /// backend server is given none.
