--- a/crates/standin/src/rush/path.rs
+++ b/crates/standin/src/rush/path.rs
@@ -281,7 +281,8 @@
                 self.requests[attempt.request].refused |= 1 << attempt.number;
                 self.at(now + CALLER_DELAY_MS, Event::Refused(attempt));
             }
-            Action::Hold { .. } | Action::Drop(_) => {}
+            // Searches are only made for flows that are open.
+            Action::Hold { .. } | Action::Postpone(_) | Action::Drop(_) => {}
         }
     }
 
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -14,6 +14,7 @@
 use crate::connection::state::{Stage, State};
 use crate::connection::table::Table;
 use crate::process::backend::Backend;
+use crate::process::backend::record::Record;
 use crate::process::documents::history::History;
 use crate::process::roster::Roster;
 use crate::process::schedule::admission::Admission;
@@ -34,6 +35,7 @@
 mod instance;
 mod load;
 mod locate;
+mod postpone;
 mod question;
 mod release;
 mod sync;
@@ -46,6 +48,8 @@
 pub use handover::HandedOver;
 
 use delivered::{Delivered, Ring};
+use instance::Knowledge;
+use postpone::Postponed;
 use question::Questions;
 use sync::{Received, Sent};
 
@@ -107,9 +111,15 @@
     /// Since when every flow of the backend server has been recorded in `flows`: the start
     /// of the agent, or the last eviction of a flow.
     recorded_since: Millis,
-    /// Whether `flows` contains all flows of the backend server: this process has recorded
-    /// everything that could open one. Home nodes take it as proof that a flow has ended.
-    knows_all_flows: bool,
+    /// Whether that is the start of the agent.
+    is_unbroken: bool,
+    /// What is known about flows of the backend server that are not in `flows`. Home nodes
+    /// take it as proof that a flow has ended.
+    knowledge: Knowledge,
+    /// What the agent's entry in the store said before this process wrote it.
+    found_record: Record,
+    /// What it says now.
+    record: Record,
     /// The highest routing revision that a delivered opening was based on. Openings based
     /// on an older revision are dropped.
     min_revision: u64,
@@ -119,6 +129,8 @@
     received: Received,
     /// Questions about flows that this agent doesn't know although it is a home node.
     questions: Questions,
+    /// Segments of such flows that wait for the answers.
+    postponed: Postponed,
     /// Home nodes that don't know of some flow which the backend server has accepted and the
     /// caller may have chosen since. Sorted, without duplicates.
     unannounced: Vec<SocketAddrV4>,
@@ -154,11 +166,15 @@
             index: Index::new(limits.flows),
             delivered: Ring::new(fastrand::u32(1..)),
             recorded_since: now,
-            knows_all_flows: false,
+            is_unbroken: true,
+            knowledge: Knowledge::Partial,
+            found_record: Record::Unknown,
+            record: Record::Unknown,
             min_revision: 0,
             sent: Sent::default(),
             received: Received::default(),
             questions: Questions::new(limits.flows),
+            postponed: Postponed::default(),
             unannounced: Vec::new(),
             announced_generation: None,
             handed_generation: None,
@@ -323,13 +339,15 @@
                 Search::Home(_) | Search::Fallback => {
                     self.locate(now, routing, roster, arrival)
                 }
-                _ if !self.may_hold_unknown_flows() => {
-                    self.locate(now, routing, roster, arrival)
+                Search::Walk if self.may_hold_unknown_flows() => {
+                    self.visit(now, routing, arrival, forwarding.clone())
                 }
-                Search::Walk => self.visit(now, routing, arrival, forwarding.clone()),
-                Search::Open | Search::Known | Search::Indexed => {
+                Search::Open | Search::Known | Search::Indexed
+                    if self.may_hold_expected_flow() =>
+                {
                     self.deliver(now, arrival, false)
                 }
+                _ => self.locate(now, routing, roster, arrival),
             },
         }
     }
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -112,6 +112,9 @@
         /// The balancer to inform, so that it sends further segments to this agent, if any.
         notify: Option<SocketAddrV4>,
     },
+    /// Pass it to [`Agent::postpone`](super::Agent::postpone), which lets it wait until
+    /// other agents have stated whether they can hold its flow.
+    Postpone(Box<Arrival>),
     /// Forward it to another agent.
     Forward {
         /// The address of the agent.
@@ -182,6 +185,8 @@
     Lost,
     /// No agent holds the flow.
     NotFound,
+    /// A segment of the same flow waits for the answers of other agents.
+    Postponed,
     /// The flow was not found, but some agents that may hold it could not be asked.
     Unknown,
     /// The segment was forwarded too often.
@@ -203,6 +208,7 @@
             Self::Elsewhere => "elsewhere",
             Self::Lost => "lost",
             Self::NotFound => "nowhere",
+            Self::Postponed => "postponed",
             Self::Unknown => "unknown",
             Self::HopLimit => "hops",
         }
@@ -214,11 +220,12 @@
 pub struct Release {
     /// The segment.
     pub waiting: Waiting,
-    /// What to do with it; never [`Action::Hold`].
+    /// What to do with it; never [`Action::Hold`] or [`Action::Postpone`].
     pub action: Action,
 }
 
-/// A segment that waits for the backend server: an opening, or a part of a request.
+/// A segment that waits: an opening or a part of a request for the backend server, or a
+/// segment of an unknown flow for the answers of other agents.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Waiting {
     /// The segment.
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -114,6 +114,7 @@
         let (open, busy) = self.load(now);
         let is_limited = self.cold_rate(routing).is_some();
         let stage = match self.backend.stage(now)? {
+            _ if !self.is_recorded() => message::Stage::Closed,
             message::Stage::Cold if !is_limited => message::Stage::Ready,
             stage => stage,
         };
@@ -161,6 +162,9 @@
         if routing.is_out(&self.domain) {
             return Err(Cause::DomainOut);
         }
+        if !self.is_recorded() {
+            return Err(backend::Refusal::Unrecorded.into());
+        }
         let service = routing.service(&report.service);
         let connections = service.map_or(u32::MAX, |service| service.connections);
         Ok(self.backend.check(now, self.open, connections)?)
--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -73,7 +73,7 @@
     pub fn sync_status(&self, roster: &Roster, member: &Member) -> SyncStatus {
         let home = Home { address: member.address, incarnation: member.incarnation };
         // Otherwise some announcements are due, which the count doesn't include yet.
-        let has_announced = self.announced_generation == Some(roster.generation())
+        let has_announced = self.is_announced(roster)
             && self.unannounced.binary_search(&member.address).is_err();
         SyncStatus {
             receiver: member.incarnation,
@@ -99,6 +99,11 @@
         status.is_some_and(|status| status.answered >= self.questions.sent())
     }
 
+    /// Whether flows have been announced to the present home nodes.
+    pub fn is_announced(&self, roster: &Roster) -> bool {
+        self.announced_generation == Some(roster.generation())
+    }
+
     /// The announcements that have become due since the last call.
     pub fn announcements(&mut self, now: Millis, roster: &Roster) -> Vec<Outgoing> {
         let generation = roster.generation();
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -6,10 +6,24 @@
 use super::{Agent, Ended};
 use crate::connection::flow;
 use crate::connection::state::{Stage, State};
+use crate::process::backend::record::{Instance, Record};
 use crate::process::backend::{self, Report};
 use crate::process::schedule::durations::Durations;
 use crate::version::routing::Routing;
 
+/// What an agent knows about flows of its backend server that it has no entry of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Knowledge {
+    /// There may be some: an earlier process may have opened them.
+    Partial,
+    /// There are none, since no earlier process has recorded in the store that it used this
+    /// instance. One that another node still knows may have been opened between the start of
+    /// the instance and its first report.
+    Recorded,
+    /// There are none: this process has recorded everything that could open one.
+    Complete,
+}
+
 impl Agent {
     /// Whether a report names a service that the configuration doesn't have, and would be
     /// the first one, or replace a backend server that reports in time. Other writers may
@@ -38,7 +52,8 @@
     /// Neither the age of the backend server nor the number of its report shows that it
     /// started after this process: an earlier process of the agent may have delivered flows
     /// to it. Only an instance that replaces one which has reported to this process did, or
-    /// one at whose address there was no process before.
+    /// one at whose address there was no process before. For others, the record in the store
+    /// tells, see [`Self::update_knowledge`].
     pub fn report(
         &mut self,
         now: Millis,
@@ -56,12 +71,18 @@
         };
         // Another instance may run at another speed.
         self.durations = Durations::default();
+        let was_used = self.is_found_recorded();
         // A report that was not confirmed may have come from another writer.
         let was_confirmed = std::mem::replace(&mut self.is_confirmed, false);
         match is_replacement {
+            true if was_confirmed && was_used => self.knowledge = Knowledge::Partial,
             true if was_confirmed => {
                 self.backend.record_later_start();
-                self.knows_all_flows = self.recorded_since <= last_report;
+                self.knowledge = if self.recorded_since <= last_report {
+                    Knowledge::Complete
+                } else {
+                    Knowledge::Partial
+                };
                 // The new instance may have accepted those that were offered since, unless it
                 // runs another service, which gets the address later.
                 ended = self.end_flows(|state| {
@@ -71,9 +92,9 @@
             }
             // It was taken for gone by mistake.
             false if had_reported => {
-                self.knows_all_flows = false;
+                self.knowledge = Knowledge::Partial;
                 if self.forget_lost_flows() {
-                    self.recorded_since = now;
+                    self.break_record(now);
                 }
             }
             _ if was_absent => self.backend.record_later_start(),
@@ -83,11 +104,76 @@
     }
 
     /// Determines whether all flows of the backend server are known because they have been
-    /// recorded for longer than any flow may be idle or may exist.
-    pub fn update_knows_all_flows(&mut self, now: Millis, routing: &Routing) {
+    /// recorded for longer than any flow may be idle or may exist, or because the record in
+    /// the store shows that no earlier process has used this instance. The service must have
+    /// been confirmed for the latter: other writers may report any instance.
+    pub fn update_knowledge(&mut self, now: Millis, routing: &Routing) {
+        self.confirm_service(routing);
         let recorded_ms = now.since(self.recorded_since);
-        self.knows_all_flows |= (routing.idle_ms > 0 && recorded_ms > routing.idle_ms)
+        let is_recorded_for_long = (routing.idle_ms > 0 && recorded_ms > routing.idle_ms)
             || recorded_ms > self.max_flow_age_ms;
+        if is_recorded_for_long {
+            self.knowledge = Knowledge::Complete;
+        }
+        let is_unused = self.instance().is_some_and(|i| self.found_record.excludes(&i));
+        if self.knowledge == Knowledge::Partial
+            && is_unused
+            && self.is_unbroken
+            && self.is_confirmed
+        {
+            self.knowledge = Knowledge::Recorded;
+        }
+    }
+
+    /// Lets openings wait until the record in the store has been written, or the store has
+    /// failed to answer. Must be called before any other event by a process that writes one.
+    pub fn expect_record(&mut self) {
+        self.record = Record::Pending;
+    }
+
+    /// Processes the outcome of writing the record: what it said `before`, and what it says
+    /// now. Only the first `before` tells what earlier processes have used. Returns whether
+    /// other nodes should know the effect.
+    pub fn record_written(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        before: Record,
+        after: Record,
+    ) -> bool {
+        let known = (self.is_recorded(), self.knowledge);
+        if self.found_record == Record::Unknown {
+            self.found_record = before;
+        }
+        self.record = after;
+        self.update_knowledge(now, routing);
+        known != (self.is_recorded(), self.knowledge)
+    }
+
+    /// Processes that the record couldn't be written. Returns whether openings waited for
+    /// it.
+    pub fn record_failed(&mut self) -> bool {
+        let was_pending = self.record == Record::Pending;
+        if was_pending {
+            self.record = Record::Unknown;
+        }
+        was_pending
+    }
+
+    /// The instance that has reported last.
+    pub fn instance(&self) -> Option<Instance> {
+        self.backend.report().map(Instance::from)
+    }
+
+    /// Whether the record in the store allows openings to be delivered to the current
+    /// instance.
+    pub(super) fn is_recorded(&self) -> bool {
+        self.instance().is_none_or(|instance| self.record.covers(&instance))
+    }
+
+    /// Whether the record named the current instance when this process started.
+    fn is_found_recorded(&self) -> bool {
+        self.instance().is_some_and(|instance| self.found_record.names(&instance))
     }
 
     /// Records a flow of the backend server. If another one has to be evicted for it, not
@@ -95,11 +181,17 @@
     pub(super) fn record_flow(&mut self, now: Millis, flow: flow::Key, state: State) {
         self.flows.insert(now, flow, state);
         if self.flows.evicted_at() == Some(now) {
-            self.recorded_since = now;
-            self.knows_all_flows = false;
+            self.break_record(now);
+            self.knowledge = Knowledge::Partial;
         }
     }
 
+    /// Notes that flows from before a time may be missing.
+    fn break_record(&mut self, now: Millis) {
+        self.recorded_since = now;
+        self.is_unbroken = false;
+    }
+
     /// Whether all flows of the backend server are known or there is no backend server.
     pub fn knows_all_flows(&self) -> bool {
         !self.may_hold_unknown_flows()
@@ -126,7 +218,7 @@
         if !self.backend.record_absence(since) {
             return Vec::new();
         }
-        self.knows_all_flows = true;
+        self.knowledge = Knowledge::Complete;
         self.end_flows(|_| true)
     }
 
@@ -159,7 +251,7 @@
         if !self.backend.tick(now) {
             return Vec::new();
         }
-        self.knows_all_flows = true;
+        self.knowledge = Knowledge::Complete;
         self.end_flows(|_| true)
     }
 
@@ -170,7 +262,13 @@
 
     /// Whether the backend server may hold flows that this agent doesn't know.
     pub(super) fn may_hold_unknown_flows(&self) -> bool {
-        !self.knows_all_flows && self.backend.may_be_running()
+        self.knowledge == Knowledge::Partial && self.backend.may_be_running()
+    }
+
+    /// Whether the backend server may hold a flow that this agent doesn't know, but that
+    /// another node expects there.
+    pub(super) fn may_hold_expected_flow(&self) -> bool {
+        self.knowledge != Knowledge::Complete && self.backend.may_be_running()
     }
 
     /// Marks flows as ended with their backend server. Returns those that were open.
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -4,6 +4,7 @@
 
 use lentilreach::process::clock::Millis;
 
+use super::question::{Searched, Wait};
 use super::{Action, Agent, Arrival, Cause, Forwarding};
 use crate::connection::flow;
 use crate::process::roster::view::View;
@@ -32,6 +33,10 @@
     answered: Vec<SocketAddrV4>,
     /// Number of earlier searches for the flow.
     searches: u32,
+    /// Whether a segment of the flow waits for answers.
+    wait: Wait,
+    /// Whether this one should do so before the search begins.
+    should_wait: bool,
 }
 
 impl Plan {
@@ -165,7 +170,8 @@
         let is_home = homes.contains(&Some(self.address));
         let is_undisputed =
             is_home && placement::is_home_in_all_views(roster, flow, self.address);
-        let (question, searches) = self.questions.record_search(now, &arrival.segment);
+        let Searched { question, searches, wait } =
+            self.questions.record_search(now, &arrival.segment);
         let view = roster.view(now, self.address);
         let is_index_complete = self.index.is_complete(now, self.max_flow_age_ms);
         // A process that has just started knows no other agent yet.
@@ -186,6 +192,8 @@
             is_exhaustive: can_be_certain,
             answered: Vec::new(),
             searches,
+            wait,
+            should_wait: false,
         };
         for member in roster.agents().filter(|member| member.address != self.address) {
             let evidence = self.evidence(roster, &view, is_undisputed, member, question);
@@ -213,8 +221,11 @@
                 plan.is_exhaustive = false;
             }
         }
+        plan.should_wait =
+            is_home && !plan.is_proof() && self.should_wait(now, roster, question, wait);
         let may_become_certain = can_be_certain && !plan.is_exhaustive;
-        if may_become_certain || (is_home && plan.to_visit.len() >= LONG_WALK) {
+        let is_long = is_home && plan.to_visit.len() >= LONG_WALK;
+        if may_become_certain || is_long || plan.should_wait {
             self.questions.request();
         }
         plan
@@ -251,7 +262,8 @@
         }
     }
 
-    /// Starts a walk through the agents that may hold a flow unknown to this node.
+    /// Starts a walk through the agents that may hold a flow unknown to this node, or lets
+    /// the segment wait until more is known of them.
     fn start_walk(
         &mut self,
         now: Millis,
@@ -261,6 +273,12 @@
         mut forwarding: Forwarding,
         plan: Plan,
     ) -> Action {
+        if plan.wait == Wait::Now {
+            return Action::Drop(Cause::Postponed);
+        }
+        if plan.should_wait {
+            return Action::Postpone(Box::new(arrival.clone()));
+        }
         let flow = arrival.segment.flow_from_caller();
         let domain = self.origin_domain(roster, &forwarding).to_owned();
         forwarding.search = Search::Walk;
--- a/crates/steer/src/process/agent/question.rs
+++ b/crates/steer/src/process/agent/question.rs
@@ -46,6 +46,30 @@
     question: u32,
     /// Number of searches for the flow.
     searches: u32,
+    /// Whether a segment of it waits for answers.
+    wait: Wait,
+}
+
+/// Whether a segment of an unknown flow waits for the answers of other agents.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Wait {
+    /// None has waited.
+    Never,
+    /// One waits.
+    Now,
+    /// One has waited.
+    Over,
+}
+
+/// What is known of an unknown flow at a search for it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Searched {
+    /// Number of the first question about the flow, which may not have been sent yet.
+    pub question: u32,
+    /// Number of searches before.
+    pub searches: u32,
+    /// Whether a segment of it waits.
+    pub wait: Wait,
 }
 
 impl Questions {
@@ -60,20 +84,38 @@
         self.sent
     }
 
-    /// Counts a search for the unknown flow of a segment. Returns the number of the first
-    /// question about it, which may not have been sent yet, and the number of searches
-    /// before.
-    pub fn record_search(&mut self, now: Millis, segment: &Segment) -> (u32, u32) {
+    /// Counts a search for the unknown flow of a segment.
+    pub fn record_search(&mut self, now: Millis, segment: &Segment) -> Searched {
         let (flow, acknowledged) = (segment.flow_from_caller(), segment.acknowledged);
         let known = self.flows.get(now, &flow);
         if let Some(known) = known.filter(|known| known.acknowledged == acknowledged) {
             known.searches += 1;
-            return (known.question, known.searches - 1);
+            let Unknown { question, searches, wait, .. } = *known;
+            return Searched { question, searches: searches - 1, wait };
         }
-        let question = self.sent + 1;
+        let (question, wait) = (self.sent + 1, Wait::Never);
         self.is_new = true;
-        self.flows.insert(now, flow, Unknown { acknowledged, question, searches: 1 });
-        (question, 0)
+        let unknown = Unknown { acknowledged, question, searches: 1, wait };
+        self.flows.insert(now, flow, unknown);
+        Searched { question, searches: 0, wait }
+    }
+
+    /// Notes that a segment of an unknown flow waits for answers, so that the search for it
+    /// has yet to begin. Returns the number of the first question about it; `None` if one
+    /// waits already.
+    pub fn wait(&mut self, now: Millis, flow: &flow::Key) -> Option<u32> {
+        let known = self.flows.get(now, flow)?;
+        let is_first = known.wait == Wait::Never;
+        known.wait = Wait::Now;
+        known.searches = known.searches.saturating_sub(u32::from(is_first));
+        is_first.then_some(known.question)
+    }
+
+    /// Notes that no segment of a flow waits any more.
+    pub fn end_wait(&mut self, now: Millis, flow: &flow::Key) {
+        if let Some(known) = self.flows.get(now, flow) {
+            known.wait = Wait::Over;
+        }
     }
 
     /// Requests a question, or a repetition of it for the agents that have not answered.
--- a/crates/steer/src/process/agent/release.rs
+++ b/crates/steer/src/process/agent/release.rs
@@ -112,9 +112,15 @@
         Some(Release { waiting, action })
     }
 
-    /// The latest time at which [`Self::release`] must be called again; `None` if nothing
-    /// waits.
+    /// The latest time at which [`Self::release`] and [`Self::next_postponed`] must be called
+    /// again; `None` if nothing waits.
     pub fn next_release(&mut self, now: Millis, routing: &Routing) -> Option<Millis> {
+        let released_at = self.next_admission(now, routing);
+        released_at.into_iter().chain(self.postponed.next_expiry()).min()
+    }
+
+    /// The latest time at which [`Self::release`] must be called again.
+    fn next_admission(&mut self, now: Millis, routing: &Routing) -> Option<Millis> {
         let expiry = self.admission.next_expiry()?;
         let rate = self.cold_rate(routing);
         let allowed_at = self.backend.opening_at(now, 0, rate);
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -7,6 +7,8 @@
 
 use crate::request::message::Stage;
 
+pub mod record;
+
 /// A backend server whose last report is more than this many report intervals old
 /// receives no new flows. This tolerates one lost and one late report.
 const OVERDUE_REPORTS: u64 = 3;
@@ -91,6 +93,8 @@
     Busy,
     /// The agent is stopping.
     Stopping,
+    /// The store doesn't name the current instance yet, see [`record`].
+    Unrecorded,
 }
 
 impl Refusal {
@@ -104,6 +108,7 @@
             Self::Expired => "expired",
             Self::Busy => "busy",
             Self::Stopping => "stopping",
+            Self::Unrecorded => "unrecorded",
         }
     }
 }
@@ -150,7 +155,9 @@
     /// Number of ticks since the last report. Unlike the clock, it doesn't advance while
     /// this process is paused.
     ticks_since_report: u64,
-    /// The value of `ticks_since_report` at the last probe since then.
+    /// Whether it was decided if a probe is needed at the start.
+    has_probed: bool,
+    /// The value of `ticks_since_report` at the last probe for overdue reports since then.
     probed_tick: Option<u64>,
     /// When the backend server becomes warm.
     cold_until: Millis,
@@ -178,6 +185,7 @@
             leaving_since: None,
             is_gone: false,
             ticks_since_report: 0,
+            has_probed: false,
             probed_tick: None,
             cold_until: Millis(0),
             may_be_cold: true,
@@ -293,10 +301,14 @@
         has_ended && !std::mem::replace(&mut self.is_gone, true)
     }
 
-    /// Whether a probe must show now if there is still a process at the backend server's
-    /// address, because its reports are overdue. They may also be missing because the
+    /// Whether a probe must show now if there is a process at the backend server's address:
+    /// at the start, and when its reports are overdue. They may also be missing because the
     /// connection for them has stalled. Counts the probe as made.
     pub fn is_probe_due(&mut self) -> bool {
+        let is_first = !std::mem::replace(&mut self.has_probed, true);
+        if is_first && self.report.is_none() {
+            return !self.is_gone;
+        }
         let reports =
             if self.report.is_some() { OVERDUE_REPORTS } else { STARTUP_REPORTS };
         let wait_ms = |ticks| ticks * TICK_MS;
--- /dev/null
+++ b/crates/steer/src/process/backend/record.rs
@@ -0,0 +1,95 @@
+//! What an agent's entry in the store says of the instances of its backend server.
+//!
+//! Answers the seconds after a loss of power: callers go on with flows of before, and nobody
+//! may end these as long as some backend server could hold them. An agent that has just
+//! started can't tell what earlier processes have delivered to its backend server, unless it
+//! is written down. So an agent delivers no opening to an instance before its entry names that
+//! instance, and a process that finds another instance in the entry knows that no earlier one
+//! has used the current one.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Report;
+
+/// Identifies an instance of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Instance {
+    /// Hash of its identifier and its start time.
+    hash: u64,
+    /// Its start time in milliseconds since the Unix epoch, if known.
+    started_ms: Option<u64>,
+}
+
+impl Instance {
+    /// Whether this instance started before another one at the same address.
+    fn precedes(&self, other: &Self) -> bool {
+        let times = self.started_ms.zip(other.started_ms);
+        self.hash != other.hash && times.is_some_and(|(own, other)| own < other)
+    }
+}
+
+impl From<&Report> for Instance {
+    fn from(report: &Report) -> Self {
+        let started_ms = report.started_ms;
+        let seed = started_ms.unwrap_or_default();
+        Self { hash: xxh3_64_with_seed(report.id.as_bytes(), seed), started_ms }
+    }
+}
+
+/// The instance that an agent's entry in the store names.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Record {
+    /// Not known, because the store doesn't answer. Agents deliver openings nevertheless:
+    /// service doesn't depend on the store.
+    #[default]
+    Unknown,
+    /// Not known yet: the entry is being written.
+    Pending,
+    /// There is no entry, or it names no instance. What earlier processes have used isn't
+    /// known.
+    Empty,
+    /// The last instance that processes of this agent may have delivered openings to.
+    Names(Instance),
+}
+
+impl Record {
+    /// The label in log lines.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown",
+            Self::Pending => "pending",
+            Self::Empty => "empty",
+            Self::Names(_) => "named",
+        }
+    }
+
+    /// Whether an opening may be delivered to an instance: no later process takes the
+    /// instance for unused.
+    pub fn covers(&self, instance: &Instance) -> bool {
+        match self {
+            Self::Unknown | Self::Empty => true,
+            Self::Pending => false,
+            Self::Names(named) => named == instance,
+        }
+    }
+
+    /// Whether the entry names an instance.
+    pub fn names(&self, instance: &Instance) -> bool {
+        matches!(self, Self::Names(named) if named == instance)
+    }
+
+    /// Whether no process that has written the entry has used an instance, because the entry
+    /// names an earlier one. A report of an earlier instance may arrive late.
+    pub fn excludes(&self, instance: &Instance) -> bool {
+        matches!(self, Self::Names(named) if named.precedes(instance))
+    }
+}
+
+impl From<Option<Instance>> for Record {
+    /// The record of an entry that was read, or of a missing one.
+    fn from(named: Option<Instance>) -> Self {
+        named.map_or(Self::Empty, Self::Names)
+    }
+}
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -16,10 +16,11 @@
 use smol::Task;
 
 use super::receive::{self, count_invalid};
-use super::{Dependencies, Node, probe, send_datagram, start};
+use super::{Dependencies, Node, Observer, probe, send_datagram, start};
 use crate::process::agent::{
     self, Action, Arrival, BackendAction, Ended, Forwarding, Limits, Release,
 };
+use crate::process::backend::record::Record;
 use crate::process::backend::{Bounds, TICK_MS};
 use crate::process::documents::Source;
 use crate::process::metric;
@@ -27,6 +28,7 @@
 use crate::process::settings;
 use crate::request::message::{Envelope, Message};
 use crate::request::segment::Format;
+use crate::version::routing::Routing;
 
 mod action;
 mod report;
@@ -113,7 +115,8 @@
             states_load: settings.states_load,
         };
         let (address, domain) = (settings.node.nodes, settings.node.domain.clone());
-        let flows = agent::Agent::new(node.now(), address, domain, limits);
+        let mut flows = agent::Agent::new(node.now(), address, domain, limits);
+        flows.expect_record();
         let flows = Ranked::new(tables::CONNECTIONS, flows);
         let server = settings.server;
         let state = Arc::new(State {
@@ -125,11 +128,7 @@
             startup: Startup::new(),
             hold_signal: async_channel::bounded(1),
         });
-        let shared = state.clone();
-        let mut tasks =
-            start(pool, &node, dependencies, Role::Agent, move |before, after| {
-                shared.flows.write().routing_changed(shared.node.now(), before, after);
-            });
+        let mut tasks = start(pool, &node, dependencies, Role::Agent, state.clone());
         let (link, shared) = (state.backend.clone(), state.clone());
         tasks.push(pool.spawn(receive::run(link, "backend", move |_, bytes| {
             shared.handle_backend_segment(bytes);
@@ -182,6 +181,32 @@
     }
 }
 
+impl<F: Format, L: Link> Observer for State<F, L> {
+    fn routing_changed(&self, before: &Routing, after: &Routing) {
+        let now = self.node.now();
+        let mut flows = self.flows.write();
+        flows.routing_changed(now, before, after);
+        flows.update_knowledge(now, after);
+    }
+
+    fn record_written(&self, before: Record, after: Record) {
+        let (now, routing) = (self.node.now(), self.node.routing());
+        let is_changed = self.flows.write().record_written(now, &routing, before, after);
+        log::info!(target: "record", before = before.as_str(), after = after.as_str(); "instance of the backend server is recorded");
+        if is_changed {
+            self.broadcast_heartbeat();
+            self.release();
+        }
+    }
+
+    fn record_failed(&self) {
+        if self.flows.write().record_failed() {
+            log::warn!(target: "record", change = "lost"; "instance of the backend server could not be recorded");
+            self.broadcast_heartbeat();
+        }
+    }
+}
+
 impl<F: Format, L: Link> State<F, L> {
     /// Periodically sends heartbeats and announcements, detects the end of the backend
     /// server, and removes idle flows.
@@ -198,8 +223,7 @@
                 let routing = self.node.routing();
                 let mut flows = self.flows.write();
                 flows.expire(now, idle_ms);
-                flows.confirm_service(&routing);
-                flows.update_knows_all_flows(now, &routing);
+                flows.update_knowledge(now, &routing);
             }
             let (ended, announcements, knows_all_flows) = {
                 let roster = self.node.roster.read();
@@ -286,9 +310,11 @@
                     flows.handle_heartbeat(now, &roster, from, &heartbeat);
                 }
                 if wants_reply {
+                    self.announce_if_due();
                     self.reply_heartbeat(from);
                 }
                 self.hand_over();
+                self.release_postponed();
             }
             Some(Message::Announcement(announcement)) => {
                 let roster = self.node.roster.read();
@@ -376,7 +402,7 @@
                 let roster = self.node.roster.read();
                 self.flows.write().release(now, &routing, &roster)
             };
-            let Some(Release { waiting, action }) = released else { return };
+            let Some(Release { waiting, action }) = released else { break };
             let segment = &waiting.arrival.segment;
             let wait_ms = now.since(waiting.since);
             metric::record_ms(&metric::WAIT_SECONDS, wait_ms);
@@ -387,6 +413,23 @@
             );
             self.perform(segment, action, &waiting.bytes, routing.version);
         }
+        self.release_postponed();
+    }
+
+    /// Goes on with the searches for which the answers of other agents have arrived.
+    fn release_postponed(&self) {
+        let routing = self.node.routing();
+        loop {
+            let now = self.node.now();
+            let released = {
+                let roster = self.node.roster.read();
+                self.flows.write().next_postponed(now, &routing, &roster)
+            };
+            let Some(Release { waiting, action }) = released else { return };
+            let segment = &waiting.arrival.segment;
+            metric::record_ms(&metric::SEARCH_WAIT_SECONDS, now.since(waiting.since));
+            self.perform(segment, action, &waiting.bytes, routing.version);
+        }
     }
 
     /// Processes a segment from the backend server.
--- a/crates/steer/src/process/driver/agent/action.rs
+++ b/crates/steer/src/process/driver/agent/action.rs
@@ -53,6 +53,18 @@
                 let _ = self.hold_signal.0.try_send(());
                 self.release();
             }
+            Action::Postpone(arrival) => {
+                metric::count(&metric::POSTPONED);
+                let now = self.node.now();
+                self.flows.write().postpone(now, *arrival, bytes.to_vec());
+                log::info!(
+                    target: "postponed", flow:% = flow, version = version;
+                    "segment of an unknown flow waits for the answers of other agents"
+                );
+                self.ask_if_due();
+                // If the channel is full, the task has already been signalled.
+                let _ = self.hold_signal.0.try_send(());
+            }
             Action::Forward { to, forwarding, cause } => {
                 metric::count_labelled(&metric::PASSED, cause.as_str());
                 log::info!(
--- a/crates/steer/src/process/driver/agent/report.rs
+++ b/crates/steer/src/process/driver/agent/report.rs
@@ -40,8 +40,8 @@
                 return Err(Foreign { service });
             }
             let outcome = flows.report(now, report);
-            flows.confirm_service(&routing);
-            flows.update_knows_all_flows(now, &routing);
+            flows.update_knowledge(now, &routing);
+            state.node.record_instance(flows.instance());
             outcome
         };
         state.reset_callers(&ended, "replaced");
--- a/crates/steer/src/process/driver/agent/status.rs
+++ b/crates/steer/src/process/driver/agent/status.rs
@@ -62,6 +62,20 @@
         }
     }
 
+    /// Announces flows to new home nodes, so that an answer doesn't have to say that some are
+    /// not announced yet.
+    pub(super) fn announce_if_due(&self) {
+        let announcements = {
+            let roster = self.node.roster.read();
+            let mut flows = self.flows.write();
+            if flows.is_announced(&roster) {
+                return;
+            }
+            flows.announcements(self.node.now(), &roster)
+        };
+        self.send_announcements(announcements);
+    }
+
     /// Sends announcements to home nodes.
     pub(super) fn send_announcements(&self, announcements: Vec<Outgoing>) {
         for Outgoing { to, announcement } in announcements {
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -15,7 +15,7 @@
 use smol::Task;
 
 use super::receive::{self, count_invalid};
-use super::{Dependencies, Node, send_datagram, start};
+use super::{Dependencies, Node, Observer, send_datagram, start};
 use crate::process::balancer::{self, Action, Refusal};
 use crate::process::documents::Source;
 use crate::process::metric;
@@ -71,7 +71,7 @@
         let flows = balancer::Balancer::new(node.now(), domain, limit);
         let flows = Ranked::new(tables::CONNECTIONS, flows);
         let state = Arc::new(State { node: node.clone(), format, callers, flows });
-        let mut tasks = start(pool, &node, dependencies, Role::Balancer, |_, _| {});
+        let mut tasks = start(pool, &node, dependencies, Role::Balancer, state.clone());
         let (link, shared) = (state.callers.clone(), state.clone());
         tasks.push(pool.spawn(async move {
             shared.node.wait_until_ready().await;
@@ -99,6 +99,8 @@
     }
 }
 
+impl<F: Format, L: Link> Observer for State<F, L> {}
+
 impl<F: Format, L: Link> State<F, L> {
     /// Periodically sends heartbeats and removes idle flows.
     async fn tick(self: Arc<Self>) {
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -20,11 +20,10 @@
 use lentilreach::process::store::follow::Update;
 use lentilreach::process::store::{Error, Store, Watch as _};
 
-use super::{Node, TASK_BACKOFF_MS, sleep};
+use super::{Node, Observer, TASK_BACKOFF_MS, sleep};
 use crate::process::documents::{Documents, Source};
 use crate::process::metric;
 use crate::process::roster::Role;
-use crate::version::routing::Routing;
 
 /// Number of agents per failure domain that watch the store. One of them may fail.
 const WATCHERS_PER_DOMAIN: usize = 2;
@@ -57,7 +56,7 @@
     store: S,
     source: D,
     role: Role,
-    routing_changed: impl Fn(&Routing, &Routing) + Send + Sync,
+    observer: Arc<impl Observer>,
 ) {
     let documents = Documents::new(source);
     let mut follower =
@@ -72,7 +71,7 @@
                     log::info!(target: "store", change = "regained", call = "documents"; "store is reachable again");
                 }
                 if let Some(update) = update
-                    && follower.apply_update(update, &routing_changed)
+                    && follower.apply_update(update, &*observer)
                 {
                     sleep(CHANGE_PAUSE_MS).await;
                 }
@@ -201,11 +200,7 @@
     }
 
     /// Applies an update of the documents. Returns whether the routing changed.
-    fn apply_update(
-        &mut self,
-        update: Update,
-        routing_changed: &impl Fn(&Routing, &Routing),
-    ) -> bool {
+    fn apply_update(&mut self, update: Update, observer: &impl Observer) -> bool {
         for error in self.documents.apply(update) {
             log::warn!(target: "document", key:% = error.key, cause = error.cause.as_str(); "document rejected");
         }
@@ -218,7 +213,7 @@
             return false;
         }
         *self.node.routing.write() = Arc::new(after.clone());
-        routing_changed(&before, after);
+        observer.routing_changed(&before, after);
         if self.watch.is_some() {
             self.node.broadcast_heartbeat(self.role, |_, _| None);
         }
--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -26,6 +26,7 @@
 use lentilreach::process::store::{self, Store};
 use smol::Task;
 
+use crate::process::backend::record::Record;
 use crate::process::documents::Source;
 use crate::process::metric;
 use crate::process::roster::Role;
@@ -54,6 +55,19 @@
         .build()
 }
 
+/// Reacts to what the tasks that use the store find out.
+trait Observer: Send + Sync + 'static {
+    /// Processes a change of the active routing.
+    fn routing_changed(&self, _before: &Routing, _after: &Routing) {}
+
+    /// Processes that the node's own entry was written: what it said of the backend server
+    /// before, and what it says now.
+    fn record_written(&self, _before: Record, _after: Record) {}
+
+    /// Processes that the node's own entry couldn't be written.
+    fn record_failed(&self) {}
+}
+
 /// Starts the tasks that use the store: following the operators' documents and
 /// registering the process as a member.
 fn start<L: Link, S: Store, D: Source>(
@@ -61,11 +75,11 @@
     node: &Arc<Node<L>>,
     dependencies: Dependencies<S, D>,
     role: Role,
-    routing_changed: impl Fn(&Routing, &Routing) + Send + Sync + 'static,
+    observer: Arc<impl Observer>,
 ) -> Vec<Task<()>> {
     let Dependencies { store, source } = dependencies;
-    let follow = follow::run(node.clone(), store.clone(), source, role, routing_changed);
-    let register = register::run(node.clone(), store, role);
+    let follow = follow::run(node.clone(), store.clone(), source, role, observer.clone());
+    let register = register::run(node.clone(), store, role, observer);
     vec![pool.spawn(follow), pool.spawn(register)]
 }
 
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -15,6 +15,7 @@
 
 use super::{send_datagram, sleep};
 use crate::connection::flow;
+use crate::process::backend::record::Instance;
 use crate::process::documents::share::{Assembly, Encoded};
 use crate::process::metric;
 use crate::process::pause::Pause;
@@ -105,6 +106,10 @@
     rounds: AtomicU32,
     /// Signals to the document follower that another node knows newer documents.
     newer_signal: (Sender<()>, Receiver<()>),
+    /// The instance of the backend server that has reported last.
+    instance: Ranked<Option<Instance>>,
+    /// Signals to the registration that another instance has reported.
+    instance_signal: (Sender<()>, Receiver<()>),
     /// Signals to the registration that the node is leaving for good.
     leave_signal: (Sender<()>, Receiver<()>),
 }
@@ -135,6 +140,8 @@
             sequence: AtomicU32::new(0),
             rounds: AtomicU32::new(0),
             newer_signal: async_channel::bounded(1),
+            instance: Ranked::new(tables::SLOTS, None),
+            instance_signal: async_channel::bounded(1),
             leave_signal: async_channel::bounded(1),
         })
     }
@@ -453,6 +460,27 @@
         self.send(to, &Message::Leave(self.incarnation));
     }
 
+    /// The instance of the backend server that has reported last.
+    pub fn instance(&self) -> Option<Instance> {
+        *self.instance.read()
+    }
+
+    /// Tells the registration which instance of the backend server has reported.
+    pub fn record_instance(&self, instance: Option<Instance>) {
+        let before = std::mem::replace(&mut *self.instance.write(), instance);
+        if before != instance {
+            // If the channel is full, the registration has already been signalled.
+            let _ = self.instance_signal.0.try_send(());
+        }
+    }
+
+    /// Waits until another instance of the backend server has reported.
+    pub async fn wait_for_instance(&self) {
+        // Never fails: the sender lives as long as the node, so the channel is not
+        // closed.
+        let _ = self.instance_signal.1.recv().await;
+    }
+
     /// Waits until the node is leaving for good.
     pub async fn wait_for_leave(&self) {
         // Never fails: the sender lives as long as the node, so the channel is not
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -5,55 +5,76 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_lite::future::or;
+use futures_lite::future::{or, zip};
 use lentilreach::process::clock::Millis;
 use lentilreach::process::link::Link;
 use lentilreach::process::store::backoff::Backoff;
-use lentilreach::process::store::{Error, Lease, Range, Store, Txn};
+use lentilreach::process::store::{
+    Entry, Error, Lease, Range, Step, Store, Txn, TxnResult,
+};
 
-use super::{Node, TASK_BACKOFF_MS, sleep};
+use super::{Node, Observer, TASK_BACKOFF_MS, sleep};
 use crate::process::roster::membership::{
     CHECK_INTERVAL_MS, LEASE_TTL_MS, Listed, PREFIX, RENEWAL_INTERVAL_MS,
 };
 use crate::process::roster::{PROBE_INTERVAL_MS, PROBES, Role};
 
+/// Number of times that an entry is written if its stored state was another one than
+/// expected. Only delayed calls of an earlier process change it.
+const MAX_WRITES: u32 = 4;
+
 /// Maintains the registration until the task is cancelled or the node leaves.
-pub async fn run<L: Link, S: Store>(node: Arc<Node<L>>, store: S, role: Role) {
+pub async fn run<L: Link, S: Store>(
+    node: Arc<Node<L>>,
+    store: S,
+    role: Role,
+    observer: Arc<impl Observer>,
+) {
     let address = node.settings.nodes;
     let domain = node.settings.domain.clone();
     let mut entry = Registration {
+        renewed: node.now(),
         node,
         store,
-        listed: Listed { address, role, domain },
+        observer,
+        listed: Listed { address, role, domain, instance: None },
+        modified: 0,
         lease: None,
         checked: None,
         has_probed: false,
+        probes: 0,
     };
     let mut backoff = Backoff::new(TASK_BACKOFF_MS.0, TASK_BACKOFF_MS.1);
     let mut is_lost = false;
     loop {
-        match entry.renew().await {
+        match entry.update().await {
             Ok(()) => {
                 backoff.reset();
                 if std::mem::take(&mut is_lost) {
                     log::info!(target: "store", change = "regained", call = "register"; "store is reachable again");
                 }
                 let due = async {
-                    sleep(RENEWAL_INTERVAL_MS).await;
+                    sleep(entry.probe()).await;
+                    false
+                };
+                let is_replaced = async {
+                    entry.node.wait_for_instance().await;
                     false
                 };
                 let leaves = async {
                     entry.node.wait_for_leave().await;
                     true
                 };
-                if or(due, leaves).await {
+                if or(or(due, is_replaced), leaves).await {
                     return entry.withdraw().await;
                 }
+                entry.probes = entry.probes.saturating_sub(1);
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_lost, true) {
                     log::warn!(target: "store", change = "lost", call = "register", cause:% = error; "store is unreachable");
                 }
+                entry.observer.record_failed();
                 sleep(backoff.next(fastrand::u64(..))).await;
             }
         }
@@ -61,38 +82,55 @@
 }
 
 /// State of the registration task.
-struct Registration<L, S> {
+struct Registration<L, S, O> {
     /// State of the process.
     node: Arc<Node<L>>,
     /// The store that contains the list.
     store: S,
-    /// The process's own entry.
+    /// Is told what the entry says of the backend server.
+    observer: Arc<O>,
+    /// The process's own entry as it is stored, as far as is known.
     listed: Listed,
+    /// Revision at which that was written; 0 if there is none.
+    modified: u64,
     /// The lease that the entry is attached to; `None` while there is no entry.
     lease: Option<Lease>,
+    /// When the lease was last renewed.
+    renewed: Millis,
     /// When the list was last read after the entry had been written.
     checked: Option<Millis>,
     /// Whether the members that were listed at the start have been asked for heartbeats.
     has_probed: bool,
+    /// How often members that have never sent a heartbeat are still asked for one.
+    probes: u32,
 }
 
-impl<L: Link, S: Store> Registration<L, S> {
-    /// Renews the lease, and checks the list if that is due.
-    async fn renew(&mut self) -> Result<(), Error> {
-        if self.checked.is_none() && !self.has_probed {
-            self.probe_early().await?;
-        }
+impl<L: Link, S: Store, O: Observer> Registration<L, S, O> {
+    /// Does what is due: registers, renews the lease, records the instance of the backend
+    /// server, and checks the list.
+    async fn update(&mut self) -> Result<(), Error> {
         match self.lease {
+            None if !self.has_probed => self.join().await?,
             None => self.register_entry().await?,
-            Some(lease) => match self.store.keep(lease).await {
-                Ok(_) => {}
-                Err(Error::Lapsed { .. }) => {
-                    log::warn!(target: "membership", change = "lapsed"; "own membership entry has expired");
-                    self.lease = None;
-                    self.register_entry().await?;
+            Some(lease) if self.until_renewal() == 0 => {
+                match self.store.keep(lease).await {
+                    Ok(_) => self.renewed = self.node.now(),
+                    Err(Error::Lapsed { .. }) => {
+                        log::warn!(target: "membership", change = "lapsed"; "own membership entry has expired");
+                        self.register_again().await?;
+                    }
+                    Err(error) => return Err(error),
                 }
-                Err(error) => return Err(error),
-            },
+            }
+            Some(_) => {}
+        }
+        if let Some(lease) = self.lease
+            && self.node.instance().is_some_and(|i| self.listed.instance != Some(i))
+        {
+            match self.write_entry(lease).await {
+                Err(Error::Lapsed { .. }) => self.register_again().await?,
+                result => result?,
+            }
         }
         let now = self.node.now();
         if self.checked.is_some_and(|checked| now.since(checked) < CHECK_INTERVAL_MS) {
@@ -104,33 +142,76 @@
             Some(_) => self.store.range_stale(PREFIX).await?,
         };
         let is_listed = range.get(&self.listed.key()).is_some();
-        self.discover(&range).await;
+        self.add_members(&range);
+        self.probes = PROBES;
         if !is_listed && self.checked.is_some() {
             log::warn!(target: "membership", change = "missing"; "own membership entry is missing");
-            self.lease = None;
-            self.register_entry().await?;
+            self.register_again().await?;
         }
         self.checked = Some(now);
         Ok(())
     }
 
+    /// Time until the lease has to be renewed, in milliseconds.
+    fn until_renewal(&self) -> u64 {
+        self.renewed.after(RENEWAL_INTERVAL_MS).since(self.node.now())
+    }
+
+    /// Reads the list for the first time and registers. Segments of callers wait meanwhile, so
+    /// calls that don't depend on each other are made at once.
+    async fn join(&mut self) -> Result<(), Error> {
+        let store = self.store.clone();
+        let grant = store.grant(Duration::from_millis(LEASE_TTL_MS));
+        let (probed, lease) = zip(self.probe_early(), grant).await;
+        probed?;
+        self.write_first(lease?).await
+    }
+
     /// Requests heartbeats from the members that are listed already. Registration takes
-    /// two more calls, and segments of callers wait meanwhile.
+    /// another call.
     async fn probe_early(&mut self) -> Result<(), Error> {
         let range = self.store.range_stale(PREFIX).await?;
         self.has_probed = true;
+        let entry = range.get(&self.listed.key()).cloned();
+        self.record_stored(entry.as_ref());
         let listed = self.add_members(&range);
         self.node.send_heartbeat(&listed, self.listed.role, true);
         Ok(())
     }
 
+    /// Requests heartbeats from members that have not sent any, if that is due. Returns the
+    /// time until something else is due, in milliseconds.
+    fn probe(&self) -> u64 {
+        let unheard = match self.probes {
+            0 => Vec::new(),
+            _ => self.node.roster.read().unheard(),
+        };
+        if unheard.is_empty() {
+            return self.until_renewal();
+        }
+        self.node.send_heartbeat(&unheard, self.listed.role, true);
+        PROBE_INTERVAL_MS.min(self.until_renewal())
+    }
+
+    /// Writes the process's own entry after the store has removed it.
+    async fn register_again(&mut self) -> Result<(), Error> {
+        self.lease = None;
+        self.record_stored(None);
+        self.register_entry().await
+    }
+
     /// Writes the process's own entry under a new lease.
     async fn register_entry(&mut self) -> Result<(), Error> {
         let lease = self.store.grant(Duration::from_millis(LEASE_TTL_MS)).await?;
-        let txn = Txn::new().lease(self.listed.key(), self.listed.value(), lease);
-        match self.store.write(txn).await {
-            Ok(_) => {
+        self.write_first(lease).await
+    }
+
+    /// Writes the process's own entry under a lease that has no entry yet.
+    async fn write_first(&mut self, lease: Lease) -> Result<(), Error> {
+        match self.write_entry(lease).await {
+            Ok(()) => {
                 self.lease = Some(lease);
+                self.renewed = self.node.now();
                 Ok(())
             }
             Err(error) => {
@@ -144,6 +225,43 @@
         }
     }
 
+    /// Writes the process's own entry with the instance of the backend server, provided that
+    /// the stored one is the one that is known. Until the backend server reports, the entry
+    /// goes on naming the instance that earlier processes used.
+    async fn write_entry(&mut self, lease: Lease) -> Result<(), Error> {
+        let key = self.listed.key();
+        for _ in 0..MAX_WRITES {
+            let before = self.listed.instance;
+            let listed = Listed {
+                instance: self.node.instance().or(before),
+                ..self.listed.clone()
+            };
+            let txn = Txn::new().compare(&*key, self.modified);
+            let txn = txn.lease(&*key, listed.value(), lease);
+            match self.store.write(txn).await? {
+                TxnResult::Committed { revision } => {
+                    let after = listed.instance;
+                    self.modified = revision;
+                    self.listed = listed;
+                    self.observer.record_written(before.into(), after.into());
+                    return Ok(());
+                }
+                TxnResult::ConditionFailed { current } => {
+                    self.record_stored(current.iter().find(|entry| *entry.key == *key));
+                }
+            }
+        }
+        let cause = "the entry was changed again and again".into();
+        Err(Error::Unavailable { step: Step::Write, peer: self.store.peer(), cause })
+    }
+
+    /// Notes the stored state of the process's own entry.
+    fn record_stored(&mut self, entry: Option<&Entry>) {
+        self.modified = entry.map_or(0, |entry| entry.modified);
+        let listed = entry.and_then(|entry| Listed::try_from(entry).ok());
+        self.listed.instance = listed.and_then(|listed| listed.instance);
+    }
+
     /// Removes the process's own entry, so that new nodes don't wait for an answer from
     /// this one.
     async fn withdraw(&self) {
@@ -153,20 +271,6 @@
         }
     }
 
-    /// Adds listed members to the roster and requests heartbeats from those that have not
-    /// sent any.
-    async fn discover(&self, range: &Range) {
-        let listed = self.add_members(range);
-        for _ in 0..PROBES {
-            let unheard = self.node.roster.read().unheard(&listed);
-            if unheard.is_empty() {
-                return;
-            }
-            self.node.send_heartbeat(&unheard, self.listed.role, true);
-            sleep(PROBE_INTERVAL_MS).await;
-        }
-    }
-
     /// Adds listed members to the roster. Returns all that this node exchanges messages
     /// with.
     fn add_members(&self, range: &Range) -> Vec<SocketAddrV4> {
@@ -182,7 +286,7 @@
                         if self.listed.role == Role::Balancer
                             && member.role == Role::Balancer => {}
                     Ok(member) => {
-                        let Listed { address, role, domain } = member;
+                        let Listed { address, role, domain, .. } = member;
                         roster.insert_unheard(now, address, role, domain);
                         listed.push(address);
                     }
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -126,6 +126,13 @@
     "Segments that waited until the process knew the configuration and the members.",
 );
 
+/// Segments of unknown flows that waited for the answers of other agents.
+pub const POSTPONED: Metric = counter(
+    "lentilreach_steer_postponed_total",
+    &[],
+    "Segments of unknown flows that waited for the answers of other agents.",
+);
+
 /// Heartbeats that arrived after a later one of the same process.
 pub const HEARTBEATS_OUTDATED: Metric = counter(
     "lentilreach_steer_beats_outdated_total",
@@ -159,6 +166,12 @@
     "Time for which openings waited until the backend server had room for them.",
 );
 
+/// Time for which segments of unknown flows waited.
+pub const SEARCH_WAIT_SECONDS: Metric = seconds(
+    "lentilreach_steer_search_wait_seconds",
+    "Time for which segments of unknown flows waited for the answers of other agents.",
+);
+
 /// Time from a request to the first segment of its answer.
 pub const ANSWER_SECONDS: Metric = seconds(
     "lentilreach_steer_answer_seconds",
@@ -230,11 +243,13 @@
     &QUESTIONS,
     &HANDOVERS,
     &KEPT,
+    &POSTPONED,
     &HEARTBEATS_OUTDATED,
     &DOCUMENTS_RECEIVED,
     &LINES_DROPPED,
     &ACCEPT_SECONDS,
     &WAIT_SECONDS,
+    &SEARCH_WAIT_SECONDS,
     &ANSWER_SECONDS,
     &COST_RATIO,
     &REQUEST_SECONDS,
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -178,12 +178,10 @@
         self.view_hash
     }
 
-    /// The members among `addresses` that have never sent a heartbeat.
-    pub fn unheard(&self, addresses: &[SocketAddrV4]) -> Vec<SocketAddrV4> {
-        let is_unheard = |address: &&SocketAddrV4| {
-            self.get(**address).is_some_and(|member| member.incarnation == 0)
-        };
-        addresses.iter().filter(is_unheard).copied().collect()
+    /// The members that have never sent a heartbeat.
+    pub fn unheard(&self) -> Vec<SocketAddrV4> {
+        let unheard = self.members.iter().filter(|member| member.incarnation == 0);
+        unheard.map(|member| member.address).collect()
     }
 
     /// Number of live balancers in a failure domain.
--- a/crates/steer/src/process/roster/membership.rs
+++ b/crates/steer/src/process/roster/membership.rs
@@ -10,6 +10,7 @@
 use lentilreach::process::store::Entry;
 use serde::{Deserialize, Serialize};
 
+use crate::process::backend::record::Instance;
 use crate::process::roster::Role;
 
 /// Prefix of the store keys of members.
@@ -34,6 +35,9 @@
     pub role: Role,
     /// Its failure domain.
     pub domain: Name,
+    /// The last instance of its backend server that it may have delivered openings to, see
+    /// [`crate::process::backend::record`]; `None` for a balancer, or if that isn't known.
+    pub instance: Option<Instance>,
 }
 
 impl Listed {
@@ -46,7 +50,9 @@
     pub fn value(&self) -> Vec<u8> {
         let record =
             Record { is_agent: self.role == Role::Agent, domain: self.domain.as_ref() };
-        postcard::to_allocvec(&record).expect("every field has a known length")
+        let bytes = postcard::to_allocvec(&record);
+        let bytes = bytes.and_then(|bytes| postcard::to_extend(&self.instance, bytes));
+        bytes.expect("every field has a known length")
     }
 }
 
@@ -65,14 +71,16 @@
         if address.port() == 0 || !is_usable {
             return Err(Invalid);
         }
-        let record: Record<'_> =
-            postcard::from_bytes(&entry.value).map_err(|_| Invalid)?;
+        let (record, rest): (Record<'_>, _) =
+            postcard::take_from_bytes(&entry.value).map_err(|_| Invalid)?;
         let role = if record.is_agent { Role::Agent } else { Role::Balancer };
-        Ok(Self { address, role, domain: record.domain.into() })
+        let instance = postcard::from_bytes(rest).ok().flatten();
+        Ok(Self { address, role, domain: record.domain.into(), instance })
     }
 }
 
-/// The encoded value of a member's entry.
+/// The encoded value of a member's entry. The instance follows it; nodes of an earlier
+/// version write none, and don't read on.
 #[derive(Serialize, Deserialize)]
 struct Record<'a> {
     /// Whether the member is an agent.
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -390,6 +390,19 @@
     assert_eq!(probes, [3_200, 8_200, 13_200, 18_200]);
 }
 
+/// An agent without a backend server must be able to say so at once. After a loss of power,
+/// all others wait for it before they reset any flow.
+#[test]
+fn a_starting_agent_probes_its_backend_server_at_once() {
+    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut heard = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    heard.report(NOW, report(1));
+
+    let (first, second) = (agent.is_probe_due(), agent.is_probe_due());
+
+    assert!(first && !second && !heard.is_probe_due());
+}
+
 /// Flows of a draining backend server must continue although it makes no more reports.
 #[test]
 fn flows_of_a_draining_backend_server_continue() {
--- a/crates/steer/tests/claim.rs
+++ b/crates/steer/tests/claim.rs
@@ -16,7 +16,7 @@
         let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
         let now = NOW.after(started_ms);
         agent.report(now, report);
-        agent.update_knows_all_flows(now, &routing(1));
+        agent.update_knowledge(now, &routing(1));
         agent.knows_all_flows()
     };
 
--- a/crates/steer/tests/locate.rs
+++ b/crates/steer/tests/locate.rs
@@ -7,8 +7,9 @@
 
 use fixture::{
     FIRST_SEQUENCE, INCARNATION, NOW, accept, agent_address, agent_and_roster,
-    agent_heartbeat, announcement, arrival, flow, flow_homed_elsewhere, flow_homed_here,
-    forwarded, open, opening, request, routing, searched, sync_all, sync_status,
+    agent_heartbeat, announcement, arrival, decide_in_time, flow, flow_homed_elsewhere,
+    flow_homed_here, forwarded, open, opening, request, routing, searched, sync_all,
+    sync_status,
 };
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, Cause, Outgoing};
@@ -23,7 +24,7 @@
     agent.handle_announcement(NOW, &roster, agent_address(4), &announcement(&[key]));
 
     let arrival = arrival(request(key, FIRST_SEQUENCE), Search::Home(0), 1);
-    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival);
+    let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &arrival);
 
     let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
     assert_eq!((to, forwarding.search), (agent_address(4), Search::Indexed));
@@ -37,7 +38,7 @@
     let key = flow_homed_here(&roster);
     let mut ask = |search| {
         let arrival = arrival(request(key, FIRST_SEQUENCE), search, 1);
-        forwarded(agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival))
+        forwarded(decide_in_time(NOW, &mut agent, &routing(1), &roster, &arrival))
     };
 
     assert_eq!(ask(Search::Home(0)), (Cause::Elsewhere, Search::Home(1)));
@@ -64,7 +65,7 @@
         roster
             .record_heartbeat(NOW, agent_address(3), &heartbeat)
             .expect("a later heartbeat");
-        match agent.handle_caller_segment(NOW, &routing(1), &roster, &last) {
+        match decide_in_time(NOW, &mut agent, &routing(1), &roster, &last) {
             Action::Forward { to, forwarding, .. } => Some((to, forwarding.to_visit)),
             Action::Refuse { .. } => None,
             other => panic!("{other:?}"),
@@ -97,7 +98,7 @@
     roster.remove(gone.expect("four agents are no homes"), INCARNATION);
 
     let last = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
-    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &last);
+    let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &last);
 
     assert!(
         matches!(action, Action::Refuse { cause: Cause::NotFound, .. }),
@@ -122,7 +123,7 @@
     assert!(homes(&roster, &key).contains(&Some(agent_address(1))));
 
     let last = arrival(request(key, FIRST_SEQUENCE), Search::Home(1), 1);
-    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &last);
+    let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &last);
 
     assert_eq!(forwarded(action), (Cause::Elsewhere, Search::Walk));
 }
@@ -161,7 +162,7 @@
     let (mut agent, roster) = agent_and_roster();
     let key = flow_homed_elsewhere(&roster);
     let arrival = arrival(opening(key, 0), Search::Open, 1);
-    agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival);
+    decide_in_time(NOW, &mut agent, &routing(1), &roster, &arrival);
     agent.handle_backend_segment(NOW, &routing(1), &roster, &accept(key, FIRST_SEQUENCE));
 
     let informed: Vec<_> = agent
@@ -190,7 +191,7 @@
     let mut ask = |tried: &[SocketAddrV4]| {
         let mut arrival = arrival(request(key, FIRST_SEQUENCE), Search::Home(1), 1);
         arrival.forwarding.tried = tried.to_vec();
-        match agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival) {
+        match decide_in_time(NOW, &mut agent, &routing(1), &roster, &arrival) {
             Action::Forward { to, forwarding, .. } => (to, forwarding.search),
             action => panic!("{action:?}"),
         }
@@ -207,7 +208,7 @@
     let (mut agent, mut roster) = agent_and_roster();
     let key = flow_homed_elsewhere(&roster);
     let arrival = arrival(opening(key, 0), Search::Open, 1);
-    agent.handle_caller_segment(NOW, &routing(1), &roster, &arrival);
+    decide_in_time(NOW, &mut agent, &routing(1), &roster, &arrival);
     agent.handle_backend_segment(NOW, &routing(1), &roster, &accept(key, FIRST_SEQUENCE));
     agent.announce_flow(NOW, &roster, &key);
 
@@ -232,7 +233,7 @@
     roster.tick(late);
 
     let arrival = arrival(request(key, FIRST_SEQUENCE), Search::Home(0), 1);
-    let action = agent.handle_caller_segment(late, &routing(1), &roster, &arrival);
+    let action = decide_in_time(late, &mut agent, &routing(1), &roster, &arrival);
 
     let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
     assert_eq!((to, forwarding.search), (agent_address(4), Search::Indexed));
--- a/crates/steer/tests/membership.rs
+++ b/crates/steer/tests/membership.rs
@@ -1,6 +1,9 @@
 //! Decoding of entries in the list of members.
 
+mod fixture;
+
 use lentilreach::process::store::Entry;
+use lentilreach_steer::process::backend::record::Instance;
 use lentilreach_steer::process::roster::Role;
 use lentilreach_steer::process::roster::membership::{Listed, PREFIX};
 
@@ -17,14 +20,26 @@
 /// What a process writes must be what others read.
 #[test]
 fn members_are_decoded_as_they_were_written() {
-    let listed = Listed {
-        address: "10.1.0.1:7700".parse().expect("an address"),
-        role: Role::Agent,
-        domain: "a".into(),
-    };
-    let entry = entry("10.1.0.1:7700", &listed.value());
-
-    assert_eq!(Listed::try_from(&entry), Ok(listed));
+    for instance in [None, Some(Instance::from(&fixture::report(1)))] {
+        let listed = Listed {
+            address: "10.1.0.1:7700".parse().expect("an address"),
+            role: Role::Agent,
+            domain: "a".into(),
+            instance,
+        };
+        let entry = entry("10.1.0.1:7700", &listed.value());
+
+        assert_eq!(Listed::try_from(&entry), Ok(listed));
+    }
+}
+
+/// Nodes of an earlier version name no instance. Their entries must not be left out, nor be
+/// taken for a statement about the backend server.
+#[test]
+fn entries_of_an_earlier_version_name_no_instance() {
+    let listed = Listed::try_from(&entry("10.1.0.1:7700", b"\x01\x01a"));
+
+    assert_eq!(listed.map(|listed| listed.instance), Ok(None));
 }
 
 /// An entry that names no reachable member must be left out. Messages to it would fail
--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -218,6 +218,25 @@
     assert_kept(&explore_and_check(&start, 3, &settle::check_any));
 }
 
+/// A flow must not be reset because all processes have been killed at once, although its
+/// backend server has replaced another one, which the store named before.
+#[test]
+fn keeps_a_flow_after_all_processes_were_killed() {
+    let budget = Budget { requests: 2, rounds: 2, ..Budget::NONE };
+    let start = scenario::killed(3, budget, Removed::Nothing);
+    assert_kept(&explore_and_check(&start, 3, &settle::check));
+}
+
+/// The caller of a flow of before a loss of power must be told that the flow has ended as
+/// soon as the nodes know each other, although the new backend servers may have started
+/// before their agents.
+#[test]
+fn ends_a_flow_after_a_loss_of_power() {
+    let budget = Budget { requests: 1, rounds: 1, ..Budget::NONE };
+    let start = scenario::without_power(3, budget, Removed::Nothing);
+    assert_kept(&explore_and_check(&start, 2, &settle::check_any));
+}
+
 /// Promises must hold on long runs with many faults, too.
 #[test]
 fn keeps_promises_on_random_runs() {
@@ -266,14 +285,23 @@
     assert_broken(&explore(&start(Removed::IncarnationCheck), 7));
 }
 
+/// Without the rule that the store names an instance before it gets openings, an agent takes
+/// one for unused that holds the flow, once nobody else remembers it.
+#[test]
+fn notices_a_missing_record() {
+    let budget = Budget { requests: 2, rounds: 2, ..Budget::NONE };
+    let start = |removed| scenario::killed(3, budget, removed);
+    assert_broken(&explore_and_check(&start(Removed::Record), 3, &settle::check));
+}
+
 /// Without the rule that all agents must have been asked, a home node resets a flow whose
-/// announcement is on its way.
+/// announcement is on its way, if an answer is lost for which the search waits.
 #[test]
 fn notices_a_walk_that_is_not_exhaustive() {
-    let budget = Budget { requests: 1, ..Budget::NONE };
+    let budget = Budget { requests: 1, losses: 1, rounds: 1, ..Budget::NONE };
     let start = |removed| scenario::accepted(3, Holder::Other, budget, removed);
-    assert_kept(&explore(&start(Removed::Nothing), 5));
-    assert_broken(&explore(&start(Removed::ExhaustiveWalk), 5));
+    assert_kept(&explore(&start(Removed::Nothing), 7));
+    assert_broken(&explore(&start(Removed::ExhaustiveWalk), 7));
 }
 
 /// Long runs, for reports: run by hand in a release build.
--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -1,7 +1,7 @@
 //! What the drivers of the programs do with messages and decisions, without sockets and
 //! tasks: the counterpart of `process/driver`. All decisions are those of the crate.
 
-use lentilreach_steer::process::agent::{Action, Arrival, BackendAction, Cause};
+use lentilreach_steer::process::agent::{Action, Arrival, BackendAction, Cause, Release};
 use lentilreach_steer::process::balancer;
 use lentilreach_steer::request::message::Search;
 use lentilreach_steer::request::segment::{Flags, Segment};
@@ -133,6 +133,11 @@
                     self.send(own, origin, Payload::Found);
                 }
             }
+            Action::Postpone(arrival) => {
+                let now = self.now;
+                self.agent_mut(index).agent.postpone(now, *arrival, Vec::new());
+                self.ask_if_due(index);
+            }
             Action::Forward { to, mut forwarding, .. } => {
                 let now = self.now;
                 if segment.is_opening() {
@@ -163,6 +168,17 @@
         }
     }
 
+    /// Goes on with the searches of an agent for which the answers have arrived.
+    pub fn release_postponed(&mut self, index: usize) {
+        let (now, routing) = (self.now, self.routing.clone());
+        loop {
+            let node = self.agent_mut(index);
+            let next = node.agent.next_postponed(now, &routing, &node.roster);
+            let Some(Release { waiting, action }) = next else { return };
+            self.perform(index, waiting.arrival.segment, action);
+        }
+    }
+
     /// A backend server receives a segment of the caller from its agent, which gets the
     /// answer at once.
     fn serve(&mut self, index: usize, segment: Segment) {
--- a/crates/steer/tests/model/node.rs
+++ b/crates/steer/tests/model/node.rs
@@ -4,6 +4,7 @@
 
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::process::agent::Agent;
+use lentilreach_steer::process::backend::record::{Instance, Record};
 use lentilreach_steer::process::balancer::Balancer;
 use lentilreach_steer::process::roster::{Member, Role, Roster};
 use lentilreach_steer::request::message::{Heartbeat, SyncStatus};
@@ -40,6 +41,8 @@
     pub roster: Roster,
     /// The backend server, a process of its own.
     pub server: Server,
+    /// The instance of the backend server that the store names.
+    pub stored: Option<Instance>,
     /// Announcements of an accepted flow are still to be made; only without the rule
     /// [`Removed::AnnounceBeforeAccept`].
     pub is_announcement_due: bool,
@@ -50,6 +53,8 @@
 pub struct Server {
     /// Whether it runs.
     pub is_alive: bool,
+    /// The service that it runs.
+    pub service: &'static str,
     /// Number of this instance.
     pub lifetime: u8,
     /// Number of its last report.
@@ -94,6 +99,7 @@
         let address = fixture::agent_address(index as u8 + 1);
         let server = Server {
             is_alive: is_present,
+            service: fixture::CALENDAR,
             lifetime: 0,
             reports: 0,
             first: (index as u32 + 1).wrapping_mul(SEQUENCE_DISTANCE),
@@ -109,6 +115,7 @@
             agent: Agent::new(now, address, DOMAIN.into(), fixture::limits()),
             roster: Roster::new(),
             server,
+            stored: None,
             is_announcement_due: false,
         };
         node.restart(now);
@@ -116,6 +123,7 @@
         if is_present {
             node.agent.record_absence(now);
             node.report(now);
+            node.write_record(now);
             node.server.reports = LATE_REPORT;
         }
         node
@@ -130,7 +138,17 @@
         self.is_frozen = false;
         self.is_announcement_due = false;
         self.agent = Agent::new(now, self.address, DOMAIN.into(), fixture::limits());
+        self.agent.expect_record();
         self.roster = Roster::new();
+        self.write_record(now);
+    }
+
+    /// Lets the store name the instance that has reported last, and tells the agent.
+    pub fn write_record(&mut self, now: Millis) {
+        let before = self.stored;
+        self.stored = self.agent.instance().or(before);
+        let (before, after): (Record, Record) = (before.into(), self.stored.into());
+        self.agent.record_written(now, &fixture::routing(1), before, after);
     }
 
     /// Starts a new instance of the backend server.
@@ -192,6 +210,7 @@
         self.server.reports += 1;
         let mut report = fixture::report(self.server.reports);
         report.id = format!("{}-{}", self.address, self.server.lifetime).as_str().into();
+        report.service = self.server.service.into();
         report.started_ms = Some(1_000 + u64::from(self.server.lifetime));
         let (_, ended) = self.agent.report(now, report);
         self.agent.confirm_service(&fixture::routing(1));
--- a/crates/steer/tests/model/round.rs
+++ b/crates/steer/tests/model/round.rs
@@ -103,6 +103,20 @@
         self.hand_over(index);
         self.ask_if_due(index);
         self.probe_server(index);
+        self.release_postponed(index);
+    }
+
+    /// Lets the store name the instance of an agent's backend server.
+    pub fn write_record(&mut self, index: usize) {
+        let now = self.now;
+        if self.removed == Removed::Record {
+            // The agent takes it for written.
+            let stored = self.agent(index).stored;
+            self.agent_mut(index).write_record(now);
+            self.agent_mut(index).stored = stored;
+        } else {
+            self.agent_mut(index).write_record(now);
+        }
     }
 
     /// Hands over entries of an agent's index.
@@ -162,11 +176,12 @@
             if ended > 0 {
                 self.reset_caller(Peer::Agent(index), None, "backend_replaced");
             }
+            self.write_record(index);
         }
         let node = self.agent_mut(index);
         node.roster.tick(now);
         node.agent.expire(now, MAX_FLOW_AGE_MS);
-        node.agent.update_knows_all_flows(now, &routing);
+        node.agent.update_knowledge(now, &routing);
         let own = node.heartbeat(now, &routing);
         let address = node.address;
         // Never outdated, since the sequence increases.
@@ -234,12 +249,14 @@
                 let change = node.roster.record_heartbeat(now, sender, &heartbeat);
                 node.agent.handle_heartbeat(now, &node.roster, sender, &heartbeat);
                 let is_answered = heartbeat.wants_reply || change == Ok(Change::Joined);
-                is_answered.then(|| {
+                let answer = is_answered.then(|| {
                     let reply = node.heartbeat(now, &routing);
                     let member = node.roster.get(sender);
                     let sync_status = member.and_then(|m| node.sync_status(m));
                     Heartbeat { sync_status, ..reply }
-                })
+                });
+                self.release_postponed(index);
+                answer
             }
             Peer::Balancer(index) => {
                 let node = self.balancer_mut(index);
--- a/crates/steer/tests/model/scenario.rs
+++ b/crates/steer/tests/model/scenario.rs
@@ -134,6 +134,60 @@
     state
 }
 
+/// A system in which the flow is open at a backend server that has replaced another one, and
+/// all processes have been killed since and started again. The backend servers run on.
+pub fn killed(agents: usize, budget: Budget, removed: Removed) -> State {
+    let change = Budget { leaves: 1, joins: 1, ..Budget::NONE };
+    let mut state = stable(agents, change, removed);
+    state.apply(Step::Leave(0));
+    state.apply(Step::Join(0));
+    settle(&mut state.world);
+    open_at(&mut state, 0, 0);
+    drain(&mut state.world);
+    state.budget.requests = 1;
+    state.apply(Step::Request(0));
+    drain(&mut state.world);
+    restart_all(&mut state.world);
+    State { budget, ..state }
+}
+
+/// Like [`open`], but all machines have lost power since and started again, with new
+/// instances of the backend servers. One that didn't hold the flow runs another service,
+/// which must not get its segments.
+pub fn without_power(agents: usize, budget: Budget, removed: Removed) -> State {
+    let mut state = open(agents, Holder::Other, budget, removed);
+    for index in 0..agents {
+        state.world.agent_mut(index).start_server();
+    }
+    let other = (0..agents).find(|index| state.world.caller.chosen != Some(*index));
+    let other = other.expect("some don't hold the flow");
+    state.world.agent_mut(other).server.service = fixture::INVOICES;
+    restart_all(&mut state.world);
+    State { budget, ..state }
+}
+
+/// Starts new processes of all agents and balancers.
+fn restart_all(world: &mut World) {
+    world.in_flight.clear();
+    let present: Vec<_> =
+        (0..world.agents()).filter(|i| world.agent(*i).is_present).collect();
+    for index in present {
+        world.restart_agent(index);
+    }
+    for index in 0..world.balancers() {
+        world.restart_balancer(index);
+    }
+}
+
+/// Lets all nodes learn of each other.
+fn settle(world: &mut World) {
+    for _ in 0..SETTLE_ROUNDS {
+        drain(world);
+        world.round(None);
+    }
+    drain(world);
+}
+
 /// A system in which two backend servers have accepted the flow, since copies of its opening
 /// came through both balancers. The caller has chosen one.
 pub fn accepted_twice(agents: usize, budget: Budget, removed: Removed) -> State {
--- a/crates/steer/tests/model/step.rs
+++ b/crates/steer/tests/model/step.rs
@@ -262,6 +262,7 @@
                 world.restart_agent(index);
                 let now = world.now;
                 world.agent_mut(index).report(now);
+                world.write_record(index);
             }
             Step::Announce(index) => world.announce_flow(index),
         }
--- a/crates/steer/tests/model/world.rs
+++ b/crates/steer/tests/model/world.rs
@@ -31,6 +31,8 @@
     IncarnationCheck,
     /// A walk that could not ask every agent counts as exhaustive.
     ExhaustiveWalk,
+    /// Agents deliver openings to an instance that the store doesn't name.
+    Record,
 }
 
 /// A node or the caller.
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -236,7 +236,7 @@
     agent.record_absence(now);
 
     agent.report(now.after(100), report(9));
-    agent.update_knows_all_flows(now.after(100), &routing(1));
+    agent.update_knowledge(now.after(100), &routing(1));
 
     assert!(!agent.knows_all_flows());
 }
@@ -277,7 +277,7 @@
     let cold_ms = service.cold_ms + 1_000;
     agent.report(NOW, Report { cold_ms, ..report(5) });
 
-    agent.update_knows_all_flows(NOW, &configured);
+    agent.update_knowledge(NOW, &configured);
 
     assert!(!agent.knows_all_flows());
 }
@@ -377,7 +377,7 @@
     for tick in 1..=40 {
         let now = NOW.after(tick * TICK_MS);
         agent.tick(now);
-        agent.update_knows_all_flows(now, &routing(1));
+        agent.update_knowledge(now, &routing(1));
         assert!(!agent.knows_all_flows(), "after {} ms", now.since(NOW));
     }
 }
--- a/crates/steer/tests/walk.rs
+++ b/crates/steer/tests/walk.rs
@@ -6,9 +6,9 @@
 
 use fixture::{
     FIRST_SEQUENCE, INCARNATION, INVOICES, NOW, agent, agent_address, agent_and_roster,
-    agent_heartbeat, arrival, balancer_address, calendar_led_to_invoices, flow,
-    flow_homed_elsewhere, flow_homed_here, limits, request, roster, routing, searched,
-    sync_all, sync_status,
+    agent_heartbeat, arrival, balancer_address, calendar_led_to_invoices, decide_in_time,
+    flow, flow_homed_elsewhere, flow_homed_here, limits, request, roster, routing,
+    searched, sync_all, sync_status,
 };
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, Agent, Cause};
@@ -69,7 +69,7 @@
     let key = flow_homed_here(&roster);
 
     let last = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
-    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &last);
+    let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &last);
 
     let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
     assert_eq!(forwarding.to_visit.len() + 1, 4);
@@ -87,7 +87,7 @@
     let key = flow_homed_here(&roster);
     let search = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
 
-    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &search);
+    let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &search);
 
     let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
     let mut visited = vec![to];
@@ -111,7 +111,7 @@
 
     let mut visited = Vec::new();
     for _ in 0..2 {
-        let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &search);
+        let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &search);
         let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
         visited.push(to);
         visited.extend(forwarding.to_visit);
@@ -129,7 +129,7 @@
     let key = flow_homed_here(&roster);
     sync_all(NOW, &mut roster, agent_address(1));
     let last = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
-    let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &last);
+    let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &last);
     assert!(
         matches!(action, Action::Refuse { cause: Cause::NotFound, .. }),
         "{action:?}"
@@ -148,7 +148,7 @@
     }
     roster.tick(late);
     sync_all(late, &mut roster, far);
-    let action = agent.handle_caller_segment(late, &routing(1), &roster, &last);
+    let action = decide_in_time(late, &mut agent, &routing(1), &roster, &last);
     assert_eq!(action, Action::Drop(Cause::Unknown));
 }
 
@@ -186,7 +186,7 @@
     for attempt in 0..3 {
         let now = NOW.after(attempt * 200);
         let last = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
-        let action = agent.handle_caller_segment(now, &routing(1), &roster, &last);
+        let action = decide_in_time(now, &mut agent, &routing(1), &roster, &last);
         let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
         visited.push(to);
         visited.extend(forwarding.to_visit);
@@ -206,7 +206,7 @@
     let key = flow_homed_here(&roster);
     let mut attempt = |roster: &Roster| {
         let last = searched(roster, request(key, FIRST_SEQUENCE), Search::Home(1));
-        match agent.handle_caller_segment(NOW, &routing(1), roster, &last) {
+        match decide_in_time(NOW, &mut agent, &routing(1), roster, &last) {
             Action::Forward { to, forwarding, .. } => {
                 [vec![to], forwarding.to_visit].concat()
             }
@@ -279,8 +279,9 @@
             asked.push(to);
         }
         let number = to.ip().octets()[3];
-        let action = agent(NOW, number, "a").handle_caller_segment(
+        let action = decide_in_time(
             NOW,
+            &mut agent(NOW, number, "a"),
             &routing(1),
             roster(to),
             &arrival,
