Choose among idle agents by chance, in proportion to their speeds

Cause: with placement by expected work, a node that had placed nothing on an agent for some time took the one whose requests seemed a little shorter.

Change: agents with less than a tenth of a job per slot are alike, and the hash of the flow draws among them with the speed as weight.

idle_backend_servers_of_the_same_speed_get_alike guards against it; the code before was measured, not tested.

--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -227,6 +227,32 @@
     }
 }
 
+/// While there is little to do, the choice among idle backend servers must not follow small
+/// errors of their speeds: one of them got nine times as many requests as another of the same
+/// speed. Those that are twice as fast get about twice as many.
+#[test]
+fn idle_backend_servers_of_the_same_speed_get_alike() {
+    let load = Load { per_s: 325.0, crowd: 1.0, slow_factor: 2.0, ..uneven() };
+    let outcomes = play(&Load { policy: Policy::ExpectedWork, ..load.clone() });
+    let mut requests = vec![0; usize::from(load.servers)];
+    for outcome in &outcomes {
+        for (sum, count) in requests.iter_mut().zip(&outcome.requests) {
+            *sum += count;
+        }
+    }
+
+    let (fast, slow) = requests.split_at(usize::from(load.servers - load.slow));
+    let bounds =
+        |counts: &[u32]| (counts.iter().min().copied(), counts.iter().max().copied());
+    let mean =
+        |counts: &[u32]| f64::from(counts.iter().sum::<u32>()) / counts.len() as f64;
+
+    let (Some(least), Some(most)) = bounds(fast) else { panic!("some are fast") };
+    assert!(most <= 2 * least, "{requests:?}");
+    let ratio = mean(fast) / mean(slow);
+    assert!((1.5..=2.5).contains(&ratio), "{ratio} {requests:?}");
+}
+
 /// After an outage all backend servers are cold and nothing is known of their speed. That
 /// must not cost callers what the number of open flows would give them.
 #[test]
--- a/crates/steer/src/process/roster/estimate.rs
+++ b/crates/steer/src/process/roster/estimate.rs
@@ -11,9 +11,9 @@
 /// Factor by which a statement may differ from the mean of the service.
 const MAX_FACTOR: f64 = 8.0;
 
-/// Jobs for each slot that are added to those of every agent, so that among idle ones the
-/// fastest is chosen.
-const IDLE_JOBS: f64 = 0.01;
+/// Jobs for each slot below which an agent counts as idle: what this node has placed there
+/// has probably been answered.
+const IDLE_JOBS: f64 = 0.1;
 
 /// Jobs for each slot from which more say nothing about the wait: beyond its limit, a
 /// backend server is given none.
@@ -47,6 +47,11 @@
     /// caller's failure domain. It grows with the root of the duration, so that slow backend
     /// servers get less than their share by speed, but are not left idle.
     pub work: f64,
+    /// Whether that is so little that it says nothing. Among such agents the choice is left
+    /// to chance, or small errors of the speeds would decide it.
+    pub is_idle: bool,
+    /// Requests that it can answer in a millisecond.
+    pub speed: f64,
     /// Time until the answer, in milliseconds, according to what the agent has stated in
     /// the last seconds; `None` if it has stated little yet. Compares failure domains, and
     /// agents with oneself.
@@ -106,7 +111,9 @@
         let completion_ms = self.bounded_ms(cost) + request_ms * busy * busy;
         let is_known = self.placed.statements >= MIN_STATEMENTS;
         Some(Expectation {
-            work: (IDLE_JOBS + jobs) * request_ms.sqrt(),
+            work: jobs * request_ms.sqrt(),
+            is_idle: jobs < IDLE_JOBS,
+            speed: slots / request_ms,
             completion_ms: is_known.then_some(completion_ms),
         })
     }
--- a/crates/steer/src/request/completion.rs
+++ b/crates/steer/src/request/completion.rs
@@ -118,10 +118,11 @@
     is_failing: bool,
     /// Stage of its backend server.
     stage: Stage,
-    /// Work that this node has placed on it.
+    /// Work that this node has placed on it; zero if it is idle.
     work: f64,
-    /// Decides between agents that are alike.
-    weight: u64,
+    /// Decides between agents that are alike: the lowest one is chosen. Draws by the flow's
+    /// hash, in which a candidate wins as often as its speed says.
+    draw: f64,
 }
 
 impl Candidate {
@@ -140,15 +141,16 @@
             is_near: *member.domain == *request.domain,
             is_failing: member.is_failing(),
             stage: member.stage()?,
-            work: expectation.work,
-            weight: placement::rendezvous_weight(hash, agent),
+            work: if expectation.is_idle { 0.0 } else { expectation.work },
+            draw: draw(placement::rendezvous_weight(hash, agent), expectation.speed),
         })
     }
 
     /// Orders candidates of the same failure domain, the best first.
     fn compare(&self, other: &Self) -> Ordering {
         let work = self.work.total_cmp(&other.work);
-        self.class().cmp(&other.class()).then(work).then(other.weight.cmp(&self.weight))
+        let draw = self.draw.total_cmp(&other.draw);
+        self.class().cmp(&other.class()).then(work).then(draw)
     }
 
     /// What comes before the amount of work.
@@ -157,6 +159,13 @@
     }
 }
 
+/// A value with an exponential distribution of the given rate, from evenly distributed bits.
+/// The lowest of several belongs to each with a probability in proportion to its rate.
+fn draw(bits: u64, rate: f64) -> f64 {
+    let share = (bits as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -share.ln() / rate
+}
+
 /// The members to look at for a flow with a hash, in an order that depends on it. All of a
 /// small fleet.
 fn visited(roster: &Roster, hash: u64) -> impl Iterator<Item = &Member> {
