--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -111,8 +111,8 @@
     /// Since when every flow of the backend server has been recorded in `flows`: the start
     /// of the agent, or the last eviction of a flow.
     recorded_since: Millis,
-    /// Whether that is the start of the agent.
-    is_unbroken: bool,
+    /// Whether that is still the start of the agent.
+    has_all_since_start: bool,
     /// What is known about flows of the backend server that are not in `flows`. Home nodes
     /// take it as proof that a flow has ended.
     knowledge: Knowledge,
@@ -166,7 +166,7 @@
             index: Index::new(limits.flows),
             delivered: Ring::new(fastrand::u32(1..)),
             recorded_since: now,
-            is_unbroken: true,
+            has_all_since_start: true,
             knowledge: Knowledge::Partial,
             found_record: Record::Unknown,
             record: Record::Unknown,
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -94,7 +94,7 @@
             false if had_reported => {
                 self.knowledge = Knowledge::Partial;
                 if self.forget_lost_flows() {
-                    self.break_record(now);
+                    self.mark_incomplete(now);
                 }
             }
             _ if was_absent => self.backend.record_later_start(),
@@ -118,7 +118,7 @@
         let is_unused = self.instance().is_some_and(|i| self.found_record.excludes(&i));
         if self.knowledge == Knowledge::Partial
             && is_unused
-            && self.is_unbroken
+            && self.has_all_since_start
             && self.is_confirmed
         {
             self.knowledge = Knowledge::Recorded;
@@ -181,15 +181,15 @@
     pub(super) fn record_flow(&mut self, now: Millis, flow: flow::Key, state: State) {
         self.flows.insert(now, flow, state);
         if self.flows.evicted_at() == Some(now) {
-            self.break_record(now);
+            self.mark_incomplete(now);
             self.knowledge = Knowledge::Partial;
         }
     }
 
     /// Notes that flows from before a time may be missing.
-    fn break_record(&mut self, now: Millis) {
+    fn mark_incomplete(&mut self, now: Millis) {
         self.recorded_since = now;
-        self.is_unbroken = false;
+        self.has_all_since_start = false;
     }
 
     /// Whether all flows of the backend server are known or there is no backend server.
