--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -6,7 +6,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use async_channel::{Receiver, Sender};
-use futures_lite::future::or;
 use lentilreach::process::clock::{Clock, Millis};
 use lentilreach::process::link::Link;
 use lentilreach::process::lock::Ranked;
@@ -23,11 +22,11 @@
     Change, HEARTBEAT_INTERVAL_MS, Member, Outdated, Role, Roster,
 };
 use crate::process::settings;
-use crate::request::message::{
-    BackendStatus, Chunk, Heartbeat, Load, Message, SyncStatus,
-};
+use crate::request::message::{BackendStatus, Heartbeat, Load, Message, SyncStatus};
 use crate::version::routing::Routing;
 
+mod documents;
+
 /// Maximum time for which segments wait until a starting process is ready, in
 /// milliseconds. Callers give up after 1,400 ms.
 const READY_WAIT_MS: u64 = 1_200;
@@ -36,10 +35,6 @@
 /// Agents only need the others of balancers in their own one, which they count.
 const FOREIGN_ROUNDS: u32 = 10;
 
-/// Time within which another node must have sent its documents, in milliseconds. The rest of
-/// the time within which a change must be in force remains for reading the store.
-const DOCUMENTS_TIMEOUT_MS: u64 = 300;
-
 /// Interval between checks whether the process is ready, in milliseconds.
 const READY_POLL_MS: u64 = 10;
 
@@ -366,49 +361,6 @@
         heartbeat.wants_reply || change == Ok(Change::Joined)
     }
 
-    /// Sets the documents to send to other nodes.
-    pub fn share_documents(&self, range: &Range) {
-        *self.shared.write() = Encoded::new(range);
-    }
-
-    /// Sends the documents to a node that asked for them.
-    pub fn send_documents(&self, to: SocketAddrV4) {
-        let shared = self.shared.read();
-        for chunk in shared.iter().flat_map(Encoded::chunks) {
-            self.send(to, &Message::Documents(chunk));
-        }
-    }
-
-    /// Processes a part of the documents that this node has asked for.
-    pub fn handle_documents(&self, chunk: &Chunk<'_>) {
-        if let Some(range) = self.assembly.write().insert(chunk) {
-            // If the channel is full, nobody waits for them.
-            let _ = self.documents.0.try_send(range);
-        }
-    }
-
-    /// Asks the node that reported the newest revision for the documents. Returns `None` if
-    /// it is in another failure domain, or if the answer doesn't arrive in time.
-    pub async fn fetch_documents(&self) -> Option<Range> {
-        let wanted = self.newest_revision();
-        let source = (*self.newest_source.read())?;
-        while self.documents.1.try_recv().is_ok() {}
-        self.send(source, &Message::DocumentsRequest);
-        let answer = async {
-            loop {
-                let range = self.documents.1.recv().await.ok()?;
-                if range.revision >= wanted {
-                    return Some(range);
-                }
-            }
-        };
-        let timeout = async {
-            sleep(DOCUMENTS_TIMEOUT_MS).await;
-            None
-        };
-        or(answer, timeout).await
-    }
-
     /// Processes the departure of a member. Returns whether it was known.
     pub fn handle_leave(&self, from: SocketAddrV4, incarnation: u64) -> bool {
         let is_known =
--- /dev/null
+++ b/crates/steer/src/process/driver/node/documents.rs
@@ -0,0 +1,61 @@
+//! Passes the operators' documents from node to node.
+
+use std::net::SocketAddrV4;
+
+use futures_lite::future::or;
+use lentilreach::process::link::Link;
+use lentilreach::process::store::Range;
+
+use super::Node;
+use crate::process::documents::share::Encoded;
+use crate::process::driver::sleep;
+use crate::request::message::{Chunk, Message};
+
+/// Time within which another node must have sent its documents, in milliseconds. The rest of
+/// the time within which a change must be in force remains for reading the store.
+const DOCUMENTS_TIMEOUT_MS: u64 = 300;
+
+impl<L: Link> Node<L> {
+    /// Sets the documents to send to other nodes.
+    pub fn share_documents(&self, range: &Range) {
+        *self.shared.write() = Encoded::new(range);
+    }
+
+    /// Sends the documents to a node that asked for them.
+    pub fn send_documents(&self, to: SocketAddrV4) {
+        let shared = self.shared.read();
+        for chunk in shared.iter().flat_map(Encoded::chunks) {
+            self.send(to, &Message::Documents(chunk));
+        }
+    }
+
+    /// Processes a part of the documents that this node has asked for.
+    pub fn handle_documents(&self, chunk: &Chunk<'_>) {
+        if let Some(range) = self.assembly.write().insert(chunk) {
+            // If the channel is full, nobody waits for them.
+            let _ = self.documents.0.try_send(range);
+        }
+    }
+
+    /// Asks the node that reported the newest revision for the documents. Returns `None` if
+    /// it is in another failure domain, or if the answer doesn't arrive in time.
+    pub async fn fetch_documents(&self) -> Option<Range> {
+        let wanted = self.newest_revision();
+        let source = (*self.newest_source.read())?;
+        while self.documents.1.try_recv().is_ok() {}
+        self.send(source, &Message::DocumentsRequest);
+        let answer = async {
+            loop {
+                let range = self.documents.1.recv().await.ok()?;
+                if range.revision >= wanted {
+                    return Some(range);
+                }
+            }
+        };
+        let timeout = async {
+            sleep(DOCUMENTS_TIMEOUT_MS).await;
+            None
+        };
+        or(answer, timeout).await
+    }
+}
