--- a/crates/steer/src/process/agent/postpone.rs
+++ b/crates/steer/src/process/agent/postpone.rs
@@ -25,7 +25,8 @@
 /// The segments that wait.
 #[derive(Debug, Default, Clone)]
 pub(super) struct Postponed {
-    /// In the order of their arrival, so that the numbers of questions don't decrease.
+    /// In the order of their arrival. Those behind the first one go on after it, though they
+    /// may have asked earlier.
     entries: VecDeque<Entry>,
 }
 
