Find empty failure domains, equal priorities and cold rates that can't be carried

Each rule has a test with an input that passes and one that doesn't; the comparison with the store and empty-domain are also tested with the command against the stand-in store.

--- a/crates/lentilreach-cli/src/check.rs
+++ b/crates/lentilreach-cli/src/check.rs
@@ -8,6 +8,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use futures_lite::future;
 use lentilreach::process::input::{self, Errors};
+use lentilreach::process::store::Error;
 use lentilreach::process::submit::Current;
 use lentilreach::version::config::{Document, Service};
 use lentilreach::version::diff::{Change, Diff};
@@ -78,7 +79,7 @@
 pub fn run(context: &Context, matches: &ArgMatches) -> Reply {
     let front_end = matches.get_one::<String>("front-end");
     if front_end.is_some_and(|name| name == SEGMENTS) {
-        return segments::run(matches);
+        return segments::run(context, matches);
     }
     let document = match load(matches) {
         Ok(document) => document,
@@ -91,19 +92,18 @@
             Err(errors) => return Reply::errors(&errors),
         },
     };
+    let mut findings = lint::findings(&document);
     if !context.store.is_empty() {
         let current = match store::connect(context) {
             Ok(store) => future::block_on(Current::read(&store)),
             Err(reply) => return reply,
         };
-        let snapshot = match current {
-            Ok(current) => current.snapshot,
-            Err(error) => {
-                return Reply::failed(format!(
-                    "the configuration in force cannot be read: {error}"
-                ));
-            }
+        let current = match current {
+            Ok(current) => current,
+            Err(error) => return unreadable(&error),
         };
+        findings.extend(lint::empty_domains(&document, &current.relay_domains()));
+        let snapshot = current.snapshot;
         if let Err(errors) = document.check(&snapshot) {
             return Reply::errors(&errors);
         }
@@ -113,7 +113,6 @@
         let own: Vec<Service> = own.map(|service| (**service).clone()).collect();
         differences.get_or_insert_with(|| diff_of(&own, &document));
     }
-    let findings = lint::findings(&document);
     let (services, domains) = (document.services.len(), document.domains.len());
     let organisation = &document.organisation;
     let summary = format!(
@@ -127,6 +126,11 @@
     report(matches, &findings, differences, &summary, fields)
 }
 
+/// Returns the reply if the store did not answer.
+fn unreadable(error: &Error) -> Reply {
+    Reply::failed(format!("the configuration in force cannot be read: {error}"))
+}
+
 /// Returns the reply for a file that could be read. `differences` are lines, if the file was
 /// compared with another version.
 fn report(
--- a/crates/lentilreach-cli/tests/store.rs
+++ b/crates/lentilreach-cli/tests/store.rs
@@ -7,6 +7,7 @@
 use std::thread;
 
 use lentilreach::process::pool::Pool;
+use lentilreach::process::store::Txn;
 use lentilreach::version::config::key;
 use lentilreach_standin::store::{Builder, Outage, Server};
 use serde_json::Value;
@@ -33,6 +34,12 @@
     (output.status.code().expect("no signal ends the command"), report)
 }
 
+/// The codes of the findings in a report.
+fn codes(report: &Value) -> Vec<&str> {
+    let findings = report["findings"].as_array().into_iter().flatten();
+    findings.filter_map(|finding| finding["code"].as_str()).collect()
+}
+
 /// Returns the path of an example file.
 fn example(name: &str) -> String {
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
@@ -110,6 +117,56 @@
     assert_eq!(message, "127.2.0.1:4433 already belongs to peakline/ropeledger");
 }
 
+/// Guards against a failure domain that no balancer is in going unnoticed.
+#[test]
+fn check_finds_a_failure_domain_without_balancers() {
+    let (store, _pool) = store();
+    let txn = Txn::new()
+        .put(key::relay("raum-nord", 0), &b"{}"[..])
+        .put(key::relay("raum-penzberg", 0), &b"{}"[..]);
+    store.handle().write(&txn).expect("a valid key");
+
+    let (status, report) = run(&store, &["check", &example("weilheim.jsonc")]);
+
+    assert_eq!((status, codes(&report)), (0, vec!["empty-domain"]));
+    let message = report["findings"][0]["message"].as_str().expect("a text");
+    assert_eq!(message, "no balancer runs in failure domain raum-sued");
+}
+
+/// Guards against a document of segments that is not compared with the version in force, and
+/// against a failure domain out of service that no VM is in going unnoticed.
+#[test]
+fn check_compares_a_document_of_segments_with_the_version_in_force() {
+    let (store, _pool) = store();
+    let document = |version: u64, flows: u32| {
+        format!(
+            r#"{{"version":{version},"routes":[{{"name":"r","host":"198.18.0.1",
+            "prefix":"/443/","service":"shop"}}],"services":[{{"name":"shop",
+            "maxConns":{flows}}}],"limits":{{"idleTimeoutMs":15000}}}}"#
+        )
+    };
+    let txn = Txn::new()
+        .put("op/config", document(3, 2_000).into_bytes())
+        .put("op/evacuate/raum-nrod", &b"{}"[..]);
+    store.handle().write(&txn).expect("valid keys");
+    let mut file = NamedTempFile::new().expect("a temporary file");
+    file.write_all(document(4, 1_000).as_bytes()).expect("the file is writable");
+    let path = file.path().display().to_string();
+
+    let (status, report) = run(&store, &["check", "--front-end", "segments", &path]);
+    store.handle().start_outage(Outage::Refuse);
+    let (away, _) = run(&store, &["check", "--front-end", "segments", &path]);
+
+    assert_eq!((status, codes(&report)), (0, vec!["empty-domain"]));
+    let difference = &report["differences"][0];
+    let text = "~ service shop: flows of a backend server: 2000 -> 1000";
+    assert_eq!(
+        (&difference["text"], &difference["tighter"]),
+        (&text.into(), &true.into())
+    );
+    assert_eq!(away, 1);
+}
+
 /// Guards against a change that is written without confirmation.
 #[test]
 fn yes_is_required_without_a_terminal() {
--- a/crates/lentilreach/src/process/submit/current.rs
+++ b/crates/lentilreach/src/process/submit/current.rs
@@ -2,7 +2,7 @@
 
 use crate::process::name::Name;
 use crate::process::store::{Entry, Error, Range, Store};
-use crate::version::config::key;
+use crate::version::config::key::{self, Kind};
 use crate::version::config::snapshot::{Refused, Snapshot};
 use crate::version::config::wire::Operations;
 
@@ -35,6 +35,19 @@
         Self { snapshot, refused, entries: range.entries }
     }
 
+    /// The failure domains in which a balancer holds a relay slot, sorted.
+    pub fn relay_domains(&self) -> Vec<&str> {
+        let keys = self.entries.iter().map(|entry| Kind::parse(&entry.key));
+        let mut domains: Vec<_> = keys
+            .filter_map(|kind| match kind {
+                Some(Kind::Relay { domain, .. }) => Some(domain),
+                _ => None,
+            })
+            .collect();
+        domains.dedup();
+        domains
+    }
+
     /// The revision at which a key was last written; 0 if it is absent.
     pub fn modified(&self, key: &str) -> u64 {
         self.entry(key).map_or(0, |entry| entry.modified)
--- a/crates/lentilreach/src/version/config/document.rs
+++ b/crates/lentilreach/src/version/config/document.rs
@@ -74,6 +74,11 @@
         &self.source.unused_templates
     }
 
+    /// The position of its failure domains in the file.
+    pub fn domains_place(&self) -> Place {
+        self.source.domains
+    }
+
     /// Its services, each with its position in the file.
     pub fn placed_services(&self) -> impl Iterator<Item = (&Service, Place)> {
         let places = self.source.services.iter().map(|places| places.name);
--- a/crates/lentilreach/src/version/lint.rs
+++ b/crates/lentilreach/src/version/lint.rs
@@ -6,6 +6,7 @@
 use std::fmt::{self, Display, Formatter};
 
 use crate::process::input::Place;
+use crate::process::name::Name;
 use crate::version::config::{Document, Limits};
 
 /// Something in a configuration that is wrong or hardly meant.
@@ -94,6 +95,20 @@
     findings
 }
 
+/// Failure domains of a document in which no balancer holds a relay slot. `occupied` lists the
+/// failure domains in which one does; if there are none, no balancer has started yet, and
+/// nothing is found.
+pub fn empty_domains(document: &Document, occupied: &[&str]) -> Vec<Finding> {
+    let is_empty = |domain: &&Name| !occupied.contains(&&***domain);
+    let empty = document.domains.iter().filter(is_empty);
+    let finding = |domain| {
+        let message = format!("no balancer runs in failure domain {domain}");
+        let hint = "correct its name, or start balancers in it";
+        Finding::warning("empty-domain", message, hint).at(document.domains_place())
+    };
+    empty.filter(|_| !occupied.is_empty()).map(finding).collect()
+}
+
 /// A template that no service names.
 fn unused_template(name: &str) -> Finding {
     let message = format!("no service uses template {name}");
--- a/crates/lentilreach/tests/lint.rs
+++ b/crates/lentilreach/tests/lint.rs
@@ -103,3 +103,17 @@
     assert_eq!(unused.len(), 3);
     assert_eq!(unused[0].0, "unused-template");
 }
+
+/// A failure domain without balancers is found once there are some elsewhere.
+#[test]
+fn a_failure_domain_without_balancers_is_found() {
+    let document = document("invoice");
+    let found = |occupied: &[&str]| {
+        let findings = lint::empty_domains(&document, occupied).into_iter();
+        findings.map(|f| (f.code, f.place.map(|place| place.line))).collect::<Vec<_>>()
+    };
+
+    assert_eq!(found(&[]), []);
+    assert_eq!(found(&["raum-nord", "belper"]), []);
+    assert_eq!(found(&["belper"]), [("empty-domain", Some(3))]);
+}
--- a/crates/steer/src/version/lint.rs
+++ b/crates/steer/src/version/lint.rs
@@ -2,10 +2,18 @@
 
 use std::net::SocketAddrV4;
 
+use lentilreach::Name;
 use lentilreach::version::lint::Finding;
 
 use super::routing::{Route, Service};
 use crate::process::documents::Config;
+use crate::process::roster::membership::Listed;
+
+/// Shortest time that a flow takes for [`cold_rate_too_high`], in milliseconds.
+const MIN_FLOW_MS: f64 = 10.0;
+
+/// Factor between the objectives of two routes from which their requests differ in urgency.
+const URGENCY_RATIO: u64 = 2;
 
 /// Returns the findings in a configuration: those of routes, then those of services, then
 /// those of the whole.
@@ -24,6 +32,8 @@
             unused_service(service, config),
             no_connections(service),
             idle_cold_rate(service),
+            cold_rate_too_high(service),
+            equal_priorities(service, config),
         ];
         rules.into_iter().flatten()
     });
@@ -127,18 +137,73 @@
     })
 }
 
+/// A rate for cold backend servers that their limit of flows does not allow.
+fn cold_rate_too_high(service: &Service) -> Option<Finding> {
+    let longest_ms = f64::from(service.connections) * 1_000.0 / service.cold_per_s;
+    let is_cold = service.cold_ms > 0 && service.connections > 0;
+    (is_cold && service.cold_per_s > 0.0 && longest_ms < MIN_FLOW_MS).then(|| {
+        let Service { name, cold_per_s, connections, .. } = service;
+        let message = format!(
+            "service {name}: {cold_per_s} requests a second while cold, but with at most \
+             {connections} flows each has to end within {longest_ms:.1} ms"
+        );
+        let hint = "lower the rate, or allow more flows";
+        Finding::warning("cold-rate-too-high", message, hint)
+    })
+}
+
+/// Routes of one service whose objectives say that one is more urgent, all with the same
+/// priority.
+fn equal_priorities(service: &Service, config: &Config) -> Option<Finding> {
+    let leads = |route: &&Route| leads_to(route, service);
+    let routes: Vec<_> = config.routes.iter().filter(leads).collect();
+    let by_objective = |route: &&&Route| route.objective_ms;
+    let most_urgent = routes.iter().min_by_key(by_objective)?;
+    let least_urgent = routes.iter().max_by_key(by_objective)?;
+    let is_equal = routes.iter().all(|route| route.priority == most_urgent.priority);
+    let differs = most_urgent.objective_ms * URGENCY_RATIO <= least_urgent.objective_ms;
+    (is_equal && differs && most_urgent.objective_ms > 0).then(|| {
+        let message = format!(
+            "service {}: the objectives of {} and {} are {} ms and {} ms, but all its routes \
+             have priority {}, so neither goes first when its backend servers are busy",
+            service.name,
+            most_urgent.address,
+            least_urgent.address,
+            most_urgent.objective_ms,
+            least_urgent.objective_ms,
+            most_urgent.priority,
+        );
+        let hint = "give the more urgent route a lower priority number";
+        Finding::warning("equal-priorities", message, hint)
+    })
+}
+
+/// Whether a route places flows on a service.
+fn leads_to(route: &Route, service: &Service) -> bool {
+    route.split.iter().any(|share| share.weight > 0 && share.service == service.name)
+}
+
+/// Failure domains that are out of service although no listed member is in them.
+pub fn empty_domains(domains_out: &[Name], members: &[Listed]) -> Vec<Finding> {
+    let is_empty =
+        |domain: &&Name| !members.iter().any(|member| member.domain == **domain);
+    let empty = domains_out.iter().filter(is_empty);
+    let finding = |domain| {
+        let message =
+            format!("failure domain {domain} is out of service, but no VM is in it");
+        let hint = "correct its name, or bring it back into service";
+        Finding::warning("empty-domain", message, hint)
+    };
+    empty.map(finding).collect()
+}
+
 /// Priorities that no two routes of a service differ in.
 fn idle_priorities(config: &Config) -> Option<Finding> {
     let mut priorities: Vec<_> = config.routes.iter().map(|r| r.priority).collect();
     priorities.sort_unstable();
     priorities.dedup();
     let competes = |service: &Service| {
-        let leads = |route: &&Route| {
-            route
-                .split
-                .iter()
-                .any(|share| share.weight > 0 && share.service == service.name)
-        };
+        let leads = |route: &&Route| leads_to(route, service);
         let mut of_service = config.routes.iter().filter(leads).map(|r| r.priority);
         let first = of_service.next();
         of_service.any(|priority| Some(priority) != first)
--- a/crates/steer/tests/lint.rs
+++ b/crates/steer/tests/lint.rs
@@ -2,9 +2,11 @@
 
 mod fixture;
 
-use fixture::{CALENDAR, INVOICES, routing};
+use fixture::{CALENDAR, INVOICES, calendar, routing};
 use lentilreach_steer::process::documents::Config;
-use lentilreach_steer::version::lint::{differences, findings};
+use lentilreach_steer::process::roster::Role;
+use lentilreach_steer::process::roster::membership::Listed;
+use lentilreach_steer::version::lint::{differences, empty_domains, findings};
 use lentilreach_steer::version::routing::Share;
 
 /// A change of a configuration.
@@ -43,7 +45,7 @@
 /// Each rule finds its fault, and nothing else does.
 #[test]
 fn each_rule_finds_its_fault() {
-    let cases: [(&str, Edit); 9] = [
+    let cases: [(&str, Edit); 11] = [
         ("never-placed", |config| config.routes[0].split[0].weight = 0),
         ("idle-share", |config| {
             let share = Share { service: INVOICES.into(), weight: 0 };
@@ -63,6 +65,15 @@
             config.services[0].cold_per_s = 5.0;
             config.services[0].cold_ms = 0;
         }),
+        ("cold-rate-too-high", |config| {
+            config.services[0].connections = 50;
+            config.services[0].cold_per_s = 5_001.0;
+        }),
+        ("equal-priorities", |config| {
+            let share = Share { service: CALENDAR.into(), weight: 1 };
+            config.routes[1].split.push(share);
+            config.routes[1].objective_ms = 400;
+        }),
         ("idle-priorities", |config| config.routes[0].priority = 2),
     ];
 
@@ -72,6 +83,43 @@
     }
 }
 
+/// What just fits is no finding: a rate that the flows allow, and objectives that differ
+/// little or whose routes differ in priority.
+#[test]
+fn limits_that_fit_are_no_finding() {
+    let codes = codes(|config| {
+        config.services[0].connections = 50;
+        config.services[0].cold_per_s = 5_000.0;
+        let share = Share { service: CALENDAR.into(), weight: 1 };
+        config.routes[1].split = vec![share.clone()];
+        config.routes[1].objective_ms = 399;
+        let mut least_urgent = config.routes[1].clone();
+        least_urgent.address.set_port(444);
+        least_urgent.split = vec![Share { service: INVOICES.into(), weight: 1 }];
+        config.routes.push(least_urgent);
+    });
+
+    assert_eq!(codes, [""; 0]);
+}
+
+/// The name of a failure domain that is out of service may be mistyped.
+#[test]
+fn a_failure_domain_without_members_is_found() {
+    let member = |domain: &str| Listed {
+        address: calendar(),
+        role: Role::Balancer,
+        domain: domain.into(),
+        instance: None,
+    };
+    let out = ["a".into(), "aa".into()];
+
+    let findings = empty_domains(&out, &[member("a"), member("b")]);
+
+    let codes: Vec<_> = findings.iter().map(|finding| finding.code).collect();
+    assert_eq!(codes, ["empty-domain"]);
+    assert!(findings[0].message.contains("domain aa "), "{}", findings[0].message);
+}
+
 /// Priorities between routes of one service are what they are for.
 #[test]
 fn priorities_of_one_service_are_no_finding() {
