Place flows by expected work while backend servers differ in speed

Cause: placement by expected work was a setting that deploy/ left off, because the deployments whose backend servers are alike are to be served as before, and no configuration tells them apart.

Change: the setting `placement` has a third value, "auto": each node places the flows of a service by expected work once the slow tenth of its backend servers takes 1.8 times as long for a request as the fast tenth, until it is less than 1.4 times. A gauge and a log line show what a node has found. Halving the slots of cold backend servers in what agents advertise no longer depends on the setting: only placement by open flows uses that number.

Tests: the two limits and outliers, a floor that counts only then, equal decisions to those of open flows where all are alike, and half of what the oracle gains where a quarter is three times as slow.

--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -9,6 +9,7 @@
 use lentilreach_steer::process::backend::{Bounds, Report};
 use lentilreach_steer::process::balancer::Balancer;
 use lentilreach_steer::process::roster::Roster;
+use lentilreach_steer::process::settings::Placement;
 use lentilreach_steer::request::message::Heartbeat;
 use lentilreach_steer::version::routing::{Route, Routing, Service, Share};
 
@@ -482,6 +483,10 @@
         },
         max_flow_age_ms: 60_000,
         flows: 10_000,
-        states_load: load.policy == Policy::ExpectedWork,
+        placement: match load.policy {
+            Policy::ExpectedWork => Placement::ExpectedWork,
+            Policy::Auto => Placement::Auto,
+            _ => Placement::OpenFlows,
+        },
     }
 }
--- a/crates/standin/src/rush/mod.rs
+++ b/crates/standin/src/rush/mod.rs
@@ -24,6 +24,9 @@
     Objective,
     /// As [`Self::Objective`], and flows are placed by expected work.
     ExpectedWork,
+    /// As [`Self::ExpectedWork`] while backend servers differ in speed, and as
+    /// [`Self::Objective`] otherwise.
+    Auto,
     /// As [`Self::Objective`], and each opening goes to the less loaded of two agents.
     TwoChoices,
     /// As [`Self::Objective`], and each opening goes where it will be answered first,
@@ -37,9 +40,10 @@
 
 impl Policy {
     /// All policies.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Objective,
         Self::ExpectedWork,
+        Self::Auto,
         Self::TwoChoices,
         Self::Oracle,
         Self::Arrival,
@@ -51,6 +55,7 @@
         match self {
             Self::Objective => "objective",
             Self::ExpectedWork => "expected-work",
+            Self::Auto => "auto",
             Self::TwoChoices => "two-choices",
             Self::Oracle => "oracle",
             Self::Arrival => "arrival",
--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -227,6 +227,26 @@
     }
 }
 
+/// Where backend servers are alike, the automatic choice must decide as the number of open
+/// flows does; where they differ in speed, it must gain what expected work gains.
+#[test]
+fn auto_follows_the_speeds_of_backend_servers() {
+    let share = |policy| mean_shares(&[run(&Load { policy, ..uneven() })])[0];
+    let run_alike = |policy| {
+        let outcome = run(&Load { policy, slow: 0, ..uneven() });
+        (outcome.requests, outcome.seconds)
+    };
+
+    let open_flows = share(Policy::Objective);
+    let auto = share(Policy::Auto);
+    let oracle = share(Policy::Oracle);
+    let alike = [Policy::Objective, Policy::Auto].map(run_alike);
+
+    let gained = (auto - open_flows) / (oracle - open_flows);
+    assert!(gained >= 0.5, "{open_flows} {auto} {oracle}");
+    assert_eq!(alike[0], alike[1]);
+}
+
 /// While there is little to do, the choice among idle backend servers must not follow small
 /// errors of their speeds: one of them got nine times as many requests as another of the same
 /// speed. Those that are twice as fast get about twice as many.
--- a/crates/steer/benches/schedule.rs
+++ b/crates/steer/benches/schedule.rs
@@ -88,6 +88,7 @@
                 request: 400 + number % 100,
                 routes: Vec::new(),
                 floor: None,
+                is_conditional: false,
             }),
         };
         let address = SocketAddrV4::new(Ipv4Addr::from(0x0a01_0000 | number), 7_700);
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -22,6 +22,7 @@
 use crate::process::schedule::durations::Durations;
 use crate::process::schedule::health::Health;
 use crate::process::schedule::pressure::Pressure;
+use crate::process::settings::Placement;
 use crate::request::message::Search;
 use crate::request::segment::Segment;
 use crate::version::routing::Routing;
@@ -95,9 +96,8 @@
     backlog: Backlog,
     /// Which priorities the backend server has no room for.
     pressure: Pressure,
-    /// Whether the agent states the load of its backend server, so that flows are placed by
-    /// expected work.
-    states_load: bool,
+    /// Where flows go; decides whether the agent states the load of its backend server.
+    placement: Placement,
     /// Estimates how long flows stay open.
     lifetime: Lifetime,
     /// Whether the backend server resets flows or leaves requests unanswered.
@@ -159,7 +159,7 @@
             durations: Durations::default(),
             backlog: Backlog::default(),
             pressure: Pressure::default(),
-            states_load: limits.states_load,
+            placement: limits.placement,
             lifetime: Lifetime::default(),
             health: Health::default(),
             history: History::default(),
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -8,6 +8,7 @@
 
 use crate::connection::flow;
 use crate::process::backend::{self, Bounds};
+use crate::process::settings::Placement;
 use crate::request::message::{Announcement, Envelope, Search};
 use crate::request::segment::Segment;
 
@@ -20,9 +21,8 @@
     pub max_flow_age_ms: u64,
     /// Approximate number of flows to keep track of.
     pub flows: usize,
-    /// Whether the agent states the load of its backend server, see
-    /// [`Agent::stated_load`](super::Agent::stated_load).
-    pub states_load: bool,
+    /// Where flows go.
+    pub placement: Placement,
 }
 
 /// A segment from a caller with its forwarding state.
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -120,7 +120,7 @@
         };
         let report = self.backend.report()?;
         // How much slower a cold backend server is isn't known.
-        let is_slow = self.backend.is_cold(now) && !is_limited && !self.states_load;
+        let is_slow = self.backend.is_cold(now) && !is_limited;
         let slots = if is_slow { report.slots.div_ceil(2) } else { report.slots };
         Some(BackendStatus {
             service: report.service.to_string().into(),
--- a/crates/steer/src/process/agent/load.rs
+++ b/crates/steer/src/process/agent/load.rs
@@ -7,6 +7,7 @@
 
 use super::{Agent, Arrival};
 use crate::process::roster::Roster;
+use crate::process::settings::Placement;
 use crate::request::completion::{self, Choice};
 use crate::request::message::{self, Load};
 use crate::request::placement::{self, Request};
@@ -35,7 +36,7 @@
     /// What the backend server has to do and how long it takes; `None` if the settings say
     /// that flows are not placed by expected work, or if it has not reported.
     pub fn stated_load(&self, now: Millis) -> Option<Load> {
-        let report = self.backend.report().filter(|_| self.states_load)?;
+        let report = self.backend.report().filter(|_| self.states_load())?;
         let mean_ms = self.durations.mean_ms();
         // Others are like the mean, so they needn't be in every heartbeat.
         let differs = |(_, ms, is_long): &(SocketAddrV4, f64, bool)| {
@@ -58,9 +59,15 @@
             request: mean_ms.map_or(0, message::tenths),
             routes: routes.collect(),
             floor: self.pressure.floor(),
+            is_conditional: self.placement == Placement::Auto,
         })
     }
 
+    /// Whether the settings say that the load is stated.
+    fn states_load(&self) -> bool {
+        self.placement != Placement::OpenFlows
+    }
+
     /// Whether the load differs so much from the one that was last stated that other nodes
     /// should know at once.
     pub fn is_load_changed(&self, stated: &Load, now: Millis) -> bool {
@@ -109,7 +116,7 @@
         arrival: &Arrival,
     ) -> bool {
         let tried = &arrival.forwarding.tried;
-        if !self.states_load || tried.len() >= MAX_SOONER_OFFERS {
+        if !self.states_load() || tried.len() >= MAX_SOONER_OFFERS {
             return false;
         }
         let route = routing.route(arrival.segment.destination);
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -109,7 +109,7 @@
             bounds,
             max_flow_age_ms: settings.node.max_flow_age.as_millis() as u64,
             flows: settings.node.memory_mb as usize * FLOWS_PER_MB,
-            states_load: settings.states_load,
+            placement: settings.placement,
         };
         let (address, domain) = (settings.node.nodes, settings.node.domain.clone());
         let mut flows = agent::Agent::new(node.now(), address, domain, limits);
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -384,10 +384,22 @@
     /// [`HEARTBEAT_INTERVAL_MS`].
     pub fn tick(&self) {
         self.pause.write().tick(self.now());
-        let silent = self.roster.write().tick(self.now());
+        let (silent, speed_changes, uneven) = {
+            let mut roster = self.roster.write();
+            let silent = roster.tick(self.now());
+            (silent, roster.take_speed_changes(), roster.uneven_services())
+        };
         for member in silent {
             log::warn!(target: "member", member:% = member, change = "silent"; "member is silent");
         }
+        for (service, is_uneven) in speed_changes {
+            let change = if is_uneven { "uneven" } else { "even" };
+            log::info!(
+                target: "service", service:% = service, change = change;
+                "backend servers of a service have begun or ceased to differ in speed"
+            );
+        }
+        metric::set(&metric::UNEVEN_SERVICES, uneven as f64);
     }
 
     /// Tells all members and the registration that the node is leaving for good.
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -219,6 +219,14 @@
     "The least urgent priority that the backend server has room for; 255 for all.",
 );
 
+/// Number of services whose backend servers differ in speed.
+pub const UNEVEN_SERVICES: Metric = gauge(
+    "lentilreach_steer_uneven_services",
+    Unit::Count,
+    &[],
+    "Services whose backend servers differ in speed, as the node judges it.",
+);
+
 /// Number of nodes that forwarded a segment before it was delivered.
 pub const HOPS: Metric = Metric {
     name: "lentilreach_steer_hops",
@@ -256,6 +264,7 @@
     &GIVEN,
     &WAITING,
     &PRIORITY_FLOOR,
+    &UNEVEN_SERVICES,
     &HOPS,
 ];
 
--- a/crates/steer/src/process/roster.rs
+++ b/crates/steer/src/process/roster.rs
@@ -58,6 +58,8 @@
     left: Vec<Left>,
     /// What agents state about their services. Sorted by name.
     services: Vec<ServiceLoad>,
+    /// Changes of whether the backend servers of a service differ in speed.
+    speed_changes: Vec<(Name, bool)>,
 }
 
 /// An agent that has left.
@@ -247,6 +249,7 @@
             load: None,
             placed: Placed::default(),
             service_request_ms: None,
+            is_service_uneven: false,
         };
         self.members.insert(index, member);
     }
--- a/crates/steer/src/process/roster/estimate.rs
+++ b/crates/steer/src/process/roster/estimate.rs
@@ -40,6 +40,19 @@
 /// Weight of one statement in the average of an agent's jobs.
 const STATED_WEIGHT: f64 = 0.2;
 
+/// Ratio between the durations of slow and fast backend servers of a service from which they
+/// differ in speed.
+const UNEVEN_FROM: f64 = 1.8;
+
+/// The ratio below which they no longer do.
+const UNEVEN_UNTIL: f64 = 1.4;
+
+/// Part of the backend servers on each side that is left out of this ratio.
+const OUTLIERS: usize = 10;
+
+/// Number of known durations from which the ratio counts.
+const MIN_DURATIONS: usize = 4;
+
 /// What is expected of a backend server for a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Expectation {
@@ -94,10 +107,13 @@
 
 impl Member {
     /// What is expected of its backend server for a request of a route. Returns `None` if
-    /// the agent states no load, or if flows of the route are open for many requests, so
-    /// that the present work says little.
+    /// the agent states no load, if flows of its service are not placed by it, or if flows of
+    /// the route are open for many requests, so that the present work says little.
     pub fn expectation(&self, now: Millis, route: SocketAddrV4) -> Option<Expectation> {
         let load = self.load.as_ref()?;
+        if load.is_conditional && !self.is_service_uneven {
+            return None;
+        }
         let hash = route_hash(route);
         let of_route = load.routes.iter().find(|known| known.route == hash);
         if of_route.is_some_and(|known| known.is_long) {
@@ -162,7 +178,8 @@
     /// priorities have.
     pub fn floor(&self, service: &str) -> Option<u8> {
         let index = self.find_service(service).ok()?;
-        self.services[index].floor
+        let service = &self.services[index];
+        service.floor.filter(|_| service.is_placed_by_work())
     }
 
     /// Updates what is known about services from the last statements.
@@ -180,10 +197,12 @@
                 services.insert(
                     index,
                     ServiceLoad {
+                        is_uneven: self.is_uneven(&status.service),
                         name,
                         durations: Vec::new(),
                         request_ms: None,
                         floor: Some(0),
+                        is_conditional: false,
                     },
                 );
                 index
@@ -197,27 +216,68 @@
             );
             let floor = load.and_then(|load| load.floor);
             service.floor = service.floor.zip(floor).map(|(a, b)| a.max(b));
+            service.is_conditional |= load.is_some_and(|load| load.is_conditional);
         }
         for service in &mut services {
             service.durations.sort_by(f64::total_cmp);
             let middle = service.durations.len() / 2;
             service.request_ms = service.durations.get(middle).copied();
+            let before = service.is_uneven;
+            service.is_uneven = is_uneven(&service.durations, before);
+            if service.is_uneven != before {
+                self.speed_changes.push((service.name.clone(), service.is_uneven));
+            }
             service.durations = Vec::new();
         }
         self.services = services;
         for index in 0..self.members.len() {
             let status = self.members[index].backend_status.as_ref();
-            let mean = status.and_then(|status| self.request_ms(&status.service));
-            self.members[index].service_request_ms = mean;
+            let found = status.and_then(|status| self.find_service(&status.service).ok());
+            let service = found.map(|index| &self.services[index]);
+            let request_ms = service.and_then(|service| service.request_ms);
+            let is_uneven = service.is_some_and(|service| service.is_uneven);
+            self.members[index].service_request_ms = request_ms;
+            self.members[index].is_service_uneven = is_uneven;
         }
     }
 
+    /// Whether the backend servers of a service differed in speed at the last update.
+    fn is_uneven(&self, service: &str) -> bool {
+        self.find_service(service).is_ok_and(|index| self.services[index].is_uneven)
+    }
+
+    /// Number of services whose backend servers differ in speed.
+    pub fn uneven_services(&self) -> usize {
+        self.services.iter().filter(|service| service.is_uneven).count()
+    }
+
+    /// Returns the services whose backend servers have begun to differ in speed, or no longer
+    /// do, since the last call, each with whether they do now.
+    pub fn take_speed_changes(&mut self) -> Vec<(Name, bool)> {
+        std::mem::take(&mut self.speed_changes)
+    }
+
     /// The index of a service, or the index at which to insert it.
     fn find_service(&self, service: &str) -> Result<usize, usize> {
         self.services.binary_search_by(|known| (*known.name).cmp(service))
     }
 }
 
+/// Whether the sorted durations of a service's backend servers differ, given whether they did
+/// before.
+fn is_uneven(durations: &[f64], before: bool) -> bool {
+    let last = durations.len().saturating_sub(1);
+    let left_out = last / OUTLIERS;
+    let (Some(fast), Some(slow)) =
+        (durations.get(left_out), durations.get(last - left_out))
+    else {
+        return false;
+    };
+    let ratio = slow / fast.max(MIN_REQUEST_MS);
+    let limit = if before { UNEVEN_UNTIL } else { UNEVEN_FROM };
+    durations.len() >= MIN_DURATIONS && ratio >= limit
+}
+
 /// The time that a request takes at a backend server of which none is known yet, given that
 /// of its service. Such a backend server has usually just started and is slow.
 fn assumed_ms(usual_ms: Option<f64>) -> f64 {
@@ -235,4 +295,16 @@
     request_ms: Option<f64>,
     /// The least urgent priority that some agent has room for; `None` if all have.
     floor: Option<u8>,
+    /// Whether some agent states that flows are placed by expected work only while backend
+    /// servers differ in speed.
+    is_conditional: bool,
+    /// Whether they do.
+    is_uneven: bool,
+}
+
+impl ServiceLoad {
+    /// Whether flows are placed by what agents state.
+    fn is_placed_by_work(&self) -> bool {
+        self.is_uneven || !self.is_conditional
+    }
 }
--- a/crates/steer/src/process/roster/member.rs
+++ b/crates/steer/src/process/roster/member.rs
@@ -51,6 +51,8 @@
     pub(super) placed: Placed,
     /// Mean time that a request of its service takes, in milliseconds.
     pub(super) service_request_ms: Option<f64>,
+    /// Whether the backend servers of its service differ in speed.
+    pub(super) is_service_uneven: bool,
 }
 
 /// The function of a node.
--- a/crates/steer/src/process/settings.rs
+++ b/crates/steer/src/process/settings.rs
@@ -62,6 +62,10 @@
 /// answered first.
 const PLACEMENT_BY_WORK: &str = "expected_work";
 
+/// Value of the key `placement` by which the same applies only while the backend servers of
+/// the service differ in speed.
+const PLACEMENT_BY_NEED: &str = "auto";
+
 /// Value of the key `front_end` that selects this front end.
 const FRONT_END: &str = "segments";
 
@@ -132,9 +136,21 @@
     /// Whether the limits also apply to services whose configured rate is zero. Otherwise
     /// a cold backend server of such a service gets what its slots take.
     pub limits_zero_rate: bool,
-    /// Whether the agent states what its backend server has to do, so that balancers place
-    /// flows by expected work. They do if all agents of a service state it.
-    pub states_load: bool,
+    /// Where flows go that are placed on the backend server or its like.
+    pub placement: Placement,
+}
+
+/// Where flows go.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum Placement {
+    /// Where the fewest are open.
+    #[default]
+    OpenFlows,
+    /// Where their requests are expected to be answered first, if all agents of the service
+    /// state what their backend server has to do.
+    ExpectedWork,
+    /// The same, but only while the backend servers of the service differ in speed.
+    Auto,
 }
 
 impl Settings for Balancer {
@@ -198,7 +214,7 @@
             let overage = parser.decimal("cold_overage", 0.0..=MAX_RATE);
             let slack = parser.decimal("cold_slack", 0.0..=MAX_RATE);
             let limits_zero_rate = parser.limits_zero_rate();
-            let states_load = parser.states_load();
+            let placement = parser.placement();
             let node = parser.node();
             Some(Self {
                 node: node?,
@@ -210,7 +226,7 @@
                 cold_overage: overage?,
                 cold_slack: slack?,
                 limits_zero_rate: limits_zero_rate?,
-                states_load: states_load?,
+                placement: placement?,
             })
         });
         reader.finish(settings)
@@ -290,16 +306,21 @@
     }
 
     /// Reads how flows are placed.
-    fn states_load(&mut self) -> Option<bool> {
+    fn placement(&mut self) -> Option<Placement> {
         let key = "placement";
-        let Some(property) = self.root.get(key) else { return Some(false) };
+        let Some(property) = self.root.get(key) else {
+            return Some(Placement::default());
+        };
         match self.reader.string(&property.value, key)? {
-            PLACEMENT_BY_FLOWS => Some(false),
-            PLACEMENT_BY_WORK => Some(true),
+            PLACEMENT_BY_FLOWS => Some(Placement::OpenFlows),
+            PLACEMENT_BY_WORK => Some(Placement::ExpectedWork),
+            PLACEMENT_BY_NEED => Some(Placement::Auto),
             other => {
                 let message = format!("{key} is {other:?}");
-                let hint =
-                    format!("use \"{PLACEMENT_BY_FLOWS}\" or \"{PLACEMENT_BY_WORK}\"");
+                let hint = format!(
+                    "use \"{PLACEMENT_BY_FLOWS}\", \"{PLACEMENT_BY_WORK}\" or \
+                     \"{PLACEMENT_BY_NEED}\""
+                );
                 self.reader.error(&property.value, message, Some(hint));
                 None
             }
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -155,6 +155,9 @@
     pub routes: Vec<RouteLoad>,
     /// The least urgent priority that it has room for; `None` if it has for all.
     pub floor: Option<u8>,
+    /// Whether flows are placed by it only while the backend servers of the service differ
+    /// in speed.
+    pub is_conditional: bool,
 }
 
 /// Requests of a priority that wait for a backend server.
--- a/crates/steer/tests/completion.rs
+++ b/crates/steer/tests/completion.rs
@@ -24,6 +24,7 @@
         request: request_ms * 10,
         routes: Vec::new(),
         floor: None,
+        is_conditional: false,
     }
 }
 
@@ -183,6 +184,53 @@
     assert!(placed.is_some());
 }
 
+/// Loads of agents with these durations of a request, which count only while the backend
+/// servers differ in speed.
+fn conditional(durations_ms: &[u32]) -> Vec<(&'static str, Load)> {
+    let load = |ms: &u32| Load { is_conditional: true, ..load(*ms, 0) };
+    durations_ms.iter().map(|ms| ("a", load(ms))).collect()
+}
+
+/// Hears new durations of all agents, and returns whether flows are placed by them.
+fn is_placed_by_work(roster: &mut Roster, durations_ms: &[u32]) -> bool {
+    for (index, (domain, load)) in conditional(durations_ms).iter().enumerate() {
+        hear(roster, index as u8 + 1, domain, load);
+    }
+    roster.tick(NOW);
+    choose(roster, 1).is_some()
+}
+
+/// Where backend servers are alike, flows are placed as before. A difference that lies
+/// between the two limits must not switch the placement back and forth.
+#[test]
+fn auto_places_by_work_while_backend_servers_differ_in_speed() {
+    let alike = [20, 21, 22, 24, 26];
+    let mut roster = roster(&conditional(&alike));
+
+    let begin = choose(&roster, 1);
+    let slightly = is_placed_by_work(&mut roster, &[20, 20, 20, 20, 34]);
+    let clearly = is_placed_by_work(&mut roster, &[20, 20, 20, 20, 40]);
+    let slightly_again = is_placed_by_work(&mut roster, &[20, 20, 20, 20, 34]);
+    let at_last = is_placed_by_work(&mut roster, &alike);
+
+    assert_eq!(begin, None);
+    assert_eq!([slightly, clearly, slightly_again, at_last], [false, true, true, false]);
+    let changes = [true, false].map(|is_uneven| (CALENDAR.into(), is_uneven));
+    assert_eq!(roster.take_speed_changes(), changes);
+}
+
+/// One backend server of many that turned slow is avoided by other means, and a few
+/// durations tell little.
+#[test]
+fn auto_needs_more_than_an_outlier() {
+    let mut of_twelve = [20; 12];
+    of_twelve[0] = 200;
+    let three = conditional(&[20, 20, 60]);
+
+    assert_eq!(choose(&roster(&conditional(&of_twelve)), 1), None);
+    assert_eq!(choose(&roster(&three), 1), None);
+}
+
 /// A node of the version before must read the heartbeats of this one, and the other way
 /// round, or halves of a fleet would not hear each other while it is updated.
 #[test]
--- a/crates/steer/tests/pressure.rs
+++ b/crates/steer/tests/pressure.rs
@@ -7,7 +7,7 @@
 use lentilreach_steer::process::balancer::{Action, Balancer, Refusal};
 use lentilreach_steer::process::roster::Roster;
 use lentilreach_steer::process::schedule::pressure::Pressure;
-use lentilreach_steer::request::message::{Load, Stage};
+use lentilreach_steer::request::message::{Heartbeat, Load, Stage};
 
 /// Interval in which waits are compared, in milliseconds.
 const INTERVAL_MS: u64 = 500;
@@ -27,7 +27,8 @@
 /// A load with a floor.
 fn load(floor: Option<u8>) -> Load {
     let (given, slots, request) = (70, 5, 400);
-    Load { given, waiting: Vec::new(), slots, request, routes: Vec::new(), floor }
+    let (waiting, routes) = (Vec::new(), Vec::new());
+    Load { given, waiting, slots, request, routes, floor, is_conditional: false }
 }
 
 /// A roster of agents that state these floors.
@@ -111,6 +112,22 @@
     assert!(!is_refused(&one_is_older, 2));
 }
 
+/// While flows are placed by their number, nobody is refused at the door by what agents state.
+#[test]
+fn a_floor_counts_only_where_flows_are_placed_by_work() {
+    let heartbeat = |sequence| Heartbeat {
+        load: Some(Load { is_conditional: true, ..load(Some(1)) }),
+        ..agent_heartbeat(sequence, "a", Stage::Ready, 0)
+    };
+    let mut roster = Roster::new();
+    let address = fixture::agent_address(1);
+
+    roster.record_heartbeat(fixture::NOW, address, &heartbeat(1)).expect("the first");
+    roster.tick(fixture::NOW);
+
+    assert!(!is_refused(&roster, 2));
+}
+
 /// Statements of agents that are no longer heard must not keep a door closed.
 #[test]
 fn stale_statements_open_the_door() {
