Count the bytes of messages to other nodes by kind

Change: counter lentilreach_steer_message_bytes_total with the kind of message. The test calls what did not exist before.

--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -11,6 +11,7 @@
 pub mod probe;
 mod receive;
 mod register;
+mod traffic;
 
 pub use agent::Agent;
 pub use balancer::Balancer;
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -12,6 +12,7 @@
 use lentilreach::process::store::Range;
 use lentilreach::process::tables;
 
+use super::traffic::Traffic;
 use super::{send_datagram, sleep};
 use crate::connection::flow;
 use crate::process::backend::record::Instance;
@@ -78,6 +79,8 @@
     /// The node in this failure domain that reported it first; `None` if it is in another
     /// one.
     newest_source: Ranked<Option<SocketAddrV4>>,
+    /// Bytes sent to other nodes.
+    pub traffic: Traffic,
     /// Detects that the process was paused.
     pause: Ranked<Pause>,
     /// The documents to send to other nodes; `None` while there are none or too many.
@@ -117,6 +120,7 @@
         Arc::new(Self {
             settings,
             clock,
+            traffic: Traffic::default(),
             pause: Ranked::new(tables::EVENTS, pause),
             link,
             routing: Ranked::new(tables::CONFIG, Arc::default()),
@@ -205,7 +209,9 @@
 
     /// Sends a message to another node.
     pub fn send(&self, to: SocketAddrV4, message: &Message<'_>) {
-        send_datagram(&self.link, SocketAddr::V4(to), &message.encode());
+        let bytes = message.encode();
+        self.traffic.record(message, bytes.len());
+        send_datagram(&self.link, SocketAddr::V4(to), &bytes);
     }
 
     /// Address at which the caller of a flow receives segments.
@@ -400,6 +406,7 @@
             );
         }
         metric::set(&metric::UNEVEN_SERVICES, uneven as f64);
+        self.traffic.publish();
     }
 
     /// Tells all members and the registration that the node is leaving for good.
--- a/crates/steer/src/process/metric.rs
+++ b/crates/steer/src/process/metric.rs
@@ -227,6 +227,16 @@
     "Services whose backend servers differ in speed, as the node judges it.",
 );
 
+/// Bytes of messages to other nodes.
+pub const MESSAGE_BYTES: Metric = Metric {
+    unit: Unit::Bytes,
+    ..counter(
+        "lentilreach_steer_message_bytes_total",
+        &["kind"],
+        "Bytes of messages to other nodes, without the headers of datagrams.",
+    )
+};
+
 /// Number of nodes that forwarded a segment before it was delivered.
 pub const HOPS: Metric = Metric {
     name: "lentilreach_steer_hops",
@@ -248,6 +258,7 @@
     &DROPPED,
     &INVALID,
     &SEND_ERRORS,
+    &MESSAGE_BYTES,
     &QUESTIONS,
     &HANDOVERS,
     &KEPT,
@@ -289,6 +300,13 @@
     }
 }
 
+/// Sets a counter with a value for its label to a total that is kept elsewhere.
+pub fn set_total(metric: &Metric, value: &'static str, total: u64) {
+    if let [label] = metric.labels {
+        metrics::counter!(metric.name, *label => value).absolute(total);
+    }
+}
+
 /// Sets a gauge without labels.
 pub fn set(metric: &Metric, value: f64) {
     metrics::gauge!(metric.name).set(value);
--- a/crates/steer/tests/node.rs
+++ b/crates/steer/tests/node.rs
@@ -8,14 +8,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use fixture::{agent_address, agent_heartbeat, balancer_address, routing};
+use fixture::{agent_address, agent_heartbeat, balancer_address, flow, routing};
 use lentilreach::process::link::Link;
 use lentilreach::process::store::Range;
 use lentilreach_steer::process::documents::share::Encoded;
 use lentilreach_steer::process::driver::Node;
 use lentilreach_steer::process::roster::Role;
 use lentilreach_steer::process::settings;
-use lentilreach_steer::request::message::{Heartbeat, Stage};
+use lentilreach_steer::request::message::{Heartbeat, Message, Stage};
 use smol::Timer;
 
 /// A link on which nothing arrives. Records the receivers of all datagrams.
@@ -92,6 +92,23 @@
     assert_eq!(node.ready(), Ok(()));
 }
 
+/// What a node sends costs money between failure domains, so operators need to see which
+/// messages it consists of.
+#[test]
+fn bytes_are_counted_by_kind_of_message() {
+    let node = node();
+    let leave = Message::Leave(1);
+    let not_found = Message::NotFound(flow(1));
+
+    node.send(agent_address(1), &leave);
+    node.send(agent_address(2), &leave);
+    node.send(agent_address(1), &not_found);
+
+    let sent: Vec<_> = node.traffic.bytes().filter(|(_, bytes)| *bytes > 0).collect();
+    let length = |message: &Message<'_>| message.encode().len() as u64;
+    assert_eq!(sent, [("answer", length(&not_found)), ("leave", 2 * length(&leave))]);
+}
+
 /// Heartbeats between failure domains cost money, and most of those of balancers tell
 /// their receivers nothing that they use.
 #[test]
