--- a/crates/lentilreach-cli/src/measure.rs
+++ b/crates/lentilreach-cli/src/measure.rs
@@ -105,11 +105,30 @@
                 .help("How agents admit openings"),
         )
         .arg(
-            Arg::new("svg").long("svg").value_name("FILE").help("Write a plot to a file"),
+            Arg::new("svg")
+                .long("svg")
+                .value_name("FILE")
+                .help("Write a plot of what callers get to a file"),
+        )
+        .arg(
+            Arg::new("waits-svg")
+                .long("waits-svg")
+                .value_name("FILE")
+                .help("Write a plot of times until an answer, by urgency, to a file"),
         )
         .arg(report_arg())
 }
 
+/// Writes a plot to the file that an option names, if it is given.
+fn write_plot(
+    matches: &ArgMatches,
+    option: &str,
+    draw: impl FnOnce() -> plot::Figure,
+) -> Result<(), String> {
+    let Some(path) = matches.get_one::<String>(option) else { return Ok(()) };
+    std::fs::write(path, draw().svg).map_err(|error| format!("{path}: {error}"))
+}
+
 /// Plays a rush and formats its outcome.
 fn run_rush(matches: &ArgMatches) -> Result<String, String> {
     let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
@@ -139,10 +158,8 @@
         ..Load::default()
     };
     let outcome = rush::run(&load);
-    if let Some(path) = matches.get_one::<String>("svg") {
-        let svg = plot::rush(&outcome.seconds).svg;
-        std::fs::write(path, svg).map_err(|error| format!("{path}: {error}"))?;
-    }
+    write_plot(matches, "svg", || plot::rush(&outcome.seconds))?;
+    write_plot(matches, "waits-svg", || plot::rush_waits(&outcome.seconds))?;
     if is_json(matches) {
         return format_report(&outcome, matches)
             .map_err(|error| format!("the report cannot be printed: {error}"));
--- a/crates/lentilreach-cli/tests/measure.rs
+++ b/crates/lentilreach-cli/tests/measure.rs
@@ -45,15 +45,19 @@
 /// Guards against a plot or a report that can't be written.
 #[test]
 fn a_rush_is_played_and_plotted() {
-    let file = std::env::temp_dir().join(format!("rush-{}.svg", std::process::id()));
-    let path = file.to_str().expect("a path in UTF-8");
-    let matches = parse(&["rush", "--servers", "3", "--per-s", "50", "--svg", path])
-        .expect("the arguments are valid");
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = |name| directory.path().join(name).display().to_string();
+    let (plot, waits) = (path("rush.svg"), path("waits.svg"));
+    let load = ["rush", "--servers", "3", "--per-s", "50"];
+    let plots = ["--svg", &plot, "--waits-svg", &waits];
+    let arguments: Vec<_> = load.into_iter().chain(plots).collect();
+    let matches = parse(&arguments).expect("the arguments are valid");
 
     let status = measure::run(&matches);
 
-    let svg = std::fs::read_to_string(&file).expect("a plot was written");
-    std::fs::remove_file(&file).expect("the file exists");
+    let read = |path| std::fs::read_to_string(path).expect("a plot was written");
+    let (plot, waits) = (read(&plot), read(&waits));
     assert_eq!(format!("{status:?}"), format!("{:?}", std::process::ExitCode::SUCCESS));
-    assert!(svg.starts_with("<svg"), "{:.40}", svg);
+    assert!(plot.starts_with("<svg") && waits.starts_with("<svg"), "{plot:.40}");
+    assert_ne!(plot, waits);
 }
--- a/crates/standin/src/plot.rs
+++ b/crates/standin/src/plot.rs
@@ -57,20 +57,42 @@
 /// Draws the requests of a rush by the second in which they were made: in time, late, and
 /// not answered. A mark shows the end of the outage.
 pub fn rush(seconds: &[rush::Second]) -> Figure {
+    let sum = |counts: [u32; 2]| f64::from(counts.iter().sum::<u32>());
+    draw_rush(
+        seconds,
+        &[
+            ("in time", RGBColor(0, 114, 178), &|second| sum(second.in_time)),
+            ("late", RGBColor(230, 159, 0), &|second| sum(second.late)),
+            ("not answered", RGBColor(213, 94, 0), &|second| sum(second.failed)),
+        ],
+    )
+}
+
+/// Draws the mean time until an answer, in milliseconds, by the second in which the requests
+/// of a rush were made: a line for the urgent ones and one for the others.
+pub fn rush_waits(seconds: &[rush::Second]) -> Figure {
+    draw_rush(
+        seconds,
+        &[
+            ("less urgent", RGBColor(230, 159, 0), &|second| second.mean_ms_of(0)),
+            ("more urgent", RGBColor(0, 114, 178), &|second| second.mean_ms_of(1)),
+        ],
+    )
+}
+
+/// The name, the colour and the values of a line of a rush.
+type RushLine<'a> = (&'a str, RGBColor, &'a dyn Fn(&rush::Second) -> f64);
+
+/// Draws lines over the seconds of a rush.
+fn draw_rush(seconds: &[rush::Second], lines: &[RushLine<'_>]) -> Figure {
     let first = seconds.first().map_or(0, |second| second.second);
-    let curve = |name: &str, colour: RGBColor, value: fn(&rush::Second) -> [u32; 2]| {
-        let point = |second: &rush::Second| {
-            let count: u32 = value(second).iter().sum();
-            ((second.second - first) as u32, f64::from(count))
-        };
-        let points = seconds.iter().map(point).collect();
-        Curve { name: name.into(), colour: colour.to_rgba(), points }
+    let at = |second: &rush::Second| (second.second - first) as u32;
+    let curve = |(name, colour, value): &RushLine<'_>| Curve {
+        name: (*name).into(),
+        colour: colour.to_rgba(),
+        points: seconds.iter().map(|second| (at(second), value(second))).collect(),
     };
-    let curves = [
-        curve("in time", RGBColor(0, 114, 178), |second| second.in_time),
-        curve("late", RGBColor(230, 159, 0), |second| second.late),
-        curve("not answered", RGBColor(213, 94, 0), |second| second.failed),
-    ];
+    let curves: Vec<_> = lines.iter().map(curve).collect();
     let end_of_outage = u32::try_from(-first).unwrap_or_default();
     draw(&[(end_of_outage, "end of the outage".to_owned())], &curves)
 }
--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -434,12 +434,15 @@
                 }
             };
             let took = request.answered.map(|answered| answered - request.made);
+            let second = &mut seconds[index];
+            let took = took.filter(|ms| *ms <= deadline_ms);
             let counts = match took {
-                Some(ms) if ms <= objective_ms => &mut seconds[index].in_time,
-                Some(ms) if ms <= deadline_ms => &mut seconds[index].late,
-                _ => &mut seconds[index].failed,
+                Some(ms) if ms <= objective_ms => &mut second.in_time,
+                Some(_) => &mut second.late,
+                None => &mut second.failed,
             };
             counts[request.class] += 1;
+            second.answer_ms[request.class] += took.unwrap_or(0);
             self.outcome.run_twice += u32::from(request.runs > 1);
             self.outcome.refused_but_run += u32::from(request.refused & request.ran != 0);
         }
--- a/crates/standin/src/rush/mod.rs
+++ b/crates/standin/src/rush/mod.rs
@@ -192,6 +192,8 @@
     pub late: [u32; 2],
     /// Requests that were not answered, by class.
     pub failed: [u32; 2],
+    /// Sum of the times until an answer before the deadline, by class, in milliseconds.
+    pub answer_ms: [Tick; 2],
 }
 
 impl Second {
@@ -201,6 +203,13 @@
         f64::from(self.in_time[class]) / f64::from(total.max(1))
     }
 
+    /// Mean time until an answer of the requests of a class, in milliseconds; 0 if none was
+    /// answered before its deadline.
+    pub fn mean_ms_of(&self, class: usize) -> f64 {
+        let answered = self.in_time[class] + self.late[class];
+        self.answer_ms[class] as f64 / f64::from(answered.max(1))
+    }
+
     /// Share of all requests that were answered within their objective.
     pub fn share_in_time(&self) -> f64 {
         let sum = |counts: [u32; 2]| counts.iter().sum::<u32>();
--- a/crates/standin/tests/rush.rs
+++ b/crates/standin/tests/rush.rs
@@ -227,6 +227,19 @@
     }
 }
 
+/// Under a crowd, urgent requests must not wait as long as the others, and the means must be
+/// of requests that were answered.
+#[test]
+fn urgent_requests_wait_less() {
+    let outcome = run(&Load { servers: 6, ..Load::default() });
+
+    let first = second(&outcome, 0);
+    let [less_urgent, urgent] = [0, 1].map(|class| first.mean_ms_of(class));
+
+    assert!(urgent > 0.0 && urgent * 2.0 < less_urgent, "{urgent} {less_urgent}");
+    assert_eq!(Second::default().mean_ms_of(0), 0.0);
+}
+
 /// Where backend servers are alike, the automatic choice must decide as the number of open
 /// flows does; where they differ in speed, it must gain what expected work gains.
 #[test]
