--- a/crates/lentilreach-cli/src/check/segments.rs
+++ b/crates/lentilreach-cli/src/check/segments.rs
@@ -4,6 +4,7 @@
 
 use clap::ArgMatches;
 use futures_lite::future;
+use lentilreach::Name;
 use lentilreach::process::input;
 use lentilreach::process::store::{Client, Error, Range, Store as _};
 use lentilreach::version::lint::Finding;
@@ -85,7 +86,7 @@
     }
 
     /// The failure domains that are out of service.
-    fn domains_out(&self) -> Vec<lentilreach::Name> {
+    fn domains_out(&self) -> Vec<Name> {
         let kinds =
             self.documents.entries.iter().map(|entry| config::Source.kind(&entry.key));
         let domain = |kind| match kind {
