Deliver no opening to a new instance without a record, unless it has reported often

Cause: an agent that starts while the store is down delivered openings without naming the instance of its backend server in its entry (`Record::Unknown` covered every instance). If all processes were killed before it could, the next process found an earlier instance in the entry, took the present one for unused and stated that it knew all flows of it. Home nodes took that as proof.

Ruled out: the index of the home nodes (empty, and stated so), the end of the lease (then the entry is missing and nothing is claimed), a late report.

Change: reports of an instance are numbered. Openings without a record are only delivered after its third report, and the claim by record requires that the first report which the process got was one of the first three. The two exclude each other, whatever processes there were in between. An agent doesn't wait for the store any more if its backend server was running before it. `Pending` and `record_failed` are gone.

`openings_are_delivered_while_the_store_does_not_answer` demanded an opening for an instance that had reported once, which is the fault. It now demands openings at once for a running instance, and after the third report for a new one, and none before that. `Agent::new` of tests is followed by a written record, as in the daemon; the model writes records through the world, and its scenario for the missing record opens the flow while the instance is young.

--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -6,6 +6,7 @@
 use fastrand::Rng;
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::process::agent::{Agent, Limits};
+use lentilreach_steer::process::backend::record::Record;
 use lentilreach_steer::process::backend::{Bounds, Report};
 use lentilreach_steer::process::balancer::Balancer;
 use lentilreach_steer::process::roster::Roster;
@@ -289,12 +290,7 @@
         };
         self.fronts = (0..load.balancers).map(front).collect();
         let side = |number| Side {
-            agent: Agent::new(
-                Millis(now),
-                agent_address(number),
-                domain(load, number),
-                limits(load),
-            ),
+            agent: start_agent(load, Millis(now), number),
             roster: Roster::new(),
             server: Server::new(load, now + cold_ms, number),
             reports: 0,
@@ -474,6 +470,15 @@
     }
 }
 
+/// An agent that has just started and written its entry in the store, which named no backend
+/// server.
+fn start_agent(load: &Load, now: Millis, number: u8) -> Agent {
+    let (address, domain) = (agent_address(number), domain(load, number));
+    let mut agent = Agent::new(now, address, domain, limits(load));
+    agent.record_written(now, &Routing::default(), Record::Empty, Record::Empty);
+    agent
+}
+
 /// The limits of an agent.
 fn limits(load: &Load) -> Limits {
     Limits {
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -114,7 +114,7 @@
         let (open, busy) = self.load(now);
         let is_limited = self.cold_rate(routing).is_some();
         let stage = match self.backend.stage(now)? {
-            _ if !self.is_recorded() => message::Stage::Closed,
+            _ if !self.is_use_evident() => message::Stage::Closed,
             message::Stage::Cold if !is_limited => message::Stage::Ready,
             stage => stage,
         };
@@ -162,7 +162,7 @@
         if routing.is_out(&self.domain) {
             return Err(Cause::DomainOut);
         }
-        if !self.is_recorded() {
+        if !self.is_use_evident() {
             return Err(backend::Refusal::Unrecorded.into());
         }
         let service = routing.service(&report.service);
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -16,8 +16,9 @@
 pub(super) enum Knowledge {
     /// There may be some: an earlier process may have opened them.
     Partial,
-    /// There are none, since no earlier process has recorded in the store that it used this
-    /// instance. One that another node still knows may have been opened between the start of
+    /// There are none, since no earlier process can have used this instance: none has recorded
+    /// that, and the instance had not made the reports yet without which it is only used if it
+    /// is recorded. One that another node still knows may have been opened between the start of
     /// the instance and its first report.
     Recorded,
     /// There are none: this process has recorded everything that could open one.
@@ -105,8 +106,9 @@
 
     /// Determines whether all flows of the backend server are known because they have been
     /// recorded for longer than any flow may be idle or may exist, or because the record in
-    /// the store shows that no earlier process has used this instance. The service must have
-    /// been confirmed for the latter: other writers may report any instance.
+    /// the store and the number of its first report show that no earlier process has used this
+    /// instance. The service must have been confirmed for the latter: other writers may report
+    /// any instance.
     pub fn update_knowledge(&mut self, now: Millis, routing: &Routing) {
         self.confirm_service(routing);
         let recorded_ms = now.since(self.recorded_since);
@@ -118,6 +120,7 @@
         let is_unused = self.instance().is_some_and(|i| self.found_record.excludes(&i));
         if self.knowledge == Knowledge::Partial
             && is_unused
+            && self.backend.was_heard_early()
             && self.has_all_since_start
             && self.is_confirmed
         {
@@ -125,12 +128,6 @@
         }
     }
 
-    /// Lets openings wait until the record in the store has been written, or the store has
-    /// failed to answer. Must be called before any other event by a process that writes one.
-    pub fn expect_record(&mut self) {
-        self.record = Record::Pending;
-    }
-
     /// Processes the outcome of writing the record: what it said `before`, and what it says
     /// now. Only the first `before` tells what earlier processes have used. Returns whether
     /// other nodes should know the effect.
@@ -141,23 +138,13 @@
         before: Record,
         after: Record,
     ) -> bool {
-        let known = (self.is_recorded(), self.knowledge);
+        let known = (self.is_use_evident(), self.knowledge);
         if self.found_record == Record::Unknown {
             self.found_record = before;
         }
         self.record = after;
         self.update_knowledge(now, routing);
-        known != (self.is_recorded(), self.knowledge)
-    }
-
-    /// Processes that the record couldn't be written. Returns whether openings waited for
-    /// it.
-    pub fn record_failed(&mut self) -> bool {
-        let was_pending = self.record == Record::Pending;
-        if was_pending {
-            self.record = Record::Unknown;
-        }
-        was_pending
+        known != (self.is_use_evident(), self.knowledge)
     }
 
     /// The instance that has reported last.
@@ -165,10 +152,11 @@
         self.backend.report().map(Instance::from)
     }
 
-    /// Whether the record in the store allows openings to be delivered to the current
-    /// instance.
-    pub(super) fn is_recorded(&self) -> bool {
-        self.instance().is_none_or(|instance| self.record.covers(&instance))
+    /// Whether openings may be delivered to the current instance: no later process takes it
+    /// for unused, because of the record in the store or the number of its reports.
+    pub fn is_use_evident(&self) -> bool {
+        let Some(report) = self.backend.report() else { return true };
+        !report.is_early() || self.record.covers(&Instance::from(report))
     }
 
     /// Whether the record named the current instance when this process started.
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -6,6 +6,7 @@
 use lentilreach::process::clock::Millis;
 
 use crate::request::message::Stage;
+use record::EARLY_REPORTS;
 
 pub mod record;
 
@@ -93,7 +94,8 @@
     Busy,
     /// The agent is stopping.
     Stopping,
-    /// The store doesn't name the current instance yet, see [`record`].
+    /// The current instance has just started, and the store doesn't name it yet, see
+    /// [`record`].
     Unrecorded,
 }
 
@@ -145,6 +147,8 @@
     alive_at: Millis,
     /// When the first report of the current instance arrived.
     instance_since: Millis,
+    /// Whether that was one of the first that the instance made.
+    was_heard_early: bool,
     /// Sequence number and arrival of the first outdated report since then.
     outdated: Option<(u64, Millis)>,
     /// When the backend server said that it is shutting down.
@@ -181,6 +185,7 @@
             last_report: Millis(0),
             alive_at: Millis(0),
             instance_since: Millis(0),
+            was_heard_early: false,
             outdated: None,
             leaving_since: None,
             is_gone: false,
@@ -233,6 +238,7 @@
         };
         if matches!(change, Change::Started { .. }) {
             self.instance_since = now;
+            self.was_heard_early = report.is_early();
             self.alive_at = Millis(0);
         }
         self.last_report = now;
@@ -262,6 +268,12 @@
         self.instance_since
     }
 
+    /// Whether the first report of the current instance that reached this process was one of
+    /// the first that the instance made.
+    pub fn was_heard_early(&self) -> bool {
+        self.was_heard_early
+    }
+
     /// Records that the current instance started after this process, so that no other one
     /// can have given it openings.
     pub fn record_later_start(&mut self) {
@@ -454,4 +466,9 @@
     pub fn is_same_instance(&self, other: &Self) -> bool {
         self.id == other.id && self.started_ms == other.started_ms
     }
+
+    /// Whether it is one of the first reports of its instance, see [`record`].
+    pub fn is_early(&self) -> bool {
+        self.sequence <= EARLY_REPORTS
+    }
 }
--- a/crates/steer/src/process/backend/record.rs
+++ b/crates/steer/src/process/backend/record.rs
@@ -3,15 +3,24 @@
 //! Answers the seconds after a loss of power: callers go on with flows of before, and nobody
 //! may end these as long as some backend server could hold them. An agent that has just
 //! started can't tell what earlier processes have delivered to its backend server, unless it
-//! is written down. So an agent delivers no opening to an instance before its entry names that
-//! instance, and a process that finds another instance in the entry knows that no earlier one
-//! has used the current one.
+//! is written down. So an agent delivers no opening to an instance that has just started before
+//! its entry names that instance. A process that finds another instance in the entry, and gets
+//! one of the first reports of the current one, knows that no earlier process has used it.
+//!
+//! Service doesn't depend on the store: an instance that has made more than [`EARLY_REPORTS`]
+//! reports is given openings without a record. Reports are numbered, so no process takes it for
+//! unused after that.
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Report;
 
+/// Number of reports that an instance makes before it can get openings without a record.
+/// Usually the first one arrives; an agent that starts later than its backend server may miss
+/// some.
+pub const EARLY_REPORTS: u64 = 3;
+
 /// Identifies an instance of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -41,12 +50,9 @@
 /// The instance that an agent's entry in the store names.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum Record {
-    /// Not known, because the store doesn't answer. Agents deliver openings nevertheless:
-    /// service doesn't depend on the store.
+    /// Not known: the entry has not been written yet, or the store doesn't answer.
     #[default]
     Unknown,
-    /// Not known yet: the entry is being written.
-    Pending,
     /// There is no entry, or it names no instance. What earlier processes have used isn't
     /// known.
     Empty,
@@ -59,18 +65,16 @@
     pub fn as_str(&self) -> &'static str {
         match self {
             Self::Unknown => "unknown",
-            Self::Pending => "pending",
             Self::Empty => "empty",
             Self::Names(_) => "named",
         }
     }
 
-    /// Whether an opening may be delivered to an instance: no later process takes the
-    /// instance for unused.
+    /// Whether no later process takes an instance for unused because of this record.
     pub fn covers(&self, instance: &Instance) -> bool {
         match self {
-            Self::Unknown | Self::Empty => true,
-            Self::Pending => false,
+            Self::Unknown => false,
+            Self::Empty => true,
             Self::Names(named) => named == instance,
         }
     }
@@ -80,8 +84,8 @@
         matches!(self, Self::Names(named) if named == instance)
     }
 
-    /// Whether no process that has written the entry has used an instance, because the entry
-    /// names an earlier one. A report of an earlier instance may arrive late.
+    /// Whether the entry names an earlier instance, so that no process has used this one with
+    /// a record. A report of an earlier instance may arrive late.
     pub fn excludes(&self, instance: &Instance) -> bool {
         matches!(self, Self::Names(named) if named.precedes(instance))
     }
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -112,8 +112,7 @@
             placement: settings.placement,
         };
         let (address, domain) = (settings.node.nodes, settings.node.domain.clone());
-        let mut flows = agent::Agent::new(node.now(), address, domain, limits);
-        flows.expect_record();
+        let flows = agent::Agent::new(node.now(), address, domain, limits);
         let flows = Ranked::new(tables::CONNECTIONS, flows);
         let server = settings.server;
         let state = Arc::new(State {
@@ -195,13 +194,6 @@
             self.release();
         }
     }
-
-    fn record_failed(&self) {
-        if self.flows.write().record_failed() {
-            log::warn!(target: "record", change = "lost"; "instance of the backend server could not be recorded");
-            self.broadcast_heartbeat();
-        }
-    }
 }
 
 impl<F: Format, L: Link> State<F, L> {
--- a/crates/steer/src/process/driver/agent/report.rs
+++ b/crates/steer/src/process/driver/agent/report.rs
@@ -34,20 +34,27 @@
         let cold_ms = report.cold_ms;
         let (now, routing) = (state.node.now(), state.node.routing());
         report.delay_ms += u64::from(state.node.delay_ms(now));
-        let (change, ended) = {
+        let (change, ended, is_unrecorded) = {
             let mut flows = state.flows.write();
             if flows.is_foreign(now, &routing, &report) {
                 return Err(Foreign { service });
             }
-            let outcome = flows.report(now, report);
+            let was_closed = !flows.is_use_evident();
+            let (change, ended) = flows.report(now, report);
             flows.update_knowledge(now, &routing);
             state.node.record_instance(flows.instance());
-            outcome
+            (change, ended, was_closed && flows.is_use_evident())
         };
+        if is_unrecorded {
+            log::warn!(target: "record", change = "missing", sequence = sequence; "backend server is given openings although the store doesn't name it");
+        }
         state.reset_callers(&ended, "replaced");
         state.release();
-        if matches!(change, Change::Started { .. } | Change::Stage) {
+        let is_changed = matches!(change, Change::Started { .. } | Change::Stage);
+        if is_changed || is_unrecorded {
             state.broadcast_heartbeat();
+        }
+        if is_changed {
             log::info!(
                 target: "backend", id:% = id, service:% = service, sequence = sequence,
                 change:? = change, draining = is_draining, cold_ms = cold_ms;
--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -64,9 +64,6 @@
     /// Processes that the node's own entry was written: what it said of the backend server
     /// before, and what it says now.
     fn record_written(&self, _before: Record, _after: Record) {}
-
-    /// Processes that the node's own entry couldn't be written.
-    fn record_failed(&self) {}
 }
 
 /// Starts the tasks that use the store: following the operators' documents and
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -74,7 +74,6 @@
                 if !std::mem::replace(&mut is_lost, true) {
                     log::warn!(target: "store", change = "lost", call = "register", cause:% = error; "store is unreachable");
                 }
-                entry.observer.record_failed();
                 sleep(backoff.next(fastrand::u64(..))).await;
             }
         }
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -8,7 +8,7 @@
     forwarded, from_backend, limits, mark, open, opening, report, request, returned,
     roster, routing,
 };
-use lentilreach_steer::process::agent::{Action, Agent, BackendAction, Cause, Ended};
+use lentilreach_steer::process::agent::{Action, BackendAction, Cause, Ended};
 use lentilreach_steer::process::backend::{Change, Refusal, Report};
 use lentilreach_steer::request::message::Search;
 use lentilreach_steer::request::segment::Flags;
@@ -210,7 +210,7 @@
 #[test]
 fn a_restarted_agent_delivers_segments_of_unknown_flows() {
     let roster = roster(NOW, 6, &["a", "b"]);
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     agent.report(NOW, report(17));
     let key = flow_homed_elsewhere(&roster);
     let segment = request(key, FIRST_SEQUENCE);
@@ -234,7 +234,7 @@
 #[test]
 fn a_walk_delivers_no_segment_to_another_service() {
     let roster = roster(NOW, 6, &["a", "b"]);
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     agent.report(NOW, Report { service: INVOICES.into(), ..report(17) });
     let segment = request(flow_homed_elsewhere(&roster), FIRST_SEQUENCE);
     let mut walk = arrival(segment, Search::Walk, 1);
@@ -249,7 +249,7 @@
     assert!(!forwarding.is_exhaustive);
 
     // Before the first report, the service is not known.
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     walk.forwarding.to_visit.clear();
     let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
     assert_eq!(action, Action::Drop(Cause::Unknown));
@@ -261,7 +261,7 @@
 #[test]
 fn a_walk_delivers_to_a_service_that_the_route_led_to() {
     let roster = roster(NOW, 6, &["a", "b"]);
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     agent.report(NOW, Report { service: INVOICES.into(), ..report(17) });
     agent.routing_changed(NOW, &calendar_led_to_invoices(), &routing(1));
     let segment = request(flow_homed_elsewhere(&roster), FIRST_SEQUENCE);
@@ -394,8 +394,8 @@
 /// all others wait for it before they reset any flow.
 #[test]
 fn a_starting_agent_probes_its_backend_server_at_once() {
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
-    let mut heard = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
+    let mut heard = fixture::start_agent(NOW, 1, "a", limits());
     heard.report(NOW, report(1));
 
     let (first, second) = (agent.is_probe_due(), agent.is_probe_due());
@@ -474,7 +474,7 @@
 /// An agent gets no flows before its backend server has reported its service.
 #[test]
 fn an_agent_without_a_report_takes_no_flow() {
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     let roster = roster(NOW, 6, &["a", "b"]);
 
     let arrival = arrival(opening(flow(1), 0), Search::Open, 1);
--- a/crates/steer/tests/claim.rs
+++ b/crates/steer/tests/claim.rs
@@ -2,8 +2,8 @@
 
 mod fixture;
 
-use fixture::{NOW, agent_address, flow, from_backend, limits, report, roster, routing};
-use lentilreach_steer::process::agent::{Agent, Limits};
+use fixture::{NOW, flow, from_backend, limits, report, roster, routing};
+use lentilreach_steer::process::agent::Limits;
 use lentilreach_steer::process::backend::Report;
 use lentilreach_steer::request::segment::Flags;
 
@@ -13,7 +13,7 @@
 #[test]
 fn a_restarted_agent_claims_no_flows_of_a_young_backend_server() {
     let known = |report: Report, started_ms: u64| {
-        let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+        let mut agent = fixture::start_agent(NOW, 1, "a", limits());
         let now = NOW.after(started_ms);
         agent.report(now, report);
         agent.update_knowledge(now, &routing(1));
@@ -33,7 +33,7 @@
 /// flows that ended with their backend server would be searched for.
 #[test]
 fn an_agent_knows_all_flows_of_a_backend_server_that_started_after_it() {
-    let new = || Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let new = || fixture::start_agent(NOW, 1, "a", limits());
     let next = Report { id: "i-2".into(), started_ms: Some(2_000), ..report(4) };
 
     let mut replaced = new();
@@ -54,7 +54,7 @@
 #[test]
 fn an_agent_claims_no_flows_if_some_were_evicted_while_an_instance_was_replaced() {
     let few = Limits { flows: 1, ..limits() };
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), few);
+    let mut agent = fixture::start_agent(NOW, 1, "a", few);
     let roster = roster(NOW, 6, &["a", "b"]);
     agent.record_absence(NOW);
     agent.report(NOW, report(1));
--- a/crates/steer/tests/denial.rs
+++ b/crates/steer/tests/denial.rs
@@ -13,7 +13,7 @@
     FIRST_SEQUENCE, INCARNATION, NOW, agent_address, announcement, arrival, flow, limits,
     report, request, roster_of,
 };
-use lentilreach_steer::process::agent::{Action, Agent, Cause};
+use lentilreach_steer::process::agent::{Action, Cause};
 use lentilreach_steer::request::message::Search;
 use lentilreach_steer::request::placement::{fallback, homes};
 
@@ -517,7 +517,7 @@
 #[test]
 fn a_walk_visits_no_backend_server_that_the_caller_did_not_choose() {
     let mut node = node(1, [1]);
-    node.agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    node.agent = fixture::start_agent(NOW, 1, "a", limits());
     node.agent.report(NOW, report(17));
     let mut nodes = vec![node];
     accept_at(NOW, &mut nodes, 1, flow(1));
--- a/crates/steer/tests/handover.rs
+++ b/crates/steer/tests/handover.rs
@@ -125,7 +125,7 @@
 #[test]
 fn the_agent_that_searches_for_home_nodes_uses_what_they_handed_over() {
     let roster = roster(NOW, 6, &["a", "b"]);
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     let key = flow_homed_elsewhere(&roster);
 
     agent.handle_handover(NOW, &roster, &handover(4, key));
--- a/crates/steer/tests/hold.rs
+++ b/crates/steer/tests/hold.rs
@@ -321,7 +321,7 @@
 fn an_agent_without_a_report_holds_nothing() {
     let (_, roster) = agent_and_roster();
     let limits = fixture::limits();
-    let mut agent = Agent::new(NOW, fixture::agent_address(1), "a".into(), limits);
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits);
 
     let requests = (1..=20).map(|port| request_on(less_urgent_flow(port)));
     let actions: Vec<_> =
--- a/crates/steer/tests/instance.rs
+++ b/crates/steer/tests/instance.rs
@@ -185,8 +185,7 @@
         ..report(5)
     };
     let roster = fixture::roster(NOW, 6, &["a", "b"]);
-    let new =
-        || Agent::new(NOW, fixture::agent_address(1), "a".into(), fixture::limits());
+    let new = || fixture::start_agent(NOW, 1, "a", fixture::limits());
 
     // Before the configuration is known, the report can't be told from a valid one.
     let mut agent = new();
--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -227,6 +227,15 @@
     assert_kept(&explore_and_check(&start, 3, &settle::check));
 }
 
+/// A flow must not be reset because the store didn't answer when its backend server replaced
+/// another one, so that no entry names the new instance.
+#[test]
+fn keeps_a_flow_that_was_opened_while_the_store_was_down() {
+    let budget = Budget { requests: 2, rounds: 2, ..Budget::NONE };
+    let start = scenario::killed_in_outage(3, budget, Removed::Nothing);
+    assert_kept(&explore_and_check(&start, 3, &settle::check));
+}
+
 /// The caller of a flow of before a loss of power must be told that the flow has ended as
 /// soon as the nodes know each other, although the new backend servers may have started
 /// before their agents.
--- a/crates/steer/tests/model/node.rs
+++ b/crates/steer/tests/model/node.rs
@@ -138,9 +138,7 @@
         self.is_frozen = false;
         self.is_announcement_due = false;
         self.agent = Agent::new(now, self.address, DOMAIN.into(), fixture::limits());
-        self.agent.expect_record();
         self.roster = Roster::new();
-        self.write_record(now);
     }
 
     /// Lets the store name the instance that has reported last, and tells the agent.
--- a/crates/steer/tests/model/round.rs
+++ b/crates/steer/tests/model/round.rs
@@ -106,9 +106,12 @@
         self.release_postponed(index);
     }
 
-    /// Lets the store name the instance of an agent's backend server.
+    /// Lets the store name the instance of an agent's backend server, if it answers.
     pub fn write_record(&mut self, index: usize) {
         let now = self.now;
+        if self.is_store_down {
+            return;
+        }
         if self.removed == Removed::Record {
             // The agent takes it for written.
             let stored = self.agent(index).stored;
@@ -273,6 +276,7 @@
     pub fn restart_agent(&mut self, index: usize) {
         let now = self.now;
         self.agent_mut(index).restart(now);
+        self.write_record(index);
         self.list_members(Peer::Agent(index));
     }
 
--- a/crates/steer/tests/model/scenario.rs
+++ b/crates/steer/tests/model/scenario.rs
@@ -139,16 +139,34 @@
 pub fn killed(agents: usize, budget: Budget, removed: Removed) -> State {
     let change = Budget { leaves: 1, joins: 1, ..Budget::NONE };
     let mut state = stable(agents, change, removed);
+    open_at_replaced(&mut state, 1);
+    restart_all(&mut state.world);
+    State { budget, ..state }
+}
+
+/// Like [`killed`], but the store doesn't answer from before the backend server is replaced
+/// until after all processes have been killed.
+pub fn killed_in_outage(agents: usize, budget: Budget, removed: Removed) -> State {
+    let change = Budget { leaves: 1, joins: 1, ..Budget::NONE };
+    let mut state = stable(agents, change, removed);
+    state.world.is_store_down = true;
+    open_at_replaced(&mut state, SETTLE_ROUNDS);
+    state.world.is_store_down = false;
+    restart_all(&mut state.world);
+    State { budget, ..state }
+}
+
+/// Lets a backend server replace that of the first agent. It reports for some rounds, and then
+/// accepts the flow.
+fn open_at_replaced(state: &mut State, rounds: usize) {
     state.apply(Step::Leave(0));
     state.apply(Step::Join(0));
-    settle(&mut state.world);
-    open_at(&mut state, 0, 0);
+    settle(&mut state.world, rounds);
+    open_at(state, 0, 0);
     drain(&mut state.world);
     state.budget.requests = 1;
     state.apply(Step::Request(0));
     drain(&mut state.world);
-    restart_all(&mut state.world);
-    State { budget, ..state }
 }
 
 /// Like [`open`], but all machines have lost power since and started again, with new
@@ -179,9 +197,9 @@
     }
 }
 
-/// Lets all nodes learn of each other.
-fn settle(world: &mut World) {
-    for _ in 0..SETTLE_ROUNDS {
+/// Lets nodes learn of each other for some rounds.
+fn settle(world: &mut World, rounds: usize) {
+    for _ in 0..rounds {
         drain(world);
         world.round(None);
     }
--- a/crates/steer/tests/model/world.rs
+++ b/crates/steer/tests/model/world.rs
@@ -132,6 +132,8 @@
     pub in_flight: Vec<Datagram>,
     /// Agents that are cut off from all other agents. Sorted.
     pub cut: Vec<usize>,
+    /// Whether the store answers no call.
+    pub is_store_down: bool,
     /// The first promise that was broken.
     pub broken: Option<String>,
 }
@@ -159,6 +161,7 @@
             caller: Caller::new(now),
             in_flight: Vec::new(),
             cut: Vec::new(),
+            is_store_down: false,
             broken: None,
         }
     }
@@ -309,7 +312,8 @@
             self.in_flight.iter().fold(0_u64, |sum, d| sum.wrapping_add(d.hash));
         let agents: Vec<_> = self.agents.iter().map(|(_, hash)| hash).collect();
         let balancers: Vec<_> = self.balancers.iter().map(|(_, hash)| hash).collect();
-        hash(&(self.now, agents, balancers, self.caller, messages, &self.cut))
+        let peers = (agents, balancers, self.caller);
+        hash(&(self.now, peers, messages, &self.cut, self.is_store_down))
     }
 }
 
--- a/crates/steer/tests/record.rs
+++ b/crates/steer/tests/record.rs
@@ -10,7 +10,7 @@
 };
 use lentilreach::process::clock::Millis;
 use lentilreach_steer::process::agent::{Action, Agent, Cause};
-use lentilreach_steer::process::backend::record::{Instance, Record};
+use lentilreach_steer::process::backend::record::{EARLY_REPORTS, Instance, Record};
 use lentilreach_steer::process::backend::{Refusal, Report};
 use lentilreach_steer::process::roster::Roster;
 use lentilreach_steer::request::message::{Search, Stage, SyncStatus};
@@ -25,11 +25,9 @@
     Record::Names(Instance::from(report))
 }
 
-/// An agent that has just started, and waits for the record of its backend server.
+/// An agent that has just started and has not written the record of its backend server.
 fn starting_agent() -> Agent {
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
-    agent.expect_record();
-    agent
+    Agent::new(NOW, agent_address(1), "a".into(), limits())
 }
 
 /// An agent whose process found a record and then wrote that of the reported instance.
@@ -80,18 +78,45 @@
     assert!(matches!(after, Action::Deliver { .. }), "{after:?}");
 }
 
-/// Service must not depend on the store: an agent that can't reach it delivers openings.
+/// Service must not depend on the store: an agent that can't reach it delivers openings to a
+/// backend server that runs already, and to one that has just started after a few reports.
 #[test]
 fn openings_are_delivered_while_the_store_does_not_answer() {
     let roster = roster(NOW, 6, &["a"]);
-    let mut agent = starting_agent();
-    agent.report(NOW, report(1));
+    let open_after = |reports: std::ops::RangeInclusive<u64>| {
+        let mut agent = starting_agent();
+        for number in reports {
+            agent.report(NOW, report(number));
+        }
+        let stage = agent.backend_status(NOW, &routing(1), 1).map(|status| status.stage);
+        (open(&mut agent, &roster), stage)
+    };
+
+    let (running, running_stage) = open_after(EARLY_REPORTS + 1..=EARLY_REPORTS + 1);
+    let (early, early_stage) = open_after(1..=EARLY_REPORTS);
+    let (started, started_stage) = open_after(1..=EARLY_REPORTS + 1);
 
-    let was_waiting = agent.record_failed();
-    let action = open(&mut agent, &roster);
+    assert!(matches!(running, Action::Deliver { .. }), "{running:?}");
+    assert_eq!(running_stage, Some(Stage::Ready));
+    assert_eq!(forwarded(early).0, Cause::Admission(Refusal::Unrecorded));
+    assert_eq!(early_stage, Some(Stage::Closed));
+    assert!(matches!(started, Action::Deliver { .. }), "{started:?}");
+    assert_eq!(started_stage, Some(Stage::Ready));
+}
+
+/// An earlier process may have delivered openings to an instance without a record if the
+/// instance had made enough reports. Its flows must not be taken for known.
+#[test]
+fn an_agent_does_not_know_the_flows_of_an_instance_that_it_heard_late() {
+    let knows_all = |first: u64| {
+        let mut agent = recorded_agent(names(&earlier()), &report(first));
+        agent.report(NOW.after(1_000), report(first + 1));
+        agent.update_knowledge(NOW.after(1_000), &routing(1));
+        agent.knows_all_flows()
+    };
 
-    assert!(was_waiting && !agent.record_failed());
-    assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
+    assert!(knows_all(1) && knows_all(EARLY_REPORTS));
+    assert!(!knows_all(EARLY_REPORTS + 1));
 }
 
 /// After a loss of power, an agent can't tell whether its backend server started before it.
--- a/crates/steer/tests/reset.rs
+++ b/crates/steer/tests/reset.rs
@@ -11,7 +11,7 @@
     routing, searched, sync_all,
 };
 use lentilreach::process::clock::Millis;
-use lentilreach_steer::process::agent::{Action, Agent, BackendAction, Cause};
+use lentilreach_steer::process::agent::{Action, BackendAction, Cause};
 use lentilreach_steer::process::backend::{Report, TICK_MS};
 use lentilreach_steer::process::balancer::{self, Balancer};
 use lentilreach_steer::process::roster::{Outdated, Role};
@@ -160,7 +160,7 @@
 #[test]
 fn a_restarted_agent_passes_on_no_reset_of_a_flow_that_it_does_not_know() {
     let roster = roster(NOW, 6, &["a", "b"]);
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     agent.report(NOW, report(17));
     let walk = arrival(request(flow(1), FIRST_SEQUENCE + 1), Search::Walk, 1);
     let action = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
@@ -246,7 +246,7 @@
 #[test]
 fn a_restarted_agent_announces_flows_whose_backend_server_only_acknowledges() {
     let roster = roster(NOW, 6, &["a", "b"]);
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     agent.report(NOW, report(17));
     let flags = Flags { acknowledge: true, ..Flags::default() };
 
@@ -259,7 +259,7 @@
 /// A backend server that has said that it leaves serves its flows for a moment.
 #[test]
 fn an_agent_of_a_leaving_backend_server_does_not_claim_to_know_all_flows_at_once() {
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     agent.report(NOW, report(17));
 
     assert!(agent.record_leave(NOW, "i-1"));
@@ -271,7 +271,7 @@
 /// started at a time that the configured one doesn't allow.
 #[test]
 fn an_agent_does_not_compute_the_age_of_a_backend_server_from_another_warm_up_time() {
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     let configured = routing(1);
     let service = configured.service(CALENDAR).expect("a service");
     let cold_ms = service.cold_ms + 1_000;
@@ -371,7 +371,7 @@
 /// A restarted agent doesn't learn of flows from before by missing reports.
 #[test]
 fn an_agent_with_overdue_reports_does_not_claim_to_know_all_flows() {
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     agent.report(NOW, report(17));
 
     for tick in 1..=40 {
--- a/crates/steer/tests/walk.rs
+++ b/crates/steer/tests/walk.rs
@@ -21,7 +21,7 @@
 #[test]
 fn an_agent_without_a_backend_server_continues_a_walk() {
     let (_, roster) = agent_and_roster();
-    let mut agent = Agent::new(NOW, agent_address(1), "a".into(), limits());
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     let mut walk =
         arrival(request(flow_homed_elsewhere(&roster), FIRST_SEQUENCE), Search::Walk, 1);
     walk.forwarding.to_visit = vec![agent_address(2)];
