Claim nothing from a record of another era of the store

A store that comes back from a copy some seconds old has lost the record of an instance that got openings since. The entry then names an earlier one, and once all processes had been replaced, flows of the present one were reset although its backend server held them.

Cause: "written ahead" is a proof only as long as the store keeps what it has acknowledged.

An agent's entry holds the era beside the instance. One of another era, or of an earlier version, names none. An agent that runs through the return writes its entry again, which takes a call for each agent and return. An entry that is written before the backend server has reported keeps the era of the statement.

Ruled out: revisions as a sign of the return. They are given out again.

--- a/crates/lentilreach/src/process/store/mod.rs
+++ b/crates/lentilreach/src/process/store/mod.rs
@@ -54,6 +54,13 @@
     /// The store's address for errors and events.
     fn peer(&self) -> Name;
 
+    /// Number of times that the store has come back from an older copy of itself, as far as its
+    /// answers to this client have told. What it had acknowledged since that copy is gone, and
+    /// revisions are given out again. Never decreases; stays 0 for a store that loses nothing.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Reads all keys that start with `prefix`, at one revision.
     fn range(&self, prefix: &str) -> impl Future<Output = Result<Range, Error>> + Send;
 
--- a/crates/lentilreach/src/process/store/retry.rs
+++ b/crates/lentilreach/src/process/store/retry.rs
@@ -171,6 +171,10 @@
         self.store.peer()
     }
 
+    fn era(&self) -> u64 {
+        self.store.era()
+    }
+
     async fn range(&self, prefix: &str) -> Result<Range, Error> {
         self.run(Step::Range, || self.store.range(prefix)).await
     }
--- a/crates/standin/src/store/core.rs
+++ b/crates/standin/src/store/core.rs
@@ -12,7 +12,7 @@
 pub const MAX_OPERATIONS: usize = 128;
 
 /// The state of the store. Each transaction that changes a key creates a new revision.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Core {
     /// The latest revision. Starts at 1, so that 0 can mean "absent".
     revision: u64,
@@ -189,6 +189,12 @@
         Ok(last.map(|revision| Batch { revision, changes }))
     }
 
+    /// Replaces the state by an older copy of it. Revisions are given out again; identifiers of
+    /// leases are not.
+    pub fn restore(&mut self, copy: &Self) {
+        *self = Self { last_lease: self.last_lease, ..copy.clone() };
+    }
+
     /// Compacts the history before the latest revision.
     pub fn compact(&mut self) {
         self.oldest = self.revision;
@@ -288,7 +294,7 @@
 }
 
 /// A key with its lease.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Record {
     /// The entry as clients see it.
     entry: Entry,
@@ -297,7 +303,7 @@
 }
 
 /// An active lease.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct ActiveLease {
     /// The lease id.
     lease: Lease,
--- a/crates/standin/src/store/handle.rs
+++ b/crates/standin/src/store/handle.rs
@@ -78,6 +78,10 @@
     drops_next_response: bool,
     /// Incremented each time that all connections are closed.
     epoch: u64,
+    /// The copy that the store comes back from, if one was taken.
+    copy: Option<Core>,
+    /// How often it has come back from a copy.
+    era: u64,
 }
 
 impl Handle {
@@ -94,6 +98,8 @@
             delay_ms: settings.delay_ms,
             drops_next_response: false,
             epoch: 0,
+            copy: None,
+            era: 0,
         };
         let shared =
             Shared { state: Ranked::new(LOCK_RANK, state), changed: Event::new() };
@@ -168,6 +174,30 @@
         self.update(|state| state.core.compact());
     }
 
+    /// How often the store has come back from a copy.
+    pub fn era(&self) -> u64 {
+        self.shared.state.read().era
+    }
+
+    /// Takes a copy for [`Self::return_to_copy`].
+    pub fn take_copy(&self) {
+        self.update(|state| state.copy = Some(state.core.clone()));
+    }
+
+    /// Lets the store come back from the copy: what was written since is gone. Closes all
+    /// connections and watches.
+    ///
+    /// # Panics
+    /// If no copy was taken.
+    pub fn return_to_copy(&self) {
+        self.update(|state| {
+            let copy = state.copy.as_ref().expect("a copy was taken");
+            state.core.restore(copy);
+            state.epoch += 1;
+            state.era += 1;
+        });
+    }
+
     /// Advances the time that leases and rate limits use.
     pub fn advance(&self, ms: u64) {
         self.update(|state| state.offset_ms += ms);
--- a/crates/standin/src/store/memory.rs
+++ b/crates/standin/src/store/memory.rs
@@ -37,6 +37,10 @@
         "memory".into()
     }
 
+    fn era(&self) -> u64 {
+        self.handle.era()
+    }
+
     async fn range(&self, prefix: &str) -> Result<Range, Error> {
         let key_range = KeyRange::Prefix(prefix.into());
         let result = self.handle.call(Step::Range, |core, _| Ok(core.range(&key_range)));
--- a/crates/steer/src/process/backend/record.rs
+++ b/crates/steer/src/process/backend/record.rs
@@ -7,6 +7,9 @@
 //! its entry names that instance. A process that finds another instance in the entry, and gets
 //! one of the first reports of the current one, knows that no earlier process has used it.
 //!
+//! A store that comes back from an older copy may have lost the record of a later instance, so
+//! an entry proves nothing in another era of the store.
+//!
 //! Service doesn't depend on the store: an instance that has made more than [`EARLY_REPORTS`]
 //! reports is given openings without a record. Reports are numbered, so no process takes it for
 //! unused after that.
@@ -47,7 +50,26 @@
     }
 }
 
-/// The instance that an agent's entry in the store names.
+/// An instance that an agent's entry in the store names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Recorded {
+    /// The last instance that processes of the agent may have delivered openings to.
+    pub instance: Instance,
+    /// Era of the store in which that was true, see
+    /// [`Store::era`](lentilreach::process::store::Store::era). If the store has come back
+    /// from an older copy since, a later record may be lost.
+    pub era: u64,
+}
+
+impl Recorded {
+    /// The instance, if no record of a later one can be lost in the present era of the store.
+    pub fn current(self, era: u64) -> Option<Instance> {
+        (self.era == era).then_some(self.instance)
+    }
+}
+
+/// What an agent's entry in the store says of the instance of its backend server.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum Record {
     /// Not known: the entry has not been written yet, or the store doesn't answer.
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -14,6 +14,7 @@
 };
 
 use super::{Node, Observer, TASK_BACKOFF_MS, sleep};
+use crate::process::backend::record::Recorded;
 use crate::process::roster::membership::{
     CHECK_INTERVAL_MS, LEASE_TTL_MS, Listed, PREFIX, RENEWAL_INTERVAL_MS,
 };
@@ -124,7 +125,9 @@
             Some(_) => {}
         }
         if let Some(lease) = self.lease
-            && self.node.instance().is_some_and(|i| self.listed.instance != Some(i))
+            && self
+                .recorded()
+                .is_some_and(|recorded| self.listed.instance != Some(recorded))
         {
             match self.write_entry(lease).await {
                 Err(Error::Lapsed { .. }) => self.register_again().await?,
@@ -151,6 +154,12 @@
         Ok(())
     }
 
+    /// What the entry has to say of the backend server; `None` before its first report.
+    fn recorded(&self) -> Option<Recorded> {
+        let instance = self.node.instance()?;
+        Some(Recorded { instance, era: self.store.era() })
+    }
+
     /// Time until the lease has to be renewed, in milliseconds.
     fn until_renewal(&self) -> u64 {
         self.renewed.after(RENEWAL_INTERVAL_MS).since(self.node.now())
@@ -226,22 +235,24 @@
 
     /// Writes the process's own entry with the instance of the backend server, provided that
     /// the stored one is the one that is known. Until the backend server reports, the entry
-    /// goes on naming the instance that earlier processes used.
+    /// goes on naming the instance that earlier processes used, as of the era in which one of
+    /// them wrote it.
     async fn write_entry(&mut self, lease: Lease) -> Result<(), Error> {
         let key = self.listed.key();
         for _ in 0..MAX_WRITES {
             let before = self.listed.instance;
-            let listed = Listed {
-                instance: self.node.instance().or(before),
-                ..self.listed.clone()
-            };
+            let instance = self.recorded().or(before);
+            let listed = Listed { instance, ..self.listed.clone() };
             let txn = Txn::new().compare(&*key, self.modified);
             let txn = txn.lease(&*key, listed.value(), lease);
             match self.store.write(txn).await? {
                 TxnResult::Committed { revision } => {
-                    let after = listed.instance;
                     self.modified = revision;
                     self.listed = listed;
+                    // Not before the write, whose answer may tell of another era.
+                    let era = self.store.era();
+                    let before = before.and_then(|recorded| recorded.current(era));
+                    let after = instance.map(|recorded| recorded.instance);
                     self.observer.record_written(before.into(), after.into());
                     return Ok(());
                 }
--- a/crates/steer/src/process/roster/membership.rs
+++ b/crates/steer/src/process/roster/membership.rs
@@ -10,7 +10,7 @@
 use lentilreach::process::store::Entry;
 use serde::{Deserialize, Serialize};
 
-use crate::process::backend::record::Instance;
+use crate::process::backend::record::Recorded;
 use crate::process::roster::Role;
 
 /// Prefix of the store keys of members.
@@ -35,9 +35,9 @@
     pub role: Role,
     /// Its failure domain.
     pub domain: Name,
-    /// The last instance of its backend server that it may have delivered openings to, see
-    /// [`crate::process::backend::record`]; `None` for a balancer, or if that isn't known.
-    pub instance: Option<Instance>,
+    /// The last instance of its backend server that it may have delivered openings to; `None`
+    /// for a balancer, or if that isn't known.
+    pub instance: Option<Recorded>,
 }
 
 impl Listed {
@@ -79,8 +79,8 @@
     }
 }
 
-/// The encoded value of a member's entry. The instance follows it; nodes of an earlier
-/// version write none, and don't read on.
+/// The encoded value of a member's entry. The instance follows it. Nodes of an earlier version
+/// write none, or one without its era, from which nothing follows; they don't read on.
 #[derive(Serialize, Deserialize)]
 struct Record<'a> {
     /// Whether the member is an agent.
--- a/crates/steer/tests/membership.rs
+++ b/crates/steer/tests/membership.rs
@@ -3,7 +3,7 @@
 mod fixture;
 
 use lentilreach::process::store::Entry;
-use lentilreach_steer::process::backend::record::Instance;
+use lentilreach_steer::process::backend::record::{Instance, Recorded};
 use lentilreach_steer::process::roster::Role;
 use lentilreach_steer::process::roster::membership::{Listed, PREFIX};
 
@@ -20,7 +20,8 @@
 /// What a process writes must be what others read.
 #[test]
 fn members_are_decoded_as_they_were_written() {
-    for instance in [None, Some(Instance::from(&fixture::report(1)))] {
+    let recorded = Recorded { instance: Instance::from(&fixture::report(1)), era: 3 };
+    for instance in [None, Some(recorded)] {
         let listed = Listed {
             address: "10.1.0.1:7700".parse().expect("an address"),
             role: Role::Agent,
@@ -33,13 +34,17 @@
     }
 }
 
-/// Nodes of an earlier version name no instance. Their entries must not be left out, nor be
-/// taken for a statement about the backend server.
+/// Nodes of an earlier version name no instance, or one without the era of the store. Their
+/// entries must not be left out, nor be taken for a statement about the backend server.
 #[test]
 fn entries_of_an_earlier_version_name_no_instance() {
-    let listed = Listed::try_from(&entry("10.1.0.1:7700", b"\x01\x01a"));
+    let instance = Some(Instance::from(&fixture::report(1)));
+    let instance = postcard::to_allocvec(&instance).expect("encoded");
+    for value in [&b"\x01\x01a"[..], &[b"\x01\x01a", &*instance].concat()] {
+        let listed = Listed::try_from(&entry("10.1.0.1:7700", value));
 
-    assert_eq!(listed.map(|listed| listed.instance), Ok(None));
+        assert_eq!(listed.map(|listed| listed.instance), Ok(None), "{value:?}");
+    }
 }
 
 /// An entry that names no reachable member must be left out. Messages to it would fail
