Record in the store where routes lead, and search where they led before

Cause: a search visits agents of the services that the route leads to, or has led to as far as the process has seen it. The operators' documents name the present service only, so processes that had started after the change left out the very agents that held the flows.

Ruled out: the agent of the holder (its backend server answered whatever it got), the balancers (they ask home nodes, whatever the route is).

Change: the first two agents record where the routes lead as soon as a configuration is active, so it is known even if no process runs when the next one arrives. Agents read the record with the documents. Where routes led before is a part of the routing now; processes learn it from each configuration that they see, also from one that arrives together with the next, and from nodes that pass documents on. When the store comes back from an older copy, the record is written again.

`routing_changed` of the agent no longer keeps the history, so two tests state it in the routing; what they check is the same.

--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -12,6 +12,7 @@
 use lentilreach_steer::process::roster::Roster;
 use lentilreach_steer::process::settings::Placement;
 use lentilreach_steer::request::message::Heartbeat;
+use lentilreach_steer::version::history::History;
 use lentilreach_steer::version::routing::{Route, Routing, Service, Share};
 
 use super::segment::{
@@ -467,6 +468,7 @@
         }],
         domains_out: Vec::new(),
         idle_ms: 15_000,
+        history: History::default(),
     }
 }
 
--- a/crates/steer/benches/schedule.rs
+++ b/crates/steer/benches/schedule.rs
@@ -13,6 +13,7 @@
 use lentilreach_steer::process::schedule::queue::{Job, Kind};
 use lentilreach_steer::request::message::{BackendStatus, Heartbeat, Load, Stage};
 use lentilreach_steer::request::placement::{Request, choose_agent};
+use lentilreach_steer::version::history::History;
 use lentilreach_steer::version::routing::{Route, Routing, Service, Share};
 
 /// The current time.
@@ -118,6 +119,7 @@
         }],
         domains_out: Vec::new(),
         idle_ms: 15_000,
+        history: History::default(),
     }
 }
 
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -15,7 +15,6 @@
 use crate::connection::table::Table;
 use crate::process::backend::Backend;
 use crate::process::backend::record::Record;
-use crate::process::documents::history::History;
 use crate::process::roster::Roster;
 use crate::process::schedule::admission::Admission;
 use crate::process::schedule::backlog::Backlog;
@@ -102,8 +101,6 @@
     lifetime: Lifetime,
     /// Whether the backend server resets flows or leaves requests unanswered.
     health: Health,
-    /// Services that routes led to before they were changed.
-    history: History,
     /// Which agents hold the flows that this agent is a home node of.
     index: Index,
     /// Recently delivered segments, which the backend server may return.
@@ -162,7 +159,6 @@
             placement: limits.placement,
             lifetime: Lifetime::default(),
             health: Health::default(),
-            history: History::default(),
             index: Index::new(limits.flows),
             delivered: Ring::new(fastrand::u32(1..)),
             recorded_since: now,
@@ -187,8 +183,7 @@
     }
 
     /// Processes a change of the active routes.
-    pub fn routing_changed(&mut self, now: Millis, before: &Routing, after: &Routing) {
-        self.history.record(now, before);
+    pub fn routing_changed(&mut self, before: &Routing, after: &Routing) {
         // A backend server that received no requests for a while may be cold again.
         if before.is_out(&self.domain) && !after.is_out(&self.domain) {
             self.backend.suspect_cold();
@@ -282,7 +277,6 @@
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.flows.expire(now, idle_ms);
         self.index.expire(now, idle_ms);
-        self.history.expire(now, self.max_flow_age_ms);
         self.questions.expire(now);
     }
 
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -11,6 +11,7 @@
 use crate::process::roster::{Member, Roster};
 use crate::request::message::{MAX_TO_VISIT, Progress, Search, SyncStatus};
 use crate::request::placement;
+use crate::version::history::Earlier;
 use crate::version::routing::Routing;
 
 /// Maximum number of redirections to a supposed home node. For about a second after a
@@ -210,7 +211,7 @@
             // See `Self::visit`.
             let status = member.backend_status.as_ref();
             let can_deliver = status.is_none_or(|status| {
-                self.history.allows(routing, flow.service, &status.service)
+                self.may_hold(now, routing, flow.service, &status.service)
             });
             if can_deliver {
                 plan.to_visit.push(member.address);
@@ -317,7 +318,7 @@
         let address = arrival.segment.flow_from_caller().service;
         let report = self.backend.report();
         let can_deliver = report
-            .is_some_and(|report| self.history.allows(routing, address, &report.service));
+            .is_some_and(|report| self.may_hold(now, routing, address, &report.service));
         if !can_deliver {
             forwarding.is_exhaustive = false;
             return self.continue_walk(arrival, forwarding);
@@ -326,6 +327,21 @@
         self.deliver(now, &arrival, false)
     }
 
+    /// Whether backend servers of a service may hold flows to an address: its route leads to the
+    /// service, or has led to it within the life of a flow, as far as is known.
+    fn may_hold(
+        &self,
+        now: Millis,
+        routing: &Routing,
+        address: SocketAddrV4,
+        service: &str,
+    ) -> bool {
+        let earlier = routing.history.get(address, service);
+        let is_recent =
+            |earlier: &Earlier| now.since(earlier.since) <= self.max_flow_age_ms;
+        routing.allows(address, service) || earlier.is_some_and(is_recent)
+    }
+
     /// Forwards a segment to the next agent of a walk. If there is none left, resets the
     /// flow or drops the segment.
     fn continue_walk(&self, arrival: &Arrival, mut forwarding: Forwarding) -> Action {
--- a/crates/steer/src/process/documents.rs
+++ b/crates/steer/src/process/documents.rs
@@ -3,12 +3,14 @@
 use std::fmt::{self, Display, Formatter};
 
 use lentilreach::Name;
+use lentilreach::process::clock::Millis;
 use lentilreach::process::store::follow::Update;
 use lentilreach::process::store::{Change, Entry, Range};
 
 use crate::version::routing::{Route, Routing, Service};
+use leads::Leads;
 
-pub mod history;
+pub mod leads;
 pub mod share;
 
 /// Provides the key names and the encoding of the operators' documents.
@@ -80,13 +82,16 @@
     revision: u64,
     /// Store revision of the last known change to a document. At most `revision`.
     last_change: u64,
+    /// Time for which it is kept in mind where a route has led, in milliseconds.
+    retention_ms: u64,
 }
 
 impl<S: Source> Documents<S> {
-    /// Creates a collection without documents.
-    pub fn new(source: S) -> Self {
+    /// Creates a collection without documents. `retention_ms` is the time for which a flow may
+    /// be where its route led before, in milliseconds.
+    pub fn new(source: S, retention_ms: u64) -> Self {
         let (entries, routing) = (Vec::new(), Routing::default());
-        Self { source, entries, routing, revision: 0, last_change: 0 }
+        Self { source, entries, routing, revision: 0, last_change: 0, retention_ms }
     }
 
     /// Prefix of the store keys that hold the documents.
@@ -109,16 +114,30 @@
         self.revision
     }
 
-    /// All documents as they are in the store, for other nodes.
-    pub fn snapshot(&self) -> Range {
-        Range { revision: self.revision, entries: self.entries.clone() }
+    /// All documents as they are in the store, for other nodes, and a record of where routes
+    /// led before, which this process may have learned from documents that they have not seen.
+    pub fn snapshot(&self, unix_s: u64) -> Range {
+        let ended = Leads::ended(&self.routing, unix_s);
+        let value = ended.value().filter(|_| ended.iter().next().is_some());
+        let record = value.map(|value| Entry {
+            key: leads::KEY.into(),
+            value: value.into(),
+            created: 0,
+            modified: 0,
+        });
+        let entries = record.into_iter().chain(self.entries.iter().cloned());
+        Range { revision: self.revision, entries: entries.collect() }
     }
 
-    /// Applies an update from the store. Returns the documents that were rejected.
-    pub fn apply(&mut self, update: Update) -> Vec<Error> {
+    /// Applies an update from the store or another node. A snapshot may contain a record of
+    /// where routes led before. Returns the documents that were rejected.
+    pub fn apply(&mut self, now: Millis, update: Update) -> Vec<Error> {
+        let retention_ms = self.retention_ms;
+        let history = &mut self.routing.history;
+        history.retain(|earlier| now.since(earlier.since) <= retention_ms);
         let mut errors = Vec::new();
         match update {
-            Update::Snapshot(range) => {
+            Update::Snapshot(mut range) => {
                 // A snapshot older than the known revision would restore outdated
                 // documents.
                 if range.revision < self.revision {
@@ -126,16 +145,21 @@
                 }
                 self.revision = range.revision;
                 self.routing.domains_out.clear();
+                let is_record = |entry: &mut Entry| *entry.key == *leads::KEY;
+                let records: Vec<_> = range.entries.extract_if(.., is_record).collect();
                 for entry in &range.entries {
-                    errors.extend(self.put(entry).err());
+                    errors.extend(self.put(now, entry).err());
                 }
                 self.entries = range.entries;
+                for entry in &records {
+                    errors.extend(self.learn(now, entry).err());
+                }
             }
             Update::Changes(batch) => {
                 for change in &batch.changes {
                     match change {
                         Change::Put(entry) => {
-                            errors.extend(self.put(entry).err());
+                            errors.extend(self.put(now, entry).err());
                             self.store_entry(entry);
                         }
                         Change::Delete { key, revision } => {
@@ -151,17 +175,44 @@
         errors
     }
 
+    /// Takes over from a record where routes led before.
+    fn learn(&mut self, now: Millis, record: &Entry) -> Result<(), Error> {
+        let recorded = Leads::try_from(record).map_err(|leads::Invalid| Error {
+            key: record.key.clone(),
+            cause: "not a record of routes".into(),
+        })?;
+        for lead in recorded.iter() {
+            if !self.routing.allows(lead.address, &lead.service) {
+                self.routing.history.insert(now, lead.address, &lead.service);
+            }
+        }
+        Ok(())
+    }
+
+    /// Activates a configuration that was written at a revision.
+    fn activate(&mut self, now: Millis, revision: u64, config: Config) {
+        let before = std::mem::replace(&mut self.routing.routes, config.routes);
+        self.routing.revision = revision;
+        self.routing.version = config.version;
+        self.routing.services = config.services;
+        self.routing.idle_ms = config.idle_ms;
+        let mut history = std::mem::take(&mut self.routing.history);
+        history.retain(|e| !self.routing.allows(e.address, &e.service));
+        for (address, service) in leads::present(&before) {
+            if !self.routing.allows(address, service) {
+                history.insert(now, address, service);
+            }
+        }
+        self.routing.history = history;
+    }
+
     /// Applies a created or changed document.
-    fn put(&mut self, entry: &Entry) -> Result<(), Error> {
+    fn put(&mut self, now: Millis, entry: &Entry) -> Result<(), Error> {
         self.last_change = self.last_change.max(entry.modified);
         match self.source.kind(&entry.key) {
             Kind::Config if entry.modified > self.routing.revision => {
                 let config = self.source.config(&entry.value)?;
-                self.routing.revision = entry.modified;
-                self.routing.version = config.version;
-                self.routing.routes = config.routes;
-                self.routing.services = config.services;
-                self.routing.idle_ms = config.idle_ms;
+                self.activate(now, entry.modified, config);
             }
             Kind::DomainOut(domain) => {
                 if let Err(index) = self.routing.domains_out.binary_search(&domain) {
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -181,7 +181,7 @@
     fn routing_changed(&self, before: &Routing, after: &Routing) {
         let now = self.node.now();
         let mut flows = self.flows.write();
-        flows.routing_changed(now, before, after);
+        flows.routing_changed(before, after);
         flows.update_knowledge(now, after);
     }
 
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -8,18 +8,22 @@
 //!
 //! The answer to a watch may be lost, without any sign of it. The first agents of all therefore
 //! ask again at short intervals.
+//!
+//! These agents also record in the store where the routes lead. An agent reads that record
+//! together with the documents when it starts, or may have missed some.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
-use futures_lite::future::or;
+use futures_lite::future::{or, zip};
 use lentilreach::process::link::Link;
 use lentilreach::process::store::backoff::Backoff;
 use lentilreach::process::store::follow::Update;
-use lentilreach::process::store::{Error, Store, Watch as _};
+use lentilreach::process::store::{Error, Range, Store, Watch as _};
 
+use super::leads::{Recorder, unix_s};
 use super::{Node, Observer, TASK_BACKOFF_MS, sleep};
 use crate::process::documents::{Documents, Source};
 use crate::process::metric;
@@ -58,12 +62,20 @@
     role: Role,
     observer: Arc<impl Observer>,
 ) {
-    let documents = Documents::new(source);
-    let mut follower =
-        Follower { node, store, role, documents, watch: None, is_loaded: false };
+    let retention_ms = node.settings.max_flow_age.as_millis() as u64;
+    let mut follower = Follower {
+        recorder: Recorder::new(store.clone()),
+        node,
+        store,
+        role,
+        documents: Documents::new(source, retention_ms),
+        watch: None,
+        is_loaded: false,
+    };
     let mut backoff = Backoff::new(TASK_BACKOFF_MS.0, TASK_BACKOFF_MS.1);
     let mut is_lost = false;
     loop {
+        follower.record_leads().await;
         match follower.next().await {
             Ok(update) => {
                 backoff.reset();
@@ -106,6 +118,8 @@
     /// Whether the documents have been read since the start, or since changes may have been
     /// missed.
     is_loaded: bool,
+    /// Keeps the record of where routes lead.
+    recorder: Recorder<S>,
 }
 
 impl<L: Link, S: Store, D: Source> Follower<L, S, D> {
@@ -113,7 +127,7 @@
     async fn next(&mut self) -> Result<Option<Update>, Error> {
         let prefix = self.documents.prefix();
         if !self.is_loaded {
-            let range = self.store.range(prefix).await?;
+            let range = self.load().await?;
             self.is_loaded = true;
             return Ok(Some(Update::Snapshot(range)));
         }
@@ -135,19 +149,52 @@
         }
         let range = self.store.range_stale(prefix).await?;
         let is_old = range.revision < self.node.newest_revision();
-        let range = if is_old { self.store.range(prefix).await? } else { range };
+        let last_change = self.documents.last_change();
+        let is_new = range.entries.iter().any(|entry| entry.modified > last_change);
+        // Configurations between the known one and this one may have been missed.
+        let range = if is_old || is_new { self.load().await? } else { range };
         Ok(Some(Update::Snapshot(range)))
     }
 
+    /// Reads all documents, and at an agent the record of where routes led before. Without the
+    /// latter, searches would leave out agents that may hold a flow, so both are read or none.
+    async fn load(&mut self) -> Result<Range, Error> {
+        let documents = self.store.range(self.documents.prefix());
+        if self.role == Role::Balancer {
+            return documents.await;
+        }
+        let (documents, record) = zip(documents, self.recorder.read()).await;
+        let mut range = documents?;
+        range.entries.extend(record?);
+        range.entries.sort_by(|a, b| a.key.cmp(&b.key));
+        Ok(range)
+    }
+
+    /// Records where routes lead, if this process is among the first agents. Others would do so
+    /// as well if it doesn't know them yet.
+    async fn record_leads(&mut self) {
+        let routing = self.documents.routing();
+        let is_due = is_sentinel(&self.node, self.role)
+            && self.node.ready().is_ok()
+            && !self.recorder.is_current(routing);
+        if !is_due {
+            return;
+        }
+        if let Err(error) = self.recorder.write(routing).await {
+            log::warn!(target: "routes", change = "lost", cause:% = error; "routes could not be recorded");
+        }
+    }
+
     /// Waits for the next change that the watch reports.
     async fn next_watched_change(&mut self) -> Result<Option<Update>, Error> {
         let (node, role) = (self.node.clone(), self.role);
         let is_sentinel = is_sentinel(&node, role);
+        let (documents, recorder) = (&self.documents, &self.recorder);
         let watch = match &mut self.watch {
             Some(watch) => watch,
             empty => {
-                let from = self.documents.revision() + 1;
-                let watch = self.store.watch(self.documents.prefix(), from).await?;
+                let from = documents.revision() + 1;
+                let watch = self.store.watch(documents.prefix(), from).await?;
                 empty.insert(watch)
             }
         };
@@ -158,18 +205,21 @@
             sleep(WATCH_LAG_MS).await;
             None
         };
-        let other_sentinels = async {
+        let other_duties = async {
             loop {
                 Timer::after(SENTINEL_WAIT).await;
-                if self::is_sentinel(&node, role) != is_sentinel {
+                let is_unrecorded =
+                    is_sentinel && !recorder.is_current(documents.routing());
+                if is_unrecorded || self::is_sentinel(&node, role) != is_sentinel {
                     return None;
                 }
             }
         };
-        match or(or(change, newer), other_sentinels).await {
+        match or(or(change, newer), other_duties).await {
             Some(Ok(batch)) => Ok(Some(Update::Changes(batch))),
             Some(Err(error)) => Err(error),
-            // The watch lags behind, no longer reports changes, or needs another limit.
+            // The watch lags behind, no longer reports changes, or needs another limit, or the
+            // routes have to be recorded.
             None => {
                 if self.node.newest_revision() > self.documents.revision() {
                     self.resync();
@@ -201,10 +251,10 @@
 
     /// Applies an update of the documents. Returns whether the routing changed.
     fn apply_update(&mut self, update: Update, observer: &impl Observer) -> bool {
-        for error in self.documents.apply(update) {
+        for error in self.documents.apply(self.node.now(), update) {
             log::warn!(target: "document", key:% = error.key, cause = error.cause.as_str(); "document rejected");
         }
-        self.node.share_documents(&self.documents.snapshot());
+        self.node.share_documents(&self.documents.snapshot(unix_s()));
         let changed = self.documents.last_change();
         self.node.revision.store(changed, Ordering::Relaxed);
         let before = self.node.routing();
@@ -213,6 +263,11 @@
             return false;
         }
         *self.node.routing.write() = Arc::new(after.clone());
+        let is_new =
+            before.revision != after.revision || before.domains_out != after.domains_out;
+        if !is_new {
+            return false;
+        }
         observer.routing_changed(&before, after);
         if self.watch.is_some() {
             self.node.broadcast_heartbeat(self.role, |_, _| None);
--- a/crates/steer/src/process/driver/mod.rs
+++ b/crates/steer/src/process/driver/mod.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod balancer;
 mod follow;
+mod leads;
 mod node;
 pub mod probe;
 mod receive;
--- a/crates/steer/src/version/routing.rs
+++ b/crates/steer/src/version/routing.rs
@@ -4,6 +4,8 @@
 
 use lentilreach::Name;
 
+use super::history::History;
+
 /// Routes, services and out-of-service failure domains at one store revision.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Routing {
@@ -19,6 +21,8 @@
     pub domains_out: Vec<Name>,
     /// Idle time after which a flow may be removed, in milliseconds.
     pub idle_ms: u64,
+    /// Where routes led before.
+    pub history: History,
 }
 
 impl Routing {
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -4,9 +4,9 @@
 
 use fixture::{
     CALENDAR, COLD_LIMIT, FIRST_SEQUENCE, INVOICES, NOW, accept, agent_address,
-    agent_and_roster, arrival, calendar_led_to_invoices, flow, flow_homed_elsewhere,
-    forwarded, from_backend, limits, mark, open, opening, report, request, returned,
-    roster, routing,
+    agent_and_roster, arrival, flow, flow_homed_elsewhere, forwarded, from_backend,
+    limits, mark, moved_routing, open, opening, report, request, returned, roster,
+    routing,
 };
 use lentilreach_steer::process::agent::{Action, BackendAction, Cause, Ended};
 use lentilreach_steer::process::backend::{Change, Refusal, Report};
@@ -90,7 +90,7 @@
     let (mut agent, _) = agent_and_roster();
     let alone = roster(NOW, 1, &["a"]);
     let out = Routing { domains_out: vec!["a".into()], ..routing(1) };
-    agent.routing_changed(NOW, &out, &routing(1));
+    agent.routing_changed(&out, &routing(1));
 
     let actions: Vec<_> = (1..=20)
         .map(|port| {
@@ -263,17 +263,17 @@
     let roster = roster(NOW, 6, &["a", "b"]);
     let mut agent = fixture::start_agent(NOW, 1, "a", limits());
     agent.report(NOW, Report { service: INVOICES.into(), ..report(17) });
-    agent.routing_changed(NOW, &calendar_led_to_invoices(), &routing(1));
+    let routing = moved_routing(NOW);
     let segment = request(flow_homed_elsewhere(&roster), FIRST_SEQUENCE);
     let walk = arrival(segment, Search::Walk, 1);
 
     let now = NOW.after(50_000);
     agent.expire(now, 60_000);
-    let action = agent.handle_caller_segment(now, &routing(1), &roster, &walk);
+    let action = agent.handle_caller_segment(now, &routing, &roster, &walk);
     // No flow is older than that.
     let late = NOW.after(60_001);
     agent.expire(late, 60_000);
-    let later = agent.handle_caller_segment(late, &routing(1), &roster, &walk);
+    let later = agent.handle_caller_segment(late, &routing, &roster, &walk);
 
     assert!(matches!(action, Action::Deliver { .. }), "{action:?}");
     assert_eq!(later, Action::Drop(Cause::Unknown));
--- a/crates/steer/tests/hold.rs
+++ b/crates/steer/tests/hold.rs
@@ -284,7 +284,7 @@
     routing.revision = 2;
     routing.routes.retain(|route| route.address != less_urgent());
 
-    agent.routing_changed(later(), &contended_routing(), &routing);
+    agent.routing_changed(&contended_routing(), &routing);
     answer(&mut agent, &roster, later(), flow(BUSY_PORT));
     let release = agent.release(later(), &routing, &roster).expect("a free slot");
 
--- a/crates/steer/tests/model.rs
+++ b/crates/steer/tests/model.rs
@@ -236,6 +236,15 @@
     assert_kept(&explore_and_check(&start, 3, &settle::check));
 }
 
+/// A flow must be found, and not be reset, after its route was moved to another service and all
+/// processes have been killed.
+#[test]
+fn finds_a_flow_of_a_moved_route_after_all_processes_were_killed() {
+    let budget = Budget { requests: 2, rounds: 2, ..Budget::NONE };
+    let start = scenario::killed_after_move(3, budget, Removed::Nothing);
+    assert_kept(&explore_and_check(&start, 3, &settle::check));
+}
+
 /// The caller of a flow of before a loss of power must be told that the flow has ended as
 /// soon as the nodes know each other, although the new backend servers may have started
 /// before their agents.
@@ -303,6 +312,15 @@
     assert_broken(&explore_and_check(&start(Removed::Record), 3, &settle::check));
 }
 
+/// Without the record of where routes led before, the flow of a moved route isn't found once
+/// nobody remembers it.
+#[test]
+fn notices_a_missing_record_of_routes() {
+    let budget = Budget { requests: 1, rounds: 1, ..Budget::NONE };
+    let start = scenario::killed_after_move(3, budget, Removed::RouteRecord);
+    assert_broken(&explore_and_check(&start, 2, &settle::check));
+}
+
 /// Without the rule that all agents must have been asked, a home node resets a flow whose
 /// announcement is on its way, if an answer is lost for which the search waits.
 #[test]
--- a/crates/steer/tests/model/scenario.rs
+++ b/crates/steer/tests/model/scenario.rs
@@ -1,6 +1,7 @@
 //! Start states of searches.
 
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::request::placement;
@@ -184,6 +185,27 @@
     State { budget, ..state }
 }
 
+/// Like [`open`], but the flow's route has been moved to the service of another backend server
+/// since. Then all processes have been killed and started again, which know from the store only
+/// where the route led. The backend servers run on.
+pub fn killed_after_move(agents: usize, budget: Budget, removed: Removed) -> State {
+    let mut state = open(agents, Holder::Other, budget, removed);
+    let world = &mut state.world;
+    let other = (0..agents).find(|index| world.caller.chosen != Some(*index));
+    let other = other.expect("some don't hold the flow");
+    world.agent_mut(other).start_server();
+    world.agent_mut(other).server.service = fixture::INVOICES;
+    let mut routing = fixture::routing(2);
+    routing.routes[0].split[0].service = fixture::INVOICES.into();
+    if removed != Removed::RouteRecord {
+        let service = fixture::CALENDAR.into();
+        routing.history.insert(world.now, fixture::calendar(), &service);
+    }
+    world.routing = Arc::new(routing);
+    restart_all(world);
+    State { budget, ..state }
+}
+
 /// Starts new processes of all agents and balancers.
 fn restart_all(world: &mut World) {
     world.in_flight.clear();
--- a/crates/steer/tests/model/world.rs
+++ b/crates/steer/tests/model/world.rs
@@ -33,6 +33,8 @@
     ExhaustiveWalk,
     /// Agents deliver openings to an instance that the store doesn't name.
     Record,
+    /// The store doesn't say where routes led before.
+    RouteRecord,
 }
 
 /// A node or the caller.
@@ -120,7 +122,7 @@
     pub removed: Removed,
     /// The flow that the caller opens.
     pub flow: flow::Key,
-    /// The routes, known to all nodes.
+    /// The routes, and where they led before, known to all nodes.
     pub routing: Arc<Routing>,
     /// The agents; shared with other states until they change.
     agents: Vec<(Arc<AgentNode>, Option<u64>)>,
--- a/crates/steer/tests/walk.rs
+++ b/crates/steer/tests/walk.rs
@@ -6,9 +6,9 @@
 
 use fixture::{
     FIRST_SEQUENCE, INCARNATION, INVOICES, NOW, agent, agent_address, agent_and_roster,
-    agent_heartbeat, arrival, balancer_address, calendar_led_to_invoices, decide_in_time,
-    flow, flow_homed_elsewhere, flow_homed_here, limits, request, roster, routing,
-    searched, sync_all, sync_status,
+    agent_heartbeat, arrival, balancer_address, decide_in_time, flow,
+    flow_homed_elsewhere, flow_homed_here, limits, moved_routing, request, roster,
+    routing, searched, sync_all, sync_status,
 };
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, Agent, Cause};
@@ -83,11 +83,11 @@
 fn a_walk_includes_agents_of_services_that_the_route_led_to() {
     let (mut agent, mut roster) = agent_and_roster();
     change_backend(&mut roster, 2, Some(INVOICES));
-    agent.routing_changed(NOW, &calendar_led_to_invoices(), &routing(1));
+    let routing = moved_routing(NOW);
     let key = flow_homed_here(&roster);
     let search = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
 
-    let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &search);
+    let action = decide_in_time(NOW, &mut agent, &routing, &roster, &search);
 
     let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
     let mut visited = vec![to];
