Announce a flow as soon as its backend server shows that it holds it

Cause: an agent that learns of a flow of before by a segment of its backend server announced it to the home nodes at its next tick, up to 200 ms later. The caller's acknowledgement follows sooner.

Ruled out: the index of the home nodes (it has the flow once it is announced); the order of the walk (the holder got the segment, as the last one).

Change: the announcement is sent at once, as for a flow that was just accepted. A log line `found` names the flow.

`a_flow_is_announced_as_soon_as_it_is_found` fails without it: nothing is announced.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -222,7 +222,8 @@
                 .map(BackendAction::Returned);
         }
         let flow = segment.flow_from_backend();
-        if self.flows.get(now, &flow).is_none() {
+        let is_new = self.flows.get(now, &flow).is_none();
+        if is_new {
             self.record_flow(now, flow, State::new(Stage::Offered));
         }
         let state = self.flows.get(now, &flow)?;
@@ -253,6 +254,7 @@
             }
             stage => stage,
         };
+        let is_found = is_new && state.stage == Stage::Open;
         let is_closing = state.stage == Stage::Closing;
         let answer =
             if segment.length > 0 { self.in_flight.answer(now, &flow) } else { None };
@@ -270,7 +272,13 @@
         }
         self.record_backlog(now);
         let answer_ms = answer.map(|answer| answer.ms);
-        Some(BackendAction::Send { is_accept, accept_ms, answer_ms, cost_ratio })
+        Some(BackendAction::Send {
+            is_accept,
+            is_found,
+            accept_ms,
+            answer_ms,
+            cost_ratio,
+        })
     }
 
     /// Removes flows that have been idle for `idle_ms` milliseconds.
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -144,6 +144,8 @@
     Send {
         /// Whether it accepts a new flow.
         is_accept: bool,
+        /// Whether it belongs to an open flow that this process didn't know.
+        is_found: bool,
         /// Time from the delivery of the opening segment to this acceptance, in
         /// milliseconds.
         accept_ms: Option<u64>,
--- a/crates/steer/src/process/agent/announce.rs
+++ b/crates/steer/src/process/agent/announce.rs
@@ -146,9 +146,9 @@
             .collect()
     }
 
-    /// The announcements of a flow that was just accepted. They are sent immediately, so
-    /// that the caller's next segment finds the flow even if it arrives through another
-    /// balancer.
+    /// The announcements of a flow that was just accepted, or that the backend server has just
+    /// shown to hold. They are sent immediately, so that the caller's next segment finds the
+    /// flow even if it arrives through another balancer.
     pub fn announce_flow(
         &mut self,
         now: Millis,
@@ -156,7 +156,9 @@
         flow: &flow::Key,
     ) -> Vec<Outgoing> {
         let state = self.flows.get(now, flow);
-        let Some(state) = state.filter(|state| state.stage == Stage::Accepted) else {
+        let Some(state) =
+            state.filter(|state| matches!(state.stage, Stage::Accepted | Stage::Open))
+        else {
             return Vec::new();
         };
         let homes = uninformed_homes(roster, self.address, flow, state);
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -382,15 +382,26 @@
                 flows.record_life(sent_at);
             }
             let action = flows.handle_backend_segment(now, &routing, &roster, &segment);
-            let is_accept =
-                matches!(action, Some(BackendAction::Send { is_accept: true, .. }));
-            let flow = is_accept.then(|| segment.flow_from_backend());
+            let is_due = matches!(
+                action,
+                Some(
+                    BackendAction::Send { is_accept: true, .. }
+                        | BackendAction::Send { is_found: true, .. }
+                )
+            );
+            let flow = is_due.then(|| segment.flow_from_backend());
             let announcements = flow.map(|flow| flows.announce_flow(now, &roster, &flow));
             (action, announcements.unwrap_or_default())
         };
         self.send_announcements(announcements);
         match action {
-            Some(BackendAction::Send { is_accept, accept_ms, answer_ms, cost_ratio }) => {
+            Some(BackendAction::Send {
+                is_accept,
+                is_found,
+                accept_ms,
+                answer_ms,
+                cost_ratio,
+            }) => {
                 let flow = segment.flow_from_backend();
                 if let Some(accept_ms) = accept_ms {
                     metric::record_ms(&metric::ACCEPT_SECONDS, accept_ms);
@@ -398,6 +409,9 @@
                 if is_accept {
                     log::info!(target: "accepted", flow:% = flow; "flow accepted");
                 }
+                if is_found {
+                    log::info!(target: "found", flow:% = flow; "backend server holds an open flow of before");
+                }
                 if segment.flags.reset {
                     metric::count_labelled(&metric::ENDED, "backend_reset");
                     log::info!(target: "ended", flow:% = flow, cause = "backend_reset"; "backend server reset the flow");
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -454,6 +454,7 @@
         sent,
         Some(BackendAction::Send {
             is_accept: false,
+            is_found: false,
             accept_ms: None,
             answer_ms: Some(30),
             cost_ratio: None
--- a/crates/steer/tests/locate.rs
+++ b/crates/steer/tests/locate.rs
@@ -8,13 +8,14 @@
 use fixture::{
     FIRST_SEQUENCE, INCARNATION, NOW, accept, agent_address, agent_and_roster,
     agent_heartbeat, announcement, arrival, decide_in_time, flow, flow_homed_elsewhere,
-    flow_homed_here, forwarded, open, opening, request, routing, searched, sync_all,
-    sync_status,
+    flow_homed_here, forwarded, from_backend, limits, open, opening, report, request,
+    routing, searched, start_agent, sync_all, sync_status,
 };
 use lentilreach_steer::connection::flow;
-use lentilreach_steer::process::agent::{Action, Cause, Outgoing};
+use lentilreach_steer::process::agent::{Action, BackendAction, Cause, Outgoing};
 use lentilreach_steer::request::message::{Search, Stage, SyncStatus};
 use lentilreach_steer::request::placement::homes;
+use lentilreach_steer::request::segment::{Flags, Segment};
 
 /// A home node that knows a flow forwards segments directly to its agent.
 #[test]
@@ -176,6 +177,32 @@
     assert_eq!(agent.announce_flow(NOW, &roster, &key), []);
 }
 
+/// After a restart, the next segment of a flow was searched for again although its backend server
+/// had just answered, and was shown to others once more.
+#[test]
+fn a_flow_is_announced_as_soon_as_it_is_found() {
+    let roster = agent_and_roster().1;
+    let mut agent = start_agent(NOW, 1, "a", limits());
+    agent.report(NOW, report(17));
+    let key = flow_homed_elsewhere(&roster);
+    let flags = Flags { acknowledge: true, ..Flags::default() };
+    let answer = Segment { length: 600, ..from_backend(key, flags, FIRST_SEQUENCE) };
+
+    let first = agent.handle_backend_segment(NOW, &routing(1), &roster, &answer);
+    let announced = agent.announce_flow(NOW, &roster, &key);
+    let second = agent.handle_backend_segment(NOW, &routing(1), &roster, &answer);
+    let again = agent.announce_flow(NOW, &roster, &key);
+
+    let is_found = |action: Option<BackendAction>| match action {
+        Some(BackendAction::Send { is_found, .. }) => is_found,
+        other => panic!("{other:?}"),
+    };
+    let informed: Vec<_> = announced.iter().map(|outgoing| outgoing.to).collect();
+    assert_eq!(informed, homes(&roster, &key).map(|home| home.expect("a home")));
+    assert_eq!(again, []);
+    assert_eq!((is_found(first), is_found(second)), (true, false));
+}
+
 /// Two backend servers accepted a flow, and the one that the caller didn't choose
 /// announced it last. The home node must remember the other one as well, or an open flow
 /// would be reset.
--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -229,8 +229,8 @@
         let action =
             node.agent.handle_backend_segment(now, &routing, &node.roster, &segment);
         match action {
-            Some(BackendAction::Send { is_accept, .. }) => {
-                if is_accept && is_early {
+            Some(BackendAction::Send { is_accept, is_found, .. }) => {
+                if is_found || (is_accept && is_early) {
                     self.announce_flow(index);
                 }
                 if is_accept {
@@ -252,7 +252,7 @@
         }
     }
 
-    /// Announces the flow that an agent's backend server has accepted.
+    /// Announces the flow that an agent's backend server has accepted or holds.
     pub fn announce_flow(&mut self, index: usize) {
         let (now, flow) = (self.now, self.flow);
         let node = self.agent_mut(index);
