Ask the own backend server first, and home nodes last in their place

Whoever may hold the flow wasn't asked.

Ruled out: the membership (views differed by moments only) and the index, which is empty after a restart, as it must be.

Change: a node that is asked for an unknown flow delivers the segment to its own backend server first if that may hold the flow; it is returned otherwise, and not asked again. A search in place of the home nodes ends with them, since they may not be running.

`a_home_that_may_hold_a_flow_asks_its_own_backend_server_first` and `a_search_in_place_of_the_home_nodes_ends_with_them` failed before.

--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -32,6 +32,8 @@
     is_exhaustive: bool,
     /// Those of them that have answered the question, so they were running after it.
     answered: Vec<SocketAddrV4>,
+    /// Those that come last because they have probably not answered the balancer.
+    last: [Option<SocketAddrV4>; 2],
     /// Number of earlier searches for the flow.
     searches: u32,
     /// Whether a segment of the flow waits for answers.
@@ -86,6 +88,9 @@
                     forwarding.search = Search::Indexed;
                     return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
                 }
+                if let Some(action) = self.ask_own(now, routing, arrival, &forwarding) {
+                    return action;
+                }
                 let is_home = homes.contains(&Some(self.address));
                 // The sender has another view of the membership.
                 if let Some(to) = other_home
@@ -134,6 +139,30 @@
         }
     }
 
+    /// Delivers a segment of an unknown flow to the own backend server before others are asked,
+    /// if it may hold the flow. It returns the segment otherwise, and isn't asked again.
+    fn ask_own(
+        &mut self,
+        now: Millis,
+        routing: &Routing,
+        arrival: &Arrival,
+        forwarding: &Forwarding,
+    ) -> Option<Action> {
+        let flow = arrival.segment.flow_from_caller();
+        let service = &self.backend.report()?.service;
+        let may_hold = self.may_hold_unknown_flows()
+            && self.may_hold(now, routing, flow.service, service)
+            && !forwarding.tried.contains(&self.address)
+            && self.flows.get(now, &flow).is_none();
+        if !may_hold {
+            return None;
+        }
+        let mut forwarding = forwarding.clone();
+        forwarding.tried.push(self.address);
+        let arrival = Arrival { forwarding, ..arrival.clone() };
+        Some(self.deliver(now, &arrival, false))
+    }
+
     /// The agent that holds a flow according to the index. If two agents have announced
     /// it, the one that is heard, since the caller may have chosen either.
     fn indexed_holder(
@@ -156,8 +185,7 @@
     /// A home node leaves out agents that have announced all of their flows to it. For
     /// certainty that nobody holds the flow, it needs a statement of every agent that was
     /// made after the question; silence proves nothing. A node that is not a home node was
-    /// asked because the home nodes didn't answer, so it leaves these out, and is never
-    /// certain.
+    /// asked because the home nodes didn't answer, and is never certain.
     fn plan(
         &mut self,
         now: Millis,
@@ -192,6 +220,7 @@
             to_visit: Vec::new(),
             is_exhaustive: can_be_certain,
             answered: Vec::new(),
+            last: if is_home { [None; 2] } else { homes },
             searches,
             wait,
             should_wait: false,
@@ -199,11 +228,7 @@
         for member in roster.agents().filter(|member| member.address != self.address) {
             let evidence = self.evidence(roster, &view, is_undisputed, member, question);
             plan.is_exhaustive &= evidence.is_current;
-            let is_left_out = if is_home {
-                evidence.is_announced && are_holders_known
-            } else {
-                homes.contains(&Some(member.address))
-            };
+            let is_left_out = is_home && evidence.is_announced && are_holders_known;
             let is_tried = forwarding.tried.contains(&member.address);
             if is_left_out || is_tried || member.is_silent {
                 continue;
@@ -287,18 +312,25 @@
         forwarding.is_exhaustive =
             plan.is_exhaustive && forwarding.to_visit.len() <= MAX_TO_VISIT;
         let to_visit = &mut forwarding.to_visit;
+        let is_last = |agent: &mut SocketAddrV4| plan.last.contains(&Some(*agent));
+        let last: Vec<_> = to_visit.extract_if(.., is_last).collect();
+        let limit = MAX_TO_VISIT - last.len();
         placement::sort_by_likelihood(routing, roster, &flow, &domain, to_visit);
-        if to_visit.len() > MAX_TO_VISIT {
+        if to_visit.len() > limit {
             // Each search visits other agents than the one before.
-            let first = plan.searches as usize * MAX_TO_VISIT % to_visit.len();
+            let first = plan.searches as usize * limit % to_visit.len();
             to_visit.rotate_left(first);
         }
-        to_visit.truncate(MAX_TO_VISIT);
+        to_visit.truncate(limit);
         // A walk ends at an agent that has stopped.
         to_visit.sort_by_key(|agent| !plan.answered.contains(agent));
-        // The walk visits this agent first, unless its backend server has another flow
-        // between the same addresses.
-        if self.may_hold_unknown_flows() && self.flows.get(now, &flow).is_none() {
+        to_visit.extend(last);
+        // The walk visits this agent first, unless its backend server has been asked already
+        // or has another flow between the same addresses.
+        if self.may_hold_unknown_flows()
+            && !forwarding.tried.contains(&self.address)
+            && self.flows.get(now, &flow).is_none()
+        {
             return self.visit(now, routing, arrival, forwarding);
         }
         self.continue_walk(arrival, forwarding)
--- a/crates/steer/tests/locate.rs
+++ b/crates/steer/tests/locate.rs
@@ -9,7 +9,7 @@
     FIRST_SEQUENCE, INCARNATION, NOW, accept, agent_address, agent_and_roster,
     agent_heartbeat, announcement, arrival, decide_in_time, flow, flow_homed_elsewhere,
     flow_homed_here, forwarded, from_backend, limits, open, opening, report, request,
-    routing, searched, start_agent, sync_all, sync_status,
+    returned, routing, searched, start_agent, sync_all, sync_status,
 };
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, BackendAction, Cause, Outgoing};
@@ -31,6 +31,54 @@
     assert_eq!((to, forwarding.search), (agent_address(4), Search::Indexed));
 }
 
+/// A home node that had just restarted passed a segment on although its own backend server held
+/// the flow, and while others were restarted as well nobody came back to it.
+#[test]
+fn a_home_that_may_hold_a_flow_asks_its_own_backend_server_first() {
+    let roster = agent_and_roster().1;
+    let key = flow_homed_here(&roster);
+    let segment = request(key, FIRST_SEQUENCE);
+    let ask = |rank| {
+        let mut agent = start_agent(NOW, 1, "a", limits());
+        agent.report(NOW, report(17));
+        let asked = searched(&roster, segment, Search::Home(rank));
+        let first = agent.handle_caller_segment(NOW, &routing(1), &roster, &asked);
+        let Action::Deliver { mark, .. } = first else { panic!("{first:?}") };
+        let returned = returned(segment, mark);
+        let next = agent.handle_backend_segment(NOW, &routing(1), &roster, &returned);
+        let Some(BackendAction::Returned(next)) = next else { panic!("{next:?}") };
+        next
+    };
+
+    let (first, second) = (ask(0), ask(1));
+
+    // Its own backend server isn't asked again.
+    let own = agent_address(1);
+    let Action::Forward { to, forwarding, .. } = first else { panic!("{first:?}") };
+    assert!(to != own && homes(&roster, &key).contains(&Some(to)));
+    assert!(forwarding.tried.contains(&own));
+    let Action::Postpone(arrival) = second else { panic!("{second:?}") };
+    assert!(arrival.forwarding.tried.contains(&own));
+}
+
+/// The agent that searches in place of the home nodes could not find a flow beside one of them,
+/// and showed its segments to all others. They come last, since they may not be running.
+#[test]
+fn a_search_in_place_of_the_home_nodes_ends_with_them() {
+    let (mut agent, roster) = agent_and_roster();
+    let key = flow_homed_elsewhere(&roster);
+    let search = searched(&roster, request(key, FIRST_SEQUENCE), Search::Fallback);
+
+    let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &search);
+
+    let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
+    let mut visited = vec![to];
+    visited.extend(forwarding.to_visit);
+    let homes = homes(&roster, &key).map(|home| home.expect("a home"));
+    assert_eq!(visited.len(), 5);
+    assert!(homes.iter().all(|home| visited[3..].contains(home)), "{visited:?}");
+}
+
 /// If the first home node doesn't know a flow, the second one is asked and then all
 /// agents.
 #[test]
