--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -190,6 +190,11 @@
         self.backend.report().is_some() && !self.backend.is_overdue(now)
     }
 
+    /// Whether the backend server has reported to this process, or there is none.
+    pub fn is_backend_known(&self) -> bool {
+        self.backend.report().is_some() || !self.backend.may_be_running()
+    }
+
     /// Whether there is no backend server next to this agent.
     pub fn has_no_backend(&self) -> bool {
         self.backend.is_leaving() || !self.backend.may_be_running()
