Show a flow to a backend server only once, and visit closed agents last

Change: an agent keeps in mind of which flows its backend server has returned a segment. It can't hold them unless it gets an opening, which clears the entry. A walk visits agents last that accept no flows: they may be about to stop.

`a_flow_is_not_asked_for_twice` and `a_walk_visits_agents_that_are_closed_last` fail without it. It is not whole: a walk is still lost if the agent of the flow and one that has stopped are both closed.

--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -105,6 +105,9 @@
     index: Index,
     /// Recently delivered segments, which the backend server may return.
     delivered: Ring,
+    /// Flows of which the backend server has returned a segment, so that it doesn't hold them
+    /// unless it has got an opening since.
+    denied: Table<()>,
     /// Since when every flow of the backend server has been recorded in `flows`: the start
     /// of the agent, or the last eviction of a flow.
     recorded_since: Millis,
@@ -161,6 +164,7 @@
             health: Health::default(),
             index: Index::new(limits.flows),
             delivered: Ring::new(fastrand::u32(1..)),
+            denied: Table::new(limits.flows),
             recorded_since: now,
             has_all_since_start: true,
             knowledge: Knowledge::Partial,
@@ -224,6 +228,7 @@
         let flow = segment.flow_from_backend();
         let is_new = self.flows.get(now, &flow).is_none();
         if is_new {
+            self.denied.remove(&flow);
             self.record_flow(now, flow, State::new(Stage::Offered));
         }
         let state = self.flows.get(now, &flow)?;
@@ -285,6 +290,7 @@
     pub fn expire(&mut self, now: Millis, idle_ms: u64) {
         self.flows.expire(now, idle_ms);
         self.index.expire(now, idle_ms);
+        self.denied.expire(now, idle_ms);
         self.questions.expire(now);
     }
 
@@ -341,7 +347,7 @@
                 Search::Home(_) | Search::Fallback => {
                     self.locate(now, routing, roster, arrival)
                 }
-                Search::Walk if self.may_hold_unknown_flows() => {
+                Search::Walk if self.may_hold_unknown_flow(now, &flow) => {
                     self.visit(now, routing, arrival, forwarding.clone())
                 }
                 Search::Open | Search::Known | Search::Indexed
@@ -475,10 +481,10 @@
             state.first_sequence.is_some()
                 && (state.is_established() || state.stage == Stage::Lost)
         });
-        Some(if was_held {
-            self.reset(&arrival, Cause::Lost)
-        } else {
-            self.locate(now, routing, roster, &arrival)
-        })
+        if was_held {
+            return Some(self.reset(&arrival, Cause::Lost));
+        }
+        self.denied.insert(now, flow, ());
+        Some(self.locate(now, routing, roster, &arrival))
     }
 }
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -235,6 +235,7 @@
         self.durations.record_opening(flow.service);
         self.admission.record_delivery();
         self.open += 1;
+        self.denied.remove(&flow);
         self.in_flight.open(now, flow);
         self.record_flow(now, flow, State::offered(now, arrival.segment.sequence));
         self.deliver(now, arrival, true)
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -258,6 +258,15 @@
         self.knowledge == Knowledge::Partial && self.backend.may_be_running()
     }
 
+    /// Whether the backend server may hold a flow that this agent doesn't know.
+    pub(super) fn may_hold_unknown_flow(
+        &mut self,
+        now: Millis,
+        flow: &flow::Key,
+    ) -> bool {
+        self.may_hold_unknown_flows() && self.denied.get(now, flow).is_none()
+    }
+
     /// Whether the backend server may hold a flow that this agent doesn't know, but that
     /// another node expects there.
     pub(super) fn may_hold_expected_flow(&self) -> bool {
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -9,7 +9,7 @@
 use crate::connection::flow;
 use crate::process::roster::view::View;
 use crate::process::roster::{Member, Roster};
-use crate::request::message::{MAX_TO_VISIT, Progress, Search, SyncStatus};
+use crate::request::message::{MAX_TO_VISIT, Progress, Search, Stage, SyncStatus};
 use crate::request::placement;
 use crate::version::history::Earlier;
 use crate::version::routing::Routing;
@@ -150,8 +150,8 @@
     ) -> Option<Action> {
         let flow = arrival.segment.flow_from_caller();
         let service = &self.backend.report()?.service;
-        let may_hold = self.may_hold_unknown_flows()
-            && self.may_hold(now, routing, flow.service, service)
+        let may_hold = self.may_hold(now, routing, flow.service, service)
+            && self.may_hold_unknown_flow(now, &flow)
             && !forwarding.tried.contains(&self.address)
             && self.flows.get(now, &flow).is_none();
         if !may_hold {
@@ -323,11 +323,14 @@
         }
         to_visit.truncate(limit);
         // A walk ends at an agent that has stopped.
-        to_visit.sort_by_key(|agent| !plan.answered.contains(agent));
+        let is_closed = |agent: &SocketAddrV4| {
+            roster.get(*agent).and_then(Member::stage) == Some(Stage::Closed)
+        };
+        to_visit.sort_by_key(|agent| (is_closed(agent), !plan.answered.contains(agent)));
         to_visit.extend(last);
         // The walk visits this agent first, unless its backend server has been asked already
         // or has another flow between the same addresses.
-        if self.may_hold_unknown_flows()
+        if self.may_hold_unknown_flow(now, &flow)
             && !forwarding.tried.contains(&self.address)
             && self.flows.get(now, &flow).is_none()
         {
--- a/crates/steer/tests/walk.rs
+++ b/crates/steer/tests/walk.rs
@@ -7,8 +7,8 @@
 use fixture::{
     FIRST_SEQUENCE, INCARNATION, INVOICES, NOW, agent, agent_address, agent_and_roster,
     agent_heartbeat, arrival, balancer_address, decide_in_time, flow,
-    flow_homed_elsewhere, flow_homed_here, limits, moved_routing, request, roster,
-    routing, searched, sync_all, sync_status,
+    flow_homed_elsewhere, flow_homed_here, limits, moved_routing, opening, report,
+    request, returned, roster, routing, searched, sync_all, sync_status,
 };
 use lentilreach_steer::connection::flow;
 use lentilreach_steer::process::agent::{Action, Agent, Cause};
@@ -77,6 +77,53 @@
     assert!(!forwarding.is_exhaustive);
 }
 
+/// A walk that met an agent which had just stopped was lost, after it had shown the segment to
+/// some backend servers. Agents that accept no flows may be about to stop.
+#[test]
+fn a_walk_visits_agents_that_are_closed_last() {
+    let (mut agent, mut roster) = agent_and_roster();
+    let key = flow_homed_here(&roster);
+    let heartbeat = agent_heartbeat(2, "a", Stage::Closed, 0);
+    for number in [2, 4] {
+        roster
+            .record_heartbeat(NOW, agent_address(number), &heartbeat)
+            .expect("a later heartbeat");
+    }
+    let search = searched(&roster, request(key, FIRST_SEQUENCE), Search::Home(1));
+
+    let action = decide_in_time(NOW, &mut agent, &routing(1), &roster, &search);
+
+    let Action::Forward { to, forwarding, .. } = action else { panic!("{action:?}") };
+    let mut visited = vec![to];
+    visited.extend(forwarding.to_visit);
+    let mut last = visited.split_off(3);
+    last.sort();
+    assert_eq!(last, [agent_address(2), agent_address(4)]);
+}
+
+/// A backend server that has returned a segment of a flow was shown each retransmission. It can't
+/// hold the flow later, unless it is opened there.
+#[test]
+fn a_flow_is_not_asked_for_twice() {
+    let roster = roster(NOW, 6, &["a", "b"]);
+    let mut agent = fixture::start_agent(NOW, 1, "a", limits());
+    agent.report(NOW, report(17));
+    let segment = request(flow_homed_elsewhere(&roster), FIRST_SEQUENCE);
+    let walk = arrival(segment, Search::Walk, 1);
+    let first = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    let Action::Deliver { mark, .. } = first else { panic!("{first:?}") };
+
+    agent.handle_backend_segment(NOW, &routing(1), &roster, &returned(segment, mark));
+    let again = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+    let opening = arrival(opening(segment.flow_from_caller(), 0), Search::Open, 1);
+    let opened = agent.handle_caller_segment(NOW, &routing(1), &roster, &opening);
+    let after = agent.handle_caller_segment(NOW, &routing(1), &roster, &walk);
+
+    assert_eq!(again, Action::Drop(Cause::Unknown));
+    assert!(matches!(opened, Action::Deliver { .. }), "{opened:?}");
+    assert!(matches!(after, Action::Deliver { .. }), "{after:?}");
+}
+
 /// An open flow whose route now leads to another service was shown to all backend servers
 /// that could not hold it, and to none that could.
 #[test]
