Limit a cold backend server although its service is not known

Cause: `cold_rate` took a service that the own configuration doesn't have for one without a stated rate. An agent that starts while the store is down has no configuration, but balancers that have one go on sending openings.

Ruled out: the balancers; they keep to the stage that the agent states, which was "ready".

Change: as long as the agent doesn't know the service, the rate counts as zero, so only the slack of the settings is allowed, which is never more than the limit. The same holds if balancers have a newer configuration with a service that the agent's doesn't have yet. The agent states that its backend server is cold.

`a_cold_backend_server_is_limited_without_a_configuration` failed before (6 delivered, ready; 5 allowed, cold).

--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -255,11 +255,12 @@
     }
 
     /// Requests per second that the backend server can handle while it is cold; `None` if
-    /// no rate is stated.
+    /// no rate is stated. Zero if this process doesn't know the service, because it has read no
+    /// configuration or an older one than the balancers.
     pub(super) fn cold_rate(&self, routing: &Routing) -> Option<f64> {
         let report = self.backend.report()?;
-        let rate =
-            routing.service(&report.service).map_or(0.0, |service| service.cold_per_s);
+        let Some(service) = routing.service(&report.service) else { return Some(0.0) };
+        let rate = service.cold_per_s;
         (rate > 0.0 || self.backend.bounds().limits_zero_rate).then_some(rate)
     }
 
--- a/crates/steer/tests/admit.rs
+++ b/crates/steer/tests/admit.rs
@@ -3,15 +3,18 @@
 mod fixture;
 
 use fixture::{
-    COLD_LIMIT, FIRST_SEQUENCE, NOW, accept, agent_and_roster, arrival, cold_agent, flow,
-    forwarded, from_backend, open, opening, report, request, roster, routing,
+    COLD_LIMIT, FIRST_SEQUENCE, NOW, accept, agent_and_roster, arrival, bounds,
+    cold_agent, flow, forwarded, from_backend, limits, open, opening, report, request,
+    roster, routing, start_agent,
 };
 use lentilreach_steer::connection::flow;
-use lentilreach_steer::process::agent::{Action, Agent, Arrival, Cause};
-use lentilreach_steer::process::backend::{Refusal, Report};
+use lentilreach_steer::process::agent::{Action, Agent, Arrival, Cause, Limits};
+use lentilreach_steer::process::backend::record::EARLY_REPORTS;
+use lentilreach_steer::process::backend::{Bounds, Refusal, Report};
 use lentilreach_steer::process::roster::Roster;
-use lentilreach_steer::request::message::Search;
+use lentilreach_steer::request::message::{Search, Stage};
 use lentilreach_steer::request::segment::{Flags, Segment};
+use lentilreach_steer::version::routing::Routing;
 
 /// Lets an agent decide on an opening, which it takes over if it has to wait. Returns
 /// whether it waits, or the other action.
@@ -66,6 +69,37 @@
     }
 }
 
+/// An agent that had started while the store was away knew no rate of the service, and gave a
+/// cold backend server whatever balancers sent. Whatever the rate is, the slack is allowed.
+#[test]
+fn a_cold_backend_server_is_limited_without_a_configuration() {
+    let alone = roster(NOW, 1, &["a"]);
+    let unstated = Bounds { limits_zero_rate: false, ..bounds() };
+    let offered = |routing: &Routing| {
+        let limits = Limits { bounds: unstated, ..limits() };
+        let mut agent = start_agent(NOW, 1, "a", limits);
+        agent.record_absence(NOW);
+        agent.report(NOW, Report { cold_ms: 5_000, ..report(EARLY_REPORTS + 1) });
+        let stage = agent.backend_status(NOW, routing, 1).map(|status| status.stage);
+        let mut delivered = 0;
+        for port in 1..=20 {
+            let arrival = arrival(opening(flow(port), 0), Search::Open, 1);
+            let action = agent.handle_caller_segment(NOW, routing, &alone, &arrival);
+            delivered += usize::from(matches!(action, Action::Deliver { .. }));
+        }
+        (delivered, stage)
+    };
+    let mut without_service = routing(1);
+    without_service.services.remove(0);
+
+    assert_eq!(offered(&Routing::default()), (COLD_LIMIT, Some(Stage::Cold)));
+    assert_eq!(offered(&without_service), (COLD_LIMIT, Some(Stage::Cold)));
+    // The configuration states no rate.
+    let (delivered, stage) = offered(&routing(1));
+    assert!(delivered > COLD_LIMIT);
+    assert_eq!(stage, Some(Stage::Ready));
+}
+
 /// A backend server that starts to drain must not get an opening that waited for it.
 #[test]
 fn a_waiting_opening_is_not_delivered_after_a_drain() {
