Read the record of routes at the lower price between starts

Cause: an agent that found a newer configuration at its poll read the documents and the record again, both at the full price, although its stale read had the documents.

Change: the stale read is kept, and the record is read in the same way.

--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -149,10 +149,15 @@
         }
         let range = self.store.range_stale(prefix).await?;
         let is_old = range.revision < self.node.newest_revision();
+        let mut range = if is_old { self.store.range(prefix).await? } else { range };
         let last_change = self.documents.last_change();
-        let is_new = range.entries.iter().any(|entry| entry.modified > last_change);
         // Configurations between the known one and this one may have been missed.
-        let range = if is_old || is_new { self.load().await? } else { range };
+        if self.role == Role::Agent
+            && range.entries.iter().any(|entry| entry.modified > last_change)
+        {
+            let record = self.recorder.read_stale().await?;
+            range.entries.splice(..0, record);
+        }
         Ok(Some(Update::Snapshot(range)))
     }
 
@@ -165,8 +170,7 @@
         }
         let (documents, record) = zip(documents, self.recorder.read()).await;
         let mut range = documents?;
-        range.entries.extend(record?);
-        range.entries.sort_by(|a, b| a.key.cmp(&b.key));
+        range.entries.splice(..0, record?);
         Ok(range)
     }
 
--- a/crates/steer/src/process/driver/leads.rs
+++ b/crates/steer/src/process/driver/leads.rs
@@ -47,6 +47,14 @@
         Ok(entry)
     }
 
+    /// Reads the record at a lower cost. It may be some seconds old.
+    ///
+    /// # Errors
+    /// If the store doesn't answer.
+    pub async fn read_stale(&self) -> Result<Option<Entry>, Error> {
+        Ok(self.store.range_stale(KEY).await?.get(KEY).cloned())
+    }
+
     /// Whether the record is known to say where routes lead.
     pub fn is_current(&self, routing: &Routing) -> bool {
         let stored = self.stored.as_ref();
