Give no openings on a first report that may have been delayed

Cause: the first report after a start was taken as it was. The entry in the store named a later instance, and was overwritten with the ended one.

Change: if the entry names an instance that started later, or isn't known yet, the first report is not enough for openings, nor for segments on a walk: the instance must report again, as a running one does within a report interval. So a backend server whose clock was set back at its start is served, one report later. The registration keeps a later record until then.

--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -114,7 +114,9 @@
         let (open, busy) = self.load(now);
         let is_limited = self.cold_rate(routing).is_some();
         let stage = match self.backend.stage(now)? {
-            _ if !self.is_use_evident() => message::Stage::Closed,
+            _ if self.may_have_ended() || !self.is_use_evident() => {
+                message::Stage::Closed
+            }
             message::Stage::Cold if !is_limited => message::Stage::Ready,
             stage => stage,
         };
@@ -165,6 +167,9 @@
         if !self.is_use_evident() {
             return Err(backend::Refusal::Unrecorded.into());
         }
+        if self.may_have_ended() {
+            return Err(backend::Refusal::Unknown.into());
+        }
         let service = routing.service(&report.service);
         let connections = service.map_or(u32::MAX, |service| service.connections);
         Ok(self.backend.check(now, self.open, connections)?)
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -6,7 +6,7 @@
 use super::{Agent, Ended};
 use crate::connection::flow;
 use crate::connection::state::{Stage, State};
-use crate::process::backend::record::{Instance, Record};
+use crate::process::backend::record::{Heard, Instance, Record};
 use crate::process::backend::{self, Report};
 use crate::process::schedule::durations::Durations;
 use crate::version::routing::Routing;
@@ -152,6 +152,20 @@
         self.backend.report().map(Instance::from)
     }
 
+    /// Whether the only report of the current instance may have been delayed until after its end,
+    /// so that another service may have the address of the backend server by now.
+    pub(super) fn may_have_ended(&self) -> bool {
+        let is_superseded =
+            |instance: Instance| self.found_record.may_supersede(&instance);
+        !self.backend.has_followed() && self.instance().is_some_and(is_superseded)
+    }
+
+    /// What the registration needs to know of the instance that has reported last.
+    pub fn heard(&self) -> Option<Heard> {
+        let has_followed = self.backend.has_followed();
+        Some(Heard { instance: self.instance()?, has_followed })
+    }
+
     /// Whether openings may be delivered to the current instance: no later process takes it
     /// for unused, because of the record in the store or the number of its reports.
     pub fn is_use_evident(&self) -> bool {
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -150,7 +150,8 @@
     ) -> Option<Action> {
         let flow = arrival.segment.flow_from_caller();
         let service = &self.backend.report()?.service;
-        let may_hold = self.may_hold(now, routing, flow.service, service)
+        let may_hold = !self.may_have_ended()
+            && self.may_hold(now, routing, flow.service, service)
             && self.may_hold_unknown_flow(now, &flow)
             && !forwarding.tried.contains(&self.address)
             && self.flows.get(now, &flow).is_none();
@@ -351,7 +352,7 @@
         mut forwarding: Forwarding,
     ) -> Action {
         let address = arrival.segment.flow_from_caller().service;
-        let report = self.backend.report();
+        let report = self.backend.report().filter(|_| !self.may_have_ended());
         let can_deliver = report
             .is_some_and(|report| self.may_hold(now, routing, address, &report.service));
         if !can_deliver {
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -149,6 +149,9 @@
     instance_since: Millis,
     /// Whether that was one of the first that the instance made.
     was_heard_early: bool,
+    /// Whether another report of the current instance has followed, as those of a running
+    /// backend server do. One that was delayed may arrive after the end of its instance.
+    has_followed: bool,
     /// Sequence number and arrival of the first outdated report since then.
     outdated: Option<(u64, Millis)>,
     /// When the backend server said that it is shutting down.
@@ -186,6 +189,7 @@
             alive_at: Millis(0),
             instance_since: Millis(0),
             was_heard_early: false,
+            has_followed: false,
             outdated: None,
             leaving_since: None,
             is_gone: false,
@@ -239,8 +243,10 @@
         if matches!(change, Change::Started { .. }) {
             self.instance_since = now;
             self.was_heard_early = report.is_early();
+            self.has_followed = false;
             self.alive_at = Millis(0);
         }
+        self.has_followed |= now.since(self.instance_since) >= self.bounds.report_ms / 2;
         self.last_report = now;
         self.record_life(Millis(now.0.saturating_sub(report.delay_ms)));
         self.outdated = None;
@@ -268,6 +274,11 @@
         self.instance_since
     }
 
+    /// Whether the current instance has reported again after its first report.
+    pub fn has_followed(&self) -> bool {
+        self.has_followed
+    }
+
     /// Whether the first report of the current instance that reached this process was one of
     /// the first that the instance made.
     pub fn was_heard_early(&self) -> bool {
--- a/crates/steer/src/process/backend/record.rs
+++ b/crates/steer/src/process/backend/record.rs
@@ -36,7 +36,7 @@
 
 impl Instance {
     /// Whether this instance started before another one at the same address.
-    fn precedes(&self, other: &Self) -> bool {
+    pub fn precedes(&self, other: &Self) -> bool {
         let times = self.started_ms.zip(other.started_ms);
         self.hash != other.hash && times.is_some_and(|(own, other)| own < other)
     }
@@ -62,6 +62,15 @@
     pub era: u64,
 }
 
+/// An instance that has reported to this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heard {
+    /// The instance.
+    pub instance: Instance,
+    /// Whether it has reported more than once. The first report may be a delayed one.
+    pub has_followed: bool,
+}
+
 impl Recorded {
     /// The instance, if no record of a later one can be lost in the present era of the store.
     pub fn current(self, era: u64) -> Option<Instance> {
@@ -106,6 +115,16 @@
         matches!(self, Self::Names(named) if named == instance)
     }
 
+    /// Whether an instance has probably ended: the entry names one that started later. While the
+    /// entry isn't known, that can't be told.
+    pub fn may_supersede(&self, instance: &Instance) -> bool {
+        match self {
+            Self::Unknown => true,
+            Self::Empty => false,
+            Self::Names(named) => instance.precedes(named),
+        }
+    }
+
     /// Whether the entry names an earlier instance, so that no process has used this one with
     /// a record. A report of an earlier instance may arrive late.
     pub fn excludes(&self, instance: &Instance) -> bool {
--- a/crates/steer/src/process/driver/agent/report.rs
+++ b/crates/steer/src/process/driver/agent/report.rs
@@ -42,7 +42,7 @@
             let was_closed = !flows.is_use_evident();
             let (change, ended) = flows.report(now, report);
             flows.update_knowledge(now, &routing);
-            state.node.record_instance(flows.instance());
+            state.node.record_heard(flows.heard());
             (change, ended, was_closed && flows.is_use_evident())
         };
         if is_unrecorded {
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -15,7 +15,7 @@
 use super::traffic::Traffic;
 use super::{send_datagram, sleep};
 use crate::connection::flow;
-use crate::process::backend::record::Instance;
+use crate::process::backend::record::Heard;
 use crate::process::documents::share::{Assembly, Encoded};
 use crate::process::metric;
 use crate::process::pause::Pause;
@@ -105,7 +105,7 @@
     /// Signals to the document follower that another node knows newer documents.
     newer_signal: (Sender<()>, Receiver<()>),
     /// The instance of the backend server that has reported last.
-    instance: Ranked<Option<Instance>>,
+    heard: Ranked<Option<Heard>>,
     /// Signals to the registration that another instance has reported.
     instance_signal: (Sender<()>, Receiver<()>),
     /// Signals to the registration that the node is leaving for good.
@@ -139,7 +139,7 @@
             sequence: AtomicU32::new(0),
             rounds: AtomicU32::new(0),
             newer_signal: async_channel::bounded(1),
-            instance: Ranked::new(tables::SLOTS, None),
+            heard: Ranked::new(tables::SLOTS, None),
             instance_signal: async_channel::bounded(1),
             leave_signal: async_channel::bounded(1),
         })
@@ -432,14 +432,14 @@
     }
 
     /// The instance of the backend server that has reported last.
-    pub fn instance(&self) -> Option<Instance> {
-        *self.instance.read()
+    pub fn heard(&self) -> Option<Heard> {
+        *self.heard.read()
     }
 
     /// Tells the registration which instance of the backend server has reported.
-    pub fn record_instance(&self, instance: Option<Instance>) {
-        let before = std::mem::replace(&mut *self.instance.write(), instance);
-        if before != instance {
+    pub fn record_heard(&self, heard: Option<Heard>) {
+        let before = std::mem::replace(&mut *self.heard.write(), heard);
+        if before != heard {
             // If the channel is full, the registration has already been signalled.
             let _ = self.instance_signal.0.try_send(());
         }
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{Node, Observer, TASK_BACKOFF_MS, sleep};
-use crate::process::backend::record::Recorded;
+use crate::process::backend::record::{Heard, Recorded};
 use crate::process::roster::membership::{
     CHECK_INTERVAL_MS, LEASE_TTL_MS, Listed, PREFIX, RENEWAL_INTERVAL_MS,
 };
@@ -154,10 +154,14 @@
         Ok(())
     }
 
-    /// What the entry has to say of the backend server; `None` before its first report.
+    /// What the entry has to say of the backend server; `None` before its first report, or if
+    /// that may have been delayed: the stored entry names a later instance.
     fn recorded(&self) -> Option<Recorded> {
-        let instance = self.node.instance()?;
-        Some(Recorded { instance, era: self.store.era() })
+        let Heard { instance, has_followed } = self.node.heard()?;
+        let stored = self.listed.instance.filter(|_| !has_followed);
+        let is_superseded = |stored: Recorded| instance.precedes(&stored.instance);
+        let era = self.store.era();
+        (!stored.is_some_and(is_superseded)).then_some(Recorded { instance, era })
     }
 
     /// Time until the lease has to be renewed, in milliseconds.
