Name things by what they are, and record routes only when the members are known

Read as a newcomer would: `has_reported_again`, `Leads::covers`, and types next to their impls. A first agent that doesn't know the members yet, or whose record is too long for the store, no longer gives up its watch each second.

--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -157,13 +157,13 @@
     pub(super) fn may_have_ended(&self) -> bool {
         let is_superseded =
             |instance: Instance| self.found_record.may_supersede(&instance);
-        !self.backend.has_followed() && self.instance().is_some_and(is_superseded)
+        !self.backend.has_reported_again() && self.instance().is_some_and(is_superseded)
     }
 
     /// What the registration needs to know of the instance that has reported last.
     pub fn heard(&self) -> Option<Heard> {
-        let has_followed = self.backend.has_followed();
-        Some(Heard { instance: self.instance()?, has_followed })
+        let has_reported_again = self.backend.has_reported_again();
+        Some(Heard { instance: self.instance()?, has_reported_again })
     }
 
     /// Whether openings may be delivered to the current instance: no later process takes it
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -151,7 +151,7 @@
     was_heard_early: bool,
     /// Whether another report of the current instance has followed, as those of a running
     /// backend server do. One that was delayed may arrive after the end of its instance.
-    has_followed: bool,
+    has_reported_again: bool,
     /// Sequence number and arrival of the first outdated report since then.
     outdated: Option<(u64, Millis)>,
     /// When the backend server said that it is shutting down.
@@ -189,7 +189,7 @@
             alive_at: Millis(0),
             instance_since: Millis(0),
             was_heard_early: false,
-            has_followed: false,
+            has_reported_again: false,
             outdated: None,
             leaving_since: None,
             is_gone: false,
@@ -243,10 +243,11 @@
         if matches!(change, Change::Started { .. }) {
             self.instance_since = now;
             self.was_heard_early = report.is_early();
-            self.has_followed = false;
+            self.has_reported_again = false;
             self.alive_at = Millis(0);
         }
-        self.has_followed |= now.since(self.instance_since) >= self.bounds.report_ms / 2;
+        self.has_reported_again |=
+            now.since(self.instance_since) >= self.bounds.report_ms / 2;
         self.last_report = now;
         self.record_life(Millis(now.0.saturating_sub(report.delay_ms)));
         self.outdated = None;
@@ -275,8 +276,8 @@
     }
 
     /// Whether the current instance has reported again after its first report.
-    pub fn has_followed(&self) -> bool {
-        self.has_followed
+    pub fn has_reported_again(&self) -> bool {
+        self.has_reported_again
     }
 
     /// Whether the first report of the current instance that reached this process was one of
--- a/crates/steer/src/process/backend/record.rs
+++ b/crates/steer/src/process/backend/record.rs
@@ -61,20 +61,20 @@
     pub era: u64,
 }
 
+impl Recorded {
+    /// The instance, if no record of a later one can be lost in the present era of the store.
+    pub fn current(self, era: u64) -> Option<Instance> {
+        (self.era == era).then_some(self.instance)
+    }
+}
+
 /// An instance that has reported to this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Heard {
     /// The instance.
     pub instance: Instance,
     /// Whether it has reported more than once. The first report may be a delayed one.
-    pub has_followed: bool,
-}
-
-impl Recorded {
-    /// The instance, if no record of a later one can be lost in the present era of the store.
-    pub fn current(self, era: u64) -> Option<Instance> {
-        (self.era == era).then_some(self.instance)
-    }
+    pub has_reported_again: bool,
 }
 
 /// What an agent's entry in the store says of the instance of its backend server.
--- a/crates/steer/src/process/documents/leads.rs
+++ b/crates/steer/src/process/documents/leads.rs
@@ -46,7 +46,8 @@
         self.leads.iter()
     }
 
-    /// The leads that have ended, as far as a process knows.
+    /// The leads that have ended, as far as a process knows. The time of day only matters in the
+    /// store: processes count from when they learn of them.
     pub fn ended(routing: &Routing, unix_s: u64) -> Self {
         let earlier = routing.history.iter().map(|earlier| Lead {
             address: earlier.address,
@@ -57,7 +58,7 @@
     }
 
     /// Whether all present and earlier leads of a routing are recorded.
-    pub fn cover(&self, routing: &Routing) -> bool {
+    pub fn covers(&self, routing: &Routing) -> bool {
         let earlier = routing.history.iter();
         let mut all = present(&routing.routes)
             .chain(earlier.map(|earlier| (earlier.address, &earlier.service)));
--- a/crates/steer/src/process/driver/agent.rs
+++ b/crates/steer/src/process/driver/agent.rs
@@ -384,10 +384,8 @@
             let action = flows.handle_backend_segment(now, &routing, &roster, &segment);
             let is_due = matches!(
                 action,
-                Some(
-                    BackendAction::Send { is_accept: true, .. }
-                        | BackendAction::Send { is_found: true, .. }
-                )
+                Some(BackendAction::Send { is_accept, is_found, .. })
+                    if is_accept || is_found
             );
             let flow = is_due.then(|| segment.flow_from_backend());
             let announcements = flow.map(|flow| flows.announce_flow(now, &roster, &flow));
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -28,6 +28,7 @@
 use crate::process::documents::{Documents, Source};
 use crate::process::metric;
 use crate::process::roster::Role;
+use crate::version::routing::Routing;
 
 /// Number of agents per failure domain that watch the store. One of them may fail.
 const WATCHERS_PER_DOMAIN: usize = 2;
@@ -174,13 +175,11 @@
         Ok(range)
     }
 
-    /// Records where routes lead, if this process is among the first agents. Others would do so
-    /// as well if it doesn't know them yet.
+    /// Records where routes lead, if this process is among the first agents.
     async fn record_leads(&mut self) {
         let routing = self.documents.routing();
-        let is_due = is_sentinel(&self.node, self.role)
-            && self.node.ready().is_ok()
-            && !self.recorder.is_current(routing);
+        let is_sentinel = is_sentinel(&self.node, self.role);
+        let is_due = is_sentinel && is_record_due(&self.node, &self.recorder, routing);
         if !is_due {
             return;
         }
@@ -212,9 +211,9 @@
         let other_duties = async {
             loop {
                 Timer::after(SENTINEL_WAIT).await;
-                let is_unrecorded =
-                    is_sentinel && !recorder.is_current(documents.routing());
-                if is_unrecorded || self::is_sentinel(&node, role) != is_sentinel {
+                let is_due =
+                    is_sentinel && is_record_due(&node, recorder, documents.routing());
+                if is_due || self::is_sentinel(&node, role) != is_sentinel {
                     return None;
                 }
             }
@@ -287,6 +286,16 @@
     }
 }
 
+/// Whether one of the first agents has to record where the routes lead. Not before it knows
+/// which agents are the first ones.
+fn is_record_due<L: Link, S: Store>(
+    node: &Node<L>,
+    recorder: &Recorder<S>,
+    routing: &Routing,
+) -> bool {
+    node.ready().is_ok() && !recorder.is_current(routing)
+}
+
 /// Whether a process is among the first agents of all.
 fn is_sentinel<L: Link>(node: &Node<L>, role: Role) -> bool {
     let own = node.settings.nodes;
--- a/crates/steer/src/process/driver/leads.rs
+++ b/crates/steer/src/process/driver/leads.rs
@@ -10,7 +10,7 @@
 /// Number of times that the record is written if another agent has changed it meanwhile.
 const MAX_WRITES: u32 = 4;
 
-/// Keeps the record in the store.
+/// Keeps the record in the store up to date. Lives as long as the task that follows the documents.
 pub(super) struct Recorder<S> {
     /// The store.
     store: S,
@@ -76,12 +76,13 @@
                 self.read().await?;
                 continue;
             };
-            if stored.leads.cover(routing) {
+            if stored.leads.covers(routing) {
                 stored.checked = routing.revision;
                 return Ok(());
             }
             let leads = stored.leads.update(routing, unix_s());
             let Some(value) = leads.value() else {
+                stored.checked = routing.revision;
                 log::warn!(target: "routes", change = "too_long"; "record of routes is too long for the store");
                 return Ok(());
             };
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -157,8 +157,8 @@
     /// What the entry has to say of the backend server; `None` before its first report, or if
     /// that may have been delayed: the stored entry names a later instance.
     fn recorded(&self) -> Option<Recorded> {
-        let Heard { instance, has_followed } = self.node.heard()?;
-        let stored = self.listed.instance.filter(|_| !has_followed);
+        let Heard { instance, has_reported_again } = self.node.heard()?;
+        let stored = self.listed.instance.filter(|_| !has_reported_again);
         let is_superseded = |stored: Recorded| instance.precedes(&stored.instance);
         let era = self.store.era();
         (!stored.is_some_and(is_superseded)).then_some(Recorded { instance, era })
--- a/crates/steer/tests/leads.rs
+++ b/crates/steer/tests/leads.rs
@@ -154,7 +154,7 @@
     let soon = after_move.update(started.routing(), UNIX_S + 300);
     let late = soon.update(started.routing(), UNIX_S + 600);
 
-    assert!(written.cover(started.routing()) != after_move.cover(started.routing()));
+    assert!(written.covers(started.routing()) != after_move.covers(started.routing()));
     assert_eq!(named(&written), [CALENDAR]);
     assert_eq!(named(&after_move), [CALENDAR, INVOICES]);
     assert_eq!(named(&soon), [CALENDAR, INVOICES]);
