Let the soak's backend servers accept connections

Cause: since an agent probes the address of its backend server at its start, and a refused connection shows that no process is there. Those of the platform accept connections at that address.

Change: a backend server listens for connections as long as it runs.

--- a/crates/standin/src/soak/backend.rs
+++ b/crates/standin/src/soak/backend.rs
@@ -1,6 +1,6 @@
 //! A backend server: accepts flows, runs requests once, and reports to its agent.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
@@ -45,6 +45,8 @@
     shared: Arc<Shared>,
     /// Its tasks.
     _tasks: Vec<Task<()>>,
+    /// Lets its agent see by a connection that a process runs at the address.
+    _listener: TcpListener,
 }
 
 /// State shared by the tasks of a backend server.
@@ -95,6 +97,7 @@
         record: &Record,
     ) -> std::io::Result<Self> {
         let ip = layout.agent(number);
+        let listener = TcpListener::bind(layout::server(ip))?;
         let link = Udp::bind(layout::server(ip))?;
         let lifetime = NEXT_LIFETIME.fetch_add(1, Ordering::Relaxed);
         let shared = Arc::new(Shared {
@@ -114,7 +117,7 @@
             pool.spawn(shared.clone().receive()),
             pool.spawn(shared.clone().report()),
         ];
-        Ok(Self { lifetime, shared, _tasks: tasks })
+        Ok(Self { lifetime, shared, _tasks: tasks, _listener: listener })
     }
 
     /// Announces that it drains: the agent should send no new flows.
