review: case 13, an opening offered on by an older version

An agent that the store turns away offers openings by its own, older routing, and states the newer revision of the balancer.

--- a/review/standin-3/drill.rs
+++ b/review/standin-3/drill.rs
@@ -35,7 +35,7 @@
         text
     };
     write(&world.store, 1, 2_000);
-    let work = Work { slots: 5, queue: 20, time: Duration::from_millis(30) };
+    let work = Work { slots: 5, queue: 20, time: Duration::from_millis(30), max_flows: 2_000 };
     let mut targets = Vec::new();
     for zone in ZONES {
         world.add(&format!("front-{zone}"), zone, "")?;
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -9,6 +9,7 @@
 mod odd;
 mod packet;
 mod skew;
+mod stale;
 mod store;
 mod target;
 mod world;
@@ -32,6 +33,7 @@
     let verdict = match &**case {
         "drill" => drill::play(folder, has_trouble),
         "odd" => odd::play(folder, has_trouble),
+        "stale" => stale::play(folder, has_trouble),
         "skew" => skew::play(folder, has_trouble),
         _ => Err("no such case".to_owned()),
     };
--- a/review/standin-3/odd.rs
+++ b/review/standin-3/odd.rs
@@ -32,7 +32,7 @@
         })
         .collect();
     world.store.put("op/config", &config(1, &routes, &["beleg", "kalender"], 2_000));
-    let work = Work { slots: 5, queue: 20, time: Duration::from_millis(30) };
+    let work = Work { slots: 5, queue: 20, time: Duration::from_millis(30), max_flows: 2_000 };
     world.add("front-nord", ZONE, "")?;
     let mut targets = Vec::new();
     for service in SERVICES {
--- a/review/standin-3/skew.rs
+++ b/review/standin-3/skew.rs
@@ -49,7 +49,7 @@
         record.now_ms()
     };
     let mut acked_ms = vec![write(&world.store, 1)];
-    let work = Work { slots: 5, queue: 20, time: Duration::from_millis(30) };
+    let work = Work { slots: 5, queue: 20, time: Duration::from_millis(30), max_flows: 2_000 };
     let mut targets = Vec::new();
     world.add("front-nord", ZONE, "")?;
     for number in 1..=3 {
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -38,6 +38,8 @@
     data: Data,
     era: u64,
     last_lease: u64,
+    /// Names of the machines that are turned away with 503.
+    rejected: Vec<String>,
     /// Whether the store answers nobody.
     is_away: bool,
     calls: u64,
@@ -61,6 +63,7 @@
             data,
             era: 1,
             last_lease: 1000,
+            rejected: Vec::new(),
             is_away: false,
             calls: 0,
             refused: 0,
@@ -117,6 +120,13 @@
         state.era += 1;
     }
 
+    /// Turns some machines away, and serves all others.
+    pub fn reject(&self, machines: &[&str]) {
+        let mut state = self.state.lock().unwrap();
+        state.rejected = machines.iter().map(|name| (*name).to_owned()).collect();
+        self.changed.notify_all();
+    }
+
     pub fn revision(&self) -> u64 {
         self.state.lock().unwrap().data.revision
     }
@@ -171,7 +181,7 @@
     /// Answers one call; `None` if the connection ends without an answer.
     fn answer(
         &self,
-        _machine: &str,
+        machine: &str,
         method: &str,
         target: &str,
         body: &str,
@@ -193,6 +203,9 @@
             state.refused += 1;
             return None;
         }
+        if state.is_rejected(machine) {
+            return Some((503, "{}".into()));
+        }
         if call == "kv-watch" {
             let after = field("after").parse().unwrap_or(0);
             let wait_ms = field("waitMs").parse().unwrap_or(0);
@@ -202,6 +215,9 @@
                 if state.is_away {
                     return None;
                 }
+                if state.is_rejected(machine) {
+                    return Some((503, "{}".into()));
+                }
                 if after > state.data.revision {
                     state.refused += 1;
                     return Some((410, "{}".into()));
@@ -224,6 +240,13 @@
 }
 
 impl State {
+    /// Counts a call of a machine that is turned away.
+    fn is_rejected(&mut self, machine: &str) -> bool {
+        let is_rejected = self.rejected.iter().any(|name| name == machine);
+        self.refused += u64::from(is_rejected);
+        is_rejected
+    }
+
     fn expire(&mut self) {
         if self.is_away {
             // Leases pause.
--- a/review/standin-3/target.rs
+++ b/review/standin-3/target.rs
@@ -21,6 +21,8 @@
     pub queue: u32,
     /// Time that a request takes.
     pub time: Duration,
+    /// Flows that it holds.
+    pub max_flows: usize,
 }
 
 /// What a target has run.
@@ -156,7 +158,8 @@
         if packet.has(SYN) {
             let is_same =
                 flows.get(&key).is_some_and(|flow| flow.client_sequence == packet.sequence);
-            let is_full = self.busy.load(Ordering::Relaxed) >= self.work.slots + self.work.queue;
+            let is_full = self.busy.load(Ordering::Relaxed) >= self.work.slots + self.work.queue
+                || flows.len() >= self.work.max_flows;
             if !is_same && is_full {
                 drop(flows);
                 return self.send(&bounced(bytes));
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -245,6 +245,17 @@
 
 /// A configuration in full, with the fields of the sheets.
 pub fn config(version: u64, routes: &[Route], services: &[&str], timeout_ms: u64) -> String {
+    config_with(version, routes, services, timeout_ms, 2_000)
+}
+
+/// The same, with a maximum number of flows of each target.
+pub fn config_with(
+    version: u64,
+    routes: &[Route],
+    services: &[&str],
+    timeout_ms: u64,
+    max_flows: u32,
+) -> String {
     let routes: Vec<_> = routes
         .iter()
         .map(|route| {
@@ -261,7 +272,7 @@
         .iter()
         .map(|name| {
             format!(
-                "{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConns\":2000,\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":2.0,\"coldPerS\":0.0}}"
+                "{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConns\":{max_flows},\"protocol\":\"h1\",\"tls\":false,\"coldStartS\":2.0,\"coldPerS\":0.0}}"
             )
         })
         .collect();
