--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -60,7 +60,8 @@
         fronts: Vec<SocketAddrV4>,
         record: &Record,
     ) -> Result<Arc<Self>, String> {
-        let socket = UdpSocket::bind((ip, DATAGRAM)).map_err(|error| format!("client: {error}"))?;
+        let socket = UdpSocket::bind((ip, DATAGRAM))
+            .map_err(|error| format!("client: {error}"))?;
         let client = Arc::new(Self {
             ip,
             socket,
@@ -104,7 +105,12 @@
             sent_ms: self.record.now_ms(),
             is_open: false,
         };
-        match flow.shake_hands() {
+        let outcome = flow.shake_hands();
+        self.record.line(&format!(
+            "client opens {} to {route} through {front}: {outcome:?}",
+            flow.source
+        ));
+        match outcome {
             Outcome::Done(_) => Ok(flow),
             outcome => Err((flow.sent_ms, outcome)),
         }
@@ -148,6 +154,14 @@
 
     /// Sends a request and waits for its answer.
     pub fn request(&mut self, text: &str, budget: Duration) -> Outcome {
+        let record = self.client.record.clone();
+        record.line(&format!("client {} sends {text}", self.source));
+        let outcome = self.exchange(text, budget);
+        record.line(&format!("client {}: {outcome:?} for {text}", self.source));
+        outcome
+    }
+
+    fn exchange(&mut self, text: &str, budget: Duration) -> Outcome {
         let start = Instant::now();
         let mut interval = Duration::from_millis(200);
         let mut due = Instant::now();
@@ -169,7 +183,9 @@
                     self.sequence = self.sequence.wrapping_add(text.len() as u32);
                     self.ack = self.ack.wrapping_add(packet.data.len() as u32);
                     self.send(ACK, self.sequence, self.ack, &[]);
-                    return Outcome::Done(String::from_utf8_lossy(&packet.data).into_owned());
+                    return Outcome::Done(
+                        String::from_utf8_lossy(&packet.data).into_owned(),
+                    );
                 }
                 Ok(_) | Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return Outcome::TimedOut,
@@ -186,7 +202,9 @@
                 return None;
             }
             match self.packets.recv_timeout(left) {
-                Ok(packet) if self.is_valid_reset(&packet) => return Some(reset_by(&packet)),
+                Ok(packet) if self.is_valid_reset(&packet) => {
+                    return Some(reset_by(&packet));
+                }
                 _ => {}
             }
         }
--- a/review/standin-3/drill.rs
+++ b/review/standin-3/drill.rs
@@ -31,18 +31,27 @@
             [Route { name: "r-main".into(), address: route, service: SERVICE.into() }];
         let text = config(version, &routes, &[SERVICE], timeout_ms);
         let revision = store.put("op/config", &text);
-        record.line(&format!("operator: op/config version {version}, acked at revision {revision}"));
+        record.line(&format!(
+            "operator: op/config version {version}, acked at revision {revision}"
+        ));
         text
     };
     write(&world.store, 1, 2_000);
-    let work = Work { slots: 5, queue: 20, time: Duration::from_millis(30), max_flows: 2_000 };
+    let work =
+        Work { slots: 5, queue: 20, time: Duration::from_millis(30), max_flows: 2_000 };
     let mut targets = Vec::new();
     for zone in ZONES {
         world.add(&format!("front-{zone}"), zone, "")?;
         for number in 1..=2 {
             let index = world.add(&format!("side-{zone}-{number}"), zone, SERVICE)?;
             let id = format!("{zone}-{SERVICE}-{number}");
-            targets.push(Target::start(&id, &world.machines[index], work, &record, &runs)?);
+            targets.push(Target::start(
+                &id,
+                &world.machines[index],
+                work,
+                &record,
+                &runs,
+            )?);
         }
     }
     for index in 0..world.machines.len() {
@@ -56,7 +65,8 @@
     let served = Arc::new(Mutex::new((0, 0)));
     let traffic: Vec<_> = (0..2)
         .map(|number| {
-            let (client, is_over, served) = (client.clone(), is_over.clone(), served.clone());
+            let (client, is_over, served) =
+                (client.clone(), is_over.clone(), served.clone());
             std::thread::spawn(move || {
                 let mut count = 0;
                 while !is_over.load(Ordering::Relaxed) {
@@ -111,7 +121,10 @@
 
     let revision = world.store.put(&format!("op/evacuate/{}", ZONES[0]), "{}");
     let acked_ms = record.now_ms();
-    record.line(&format!("operator: op/evacuate/{} acked at revision {revision}", ZONES[0]));
+    record.line(&format!(
+        "operator: op/evacuate/{} acked at revision {revision}",
+        ZONES[0]
+    ));
     sleep(Duration::from_secs(15));
     is_over.store(true, Ordering::Relaxed);
     for thread in traffic {
@@ -129,7 +142,8 @@
         .filter(in_zone)
         .filter(|run| run.opened_ms > acked_ms + EVACUATE_MS)
         .collect();
-    let before = runs.iter().filter(in_zone).filter(|run| run.opened_ms < acked_ms).count();
+    let before =
+        runs.iter().filter(in_zone).filter(|run| run.opened_ms < acked_ms).count();
     record.line(&format!("requests: {sent} sent, {served} answered; {before} were run in {} before its evacuation", ZONES[0]));
     record.line(&format!(
         "EVAC: {} requests were run in {} whose opening packet came later than {EVACUATE_MS} ms after the ack; the last one {} ms after it",
@@ -138,7 +152,12 @@
         late.iter().map(|run| run.opened_ms - acked_ms).max().unwrap_or(0)
     ));
     for run in late.iter().take(5) {
-        record.line(&format!("late: {} at {}, opened {} ms after the ack", run.request, run.target, run.opened_ms - acked_ms));
+        record.line(&format!(
+            "late: {} at {}, opened {} ms after the ack",
+            run.request,
+            run.target,
+            run.opened_ms - acked_ms
+        ));
     }
     if before == 0 || targets.is_empty() {
         return Err("the zone had no requests before".into());
--- a/review/standin-3/odd.rs
+++ b/review/standin-3/odd.rs
@@ -32,14 +32,21 @@
         })
         .collect();
     world.store.put("op/config", &config(1, &routes, &["beleg", "kalender"], 2_000));
-    let work = Work { slots: 5, queue: 20, time: Duration::from_millis(30), max_flows: 2_000 };
+    let work =
+        Work { slots: 5, queue: 20, time: Duration::from_millis(30), max_flows: 2_000 };
     world.add("front-nord", ZONE, "")?;
     let mut targets = Vec::new();
     for service in SERVICES {
         for number in 1..=2 {
             let index = world.add(&format!("side-{service}-{number}"), ZONE, service)?;
             let id = format!("{ZONE}-{service}-{number}");
-            targets.push(Target::start(&id, &world.machines[index], work, &record, &runs)?);
+            targets.push(Target::start(
+                &id,
+                &world.machines[index],
+                work,
+                &record,
+                &runs,
+            )?);
         }
     }
     for index in 0..world.machines.len() {
@@ -62,7 +69,9 @@
                         outcome => Some(outcome),
                     };
                     if let Some(outcome) = outcome {
-                        record.line(&format!("flow {number}: ended after {count} requests: {outcome:?}"));
+                        record.line(&format!(
+                            "flow {number}: ended after {count} requests: {outcome:?}"
+                        ));
                         return Some(outcome);
                     }
                 }
@@ -113,7 +122,8 @@
     let from = record.now_ms();
     for number in 0..40 {
         if let Ok(mut flow) = client.open(address(1)) {
-            let _ = flow.request(&format!("r-kalender later {number}"), Duration::from_secs(2));
+            let _ = flow
+                .request(&format!("r-kalender later {number}"), Duration::from_secs(2));
             flow.close();
         }
         sleep(Duration::from_millis(50));
@@ -129,7 +139,8 @@
     let runs = runs.lock().unwrap();
     for target in &targets {
         let of_target = || runs.iter().filter(|run| run.target == target.id);
-        let later = of_target().filter(|run| run.at_ms >= from && run.request.contains("later"));
+        let later =
+            of_target().filter(|run| run.at_ms >= from && run.request.contains("later"));
         record.line(&format!(
             "target {}: {} runs, {} of 40 later requests of r-kalender",
             target.id,
@@ -140,10 +151,14 @@
     record.line(&format!(
         "besides, {resets} of {FLOWS} open flows got a reset that their target didn't send, while all targets live"
     ));
-    let is_foreign = |run: &&Run| !run.request.starts_with(&format!("r-{} ", run.service));
+    let is_foreign =
+        |run: &&Run| !run.request.starts_with(&format!("r-{} ", run.service));
     let foreign: Vec<_> = runs.iter().filter(is_foreign).collect();
     for run in foreign.iter().take(5) {
-        record.line(&format!("foreign: {} was run by {} ({})", run.request, run.target, run.service));
+        record.line(&format!(
+            "foreign: {} was run by {} ({})",
+            run.request, run.target, run.service
+        ));
     }
     record.line(&format!(
         "ROUTE: {} requests were run by a service to which no configuration allows them to go",
--- a/review/standin-3/skew.rs
+++ b/review/standin-3/skew.rs
@@ -32,11 +32,15 @@
     // Version 1 leads to the first service, version 2 to the second one, and so on.
     let write = |store: &crate::store::Store, version: usize| {
         let service = SERVICES[(version - 1) % 2];
-        let mut routes =
-            vec![Route { name: "r-main".into(), address: route, service: service.into() }];
+        let mut routes = vec![Route {
+            name: "r-main".into(),
+            address: route,
+            service: service.into(),
+        }];
         let idle = if has_trouble { IDLE_ROUTES } else { 8 };
         for number in 0..idle {
-            let address = SocketAddrV4::new(Ipv4Addr::new(198, 18, 1, 1), 10_000 + number);
+            let address =
+                SocketAddrV4::new(Ipv4Addr::new(198, 18, 1, 1), 10_000 + number);
             let name = format!("r-idle-{number}");
             routes.push(Route { name, address, service: SERVICES[0].into() });
         }
@@ -49,14 +53,21 @@
         record.now_ms()
     };
     let mut acked_ms = vec![write(&world.store, 1)];
-    let work = Work { slots: 5, queue: 20, time: Duration::from_millis(30), max_flows: 2_000 };
+    let work =
+        Work { slots: 5, queue: 20, time: Duration::from_millis(30), max_flows: 2_000 };
     let mut targets = Vec::new();
     world.add("front-nord", ZONE, "")?;
     for number in 1..=3 {
         for service in SERVICES {
             let index = world.add(&format!("side-{service}-{number}"), ZONE, service)?;
             let id = format!("{ZONE}-{service}-{number}");
-            targets.push(Target::start(&id, &world.machines[index], work, &record, &runs)?);
+            targets.push(Target::start(
+                &id,
+                &world.machines[index],
+                work,
+                &record,
+                &runs,
+            )?);
         }
     }
     for index in 0..world.machines.len() {
@@ -120,10 +131,15 @@
             let run = runs.iter().find(|run| run.request == *request);
             seen.extend(run.map(|run| (*sent_ms, run)));
         }
-        let effect = seen.iter().filter(|(_, run)| run.service == new).map(|(_, run)| run.at_ms).min();
+        let effect = seen
+            .iter()
+            .filter(|(_, run)| run.service == new)
+            .map(|(_, run)| run.at_ms)
+            .min();
         let effect = effect.ok_or("no target has seen the effect of a version")?;
-        let is_late =
-            |(sent_ms, run): &&(u64, &Run)| run.service == old && *sent_ms > effect + ROLLBACK_SLACK_MS;
+        let is_late = |(sent_ms, run): &&(u64, &Run)| {
+            run.service == old && *sent_ms > effect + ROLLBACK_SLACK_MS
+        };
         record.line(&format!(
             "version {}: a target saw its effect {} ms after the ack",
             index + 1,
@@ -141,7 +157,10 @@
         }
     }
     let served = sent.iter().filter(|known| known.2).count();
-    record.line(&format!("requests: {} sent, {served} answered, all through front-nord", sent.len()));
+    record.line(&format!(
+        "requests: {} sent, {served} answered, all through front-nord",
+        sent.len()
+    ));
     record.line(&format!(
         "CONFIG: {late} requests were handled as only an older version allows, sent more than {ROLLBACK_SLACK_MS} ms after a target saw the effect of the newer one",
     ));
--- a/review/standin-3/stale.rs
+++ b/review/standin-3/stale.rs
@@ -37,12 +37,20 @@
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let route = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8443);
     let write = |store: &crate::store::Store, version: u64, service: &str| {
-        let mut routes =
-            vec![Route { name: "r-main".into(), address: route, service: service.into() }];
+        let mut routes = vec![Route {
+            name: "r-main".into(),
+            address: route,
+            service: service.into(),
+        }];
         let idle = if has_trouble { IDLE_ROUTES } else { 8 };
         for number in 0..idle {
-            let address = SocketAddrV4::new(Ipv4Addr::new(198, 18, 1, 1), 10_000 + number);
-            routes.push(Route { name: format!("r-idle-{number}"), address, service: BEFORE.into() });
+            let address =
+                SocketAddrV4::new(Ipv4Addr::new(198, 18, 1, 1), 10_000 + number);
+            routes.push(Route {
+                name: format!("r-idle-{number}"),
+                address,
+                service: BEFORE.into(),
+            });
         }
         let text = config_with(version, &routes, &[AFTER, BEFORE], 2_000, MAX_FLOWS);
         let revision = store.put("op/config", &text);
@@ -89,7 +97,8 @@
                         continue;
                     };
                     let start = Instant::now();
-                    while start.elapsed() < FLOW_LIFE && !is_over.load(Ordering::Relaxed) {
+                    while start.elapsed() < FLOW_LIFE && !is_over.load(Ordering::Relaxed)
+                    {
                         count += 1;
                         let request = format!("attempt {number}-{count}");
                         let outcome = flow.request(&request, Duration::from_secs(2));
@@ -109,7 +118,8 @@
     let rejected = [format!("side-{BEFORE}-1"), format!("side-{AFTER}-1")];
     if has_trouble {
         world.store.reject(&[&rejected[0], &rejected[1]]);
-        record.line(&format!("store: turns away {rejected:?} with 503, serves all others"));
+        record
+            .line(&format!("store: turns away {rejected:?} with 503, serves all others"));
     }
     sleep(Duration::from_secs(1));
     write(&world.store, 2, AFTER);
@@ -129,13 +139,19 @@
 
     let runs = runs.lock().unwrap();
     let sent = sent.lock().unwrap();
-    let sent_ms = |request: &str| sent.iter().find(|known| known.0 == request).map_or(0, |s| s.1);
+    let sent_ms =
+        |request: &str| sent.iter().find(|known| known.0 == request).map_or(0, |s| s.1);
     let first = runs.iter().filter(|run| run.service == AFTER).map(|run| run.at_ms).min();
     let first = first.ok_or("no target has seen the effect of version 2")?;
-    record.line(&format!("a target saw the effect of version 2 {} ms after the ack", first - acked_ms));
+    record.line(&format!(
+        "a target saw the effect of version 2 {} ms after the ack",
+        first - acked_ms
+    ));
     let late: Vec<_> = runs
         .iter()
-        .filter(|run| run.service == BEFORE && sent_ms(&run.request) > first + ROLLBACK_SLACK_MS)
+        .filter(|run| {
+            run.service == BEFORE && sent_ms(&run.request) > first + ROLLBACK_SLACK_MS
+        })
         .collect();
     for run in late.iter().take(10) {
         record.line(&format!(
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -81,7 +81,11 @@
     }
 
     /// Serves one machine at an address.
-    pub fn listen(self: &Arc<Self>, machine: &str, address: SocketAddr) -> std::io::Result<()> {
+    pub fn listen(
+        self: &Arc<Self>,
+        machine: &str,
+        address: SocketAddr,
+    ) -> std::io::Result<()> {
         let listener = TcpListener::bind(address)?;
         let (store, machine) = (self.clone(), machine.to_owned());
         std::thread::spawn(move || {
@@ -161,10 +165,13 @@
                 return;
             }
             let mut words = head.split_whitespace();
-            let (method, target) =
-                (words.next().unwrap_or("").to_owned(), words.next().unwrap_or("").to_owned());
+            let (method, target) = (
+                words.next().unwrap_or("").to_owned(),
+                words.next().unwrap_or("").to_owned(),
+            );
             let body = String::from_utf8_lossy(&body).into_owned();
-            let Some((status, text)) = self.answer(machine, &method, &target, &body) else {
+            let Some((status, text)) = self.answer(machine, &method, &target, &body)
+            else {
                 return;
             };
             let era = self.state.lock().unwrap().era;
@@ -253,8 +260,13 @@
             return;
         }
         let now = Instant::now();
-        let ended: Vec<u64> =
-            self.data.leases.iter().filter(|(_, (_, end))| *end <= now).map(|(id, _)| *id).collect();
+        let ended: Vec<u64> = self
+            .data
+            .leases
+            .iter()
+            .filter(|(_, (_, end))| *end <= now)
+            .map(|(id, _)| *id)
+            .collect();
         for lease in ended {
             self.data.end_lease(lease);
         }
@@ -278,13 +290,15 @@
             ("GET", "kv-range") => {
                 let (prefix, after) = (field("prefix"), field("after"));
                 let found = data.items.iter();
-                let found = found.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+                let found =
+                    found.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
                 let mut items: Vec<_> = found.map(|(key, item)| item.json(key)).collect();
                 let has_more = items.len() > 500;
                 items.truncate(500);
                 let (items, now) = (items.join(","), data.revision);
-                let text =
-                    format!("{{\"items\":[{items}],\"hasMore\":{has_more},\"currentRev\":{now}}}");
+                let text = format!(
+                    "{{\"items\":[{items}],\"hasMore\":{has_more},\"currentRev\":{now}}}"
+                );
                 (200, text)
             }
             ("POST", "kv-txn") => {
@@ -314,7 +328,12 @@
                 let revision = data.revision + 1;
                 for put in puts {
                     let value = put.get("value").text().to_owned();
-                    data.put(put.get("key").text(), value, put.get("lease").number(), revision);
+                    data.put(
+                        put.get("key").text(),
+                        value,
+                        put.get("lease").number(),
+                        revision,
+                    );
                 }
                 for key in json.get("deletes").list() {
                     data.remove(key.text(), revision);
@@ -362,7 +381,8 @@
 
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let bound = self.items.iter().filter(|(_, item)| item.lease == lease && lease != 0);
+        let bound =
+            self.items.iter().filter(|(_, item)| item.lease == lease && lease != 0);
         let keys: Vec<String> = bound.map(|(key, _)| key.clone()).collect();
         if !keys.is_empty() {
             let revision = self.revision + 1;
@@ -372,11 +392,17 @@
     }
 
     fn events(&self, prefix: &str, after: u64) -> Vec<String> {
-        let later = self.history.iter().filter(|(at, key, _)| *at > after && key.starts_with(prefix));
+        let later = self
+            .history
+            .iter()
+            .filter(|(at, key, _)| *at > after && key.starts_with(prefix));
         later
             .map(|(revision, key, item)| match item {
                 Some(item) => item.json(key),
-                None => format!("{{\"key\":{},\"revision\":{revision},\"tombstone\":true}}", quote(key)),
+                None => format!(
+                    "{{\"key\":{},\"revision\":{revision},\"tombstone\":true}}",
+                    quote(key)
+                ),
             })
             .collect()
     }
--- a/review/standin-3/target.rs
+++ b/review/standin-3/target.rs
@@ -86,8 +86,10 @@
         runs: &Arc<Mutex<Vec<Run>>>,
     ) -> Result<Arc<Self>, String> {
         let app = machine.at(APP);
-        let socket = UdpSocket::bind(app).map_err(|error| format!("target {id}: {error}"))?;
-        let listener = TcpListener::bind(app).map_err(|error| format!("target {id}: {error}"))?;
+        let socket =
+            UdpSocket::bind(app).map_err(|error| format!("target {id}: {error}"))?;
+        let listener =
+            TcpListener::bind(app).map_err(|error| format!("target {id}: {error}"))?;
         let target = Arc::new(Self {
             id: id.to_owned(),
             service: machine.service.clone(),
@@ -156,9 +158,11 @@
             return self.record.line(&format!("target {}: forged SYN+ACK", self.id));
         }
         if packet.has(SYN) {
-            let is_same =
-                flows.get(&key).is_some_and(|flow| flow.client_sequence == packet.sequence);
-            let is_full = self.busy.load(Ordering::Relaxed) >= self.work.slots + self.work.queue
+            let is_same = flows
+                .get(&key)
+                .is_some_and(|flow| flow.client_sequence == packet.sequence);
+            let is_full = self.busy.load(Ordering::Relaxed)
+                >= self.work.slots + self.work.queue
                 || flows.len() >= self.work.max_flows;
             if !is_same && is_full {
                 drop(flows);
@@ -228,16 +232,30 @@
         drop(running);
         let request = String::from_utf8_lossy(&packet.data).into_owned();
         let at_ms = self.record.now_ms();
-        self.record.line(&format!("target {} ({}) runs {request}", self.id, self.service));
+        self.record
+            .line(&format!("target {} ({}) runs {request}", self.id, self.service));
         let (target, service) = (self.id.clone(), self.service.clone());
-        self.runs.lock().unwrap().push(Run { request, target, service, opened_ms, at_ms });
+        self.runs.lock().unwrap().push(Run {
+            request,
+            target,
+            service,
+            opened_ms,
+            at_ms,
+        });
         std::thread::sleep(self.work.time);
         *self.running.lock().unwrap() -= 1;
         self.freed.notify_one();
         self.busy.fetch_sub(1, Ordering::Relaxed);
-        let data = format!("answer of {} to {}", self.id, String::from_utf8_lossy(&packet.data));
-        let answer =
-            Packet::new(packet.destination, packet.source, ACK, next, ack, data.as_bytes());
+        let data =
+            format!("answer of {} to {}", self.id, String::from_utf8_lossy(&packet.data));
+        let answer = Packet::new(
+            packet.destination,
+            packet.source,
+            ACK,
+            next,
+            ack,
+            data.as_bytes(),
+        );
         let bytes = answer.bytes();
         let mut flows = self.flows.lock().unwrap();
         if let Some(flow) = flows.get_mut(&(packet.source, packet.destination)) {
@@ -252,8 +270,11 @@
         while !self.is_gone.load(Ordering::Relaxed) {
             let start = Instant::now();
             let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-            let state =
-                if self.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
+            let state = if self.is_draining.load(Ordering::Relaxed) {
+                "draining"
+            } else {
+                "ready"
+            };
             let body = format!(
                 "{{\"service\":\"{}\",\"address\":\"{}:{APP}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"coldRemainingMs\":0,\"seq\":{sequence},\"born\":{}}}",
                 self.service,
@@ -274,7 +295,8 @@
         let _ = stream.set_read_timeout(Some(Duration::from_millis(200)));
         let mut request = [0; 1_024];
         if matches!(stream.read(&mut request), Ok(length) if length > 0) {
-            let head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            let head =
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
             let _ = stream.write_all(head.as_bytes());
         }
     }
--- a/review/standin-3/world.rs
+++ b/review/standin-3/world.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -87,7 +88,8 @@
 impl World {
     /// Creates an empty deployment. `case` is the folder of the case.
     pub fn new(case: &Path) -> Result<Self, String> {
-        let file = File::create(case.join("record.txt")).map_err(|error| error.to_string())?;
+        let file =
+            File::create(case.join("record.txt")).map_err(|error| error.to_string())?;
         let record = Record { start: Instant::now(), file: Arc::new(Mutex::new(file)) };
         let pid = std::process::id();
         let directory = std::env::temp_dir().join(format!("review-3-{pid}"));
@@ -102,7 +104,12 @@
     }
 
     /// Adds a machine. `service` is empty for a `front` machine.
-    pub fn add(&mut self, name: &str, zone: &str, service: &str) -> Result<usize, String> {
+    pub fn add(
+        &mut self,
+        name: &str,
+        zone: &str,
+        service: &str,
+    ) -> Result<usize, String> {
         let index = self.machines.len();
         let ip = self.ip(index as u8 + 1);
         let store = SocketAddrV4::new(self.ip(index as u8 + 101), STORE);
@@ -122,7 +129,10 @@
             ("listen.ready", format!("{ip}:{READY}")),
             ("platform.address", store.to_string()),
             ("app", format!("{ip}:{APP}")),
-            ("limits.memoryMb", if service.is_empty() { "260" } else { "128" }.to_owned()),
+            (
+                "limits.memoryMb",
+                if service.is_empty() { "260" } else { "128" }.to_owned(),
+            ),
             ("heartbeatMs", HEARTBEAT.as_millis().to_string()),
             ("bounds.flowMaxS", "60".to_owned()),
             ("bounds.graceS", "6".to_owned()),
@@ -155,14 +165,18 @@
         let log = File::options().create(true).append(true).open(&machine.log);
         let log = log.map_err(|error| error.to_string())?;
         let errors = log.try_clone().map_err(|error| error.to_string())?;
-        let child = Command::new(format!("target/release/lentilreach-{program}"))
-            .arg("--settings")
-            .arg(&machine.settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .map_err(|error| format!("lentilreach-{program}: {error}"))?;
+        let mut command = Command::new(format!("target/release/lentilreach-{program}"));
+        command.arg("--settings").arg(&machine.settings);
+        command.stdin(Stdio::null()).stdout(log).stderr(errors);
+        // SAFETY: prctl is a plain system call. The process ends if this one does in any way.
+        unsafe {
+            command.pre_exec(|| {
+                let _ = prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            })
+        };
+        let child =
+            command.spawn().map_err(|error| format!("lentilreach-{program}: {error}"))?;
         self.record.line(&format!("{}: process started", machine.name));
         machine.child = Some(child);
         Ok(())
@@ -173,7 +187,10 @@
         let machine = &mut self.machines[index];
         let Some(child) = &mut machine.child else { return };
         self.record.line(&format!("{}: {signal}", machine.name));
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+        let _ = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(child.id().to_string())
+            .status();
         if signal == "KILL" {
             let _ = child.wait();
         }
@@ -202,7 +219,10 @@
             }
             std::thread::sleep(Duration::from_millis(100));
         }
-        Err(format!("some machine isn't ready after {limit:?}; ended: {:?}", self.ended()))
+        Err(format!(
+            "some machine isn't ready after {limit:?}; ended: {:?}",
+            self.ended()
+        ))
     }
 
     /// Lines of the processes' own logs that contain a word, for the record.
@@ -231,6 +251,13 @@
     }
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
 /// Milliseconds since the Unix epoch.
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
@@ -244,7 +271,12 @@
 }
 
 /// A configuration in full, with the fields of the sheets.
-pub fn config(version: u64, routes: &[Route], services: &[&str], timeout_ms: u64) -> String {
+pub fn config(
+    version: u64,
+    routes: &[Route],
+    services: &[&str],
+    timeout_ms: u64,
+) -> String {
     config_with(version, routes, services, timeout_ms, 2_000)
 }
 
