--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,5 +1,6 @@
 //! Plays a case against the project's own programs:
-//! `standin-3 CASE FOLDER`, from the root of the repository. `TROUBLE=0` leaves out the disruption.
+//! `standin-3 CASE FOLDER with|without`, from the root of the repository: with the disruption or
+//! without it, as `run.sh` of the case says by `TROUBLE`.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
@@ -18,11 +19,18 @@
 
 fn main() {
     let arguments: Vec<_> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("standin-3 CASE FOLDER");
+    let [_, case, folder, disruption] = &arguments[..] else {
+        eprintln!("standin-3 CASE FOLDER with|without");
         std::process::exit(2);
     };
-    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let has_trouble = match &**disruption {
+        "with" => true,
+        "without" => false,
+        _ => {
+            eprintln!("standin-3 CASE FOLDER with|without");
+            std::process::exit(2);
+        }
+    };
     // A run that lasts too long couldn't show anything.
     std::thread::spawn(|| {
         std::thread::sleep(std::time::Duration::from_secs(112));
