Believe no report of another writer, and no single one against a running backend server

One report without address, zone and version, of another service and with a later start, was answered with 200.

A single report of another instance replaced the one that was running, ended its flows at once, and made all its later reports outdated by a start time. A report of an unconfigured service did the same while reports were overdue.

Ruled out: the check of the service (the report names a configured one) and the order of reports (it is newer by its start time, as a replacement's is).

The flows of an instance that is still heard end when its replacement has reported again or returns a segment. An instance that goes on reporting is taken back. A report of another service is rejected while its address can't have been used again. The end of another target is no reason for heartbeats to all.

--- a/crates/standin/src/soak/backend.rs
+++ b/crates/standin/src/soak/backend.rs
@@ -62,6 +62,8 @@
     agent: SocketAddr,
     /// Address of its agent for reports.
     reports: SocketAddr,
+    /// Address at which it receives segments.
+    address: SocketAddr,
     /// Flows, sorted by key.
     flows: Mutex<Vec<(flow::Key, Flow)>>,
     /// Whether it is draining.
@@ -106,6 +108,7 @@
             link,
             agent: layout::backend(ip),
             reports: layout::reports(ip),
+            address: layout::server(ip),
             flows: Mutex::default(),
             is_draining: AtomicBool::new(false),
             record: record.clone(),
@@ -150,6 +153,8 @@
         let mut report = Report {
             id: self.id(),
             service: layout::service(self.number),
+            address: self.address,
+            domain: layout::domain(self.number).into(),
             slots: SLOTS,
             is_draining: false,
             sequence: 0,
--- a/crates/standin/src/soak/deployment.rs
+++ b/crates/standin/src/soak/deployment.rs
@@ -8,6 +8,7 @@
 use lentilreach::process::pool::Pool;
 use lentilreach::process::store::Txn;
 use lentilreach_platform_standin::document::{self, Route};
+use lentilreach_platform_standin::report::{self, Report};
 use lentilreach_platform_standin::{settings as template, store};
 use lentilreach_steer::process::roster::membership;
 use parking_lot::Mutex;
@@ -20,7 +21,7 @@
 use super::record::{Fact, Record, Scope};
 use super::router::Router;
 use super::schedule::{self, Action, Node, Step, Store};
-use super::{Error, Played, Settings, sleep};
+use super::{Error, Played, Settings, http, sleep};
 use crate::store::{Builder, Handle, Memory, Outage};
 
 /// Number of worker threads of callers and backend servers.
@@ -237,6 +238,7 @@
                 self.store.lease(&key).map(|lease| self.store.expire_lease(lease));
             }
             Action::Configure => self.configure()?,
+            Action::OddReport(number, fault) => self.report_oddly(number, fault).await?,
         }
         Ok(())
     }
@@ -276,6 +278,35 @@
         Ok(())
     }
 
+    /// Sends a status report of another writer to an agent. If it were valid, it would replace
+    /// the backend server by one of another service.
+    async fn report_oddly(&self, number: u8, fault: u8) -> Result<(), Error> {
+        let ip = self.layout.agent(number);
+        let report = Report {
+            id: format!("odd-{fault}"),
+            service: layout::service(number.wrapping_add(2)),
+            address: layout::server(ip),
+            domain: layout::domain(number).into(),
+            slots: 1,
+            is_draining: false,
+            sequence: 1,
+            started_ms: u64::MAX / 2,
+        };
+        let path = report::path(&report.id);
+        let body = report.odd_body(fault.into());
+        let answer = http::call(layout::reports(ip), "PUT", &path, &body).await;
+        // An agent that is stopped or stands still doesn't answer.
+        if answer.unwrap_or(false) {
+            let cause = std::io::Error::other(format!("accepted: {body}"));
+            return Err(Error::new(
+                "reject an odd report",
+                format!("agent-{number}"),
+                cause,
+            ));
+        }
+        Ok(())
+    }
+
     /// Starts a backend server for the first time.
     async fn start_server(&self, number: u8) -> Result<(), Error> {
         *self.servers[usize::from(number)].lock().await = Some(self.server(number)?);
--- a/crates/standin/src/soak/schedule.rs
+++ b/crates/standin/src/soak/schedule.rs
@@ -29,6 +29,13 @@
 /// Shortest and longest time between the starts of two waves, in milliseconds.
 const WAVE_MS: (u64, u64) = (300, 4_000);
 
+/// Shortest and longest time between two status reports of other writers, in milliseconds.
+const ODD_REPORT_MS: (u64, u64) = (200, 3_000);
+
+/// Changes the seed for what is drawn after the waves, so that the waves of a seed stay as they
+/// are.
+const EXTRA_SEED: u64 = 1 << 40;
+
 /// Numbers of processes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Size {
@@ -88,6 +95,8 @@
     Revoke(Node),
     /// The operators write the next configuration.
     Configure,
+    /// An agent gets a status report of another writer, which has this fault.
+    OddReport(u8, u8),
 }
 
 /// An action and its time.
@@ -116,6 +125,9 @@
             Action::LoseAnswer => write!(f, "store loses an answer"),
             Action::Revoke(node) => write!(f, "store revokes the lease of {node}"),
             Action::Configure => write!(f, "write a configuration"),
+            Action::OddReport(n, fault) => {
+                write!(f, "report of another writer to agent-{n}, fault {fault}")
+            }
         }
     }
 }
@@ -136,6 +148,8 @@
         planner.wave(at_ms);
         at_ms += planner.between(WAVE_MS);
     }
+    planner.rng = Rng::with_seed(seed ^ EXTRA_SEED);
+    planner.odd_reports();
     planner.steps.sort_by_key(|step| step.at_ms);
     planner.steps
 }
@@ -258,6 +272,16 @@
         self.add_for(at_ms, length_ms, Some(Target::Store), action);
     }
 
+    /// Agents get status reports of other writers, at any time.
+    fn odd_reports(&mut self) {
+        let mut at_ms = CALM_START_MS + self.between(ODD_REPORT_MS);
+        while at_ms < self.end_ms {
+            let (number, fault) = (self.rng.u8(..self.size.agents), self.rng.u8(..));
+            self.add(at_ms, 0, None, Action::OddReport(number, fault));
+            at_ms += self.between(ODD_REPORT_MS);
+        }
+    }
+
     /// Any process.
     fn node(&mut self) -> Node {
         let number = self.rng.u8(..self.size.balancers + self.size.agents);
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -481,6 +481,9 @@
             state.first_sequence.is_some()
                 && (state.is_established() || state.stage == Stage::Lost)
         });
+        if state.is_some_and(|state| self.was_held_before(&state)) {
+            self.backend.record_displacement();
+        }
         if was_held {
             return Some(self.reset(&arrival, Cause::Lost));
         }
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -76,10 +76,11 @@
         arrival: &Arrival,
         state: &State,
     ) -> Action {
-        if state.stage == Stage::Lost {
+        let is_of_instance = self.is_of_instance(state);
+        if state.stage == Stage::Lost || (state.is_established() && !is_of_instance) {
             return Action::Drop(Cause::Lost);
         }
-        let is_decided = self.is_of_instance(state) && self.backend.is_trusted(now);
+        let is_decided = is_of_instance && self.backend.is_trusted(now);
         if is_decided && state.stage != Stage::Offered {
             return self.deliver(now, arrival, false);
         }
--- a/crates/steer/src/process/agent/instance.rs
+++ b/crates/steer/src/process/agent/instance.rs
@@ -26,18 +26,29 @@
 }
 
 impl Agent {
-    /// Whether a report names a service that the configuration doesn't have, and would be
-    /// the first one, or replace a backend server that reports in time. Other writers may
-    /// send anything, and a replacement ends all flows.
-    pub fn is_foreign(&self, now: Millis, routing: &Routing, report: &Report) -> bool {
+    /// Whether a report names a service that the configuration doesn't have, and doesn't come
+    /// from the instance that has reported last. Other writers may send anything, and a
+    /// replacement ends all flows.
+    pub fn is_foreign(&self, routing: &Routing, report: &Report) -> bool {
         let last = self.backend.report();
-        let is_new = last.is_none_or(|last| {
-            let is_replacement = !last.is_same_instance(report);
-            is_replacement && !self.backend.is_overdue(now) && !self.backend.is_leaving()
-        });
+        let is_new = last.is_none_or(|last| !last.is_same_instance(report));
         is_new && routing.is_loaded() && routing.service(&report.service).is_none()
     }
 
+    /// Whether a report names another service than that of a backend server which was running
+    /// so recently that its address can't have been used again. It is ignored. But unless the
+    /// backend server is heard again, the report is believed more than the clock of this
+    /// process, which doesn't advance while its VM is suspended.
+    pub fn is_premature(&mut self, now: Millis, report: &Report) -> bool {
+        let last = self.backend.report();
+        let is_other = last.is_some_and(|last| last.service != report.service);
+        let is_premature = is_other && self.backend.is_trusted(now);
+        if is_premature {
+            self.backend.record_claim();
+        }
+        is_premature
+    }
+
     /// Checks the service of a backend server that has reported against the configuration,
     /// which may not have been known yet.
     pub fn confirm_service(&mut self, routing: &Routing) {
@@ -66,7 +77,7 @@
             self.backend.report().is_some_and(|last| last.service != report.service);
         let last_report = self.backend.last_report();
         let change = self.backend.record_report(now, report);
-        let mut ended = Vec::new();
+        let mut ended = self.end_displaced();
         let backend::Change::Started { is_replacement } = change else {
             return (change, ended);
         };
@@ -76,21 +87,19 @@
         // A report that was not confirmed may have come from another writer.
         let was_confirmed = std::mem::replace(&mut self.is_confirmed, false);
         match is_replacement {
-            true if was_confirmed && was_used => self.knowledge = Knowledge::Partial,
+            true if was_confirmed && was_used => {
+                self.knowledge = Knowledge::Partial;
+                self.backend.forget_displaced();
+            }
+            // Its flows end once it is certain that it has ended.
+            true if was_confirmed && self.backend.is_in_doubt() => {
+                self.backend.record_later_start();
+            }
             true if was_confirmed => {
                 self.backend.record_later_start();
-                self.knowledge = if self.recorded_since <= last_report {
-                    Knowledge::Complete
-                } else {
-                    Knowledge::Partial
-                };
-                // The new instance may have accepted those that were offered since, unless it
-                // runs another service, which gets the address later.
-                ended = self.end_flows(|state| {
-                    let is_older = |offered_at| offered_at <= last_report;
-                    is_other_service || state.offered_at.is_none_or(is_older)
-                });
+                ended.extend(self.end_previous(last_report, is_other_service));
             }
+            true => self.backend.forget_displaced(),
             // It was taken for gone by mistake.
             false if had_reported => {
                 self.knowledge = Knowledge::Partial;
@@ -104,6 +113,36 @@
         (change, ended)
     }
 
+    /// Ends the flows of an instance that was still heard when another one reported, once it is
+    /// certain that it has ended. Returns those that were open.
+    fn end_displaced(&mut self) -> Vec<Ended> {
+        let Some(displaced) = self.backend.take_ended() else { return Vec::new() };
+        let report = self.backend.report();
+        let is_other_service =
+            report.is_some_and(|report| report.service != *displaced.service());
+        self.end_previous(displaced.last_report(), is_other_service)
+    }
+
+    /// Ends the flows of a previous instance, which made its last report at a time. Returns
+    /// those that were open.
+    fn end_previous(
+        &mut self,
+        last_report: Millis,
+        is_other_service: bool,
+    ) -> Vec<Ended> {
+        self.knowledge = if self.recorded_since <= last_report {
+            Knowledge::Complete
+        } else {
+            Knowledge::Partial
+        };
+        // The new instance may have accepted those that were offered since, unless it runs
+        // another service, which gets the address later.
+        self.end_flows(|state| {
+            let is_older = |offered_at| offered_at <= last_report;
+            is_other_service || state.offered_at.is_none_or(is_older)
+        })
+    }
+
     /// Determines whether all flows of the backend server are known because they have been
     /// recorded for longer than any flow may be idle or may exist, or because the record in
     /// the store and the number of its first report show that no earlier process has used this
@@ -123,6 +162,7 @@
             && self.backend.was_heard_early()
             && self.has_all_since_start
             && self.is_confirmed
+            && !self.backend.is_in_doubt()
         {
             self.knowledge = Knowledge::Recorded;
         }
@@ -239,6 +279,12 @@
         state.offered_at.is_none_or(|at| at >= self.backend.instance_since())
     }
 
+    /// Whether the instance before the current one held a flow.
+    pub(super) fn was_held_before(&self, state: &State) -> bool {
+        let since = self.backend.instance_since();
+        state.is_established() && state.offered_at.is_none_or(|at| at < since)
+    }
+
     /// Records that the backend server is shutting down. Returns whether it is the
     /// current one.
     pub fn record_leave(&mut self, now: Millis, id: &str) -> bool {
@@ -255,11 +301,12 @@
         self.pressure.tick(now, self.admission.queue().priorities());
         self.health.record_unanswered(overdue);
         self.health.tick(now);
-        if !self.backend.tick(now) {
-            return Vec::new();
+        let mut ended = self.end_displaced();
+        if self.backend.tick(now) {
+            self.knowledge = Knowledge::Complete;
+            ended.extend(self.end_flows(|_| true));
         }
-        self.knowledge = Knowledge::Complete;
-        self.end_flows(|_| true)
+        ended
     }
 
     /// Stops admitting openings, because the process is about to stop.
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -132,6 +132,40 @@
     pub address_reuse_ms: u64,
 }
 
+/// An instance that another one seems to have replaced. A single report may come from another
+/// writer, so the flows of this one are kept until the other one is confirmed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Displaced {
+    /// Its last report.
+    report: Report,
+    /// When that arrived.
+    last_report: Millis,
+    /// When it becomes warm.
+    cold_until: Millis,
+}
+
+impl Displaced {
+    /// When its last report arrived. Flows that were offered later may be at the instance after
+    /// it.
+    pub fn last_report(&self) -> Millis {
+        self.last_report
+    }
+
+    /// The service that it ran.
+    pub fn service(&self) -> &Name {
+        &self.report.service
+    }
+}
+
+/// A report that seemed older than the last one.
+#[derive(Debug, Clone)]
+struct Outdated {
+    /// The report.
+    report: Report,
+    /// When it arrived.
+    since: Millis,
+}
+
 /// The backend server next to an agent.
 #[derive(Debug, Clone)]
 pub struct Backend {
@@ -152,8 +186,14 @@
     /// Whether another report of the current instance has followed, as those of a running
     /// backend server do. One that was delayed may arrive after the end of its instance.
     has_reported_again: bool,
-    /// Sequence number and arrival of the first outdated report since then.
-    outdated: Option<(u64, Millis)>,
+    /// The instance before the current one, as long as it isn't certain that it has ended: it
+    /// was heard when the current one reported for the first time.
+    displaced: Option<Displaced>,
+    /// Whether the backend server has returned a segment that only the displaced instance could
+    /// have taken.
+    is_displacement_shown: bool,
+    /// The first outdated report since the last current one.
+    outdated: Option<Outdated>,
     /// When the backend server said that it is shutting down.
     leaving_since: Option<Millis>,
     /// Whether it is known to be gone: it has said that it is shutting down, or there is no
@@ -190,6 +230,8 @@
             instance_since: Millis(0),
             was_heard_early: false,
             has_reported_again: false,
+            displaced: None,
+            is_displacement_shown: false,
             outdated: None,
             leaving_since: None,
             is_gone: false,
@@ -225,14 +267,19 @@
         let change = match self.report.clone() {
             None => Change::Started { is_replacement: false },
             Some(last) if !last.is_same_instance(&report) => {
-                if report.started_ms < last.started_ms {
+                let is_earlier = report.started_ms < last.started_ms
+                    || self.displaced.as_ref().is_some_and(|displaced| {
+                        displaced.report.is_same_instance(&report)
+                    });
+                if is_earlier && !self.is_alive_after_all(now, &report) {
                     return Change::Outdated;
                 }
-                Change::Started { is_replacement: true }
+                // An earlier instance that goes on reporting has never ended.
+                Change::Started { is_replacement: !is_earlier }
             }
             Some(last)
                 if (report.sequence <= last.sequence || self.is_leaving())
-                    && !self.is_alive_after_all(now, report.sequence) =>
+                    && !self.is_alive_after_all(now, &report) =>
             {
                 return Change::Outdated;
             }
@@ -240,7 +287,8 @@
             Some(_) if self.is_gone => Change::Started { is_replacement: false },
             Some(_) => Change::None,
         };
-        if matches!(change, Change::Started { .. }) {
+        if let Change::Started { is_replacement } = change {
+            self.displace(now, is_replacement);
             self.instance_since = now;
             self.was_heard_early = report.is_early();
             self.has_reported_again = false;
@@ -292,17 +340,65 @@
         self.counted_since = Millis(0);
     }
 
-    /// Whether an outdated report has to be taken for a current one: no other report
-    /// counts, and it follows an earlier outdated one as reports of a running backend
-    /// server do. Reports that were delayed arrive together.
+    /// Keeps the current instance as the displaced one if another one replaces it although it
+    /// is still heard.
+    fn displace(&mut self, now: Millis, is_replacement: bool) {
+        let is_heard = !self.is_overdue(now) && !self.is_leaving() && !self.is_gone;
+        let (last_report, cold_until) = (self.last_report, self.cold_until);
+        let displaced = self.report.take().filter(|_| is_replacement && is_heard);
+        self.displaced =
+            displaced.map(|report| Displaced { report, last_report, cold_until });
+        self.is_displacement_shown = false;
+    }
+
+    /// Whether an earlier instance may still run, because only one report says otherwise.
+    pub fn is_in_doubt(&self) -> bool {
+        self.displaced.is_some()
+    }
+
+    /// Records that the backend server has returned a segment of a flow that the displaced
+    /// instance had accepted.
+    pub fn record_displacement(&mut self) {
+        self.is_displacement_shown = true;
+    }
+
+    /// Forgets the displaced instance, whose end is of no consequence.
+    pub fn forget_displaced(&mut self) {
+        self.displaced = None;
+    }
+
+    /// The displaced instance once it is certain that it has ended: the current one has
+    /// reported again, or has returned a segment. Returns it once.
+    pub fn take_ended(&mut self) -> Option<Displaced> {
+        let is_certain = self.has_reported_again || self.is_displacement_shown;
+        if is_certain { self.displaced.take() } else { None }
+    }
+
+    /// Records that another service claims the address although the current instance has just
+    /// been heard. Until it is heard again, it gets no opening.
+    pub fn record_claim(&mut self) {
+        self.alive_at = Millis(0);
+    }
+
+    /// Whether an outdated report has to be taken for a current one: it follows an earlier
+    /// outdated one as reports of a running backend server do, and the current instance is no
+    /// longer heard, or has only reported once. Reports that were delayed arrive together.
     ///
-    /// The last sequence number was not a valid one then, or somebody else said that the
-    /// backend server was leaving.
-    fn is_alive_after_all(&mut self, now: Millis, sequence: u64) -> bool {
-        let &mut (first, since) = self.outdated.get_or_insert((sequence, now));
-        let is_periodic =
-            sequence > first && now.since(since) >= self.bounds.report_ms / 2;
-        is_periodic && (self.is_overdue(now) || self.is_leaving())
+    /// The last report was not a valid one then, or somebody else said that the backend server
+    /// was leaving.
+    fn is_alive_after_all(&mut self, now: Millis, report: &Report) -> bool {
+        let is_other = |outdated: &Outdated| !outdated.report.is_same_instance(report);
+        if self.outdated.as_ref().is_none_or(is_other) {
+            self.outdated = Some(Outdated { report: report.clone(), since: now });
+        }
+        let is_periodic = self.outdated.as_ref().is_some_and(|first| {
+            report.sequence > first.report.sequence
+                && now.since(first.since) >= self.bounds.report_ms / 2
+        });
+        let is_current =
+            self.report.as_ref().is_some_and(|last| last.is_same_instance(report));
+        let is_contested = !is_current && !self.has_reported_again;
+        is_periodic && (self.is_overdue(now) || self.is_leaving() || is_contested)
     }
 
     /// Records that a backend server is shutting down. Returns whether it is the current
@@ -381,7 +477,7 @@
         let report = self.report.as_ref()?;
         let is_closed = self.is_leaving()
             || self.is_stopping
-            || report.is_draining
+            || self.is_draining(report)
             || !self.is_trusted(now);
         Some(match () {
             () if is_closed => Stage::Closed,
@@ -417,7 +513,7 @@
         if self.is_stopping {
             return Err(Refusal::Stopping);
         }
-        if report.is_draining || self.leaving_since.is_some() {
+        if self.is_draining(report) || self.leaving_since.is_some() {
             return Err(Refusal::Draining);
         }
         if !self.is_trusted(now) {
@@ -449,7 +545,7 @@
             Some(index) => self.openings.get(index).map(|at| at.after(COLD_WINDOW_MS)),
         };
         let free_at = free_at.map(|at| at.max(counted_at));
-        let warm_at = (!self.may_be_cold).then_some(self.cold_until);
+        let warm_at = (!self.may_be_cold).then(|| self.warm_at());
         free_at.into_iter().chain(warm_at).min()
     }
 
@@ -469,14 +565,30 @@
 
     /// Whether it must be treated as cold.
     pub fn is_cold(&self, now: Millis) -> bool {
-        self.may_be_cold || now < self.cold_until
+        self.may_be_cold || now < self.warm_at()
+    }
+
+    /// When it becomes warm, whichever instance runs.
+    fn warm_at(&self) -> Millis {
+        let displaced = self.displaced.as_ref();
+        self.cold_until.max(displaced.map_or(Millis(0), |displaced| displaced.cold_until))
+    }
+
+    /// Whether it must be treated as draining. `report` is the last report.
+    fn is_draining(&self, report: &Report) -> bool {
+        let displaced = self.displaced.as_ref();
+        report.is_draining
+            || displaced.is_some_and(|displaced| displaced.report.is_draining)
     }
 }
 
 impl Report {
-    /// Whether both reports come from the same instance of a backend server.
+    /// Whether both reports come from the same instance of a backend server, which never runs
+    /// another service.
     pub fn is_same_instance(&self, other: &Self) -> bool {
-        self.id == other.id && self.started_ms == other.started_ms
+        self.id == other.id
+            && self.started_ms == other.started_ms
+            && self.service == other.service
     }
 
     /// Whether it is one of the first reports of its instance, see [`record`].
--- a/crates/steer/src/process/driver/agent/report.rs
+++ b/crates/steer/src/process/driver/agent/report.rs
@@ -1,5 +1,6 @@
 //! Accepts the reports of an agent's backend server.
 
+use std::fmt::{self, Display, Formatter};
 use std::sync::Arc;
 
 use lentilreach::Name;
@@ -36,8 +37,11 @@
         report.delay_ms += u64::from(state.node.delay_ms(now));
         let (change, ended, is_unrecorded) = {
             let mut flows = state.flows.write();
-            if flows.is_foreign(now, &routing, &report) {
-                return Err(Foreign { service });
+            if flows.is_foreign(&routing, &report) {
+                return Err(Foreign::UnknownService(service));
+            }
+            if flows.is_premature(now, &report) {
+                return Err(Foreign::AddressInUse(service));
             }
             let was_closed = !flows.is_use_evident();
             let (change, ended) = flows.report(now, report);
@@ -67,15 +71,33 @@
     /// Records that a backend server is shutting down.
     pub fn record_leave(&self, id: &str) {
         let is_current = self.state.flows.write().record_leave(self.state.node.now(), id);
-        self.state.broadcast_heartbeat();
+        if is_current {
+            self.state.broadcast_heartbeat();
+        }
         log::info!(target: "backend", id = id, change = "left", current = is_current; "backend server left");
     }
 }
 
-/// A report of another instance names a service that the configuration doesn't have, while
-/// the reports of the current one are up to date.
+/// Why a report can't come from the backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Foreign {
-    /// The unknown service.
-    pub service: Name,
+pub enum Foreign {
+    /// The configuration doesn't have its service.
+    UnknownService(Name),
+    /// The backend server, which runs another service, was running too recently.
+    AddressInUse(Name),
 }
+
+impl Display for Foreign {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownService(service) => write!(f, "service {service} is unknown"),
+            Self::AddressInUse(service) => write!(
+                f,
+                "service {service} can't have the address: the backend server of another \
+                 service was running just now"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for Foreign {}
