--- a/crates/lentilreach/src/process/relay/mirror.rs
+++ b/crates/lentilreach/src/process/relay/mirror.rs
@@ -23,11 +23,11 @@
                 let keys = range.entries.iter().map(|entry| &entry.key);
                 // The entries of a range are sorted by key.
                 self.keys = keys.filter(|key| is_document(key)).cloned().collect();
-                self.revision = range.revision;
+                self.revision = range.revision.number;
             }
             Update::Changes(batch) => {
                 batch.changes.iter().for_each(|change| self.change(change));
-                self.revision = self.revision.max(batch.revision);
+                self.revision = self.revision.max(batch.revision.number);
             }
         }
     }
--- a/crates/lentilreach/src/process/store/convert.rs
+++ b/crates/lentilreach/src/process/store/convert.rs
@@ -117,7 +117,7 @@
         if answer.more || !entries.is_sorted_by(|a, b| a.key < b.key) {
             return Err(Malformed("incomplete or unsorted keys"));
         }
-        Ok(Self { revision, entries })
+        Ok(Self { revision: revision.into(), entries })
     }
 }
 
@@ -160,7 +160,7 @@
         let revision = last.map_or(Ok(0), |pair| unsigned(pair.mod_revision))?;
         let named = events.into_iter().filter(|e| e.kv.as_ref().is_none_or(has_name));
         let changes = named.map(Change::try_from).collect::<Result<Vec<_>, _>>()?;
-        Ok(Self { revision, changes })
+        Ok(Self { revision: revision.into(), changes })
     }
 }
 
--- a/crates/lentilreach/src/process/store/etcd.rs
+++ b/crates/lentilreach/src/process/store/etcd.rs
@@ -23,7 +23,7 @@
     TxnRequest, WatchRequest, WatchResponse,
 };
 use super::settings::Settings;
-use super::{Batch, LOCK_RANK, Lease, Range, Store, Txn, TxnResult};
+use super::{Batch, LOCK_RANK, Lease, Range, Revision, Store, Txn, TxnResult};
 use crate::process::lock::Ranked;
 use crate::process::name::Name;
 use crate::process::pool::Pool;
@@ -237,8 +237,8 @@
         }
     }
 
-    async fn watch(&self, prefix: &str, from: u64) -> Result<Watch, Error> {
-        let request = convert::watch_request(prefix, from);
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<Watch, Error> {
+        let request = convert::watch_request(prefix, from.number);
         let watch = self.call(Step::Watch, |connection| async move {
             let mut client = WatchClient::with_origin(
                 connection.channel.clone(),
--- a/crates/lentilreach/src/process/store/follow.rs
+++ b/crates/lentilreach/src/process/store/follow.rs
@@ -42,7 +42,7 @@
         loop {
             let Some(watch) = &mut self.watch else {
                 let range = self.store.range(&self.prefix).await?;
-                let watch = self.store.watch(&self.prefix, range.revision + 1).await?;
+                let watch = self.store.watch(&self.prefix, range.revision.next()).await?;
                 self.watch = Some(watch);
                 return Ok(Update::Snapshot(range));
             };
--- a/crates/lentilreach/src/process/store/mod.rs
+++ b/crates/lentilreach/src/process/store/mod.rs
@@ -14,6 +14,7 @@
 use crate::process::pool::Pool;
 
 pub use error::{Error, Limit, Step};
+pub use revision::Revision;
 pub use settings::{Builder, Settings};
 
 pub mod backoff;
@@ -25,6 +26,7 @@
 pub mod follow;
 pub mod proto;
 pub mod retry;
+pub mod revision;
 pub mod settings;
 
 /// Maximum size of a value in the store, in bytes.
@@ -92,11 +94,13 @@
 
     /// Watches all keys that start with `prefix`, from revision `from` on.
     ///
-    /// To follow a [`Range`], watch from its revision plus one.
+    /// To follow a [`Range`], watch from the revision after its own. If the store has come back
+    /// from an older copy since, the watch ends with [`Error::Compacted`], even if the store has
+    /// given out that number again.
     fn watch(
         &self,
         prefix: &str,
-        from: u64,
+        from: Revision,
     ) -> impl Future<Output = Result<Self::Watch, Error>> + Send;
 }
 
@@ -121,7 +125,7 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Range {
     /// Revision of the store at which the keys were read.
-    pub revision: u64,
+    pub revision: Revision,
     /// Sorted by key.
     pub entries: Vec<Entry>,
 }
@@ -242,7 +246,7 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Batch {
     /// Revision of the last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// The changes in the order of their revisions. Never empty.
     pub changes: Vec<Change>,
 }
--- a/crates/lentilreach/src/process/store/retry.rs
+++ b/crates/lentilreach/src/process/store/retry.rs
@@ -11,7 +11,9 @@
 use super::budget::Budget;
 use super::error::{Error, Limit, Step};
 use super::settings::Settings;
-use super::{Batch, LOCK_RANK, Lease, Range, Store, Txn, TxnResult, Watch as _};
+use super::{
+    Batch, LOCK_RANK, Lease, Range, Revision, Store, Txn, TxnResult, Watch as _,
+};
 use crate::process::clock::{Clock, Millis};
 use crate::process::lock::Ranked;
 use crate::process::name::Name;
@@ -199,7 +201,7 @@
         self.run(Step::Revoke, || self.store.revoke(lease)).await
     }
 
-    async fn watch(&self, prefix: &str, from: u64) -> Result<Watch<S>, Error> {
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<Watch<S>, Error> {
         let open = self.run(Step::Watch, || self.store.watch(prefix, from)).await?;
         Ok(Watch {
             retry: self.clone(),
@@ -224,7 +226,7 @@
     /// The prefix of the watched keys.
     prefix: Name,
     /// First revision that has not been reported.
-    from: u64,
+    from: Revision,
     /// The store's watch; `None` after an error.
     open: Option<S::Watch>,
     /// Delays before the watch is reopened.
@@ -239,7 +241,7 @@
     async fn next(&mut self) -> Result<Batch, Error> {
         match self.advance().await {
             Ok(batch) => {
-                self.from = batch.revision + 1;
+                self.from = batch.revision.next();
                 self.backoff.reset();
                 Ok(batch)
             }
--- a/crates/lentilreach/src/process/submit/current.rs
+++ b/crates/lentilreach/src/process/submit/current.rs
@@ -31,7 +31,8 @@
     pub fn new(range: Range) -> Self {
         let documents =
             range.entries.iter().map(|entry| (&*entry.key, Some(&*entry.value)));
-        let (snapshot, refused) = Snapshot::default().apply(range.revision, documents);
+        let (snapshot, refused) =
+            Snapshot::default().apply(range.revision.number, documents);
         Self { snapshot, refused, entries: range.entries }
     }
 
--- a/crates/lentilreach/src/process/submit/plan.rs
+++ b/crates/lentilreach/src/process/submit/plan.rs
@@ -169,7 +169,7 @@
                 return Status::Applied { revision: entry.modified };
             }
             if operations.replaced.as_ref() == Some(&self.operation) {
-                return Status::Applied { revision: range.revision };
+                return Status::Applied { revision: range.revision.number };
             }
             // Another operation replaced the version that this plan compares with, so the
             // conditions of this plan cannot have held.
--- a/crates/lentilreach/tests/relay.rs
+++ b/crates/lentilreach/tests/relay.rs
@@ -137,13 +137,13 @@
     let mut mirror = Mirror::default();
     assert_eq!(mirror.deletions(&known), [], "nothing is known of the store");
 
-    mirror.follow(&Update::Snapshot(Range { revision: 9, entries: vec![kept] }));
+    mirror.follow(&Update::Snapshot(Range { revision: 9.into(), entries: vec![kept] }));
     assert_eq!(mirror.deletions(&known), [], "it may have been written since");
 
-    mirror.follow(&Update::Changes(Batch { revision: 10, changes: Vec::new() }));
+    mirror.follow(&Update::Changes(Batch { revision: 10.into(), changes: Vec::new() }));
     assert_eq!(mirror.deletions(&known), deletion(10));
 
     let delete = Change::Delete { key: KEPT.into(), revision: 11 };
-    mirror.follow(&Update::Changes(Batch { revision: 11, changes: vec![delete] }));
+    mirror.follow(&Update::Changes(Batch { revision: 11.into(), changes: vec![delete] }));
     assert_eq!(mirror.deletions(&known).len(), 2);
 }
--- a/crates/lentilreach/tests/store.rs
+++ b/crates/lentilreach/tests/store.rs
@@ -245,12 +245,12 @@
 
     let range = range.expect("a complete answer");
     let keys: Vec<&str> = range.entries.iter().map(|entry| &*entry.key).collect();
-    assert_eq!((range.revision, keys), (7, vec!["a"]));
+    assert_eq!((range.revision.number, keys), (7, vec!["a"]));
     let batch = batch.expect("a complete answer");
-    assert_eq!((batch.revision, batch.changes.len()), (6, 1));
+    assert_eq!((batch.revision.number, batch.changes.len()), (6, 1));
     // Without the revision, the watch would be opened again before the same change.
     let odd = odd.expect("a complete answer");
-    assert_eq!((odd.revision, odd.changes.len()), (6, 0));
+    assert_eq!((odd.revision.number, odd.changes.len()), (6, 0));
 }
 
 /// Guards against a range that includes keys without the prefix or omits keys with it.
--- a/crates/standin/src/rush/fleet.rs
+++ b/crates/standin/src/rush/fleet.rs
@@ -343,7 +343,7 @@
                 incarnation: u64::from(self.incarnation),
                 sequence: now as u32,
                 domain: domain.into(),
-                revision: 1,
+                revision: 1.into(),
                 wants_reply: false,
                 is_agent: true,
                 backend_status: status,
@@ -457,7 +457,7 @@
         priority: if load.has_priorities { kind.priority } else { 0 },
     });
     Routing {
-        revision: 1,
+        revision: 1.into(),
         version: 1,
         routes: routes.collect(),
         services: vec![Service {
--- a/crates/standin/src/rush/segment.rs
+++ b/crates/standin/src/rush/segment.rs
@@ -161,7 +161,7 @@
 /// A segment with its forwarding state.
 pub(super) fn arrival(segment: Segment, envelope: &Envelope) -> Arrival {
     let forwarding = Forwarding {
-        revision: 1,
+        version: 1,
         search: Search::Open,
         hops: envelope.tried.len() as u8,
         delay_ms: 0,
--- a/crates/standin/src/store/core.rs
+++ b/crates/standin/src/store/core.rs
@@ -5,7 +5,7 @@
 use lentilreach::process::clock::Millis;
 use lentilreach::process::name::Name;
 use lentilreach::process::store::{
-    Batch, Change, Compare, Entry, Lease, Put, Range, Txn, TxnResult,
+    Batch, Change, Compare, Entry, Lease, Put, Range, Revision, Txn, TxnResult,
 };
 
 /// Maximum number of operations in one branch of a transaction; etcd's default.
@@ -16,6 +16,8 @@
 pub struct Core {
     /// The latest revision. Starts at 1, so that 0 can mean "absent".
     revision: u64,
+    /// How often the store has come back from an older copy.
+    era: u64,
     /// Oldest revision that a watch can start from.
     oldest: u64,
     /// Sorted by key.
@@ -51,6 +53,7 @@
     pub fn new(value_limit: usize, history_limit: usize) -> Self {
         Self {
             revision: 1,
+            era: 0,
             oldest: 1,
             records: Vec::new(),
             leases: Vec::new(),
@@ -61,6 +64,16 @@
         }
     }
 
+    /// How often the store has come back from an older copy.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// A revision of the present era.
+    fn at(&self, number: u64) -> Revision {
+        Revision { era: self.era, number }
+    }
+
     /// The latest revision.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -80,7 +93,7 @@
     pub fn range(&self, key_range: &KeyRange) -> Range {
         let entries = self.records.iter().map(|record| &record.entry);
         let entries = entries.filter(|entry| key_range.contains(&entry.key)).cloned();
-        Range { revision: self.revision, entries: entries.collect() }
+        Range { revision: self.at(self.revision), entries: entries.collect() }
     }
 
     /// Runs a transaction: applies its puts and deletes if all comparisons hold.
@@ -178,21 +191,24 @@
         key_range: &KeyRange,
         from: u64,
     ) -> Result<Option<Batch>, RequestError> {
-        if from < self.oldest {
+        // After a return from an older copy, a later one belongs to an earlier era.
+        let is_unknown = self.era > 0 && from > self.revision + 1;
+        if from < self.oldest || is_unknown {
             return Err(RequestError::Compacted { oldest: self.oldest });
         }
-        let start = self.history.partition_point(|batch| batch.revision < from);
+        let start = self.history.partition_point(|batch| batch.revision.number < from);
         let recent = self.history.iter().skip(start).flat_map(|batch| &batch.changes);
         let changes = recent.filter(|change| key_range.contains(change.key())).cloned();
         let changes: Vec<_> = changes.collect();
         let last = changes.last().map(Change::revision);
-        Ok(last.map(|revision| Batch { revision, changes }))
+        Ok(last.map(|number| Batch { revision: self.at(number), changes }))
     }
 
     /// Replaces the state by an older copy of it. Revisions are given out again; identifiers of
     /// leases are not.
     pub fn restore(&mut self, copy: &Self) {
-        *self = Self { last_lease: self.last_lease, ..copy.clone() };
+        let (last_lease, era) = (self.last_lease, self.era + 1);
+        *self = Self { last_lease, era, ..copy.clone() };
     }
 
     /// Compacts the history before the latest revision.
@@ -267,16 +283,20 @@
             return;
         }
         self.revision += 1;
-        self.history.push_back(Batch { revision: self.revision, changes });
+        self.history.push_back(Batch { revision: self.at(self.revision), changes });
         if self.history.len() > self.history_limit {
-            self.oldest = self.history[1].revision;
+            self.oldest = self.history[1].revision.number;
         }
         self.trim();
     }
 
     /// Removes history before the oldest revision.
     fn trim(&mut self) {
-        while self.history.front().is_some_and(|batch| batch.revision < self.oldest) {
+        while self
+            .history
+            .front()
+            .is_some_and(|batch| batch.revision.number < self.oldest)
+        {
             self.history.pop_front();
         }
     }
--- a/crates/standin/src/store/handle.rs
+++ b/crates/standin/src/store/handle.rs
@@ -80,8 +80,6 @@
     epoch: u64,
     /// The copy that the store comes back from, if one was taken.
     copy: Option<Core>,
-    /// How often it has come back from a copy.
-    era: u64,
 }
 
 impl Handle {
@@ -99,7 +97,6 @@
             drops_next_response: false,
             epoch: 0,
             copy: None,
-            era: 0,
         };
         let shared =
             Shared { state: Ranked::new(LOCK_RANK, state), changed: Event::new() };
@@ -176,7 +173,7 @@
 
     /// How often the store has come back from a copy.
     pub fn era(&self) -> u64 {
-        self.shared.state.read().era
+        self.shared.state.read().core.era()
     }
 
     /// Takes a copy for [`Self::return_to_copy`].
@@ -194,7 +191,6 @@
             let copy = state.copy.as_ref().expect("a copy was taken");
             state.core.restore(copy);
             state.epoch += 1;
-            state.era += 1;
         });
     }
 
--- a/crates/standin/src/store/memory.rs
+++ b/crates/standin/src/store/memory.rs
@@ -4,7 +4,8 @@
 
 use lentilreach::process::name::Name;
 use lentilreach::process::store::{
-    Batch, Error, Lease, Limit, Range, Step, Store, Txn, TxnResult, Watch, convert,
+    Batch, Error, Lease, Limit, Range, Revision, Step, Store, Txn, TxnResult, Watch,
+    convert,
 };
 
 use super::core::{KeyRange, RequestError};
@@ -74,8 +75,12 @@
         }
     }
 
-    async fn watch(&self, prefix: &str, from: u64) -> Result<MemoryWatch, Error> {
-        let watcher = self.handle.watch(KeyRange::Prefix(prefix.into()), from);
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<MemoryWatch, Error> {
+        if from.era != self.handle.era() {
+            let peer = self.peer();
+            return Err(Error::Compacted { step: Step::Watch, peer, revision: 0 });
+        }
+        let watcher = self.handle.watch(KeyRange::Prefix(prefix.into()), from.number);
         let watcher =
             watcher.await.map_err(|call_error| client_error(Step::Watch, call_error))?;
         Ok(MemoryWatch { watcher })
--- a/crates/standin/src/store/watcher.rs
+++ b/crates/standin/src/store/watcher.rs
@@ -36,7 +36,7 @@
             .handle
             .wait_for(|core| core.changes_since(&self.key_range, self.from), self.epoch);
         let batch = poll.await?;
-        self.from = batch.revision + 1;
+        self.from = batch.revision.number + 1;
         Ok(batch)
     }
 }
--- a/crates/standin/src/store/wire.rs
+++ b/crates/standin/src/store/wire.rs
@@ -91,7 +91,7 @@
 /// A watch response with changes.
 pub(super) fn changes(batch: Batch) -> WatchResponse {
     WatchResponse {
-        header: Some(header(batch.revision)),
+        header: Some(header(batch.revision.number)),
         events: batch.changes.into_iter().map(event).collect(),
         ..WatchResponse::default()
     }
--- a/crates/standin/tests/relay.rs
+++ b/crates/standin/tests/relay.rs
@@ -209,7 +209,7 @@
 fn write_with_lost_response_is_read_back() {
     let range = |value: &[u8]| {
         let entry = store_entry(&key::relay("nord", 0), value, 5);
-        Range { revision: 5, entries: vec![entry] }
+        Range { revision: 5.into(), entries: vec![entry] }
     };
     let own = slot_value(node::Id(1), ([127, 0, 0, 1], 7_001).into());
     let other = slot_value(node::Id(2), ([127, 0, 0, 1], 7_002).into());
@@ -254,7 +254,7 @@
     ];
     let kept = store_entry("lentilreach/service/weilheim/kept", b"{}", 4);
     let slot = store_entry("lentilreach/relay/nord/0", b"1 127.0.0.1:7001", 5);
-    let range = Range { revision: 10, entries: vec![slot, kept] };
+    let range = Range { revision: 10.into(), entries: vec![slot, kept] };
 
     let update = StoreUpdate::read(&Update::Snapshot(range), &known);
 
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -57,7 +57,8 @@
     let ttl = client.keep(lease).await;
     let write = client.write(Txn::new().lease("slot", "mine", lease)).await;
     let Ok(TxnResult::Committed { revision }) = write else { panic!("{write:?}") };
-    let mut watch = client.watch("slot", revision + 1).await.expect("the call succeeds");
+    let mut watch =
+        client.watch("slot", (revision + 1).into()).await.expect("the call succeeds");
     let had_lease = handle.expire_lease(lease);
     let batch = watch.next().await.expect("the deletion");
     let kept = client.keep(lease).await;
@@ -116,7 +117,7 @@
 /// Writes a value of the maximum size, and one that is a byte longer.
 async fn check_largest_value<S: Store>(client: S) {
     let largest = vec![7; MAX_VALUE_BYTES];
-    let mut watch = client.watch("large", 1).await.expect("the call succeeds");
+    let mut watch = client.watch("large", 1.into()).await.expect("the call succeeds");
     let written = client.write(Txn::new().put("large", largest.clone())).await;
     let refused =
         client.write(Txn::new().put("large", vec![7; MAX_VALUE_BYTES + 1])).await;
@@ -180,11 +181,11 @@
         client.write(Txn::new().put("key", "1")).await.expect("the call succeeds");
         client.range("key").await.expect("the call succeeds");
         client.revoke(lease).await.expect("the call succeeds");
-        let watch = client.watch("key", 1).await.expect("the call succeeds");
+        let watch = client.watch("key", 1.into()).await.expect("the call succeeds");
         let open = handle.counts();
         drop(watch);
         wait_until_no_watch_is_open(handle).await;
-        let _watch = client.watch("key", 1).await.expect("the call succeeds");
+        let _watch = client.watch("key", 1.into()).await.expect("the call succeeds");
         handle.close_connections();
         wait_until_no_watch_is_open(handle).await;
         let kinds =
@@ -220,5 +221,5 @@
     let refused = run(memory.write(twice));
     let range = run(memory.range("")).expect("the call succeeds");
     assert!(matches!(refused, Err(Error::Protocol { .. })), "{refused:?}");
-    assert_eq!(range, Range { revision: 1, entries: Vec::new() });
+    assert_eq!(range, Range { revision: 1.into(), entries: Vec::new() });
 }
--- a/crates/standin/tests/store/fault.rs
+++ b/crates/standin/tests/store/fault.rs
@@ -129,7 +129,7 @@
 /// Changes keys before, during and after the loss of a connection.
 async fn check_watch_resumes<S: Store>(handle: &Handle, client: S) {
     let first = handle.revision() + 1;
-    let mut watch = client.watch("key/", first).await.expect("the call succeeds");
+    let mut watch = client.watch("key/", first.into()).await.expect("the call succeeds");
     put(handle, "key/a", "1");
     let mut seen = collect(&mut watch, first).await;
     handle.close_connections();
@@ -161,8 +161,10 @@
     let (mut follower, mut copy) =
         (Follower::new(client.clone(), "key/"), BTreeMap::new());
     follow_until_key(&mut follower, &mut copy, "key/a").await;
-    let mut watch =
-        client.watch("key/", handle.revision() + 1).await.expect("the call succeeds");
+    let mut watch = client
+        .watch("key/", (handle.revision() + 1).into())
+        .await
+        .expect("the call succeeds");
     handle.start_outage(Outage::Refuse);
     handle.write(&Txn::new().delete("key/a")).expect("a valid transaction");
     put(handle, "key/c", "3");
@@ -333,7 +335,7 @@
     let settings = Settings::builder().endpoint(proxy.address).ping_ms(2_000).build();
     let client = etcd::Client::new(&settings, pool.clone()).expect("valid settings");
     run(async {
-        let mut watch = client.watch("key", 1).await.expect("the call succeeds");
+        let mut watch = client.watch("key", 1.into()).await.expect("the call succeeds");
         proxy.freeze.close();
         let lost = watch.next().await;
         assert!(matches!(lost, Err(Error::Unavailable { .. })), "{lost:?}");
--- a/crates/steer/benches/schedule.rs
+++ b/crates/steer/benches/schedule.rs
@@ -68,7 +68,7 @@
             incarnation: 1,
             sequence: 1,
             domain: Cow::Borrowed(domain),
-            revision: 1,
+            revision: 1.into(),
             wants_reply: false,
             is_agent: true,
             backend_status: Some(BackendStatus {
@@ -102,7 +102,7 @@
 /// A routing with one address.
 fn routing() -> Routing {
     Routing {
-        revision: 1,
+        revision: 1.into(),
         version: 1,
         routes: vec![Route {
             address: service_address(),
--- a/crates/steer/src/process/agent.rs
+++ b/crates/steer/src/process/agent.rs
@@ -120,9 +120,9 @@
     found_record: Record,
     /// What it says now.
     record: Record,
-    /// The highest routing revision that a delivered opening was based on. Openings based
-    /// on an older revision are dropped.
-    min_revision: u64,
+    /// The highest version of the configuration that a delivered opening was based on. Openings
+    /// based on an older one are dropped.
+    min_version: u64,
     /// Announcements sent to home nodes.
     sent: Sent,
     /// Announcements received as a home node.
@@ -170,7 +170,7 @@
             knowledge: Knowledge::Partial,
             found_record: Record::Unknown,
             record: Record::Unknown,
-            min_revision: 0,
+            min_version: 0,
             sent: Sent::default(),
             received: Received::default(),
             questions: Questions::new(limits.flows),
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -39,8 +39,8 @@
 /// The forwarding state of a segment, see [`Envelope`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Forwarding {
-    /// Revision of the routes that the balancer's decision is based on.
-    pub revision: u64,
+    /// Version of the configuration that the balancer's decision is based on.
+    pub version: u64,
     /// How the agent that holds the flow is searched for.
     pub search: Search,
     /// Number of nodes that have forwarded the segment.
@@ -62,7 +62,7 @@
 impl From<&Envelope<'_>> for Forwarding {
     fn from(envelope: &Envelope<'_>) -> Self {
         Self {
-            revision: envelope.revision,
+            version: envelope.version,
             search: envelope.search,
             hops: envelope.hops,
             delay_ms: envelope.delay_ms,
@@ -79,7 +79,7 @@
     /// Wraps a segment and its forwarding state into an envelope.
     pub fn envelope<'a>(self, service: Cow<'a, str>, bytes: &'a [u8]) -> Envelope<'a> {
         Envelope {
-            revision: self.revision,
+            version: self.version,
             search: self.search,
             hops: self.hops,
             delay_ms: self.delay_ms,
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -146,15 +146,14 @@
     ) -> Result<(), Cause> {
         let flow = arrival.segment.flow_from_caller();
         let forwarding = &arrival.forwarding;
-        if forwarding.revision.max(routing.revision) < self.min_revision {
+        if forwarding.version.max(routing.version) < self.min_version {
             return Err(Cause::Stale);
         }
         let Some(report) = self.backend.report() else {
             return Err(backend::Refusal::Unknown.into());
         };
-        // The newer of the two routing revisions, the agent's and the balancer's,
-        // decides.
-        let is_allowed = if routing.revision >= forwarding.revision {
+        // The newer of the two configurations, the agent's and the balancer's, decides.
+        let is_allowed = if routing.version >= forwarding.version {
             routing.allows(flow.service, &report.service)
         } else {
             arrival.service.as_ref() == Some(&report.service)
@@ -249,8 +248,8 @@
 
     /// Counts an opening, or a copy of one, that is delivered now.
     fn record_delivery(&mut self, now: Millis, routing: &Routing, arrival: &Arrival) {
-        let revision = arrival.forwarding.revision.max(routing.revision);
-        self.min_revision = self.min_revision.max(revision);
+        let version = arrival.forwarding.version.max(routing.version);
+        self.min_version = self.min_version.max(version);
         self.backend.record_opening(now);
     }
 
@@ -309,7 +308,7 @@
         let mut forwarding = arrival.forwarding.clone();
         forwarding.tried.push(self.address);
         forwarding.hops += 1;
-        forwarding.revision = forwarding.revision.max(routing.revision);
+        forwarding.version = forwarding.version.max(routing.version);
         if forwarding.tried.len() > MAX_OPENING_FORWARDS {
             return self.refuse_opening(arrival, cause);
         }
--- a/crates/steer/src/process/documents.rs
+++ b/crates/steer/src/process/documents.rs
@@ -1,15 +1,22 @@
 //! Builds the active routing from the operators' documents in the store.
+//!
+//! The store may come back from an older copy of itself. What it says then replaces what was
+//! known, however low its revisions are, with two exceptions until operators have written their
+//! documents again: a process doesn't return to a configuration with a lower version number, and
+//! a failure domain stays out of service for some time, see [`domains::Domains`].
 
 use std::fmt::{self, Display, Formatter};
 
 use lentilreach::Name;
 use lentilreach::process::clock::Millis;
 use lentilreach::process::store::follow::Update;
-use lentilreach::process::store::{Change, Entry, Range};
+use lentilreach::process::store::{Batch, Change, Entry, Range, Revision};
 
 use crate::version::routing::{Route, Routing, Service};
+use domains::Domains;
 use leads::Leads;
 
+pub mod domains;
 pub mod leads;
 pub mod share;
 
@@ -42,7 +49,7 @@
 /// A decoded configuration.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Config {
-    /// Version number that the operators assigned to the configuration.
+    /// Version number that the operators assigned to the configuration. Never decreases.
     pub version: u64,
     /// Sorted by address.
     pub routes: Vec<Route>,
@@ -78,10 +85,15 @@
     entries: Vec<Entry>,
     /// The active routing.
     routing: Routing,
+    /// The failure domains that are out of service.
+    domains: Domains,
     /// Store revision up to which all changes are known.
-    revision: u64,
+    revision: Revision,
     /// Store revision of the last known change to a document. At most `revision`.
-    last_change: u64,
+    last_change: Revision,
+    /// Store revision of the last configuration that was read, whether it was rejected or not.
+    /// At most `last_change`.
+    last_config: Revision,
     /// Time for which it is kept in mind where a route has led, in milliseconds.
     retention_ms: u64,
 }
@@ -90,8 +102,16 @@
     /// Creates a collection without documents. `retention_ms` is the time for which a flow may
     /// be where its route led before, in milliseconds.
     pub fn new(source: S, retention_ms: u64) -> Self {
-        let (entries, routing) = (Vec::new(), Routing::default());
-        Self { source, entries, routing, revision: 0, last_change: 0, retention_ms }
+        Self {
+            source,
+            entries: Vec::new(),
+            routing: Routing::default(),
+            domains: Domains::default(),
+            revision: Revision::default(),
+            last_change: Revision::default(),
+            last_config: Revision::default(),
+            retention_ms,
+        }
     }
 
     /// Prefix of the store keys that hold the documents.
@@ -99,8 +119,9 @@
         self.source.prefix()
     }
 
-    /// Store revision of the last known change to a document.
-    pub fn last_change(&self) -> u64 {
+    /// Store revision of the last known change to a document. After a return of the store from a
+    /// copy it is one of the present era, even if the copy holds no document.
+    pub fn last_change(&self) -> Revision {
         self.last_change
     }
 
@@ -110,7 +131,7 @@
     }
 
     /// Store revision up to which all changes are known.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -132,49 +153,82 @@
     /// Applies an update from the store or another node. A snapshot may contain a record of
     /// where routes led before. Returns the documents that were rejected.
     pub fn apply(&mut self, now: Millis, update: Update) -> Vec<Error> {
+        self.expire(now);
+        let errors = match update {
+            // An older snapshot would restore outdated documents.
+            Update::Snapshot(range) if range.revision < self.revision => Vec::new(),
+            Update::Snapshot(range) => self.replace(now, range),
+            // Changes in another era don't follow on what is known.
+            Update::Changes(batch) if batch.revision.era != self.revision.era => {
+                Vec::new()
+            }
+            Update::Changes(batch) => self.change(now, batch),
+        };
+        self.routing.domains_out = self.domains.all();
+        errors
+    }
+
+    /// Whether a failure domain has been kept out of service for long enough.
+    pub fn is_expiry_due(&self, now: Millis) -> bool {
+        self.domains.is_overdue(now, self.retention_ms)
+    }
+
+    /// Forgets what has been kept for long enough: where routes led before, and failure domains
+    /// that the store has not named again.
+    pub fn expire(&mut self, now: Millis) {
         let retention_ms = self.retention_ms;
         let history = &mut self.routing.history;
         history.retain(|earlier| now.since(earlier.since) <= retention_ms);
+        self.domains.expire(now, retention_ms);
+        self.routing.domains_out = self.domains.all();
+    }
+
+    /// Replaces all documents.
+    fn replace(&mut self, now: Millis, mut range: Range) -> Vec<Error> {
+        if range.revision.era > self.revision.era {
+            self.domains.retain_listed(now);
+            self.last_change = Revision { number: 0, ..range.revision };
+        }
+        self.revision = range.revision;
+        self.domains.clear();
+        let is_record = |entry: &mut Entry| *entry.key == *leads::KEY;
+        let records: Vec<_> = range.entries.extract_if(.., is_record).collect();
         let mut errors = Vec::new();
-        match update {
-            Update::Snapshot(mut range) => {
-                // A snapshot older than the known revision would restore outdated
-                // documents.
-                if range.revision < self.revision {
-                    return errors;
-                }
-                self.revision = range.revision;
-                self.routing.domains_out.clear();
-                let is_record = |entry: &mut Entry| *entry.key == *leads::KEY;
-                let records: Vec<_> = range.entries.extract_if(.., is_record).collect();
-                for entry in &range.entries {
+        for entry in &range.entries {
+            errors.extend(self.put(now, entry).err());
+        }
+        self.entries = range.entries;
+        for entry in &records {
+            errors.extend(self.learn(now, entry).err());
+        }
+        errors
+    }
+
+    /// Applies changes of single documents.
+    fn change(&mut self, now: Millis, batch: Batch) -> Vec<Error> {
+        let mut errors = Vec::new();
+        for change in &batch.changes {
+            match change {
+                Change::Put(entry) => {
                     errors.extend(self.put(now, entry).err());
+                    self.store_entry(entry);
                 }
-                self.entries = range.entries;
-                for entry in &records {
-                    errors.extend(self.learn(now, entry).err());
+                Change::Delete { key, revision } => {
+                    self.last_change = self.last_change.max(self.at(*revision));
+                    self.delete(key);
+                    self.entries.retain(|entry| entry.key != *key);
                 }
             }
-            Update::Changes(batch) => {
-                for change in &batch.changes {
-                    match change {
-                        Change::Put(entry) => {
-                            errors.extend(self.put(now, entry).err());
-                            self.store_entry(entry);
-                        }
-                        Change::Delete { key, revision } => {
-                            self.last_change = self.last_change.max(*revision);
-                            self.delete(key);
-                            self.entries.retain(|entry| entry.key != *key);
-                        }
-                    }
-                }
-                self.revision = self.revision.max(batch.revision);
-            }
         }
+        self.revision = self.revision.max(batch.revision);
         errors
     }
 
+    /// A revision of the present era of the store.
+    fn at(&self, number: u64) -> Revision {
+        Revision { number, ..self.revision }
+    }
+
     /// Takes over from a record where routes led before.
     fn learn(&mut self, now: Millis, record: &Entry) -> Result<(), Error> {
         let recorded = Leads::try_from(record).map_err(|leads::Invalid| Error {
@@ -190,7 +244,7 @@
     }
 
     /// Activates a configuration that was written at a revision.
-    fn activate(&mut self, now: Millis, revision: u64, config: Config) {
+    fn activate(&mut self, now: Millis, revision: Revision, config: Config) {
         let before = std::mem::replace(&mut self.routing.routes, config.routes);
         self.routing.revision = revision;
         self.routing.version = config.version;
@@ -208,17 +262,20 @@
 
     /// Applies a created or changed document.
     fn put(&mut self, now: Millis, entry: &Entry) -> Result<(), Error> {
-        self.last_change = self.last_change.max(entry.modified);
+        let revision = self.at(entry.modified);
+        self.last_change = self.last_change.max(revision);
         match self.source.kind(&entry.key) {
-            Kind::Config if entry.modified > self.routing.revision => {
+            Kind::Config if revision > self.last_config => {
+                self.last_config = revision;
                 let config = self.source.config(&entry.value)?;
-                self.activate(now, entry.modified, config);
-            }
-            Kind::DomainOut(domain) => {
-                if let Err(index) = self.routing.domains_out.binary_search(&domain) {
-                    self.routing.domains_out.insert(index, domain);
+                let (version, active) = (config.version, self.routing.version);
+                if version < active {
+                    let cause = format!("version {version} is lower than {active}");
+                    return Err(Error { key: entry.key.clone(), cause });
                 }
+                self.activate(now, revision, config);
             }
+            Kind::DomainOut(domain) => self.domains.insert(domain),
             Kind::Config | Kind::Other => {}
         }
         Ok(())
@@ -235,7 +292,7 @@
     /// Applies the deletion of a document. A deleted configuration remains active.
     fn delete(&mut self, key: &str) {
         if let Kind::DomainOut(domain) = self.source.kind(key) {
-            self.routing.domains_out.retain(|out| *out != domain);
+            self.domains.remove(&domain);
         }
     }
 }
--- a/crates/steer/src/process/documents/share.rs
+++ b/crates/steer/src/process/documents/share.rs
@@ -1,7 +1,7 @@
 //! Passes the operators' documents from node to node, so that not every node has to read
 //! each change from the store.
 
-use lentilreach::process::store::{Entry, Range};
+use lentilreach::process::store::{Entry, Range, Revision};
 use serde::{Deserialize, Serialize};
 
 use crate::request::message::Chunk;
@@ -17,7 +17,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Encoded {
     /// Store revision up to which they contain all changes.
-    revision: u64,
+    revision: Revision,
     /// The encoded documents, at most [`MAX_CHUNKS`] times [`CHUNK_BYTES`].
     bytes: Vec<u8>,
 }
@@ -45,7 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Assembly {
     /// Store revision of the documents.
-    revision: u64,
+    revision: Revision,
     /// The parts by number; empty before the first one has arrived.
     parts: Vec<Option<Vec<u8>>>,
 }
--- a/crates/steer/src/process/driver/balancer.rs
+++ b/crates/steer/src/process/driver/balancer.rs
@@ -133,7 +133,7 @@
             Action::Send { to, search, service, is_newly_selected } => {
                 let service = service.as_deref().unwrap_or_default();
                 let envelope = Envelope {
-                    revision: routing.revision,
+                    version: routing.version,
                     search,
                     hops: 0,
                     delay_ms: self.node.delay_ms(now),
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -13,15 +13,15 @@
 //! together with the documents when it starts, or may have missed some.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
 use futures_lite::future::{or, zip};
+use lentilreach::process::clock::Millis;
 use lentilreach::process::link::Link;
 use lentilreach::process::store::backoff::Backoff;
 use lentilreach::process::store::follow::Update;
-use lentilreach::process::store::{Error, Range, Store, Watch as _};
+use lentilreach::process::store::{Entry, Error, Range, Revision, Store, Watch as _};
 
 use super::leads::{Recorder, unix_s};
 use super::{Node, Observer, TASK_BACKOFF_MS, sleep};
@@ -51,6 +51,10 @@
 /// active.
 const POLL_INTERVAL_MS: u64 = 2_000;
 
+/// Shortest time between two reads of all documents because the store's history is incomplete,
+/// apart from the first two, in milliseconds.
+const COMPACTED_PAUSE_MS: u64 = 1_000;
+
 /// Time within which the process's own watch must report a revision that another node
 /// already knows, in milliseconds.
 const WATCH_LAG_MS: u64 = 700;
@@ -75,7 +79,10 @@
     };
     let mut backoff = Backoff::new(TASK_BACKOFF_MS.0, TASK_BACKOFF_MS.1);
     let mut is_lost = false;
+    // When the history of the store was found to be incomplete for the last time.
+    let mut compacted: Option<Millis> = None;
     loop {
+        follower.expire(&*observer);
         follower.record_leads().await;
         match follower.next().await {
             Ok(update) => {
@@ -89,7 +96,16 @@
                     sleep(CHANGE_PAUSE_MS).await;
                 }
             }
-            Err(Error::Compacted { .. }) => follower.resync(),
+            Err(Error::Compacted { .. }) => {
+                let now = follower.node.now();
+                let is_repeated =
+                    compacted.is_some_and(|at| now.since(at) < COMPACTED_PAUSE_MS);
+                compacted = Some(now);
+                follower.resync();
+                if is_repeated {
+                    sleep(COMPACTED_PAUSE_MS).await;
+                }
+            }
             Err(error) => {
                 if !std::mem::replace(&mut is_lost, true) {
                     log::warn!(target: "store", change = "lost", call = "documents", cause:% = error; "store is unreachable");
@@ -153,8 +169,9 @@
         let mut range = if is_old { self.store.range(prefix).await? } else { range };
         let last_change = self.documents.last_change();
         // Configurations between the known one and this one may have been missed.
+        let at = |entry: &Entry| Revision { number: entry.modified, ..range.revision };
         if self.role == Role::Agent
-            && range.entries.iter().any(|entry| entry.modified > last_change)
+            && range.entries.iter().any(|entry| at(entry) > last_change)
         {
             let record = self.recorder.read_stale().await?;
             range.entries.splice(..0, record);
@@ -196,7 +213,7 @@
         let watch = match &mut self.watch {
             Some(watch) => watch,
             empty => {
-                let from = documents.revision() + 1;
+                let from = documents.revision().next();
                 let watch = self.store.watch(documents.prefix(), from).await?;
                 empty.insert(watch)
             }
@@ -211,8 +228,9 @@
         let other_duties = async {
             loop {
                 Timer::after(SENTINEL_WAIT).await;
-                let is_due =
-                    is_sentinel && is_record_due(&node, recorder, documents.routing());
+                let is_due = documents.is_expiry_due(node.now())
+                    || (is_sentinel
+                        && is_record_due(&node, recorder, documents.routing()));
                 if is_due || self::is_sentinel(&node, role) != is_sentinel {
                     return None;
                 }
@@ -252,6 +270,15 @@
             < WATCHERS_PER_DOMAIN
     }
 
+    /// Forgets what has been kept for long enough.
+    fn expire(&mut self, observer: &impl Observer) {
+        let now = self.node.now();
+        if self.documents.is_expiry_due(now) {
+            self.documents.expire(now);
+            self.publish(observer);
+        }
+    }
+
     /// Applies an update of the documents. Returns whether the routing changed.
     fn apply_update(&mut self, update: Update, observer: &impl Observer) -> bool {
         for error in self.documents.apply(self.node.now(), update) {
@@ -259,7 +286,13 @@
         }
         self.node.share_documents(&self.documents.snapshot(unix_s()));
         let changed = self.documents.last_change();
-        self.node.revision.store(changed, Ordering::Relaxed);
+        *self.node.revision.write() = changed;
+        self.publish(observer)
+    }
+
+    /// Puts the routing of the documents in force. Returns whether it differs from the active
+    /// one.
+    fn publish(&self, observer: &impl Observer) -> bool {
         let before = self.node.routing();
         let after = self.documents.routing();
         if *before == *after {
@@ -278,7 +311,7 @@
         let cold: Vec<_> =
             after.services.iter().map(|service| service.cold_per_s).collect();
         log::info!(
-            target: "config", version = after.version, revision = after.revision,
+            target: "config", version = after.version, revision:% = after.revision,
             routes = after.routes.len(), out:? = after.domains_out, cold_per_s:? = cold;
             "configuration is active"
         );
--- a/crates/steer/src/process/driver/leads.rs
+++ b/crates/steer/src/process/driver/leads.rs
@@ -2,7 +2,7 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use lentilreach::process::store::{Entry, Error, Store, Txn, TxnResult};
+use lentilreach::process::store::{Entry, Error, Revision, Store, Txn, TxnResult};
 
 use crate::process::documents::leads::{KEY, Leads};
 use crate::version::routing::Routing;
@@ -24,10 +24,10 @@
     leads: Leads,
     /// Revision at which it was written; 0 if there is none.
     modified: u64,
-    /// Era of the store.
+    /// Era of the store in which that was so.
     era: u64,
     /// Revision of the last configuration whose routes were found in the record; 0 if none.
-    checked: u64,
+    checked: Revision,
 }
 
 impl<S: Store> Recorder<S> {
@@ -43,7 +43,7 @@
     pub async fn read(&mut self) -> Result<Option<Entry>, Error> {
         let range = self.store.range(KEY).await?;
         let entry = range.get(KEY).cloned();
-        self.set_stored(entry.as_ref());
+        self.set_stored(entry.as_ref(), range.revision.era);
         Ok(entry)
     }
 
@@ -91,25 +91,31 @@
                 TxnResult::Committed { revision } => {
                     let count = leads.iter().count();
                     log::info!(target: "routes", version = routing.version, leads = count; "routes are recorded");
+                    let checked = Revision::default();
                     self.stored =
-                        Some(Stored { leads, modified: revision, era, checked: 0 });
+                        Some(Stored { leads, modified: revision, era, checked });
                 }
                 TxnResult::ConditionFailed { current } => {
-                    self.set_stored(current.iter().find(|entry| *entry.key == *KEY));
+                    let entry = current.iter().find(|entry| *entry.key == *KEY);
+                    self.set_stored(entry, era);
                 }
             }
+            // The answer may be of another era.
+            if self.store.era() != era {
+                self.stored = None;
+            }
         }
         Ok(())
     }
 
     /// Notes the stored state of the record. One that can't be read is replaced.
-    fn set_stored(&mut self, entry: Option<&Entry>) {
+    fn set_stored(&mut self, entry: Option<&Entry>, era: u64) {
         let leads = entry.map(Leads::try_from).transpose().unwrap_or_default();
         self.stored = Some(Stored {
             leads: leads.unwrap_or_default(),
             modified: entry.map_or(0, |entry| entry.modified),
-            era: self.store.era(),
-            checked: 0,
+            era,
+            checked: Revision::default(),
         });
     }
 }
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -3,13 +3,13 @@
 use std::borrow::Cow;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use async_channel::{Receiver, Sender};
 use lentilreach::process::clock::{Clock, Millis};
 use lentilreach::process::link::Link;
 use lentilreach::process::lock::Ranked;
-use lentilreach::process::store::Range;
+use lentilreach::process::store::{Range, Revision};
 use lentilreach::process::tables;
 
 use super::traffic::Traffic;
@@ -57,6 +57,15 @@
     pub load: Option<Load>,
 }
 
+/// A change to the operators' documents that another node has reported.
+#[derive(Debug, Default, Clone, Copy)]
+struct Newest {
+    /// Its revision.
+    revision: Revision,
+    /// The node in this failure domain that reported it first; `None` if it is in another one.
+    source: Option<SocketAddrV4>,
+}
+
 /// The part of a daemon's state that both roles have.
 #[derive(Debug)]
 pub struct Node<L> {
@@ -73,12 +82,9 @@
     /// What heartbeats state of the backend server; nothing for a balancer.
     pub stated: Ranked<Stated>,
     /// Revision of the last change to the operators' documents that was read.
-    pub revision: AtomicU64,
-    /// Highest revision of a document that another node has reported.
-    newest_revision: AtomicU64,
-    /// The node in this failure domain that reported it first; `None` if it is in another
-    /// one.
-    newest_source: Ranked<Option<SocketAddrV4>>,
+    pub revision: Ranked<Revision>,
+    /// The newest change to the documents that another node has reported.
+    newest: Ranked<Newest>,
     /// Bytes sent to other nodes.
     pub traffic: Traffic,
     /// Detects that the process was paused.
@@ -126,9 +132,8 @@
             routing: Ranked::new(tables::CONFIG, Arc::default()),
             roster: Ranked::new(tables::MEMBERS, Roster::new()),
             stated: Ranked::new(tables::SLOTS, Stated::default()),
-            revision: AtomicU64::new(0),
-            newest_revision: AtomicU64::new(0),
-            newest_source: Ranked::new(tables::VIEW, None),
+            revision: Ranked::new(tables::LEDGER, Revision::default()),
+            newest: Ranked::new(tables::VIEW, Newest::default()),
             shared: Ranked::new(tables::KEYS, None),
             assembly: Ranked::new(tables::DIRECTORY, Assembly::default()),
             documents: async_channel::bounded(1),
@@ -329,7 +334,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
             domain: Cow::Borrowed(&self.settings.domain),
-            revision: self.revision.load(Ordering::Relaxed),
+            revision: *self.revision.read(),
             wants_reply,
             is_agent: role == Role::Agent,
             backend_status: stated.status.clone(),
@@ -357,10 +362,7 @@
                 metric::count(&metric::HEARTBEATS_OUTDATED);
             }
         }
-        let known = self.newest_revision.fetch_max(heartbeat.revision, Ordering::Relaxed);
-        if heartbeat.revision > known {
-            let is_near = *heartbeat.domain == *self.settings.domain;
-            *self.newest_source.write() = is_near.then_some(from);
+        if self.record_newest(from, heartbeat) {
             // If the channel is full, the follower has already been signalled.
             let _ = self.newer_signal.0.try_send(());
         }
@@ -459,9 +461,22 @@
         let _ = self.leave_signal.1.recv().await;
     }
 
-    /// Highest revision of a document that another node has reported.
-    pub fn newest_revision(&self) -> u64 {
-        self.newest_revision.load(Ordering::Relaxed)
+    /// Records the change to the documents that a heartbeat reports. Returns whether it is newer
+    /// than any before.
+    fn record_newest(&self, from: SocketAddrV4, heartbeat: &Heartbeat<'_>) -> bool {
+        let is_near = *heartbeat.domain == *self.settings.domain;
+        let (revision, source) = (heartbeat.revision, is_near.then_some(from));
+        let mut newest = self.newest.write();
+        let is_newer = revision > newest.revision;
+        if is_newer {
+            *newest = Newest { revision, source };
+        }
+        is_newer
+    }
+
+    /// Newest revision of a document that another node has reported.
+    pub fn newest_revision(&self) -> Revision {
+        self.newest.read().revision
     }
 
     /// Waits until another node reports a newer revision of the documents than any
--- a/crates/steer/src/process/driver/node/documents.rs
+++ b/crates/steer/src/process/driver/node/documents.rs
@@ -6,7 +6,7 @@
 use lentilreach::process::link::Link;
 use lentilreach::process::store::Range;
 
-use super::Node;
+use super::{Newest, Node};
 use crate::process::documents::share::Encoded;
 use crate::process::driver::sleep;
 use crate::request::message::{Chunk, Message};
@@ -40,8 +40,8 @@
     /// Asks the node that reported the newest revision for the documents. Returns `None` if
     /// it is in another failure domain, or if the answer doesn't arrive in time.
     pub async fn fetch_documents(&self) -> Option<Range> {
-        let wanted = self.newest_revision();
-        let source = (*self.newest_source.read())?;
+        let Newest { revision: wanted, source } = *self.newest.read();
+        let source = source?;
         while self.documents.1.try_recv().is_ok() {}
         self.send(source, &Message::DocumentsRequest);
         let answer = async {
--- a/crates/steer/src/request/message.rs
+++ b/crates/steer/src/request/message.rs
@@ -3,12 +3,13 @@
 use std::borrow::Cow;
 use std::net::SocketAddrV4;
 
+use lentilreach::process::store::Revision;
 use serde::{Deserialize, Serialize};
 
 use crate::connection::flow;
 
 /// First byte of every message. Incremented whenever the encoding changes.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// Maximum number of flows in one [`Message::Announcement`], so that it fits into one
 /// datagram.
@@ -50,8 +51,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Envelope<'a> {
-    /// Revision of the routes that the balancer's decision is based on.
-    pub revision: u64,
+    /// Version of the configuration that the balancer's decision is based on.
+    pub version: u64,
     /// How the agent that holds the flow is searched for.
     pub search: Search,
     /// Number of nodes that have forwarded the segment.
@@ -121,7 +122,7 @@
     #[serde(borrow)]
     pub domain: Cow<'a, str>,
     /// Revision of the last change to the operators' documents that the sender has seen.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the receiver should reply with a heartbeat.
     pub wants_reply: bool,
     /// Whether the sender is an agent.
@@ -298,7 +299,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct Chunk<'a> {
     /// Store revision up to which the sender knows all changes.
-    pub revision: u64,
+    pub revision: Revision,
     /// Number of this part, below `count`.
     pub index: u16,
     /// Number of parts.
--- a/crates/steer/src/version/routing.rs
+++ b/crates/steer/src/version/routing.rs
@@ -3,15 +3,18 @@
 use std::net::SocketAddrV4;
 
 use lentilreach::Name;
+use lentilreach::process::store::Revision;
 
 use super::history::History;
 
 /// Routes, services and out-of-service failure domains at one store revision.
 #[derive(Debug, Default, Clone, PartialEq)]
 pub struct Routing {
-    /// Store revision at which the configuration was written; 0 if none was read yet.
-    pub revision: u64,
-    /// Version number that the operators assigned to the configuration.
+    /// Store revision at which the configuration was written; 0 if none was read yet. Doesn't
+    /// tell which of two configurations is newer: the store may come back from a copy.
+    pub revision: Revision,
+    /// Version number that the operators assigned to the configuration. Of two configurations,
+    /// that with the higher one is newer.
     pub version: u64,
     /// Sorted by address.
     pub routes: Vec<Route>,
@@ -28,7 +31,7 @@
 impl Routing {
     /// Whether a configuration has been read.
     pub fn is_loaded(&self) -> bool {
-        self.revision > 0
+        self.revision.number > 0
     }
 
     /// The route of an address.
--- a/crates/steer/tests/hold.rs
+++ b/crates/steer/tests/hold.rs
@@ -286,7 +286,7 @@
     let (mut agent, roster) = busy_agent(&[watch]);
     offer(&mut agent, &roster, later(), request_on(watch));
     let mut routing = contended_routing();
-    routing.revision = 2;
+    routing.version = 2;
     routing.routes.retain(|route| route.address != less_urgent());
 
     agent.routing_changed(&contended_routing(), &routing);
--- a/crates/steer/tests/leads.rs
+++ b/crates/steer/tests/leads.rs
@@ -54,7 +54,8 @@
 fn documents(now: Millis, entries: Vec<Entry>) -> Documents<Plain> {
     let mut documents = Documents::new(Plain, FLOW_MS);
     let revision = entries.iter().map(|entry| entry.modified).max().unwrap_or_default();
-    let errors = documents.apply(now, Update::Snapshot(Range { revision, entries }));
+    let errors = documents
+        .apply(now, Update::Snapshot(Range { revision: revision.into(), entries }));
     assert_eq!(errors, []);
     documents
 }
@@ -67,7 +68,8 @@
 ) -> Documents<Plain> {
     let revision = configs.last().expect("a configuration").modified;
     let changes = configs.iter().cloned().map(Change::Put).collect();
-    let errors = documents.apply(now, Update::Changes(Batch { revision, changes }));
+    let errors = documents
+        .apply(now, Update::Changes(Batch { revision: revision.into(), changes }));
     assert_eq!(errors, []);
     documents
 }
@@ -174,9 +176,9 @@
         let mut documents = Documents::new(Plain, FLOW_MS);
 
         let errors =
-            documents.apply(NOW, Update::Snapshot(Range { revision: 2, entries }));
+            documents.apply(NOW, Update::Snapshot(Range { revision: 2.into(), entries }));
 
         assert_eq!(errors.len(), 1, "{length} bytes");
-        assert_eq!(documents.routing().revision, 2);
+        assert_eq!(documents.routing().revision, 2.into());
     }
 }
--- a/crates/steer/tests/model/drive.rs
+++ b/crates/steer/tests/model/drive.rs
@@ -85,7 +85,7 @@
         let view_hash = (!segment.is_opening()).then(|| node.roster.view_hash());
         match node.balancer.handle_segment(now, &routing, &node.roster, &segment) {
             balancer::Action::Send { to, search, service, is_newly_selected } => {
-                let mut arrival = fixture::arrival(segment, search, routing.revision);
+                let mut arrival = fixture::arrival(segment, search, routing.version);
                 arrival.forwarding.origin = origin;
                 arrival.forwarding.view_hash = view_hash;
                 arrival.service = service;
--- a/crates/steer/tests/node.rs
+++ b/crates/steer/tests/node.rs
@@ -10,7 +10,7 @@
 
 use fixture::{agent_address, agent_heartbeat, balancer_address, flow, routing};
 use lentilreach::process::link::Link;
-use lentilreach::process::store::Range;
+use lentilreach::process::store::{Range, Revision};
 use lentilreach_steer::process::documents::share::Encoded;
 use lentilreach_steer::process::driver::Node;
 use lentilreach_steer::process::roster::Role;
@@ -133,13 +133,16 @@
 
 /// Lets a node hear from an agent that a document has changed.
 fn hear_change(node: &Node<Silent>, domain: &str, revision: u64) {
-    let heartbeat = Heartbeat { revision, ..agent_heartbeat(1, domain, Stage::Ready, 0) };
+    let heartbeat = Heartbeat {
+        revision: revision.into(),
+        ..agent_heartbeat(1, domain, Stage::Ready, 0)
+    };
     node.handle_heartbeat(agent_address(1), &heartbeat);
 }
 
 /// Lets documents of a revision arrive while a node waits for them.
 fn fetch(node: &Node<Silent>, revision: u64) -> Option<Range> {
-    let range = Range { revision, entries: Vec::new() };
+    let range = Range { revision: revision.into(), entries: Vec::new() };
     let encoded = Encoded::new(&range).expect("short");
     let arrive = async {
         Timer::after(Duration::from_millis(10)).await;
@@ -162,7 +165,7 @@
     assert_eq!(fetch(&node, 8), None);
     let fetched = fetch(&node, 9).expect("the reported revision");
 
-    assert_eq!(fetched.revision, 9);
+    assert_eq!(fetched.revision, 9.into());
     let sent = node.link.sent.lock().expect("no panic").clone();
     assert_eq!(sent, [agent_address(1).into(), agent_address(1).into()]);
 }
@@ -176,3 +179,22 @@
     assert_eq!(fetch(&node, 9), None);
     assert_eq!(*node.link.sent.lock().expect("no panic"), []);
 }
+
+/// After the store has come back from an older copy, changes have lower numbers than before. A
+/// node took them for known ones, and was left behind.
+#[test]
+fn a_change_in_a_later_era_is_newer_than_any_before() {
+    let revisions = [(1, 90), (2, 40), (1, 95), (2, 41)];
+    let node = node();
+
+    let newest = revisions.map(|(era, number)| {
+        let revision = Revision { era, number };
+        let heartbeat =
+            Heartbeat { revision, ..agent_heartbeat(1, "a", Stage::Ready, 0) };
+        node.handle_heartbeat(agent_address(1), &heartbeat);
+        let Revision { era, number } = node.newest_revision();
+        (era, number)
+    });
+
+    assert_eq!(newest, [(1, 90), (2, 40), (2, 40), (2, 41)]);
+}
--- a/crates/steer/tests/share.rs
+++ b/crates/steer/tests/share.rs
@@ -14,7 +14,7 @@
     };
     let config: Vec<_> = (0..bytes).map(|index| index as u8).collect();
     let entries = vec![entry("op/config", config), entry("op/evacuate/a", Vec::new())];
-    Range { revision, entries }
+    Range { revision: revision.into(), entries }
 }
 
 /// Adds chunks in an order. Returns what is complete.
@@ -61,7 +61,8 @@
 /// left to the store.
 #[test]
 fn invalid_and_long_documents_are_left_out() {
-    let chunk = |index, count| Chunk { revision: 1, index, count, bytes: &[0xff; 9] };
+    let chunk =
+        |index, count| Chunk { revision: 1.into(), index, count, bytes: &[0xff; 9] };
     let mut assembly = Assembly::default();
 
     let invalid = [chunk(0, 0), chunk(3, 3), chunk(0, u16::MAX), chunk(0, 1)];
