Soak: the store comes back from a copy, and failure domains are taken out

The soak had neither, so it showed nothing of evacuations that were not noticed after a return of the store. The operators write their documents again at the end of a return. A new promise: a domain that is out gets no new flow after 5 s, which begin anew with faults as for a configuration.

Test: a record that breaks the promise, and records that don't.

--- a/crates/standin/src/soak/deployment.rs
+++ b/crates/standin/src/soak/deployment.rs
@@ -90,6 +90,10 @@
     store: Handle,
     /// Version of the last configuration.
     version: Mutex<u64>,
+    /// The last configuration. Written while `version` is locked.
+    config: Mutex<Vec<u8>>,
+    /// The failure domain that is out of service. Written in the store while it is locked.
+    out: Mutex<Option<&'static str>>,
     /// What was seen.
     record: Record,
     /// Runs callers, backend servers and the store.
@@ -124,6 +128,8 @@
             servers: (0..layout.agents).map(|_| smol::lock::Mutex::new(None)).collect(),
             store: handle,
             version: Mutex::new(0),
+            config: Mutex::default(),
+            out: Mutex::default(),
             record: record.clone(),
             pool: pool.clone(),
             own_pause_ms: AtomicU64::new(0),
@@ -238,6 +244,23 @@
                 self.store.lease(&key).map(|lease| self.store.expire_lease(lease));
             }
             Action::Configure => self.configure()?,
+            Action::Return(age_ms) => {
+                self.store.take_copy();
+                sleep(age_ms).await;
+                self.fault(&step, Scope::Store, true);
+                self.store.start_outage(Outage::Refuse);
+                sleep(schedule::AWAY_MS).await;
+                self.store.return_to_copy();
+                self.write_again()?;
+                self.store.end_outage();
+                self.fault(&step, Scope::Store, false);
+            }
+            Action::Evacuate(number, ms) => {
+                let domain = layout::domain(number);
+                self.evacuate(domain, true)?;
+                sleep(ms).await;
+                self.evacuate(domain, false)?;
+            }
             Action::OddReport(number, fault) => self.report_oddly(number, fault).await?,
         }
         Ok(())
@@ -263,12 +286,8 @@
             Route { address: third, services: vec![(abo, 1)], priority: 2 },
         ];
         let value = document::config(*version, &routes, MAX_FLOWS, IDLE_MS);
-        let txn = Txn::new().put(document::CONFIG_KEY, value);
-        let written = self.store.write(&txn);
-        written.map_err(|error| {
-            let cause = std::io::Error::other(format!("{error:?}"));
-            Error::new("write", document::CONFIG_KEY, cause)
-        })?;
+        self.write(document::CONFIG_KEY, Some(value.clone()))?;
+        *self.config.lock() = value;
         let routes = routes.iter().map(|route| {
             let services = route.services.iter().map(|(name, _)| *name);
             (route.address, services.collect())
@@ -278,6 +297,41 @@
         Ok(())
     }
 
+    /// Takes a failure domain out of service, or returns it to service.
+    fn evacuate(&self, domain: &'static str, is_out: bool) -> Result<(), Error> {
+        let mut out = self.out.lock();
+        *out = is_out.then_some(domain);
+        self.write(&document::evacuation_key(domain), is_out.then(|| b"{}".to_vec()))?;
+        self.record.add(Fact::Evacuated { domain, is_out });
+        Ok(())
+    }
+
+    /// Writes all documents as they were written last, since the store may have lost that.
+    fn write_again(&self) -> Result<(), Error> {
+        let version = self.version.lock();
+        self.write(document::CONFIG_KEY, Some(self.config.lock().clone()))?;
+        drop(version);
+        let out = self.out.lock();
+        for number in 0..2 {
+            let domain = layout::domain(number);
+            let value = (*out == Some(domain)).then(|| b"{}".to_vec());
+            self.write(&document::evacuation_key(domain), value)?;
+        }
+        Ok(())
+    }
+
+    /// Writes or deletes a document as an operator, whatever fault the store has.
+    fn write(&self, key: &str, value: Option<Vec<u8>>) -> Result<(), Error> {
+        let txn = match value {
+            Some(value) => Txn::new().put(key, value),
+            None => Txn::new().delete(key),
+        };
+        self.store.write(&txn).map(|_| ()).map_err(|error| {
+            let cause = std::io::Error::other(format!("{error:?}"));
+            Error::new("write", key, cause)
+        })
+    }
+
     /// Sends a status report of another writer to an agent. If it were valid, it would replace
     /// the backend server by one of another service.
     async fn report_oddly(&self, number: u8, fault: u8) -> Result<(), Error> {
--- a/crates/standin/src/soak/record.rs
+++ b/crates/standin/src/soak/record.rs
@@ -62,6 +62,13 @@
         /// The request.
         request: u64,
     },
+    /// The store accepted that a failure domain is out of service, or back in service.
+    Evacuated {
+        /// The domain.
+        domain: &'static str,
+        /// Whether it is out of service.
+        is_out: bool,
+    },
     /// A caller sent the opening segment of a flow, or a copy, through a balancer.
     Opening {
         /// The flow.
--- a/crates/standin/src/soak/schedule.rs
+++ b/crates/standin/src/soak/schedule.rs
@@ -4,6 +4,8 @@
 
 use fastrand::Rng;
 
+use super::layout;
+
 /// Time before the first fault, in milliseconds.
 const CALM_START_MS: u64 = 2_000;
 
@@ -32,6 +34,19 @@
 /// Shortest and longest time between two status reports of other writers, in milliseconds.
 const ODD_REPORT_MS: (u64, u64) = (200, 3_000);
 
+/// Shortest and longest age of the copy that the store comes back from, in milliseconds.
+const COPY_MS: (u64, u64) = (500, 7_000);
+
+/// Time for which the store is away before it comes back from a copy, in milliseconds.
+pub const AWAY_MS: u64 = 1_000;
+
+/// Shortest and longest time for which a failure domain is out of service, in milliseconds.
+const OUT_MS: (u64, u64) = (4_000, 12_000);
+
+/// Shortest and longest time between two returns of the store, and between two changes of the
+/// failure domains, in milliseconds.
+const RARE_MS: (u64, u64) = (4_000, 20_000);
+
 /// Changes the seed for what is drawn after the waves, so that the waves of a seed stay as they
 /// are.
 const EXTRA_SEED: u64 = 1 << 40;
@@ -97,6 +112,11 @@
     Configure,
     /// An agent gets a status report of another writer, which has this fault.
     OddReport(u8, u8),
+    /// The store comes back from a copy that is this old, and the operators write their
+    /// documents again.
+    Return(u64),
+    /// The operators take a failure domain out of service for this time.
+    Evacuate(u8, u64),
 }
 
 /// An action and its time.
@@ -128,6 +148,10 @@
             Action::OddReport(n, fault) => {
                 write!(f, "report of another writer to agent-{n}, fault {fault}")
             }
+            Action::Return(ms) => write!(f, "store comes back from a copy {ms} ms old"),
+            Action::Evacuate(n, ms) => {
+                write!(f, "take {} out for {ms} ms", layout::domain(n))
+            }
         }
     }
 }
@@ -150,6 +174,8 @@
     }
     planner.rng = Rng::with_seed(seed ^ EXTRA_SEED);
     planner.odd_reports();
+    planner.returns();
+    planner.evacuations();
     planner.steps.sort_by_key(|step| step.at_ms);
     planner.steps
 }
@@ -163,6 +189,8 @@
     Server(u8),
     /// The store.
     Store,
+    /// The failure domains.
+    Domains,
 }
 
 /// Draws steps.
@@ -282,6 +310,28 @@
         }
     }
 
+    /// The store comes back from a copy, at any time that it has no other fault.
+    fn returns(&mut self) {
+        let mut at_ms = CALM_START_MS + self.between(RARE_MS);
+        while at_ms < self.end_ms {
+            let age_ms = self.between(COPY_MS);
+            let (length_ms, action) = (age_ms + AWAY_MS, Action::Return(age_ms));
+            self.add_for(at_ms, length_ms, Some(Target::Store), action);
+            at_ms += self.between(RARE_MS);
+        }
+    }
+
+    /// One failure domain after the other is taken out of service.
+    fn evacuations(&mut self) {
+        let mut at_ms = CALM_START_MS + self.between(RARE_MS);
+        while at_ms < self.end_ms {
+            let (number, out_ms) = (self.rng.u8(..2), self.between(OUT_MS));
+            let action = Action::Evacuate(number, out_ms);
+            self.add_for(at_ms, out_ms, Some(Target::Domains), action);
+            at_ms += self.between(RARE_MS);
+        }
+    }
+
     /// Any process.
     fn node(&mut self) -> Node {
         let number = self.rng.u8(..self.size.balancers + self.size.agents);
--- a/crates/standin/src/soak/verdict.rs
+++ b/crates/standin/src/soak/verdict.rs
@@ -6,12 +6,16 @@
 use lentilreach_steer::connection::flow;
 use serde::Serialize;
 
+use super::layout;
 use super::record::{Event, Fact, Lifetime, Scope};
 
 /// Time after which a draining backend server gets no new flow, and a configuration is in
 /// force, in milliseconds.
 pub const IN_FORCE_MS: u64 = 3_000;
 
+/// Time after which a failure domain that is out of service gets no new flow, in milliseconds.
+pub const EVACUATED_MS: u64 = 5_000;
+
 /// Smallest share of requests that are answered once all faults have ended.
 pub const ANSWERED_SHARE: f64 = 0.99;
 
@@ -32,19 +36,22 @@
     Drain,
     /// A configuration is in force after 3 s, and stays in force.
     Config,
+    /// A failure domain that is out of service gets no new flow after 5 s.
+    Evacuation,
     /// Requests are answered again once all faults have ended.
     Recovery,
 }
 
 impl Promise {
     /// All promises.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Flow,
         Self::Service,
         Self::Answer,
         Self::Once,
         Self::Drain,
         Self::Config,
+        Self::Evacuation,
         Self::Recovery,
     ];
 
@@ -57,6 +64,7 @@
             Self::Once => "once",
             Self::Drain => "drain",
             Self::Config => "config",
+            Self::Evacuation => "evacuation",
             Self::Recovery => "recovery",
         }
     }
@@ -71,6 +79,7 @@
             Self::Once => "a request runs at most once",
             Self::Drain => "a draining backend server gets no new flow after 3 s",
             Self::Config => "a configuration is in force after 3 s",
+            Self::Evacuation => "a failure domain that is out gets no new flow after 5 s",
             Self::Recovery => "requests are answered after all faults have ended",
         })
     }
@@ -191,6 +200,8 @@
     servers: Vec<Server>,
     /// Configurations, in the order of time.
     routings: Vec<Routing>,
+    /// Failure domains that are out of service, and since when.
+    out: Vec<(&'static str, u64)>,
     /// Open flows with their backend servers, sorted.
     open: Vec<(flow::Key, Lifetime)>,
     /// Flows that their backend servers have reset, sorted.
@@ -256,6 +267,10 @@
                 let (version, routes) = (*version, routes.clone());
                 self.routings.push(Routing { from_ms: at_ms, version, routes });
             }
+            Fact::Evacuated { domain, is_out } => {
+                self.out.retain(|(out, _)| out != domain);
+                self.out.extend(is_out.then_some((*domain, at_ms)));
+            }
             Fact::Fault { scope, begins: true, .. } => {
                 self.faults.push((*scope, at_ms, None));
             }
@@ -289,10 +304,21 @@
             let detail = format!("server={} draining", self.name(lifetime));
             self.add(at_ms, Promise::Drain, Some(flow), detail);
         }
+        let domain = layout::domain(server.number);
+        let out = self.out.iter().find(|(out, _)| *out == domain);
+        let is_late = out.is_some_and(|(_, since_ms)| {
+            let in_force_ms = self.in_force_ms(*since_ms, EVACUATED_MS, &server, flow);
+            in_force_ms.is_some_and(|in_force_ms| in_force_ms < at_ms)
+        });
+        if is_late {
+            let detail = format!("server={} domain={domain}", self.name(lifetime));
+            self.add(at_ms, Promise::Evacuation, Some(flow), detail);
+        }
         self.check_service(at_ms, &server, flow, "opening");
         // A configuration replaces those before it once it is in force.
         let first = self.routings.iter().rposition(|routing| {
-            let in_force_ms = self.in_force_ms(routing.from_ms, &server, flow);
+            let in_force_ms =
+                self.in_force_ms(routing.from_ms, IN_FORCE_MS, &server, flow);
             in_force_ms.is_some_and(|in_force_ms| in_force_ms <= at_ms)
         });
         let valid = &self.routings[first.unwrap_or(0)..];
@@ -307,12 +333,13 @@
         }
     }
 
-    /// When a configuration must be in force on the way of an opening: once the store, the
-    /// balancer and the agent had no fault for 3 s since its acceptance. It stays in force
-    /// through later faults.
+    /// When a document must be in force on the way of an opening: once the store, the balancer
+    /// and the agent had no fault for some time since its acceptance, in milliseconds. It stays
+    /// in force through later faults.
     fn in_force_ms(
         &self,
         accepted_ms: u64,
+        within_ms: u64,
         server: &Server,
         flow: &flow::Key,
     ) -> Option<u64> {
@@ -325,14 +352,14 @@
         };
         let mut from_ms = accepted_ms;
         for (scope, begin_ms, end_ms) in &self.faults {
-            if *begin_ms >= from_ms + IN_FORCE_MS {
+            if *begin_ms >= from_ms + within_ms {
                 break;
             }
             if concerns(*scope) && end_ms.is_none_or(|end_ms| end_ms > from_ms) {
                 from_ms = (*end_ms)?;
             }
         }
-        Some(from_ms + IN_FORCE_MS)
+        Some(from_ms + within_ms)
     }
 
     /// A backend server got a segment of a flow that should be open.
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -6,7 +6,9 @@
 use lentilreach_standin::soak::layout::{self, SERVICES};
 use lentilreach_standin::soak::record::{Event, Fact, Scope};
 use lentilreach_standin::soak::schedule::{self, Action, CALM_END_MS, Node, Size, Step};
-use lentilreach_standin::soak::verdict::{self, IN_FORCE_MS, Promise, Window};
+use lentilreach_standin::soak::verdict::{
+    self, EVACUATED_MS, IN_FORCE_MS, Promise, Window,
+};
 use lentilreach_steer::connection::flow;
 
 /// A window with enough answered requests in every record of [`events`].
@@ -218,6 +220,30 @@
     );
 }
 
+/// A failure domain that is out of service must get no new flow after 5 s, unless the store had
+/// a fault meanwhile, and may get some once it is back.
+#[test]
+fn a_new_flow_in_an_evacuated_domain_is_a_violation() {
+    let (server, number) = (1, 1);
+    let domain = layout::domain(number);
+    let out = |is_out| Fact::Evacuated { domain, is_out };
+    let accepted = Fact::Accepted { server, flow: flow(0) };
+    let until = |at_ms| [(1_000, out(true)), (at_ms, accepted.clone())];
+
+    assert_eq!(broken(&until(1_000 + EVACUATED_MS)), []);
+    assert_eq!(broken(&until(1_001 + EVACUATED_MS)), [(6_001, Promise::Evacuation)]);
+    let back = [(1_000, out(true)), (8_000, out(false)), (9_000, accepted.clone())];
+    assert_eq!(broken(&back), []);
+    let fault = [
+        (1_000, out(true)),
+        (3_000, store_fault(true)),
+        (4_000, store_fault(false)),
+        (8_999, accepted.clone()),
+        (9_001, accepted.clone()),
+    ];
+    assert_eq!(broken(&fault), [(9_001, Promise::Evacuation)]);
+}
+
 /// Guards against schedules that depend on anything but the seed and the size.
 #[test]
 fn schedule_follows_from_the_seed() {
