Register again as soon as the store has come back from a copy

After a return of the store, members that had registered since the copy were missing from the list until their next renewal, up to 5 s. A process that started meanwhile didn't find them. A lease of before was renewed and ended by its identifier, which the store may have given out again to somebody else.

Change: a lease belongs to the era in which it was granted. A process that learns of a later era, from its own calls or from the documents that others pass on, registers again under a new lease at once. Members that were never heard are not removed because of the list while others may still be registering.

--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -286,7 +286,10 @@
         }
         self.node.share_documents(&self.documents.snapshot(unix_s()));
         let changed = self.documents.last_change();
-        *self.node.revision.write() = changed;
+        let before = std::mem::replace(&mut *self.node.revision.write(), changed);
+        if changed.era > before.era {
+            self.node.signal_registration();
+        }
         self.publish(observer)
     }
 
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -112,8 +112,9 @@
     newer_signal: (Sender<()>, Receiver<()>),
     /// The instance of the backend server that has reported last.
     heard: Ranked<Option<Heard>>,
-    /// Signals to the registration that another instance has reported.
-    instance_signal: (Sender<()>, Receiver<()>),
+    /// Signals to the registration that another instance has reported, or that the store has
+    /// come back from a copy.
+    registration_signal: (Sender<()>, Receiver<()>),
     /// Signals to the registration that the node is leaving for good.
     leave_signal: (Sender<()>, Receiver<()>),
 }
@@ -145,7 +146,7 @@
             rounds: AtomicU32::new(0),
             newer_signal: async_channel::bounded(1),
             heard: Ranked::new(tables::SLOTS, None),
-            instance_signal: async_channel::bounded(1),
+            registration_signal: async_channel::bounded(1),
             leave_signal: async_channel::bounded(1),
         })
     }
@@ -442,16 +443,21 @@
     pub fn record_heard(&self, heard: Option<Heard>) {
         let before = std::mem::replace(&mut *self.heard.write(), heard);
         if before != heard {
-            // If the channel is full, the registration has already been signalled.
-            let _ = self.instance_signal.0.try_send(());
+            self.signal_registration();
         }
     }
 
-    /// Waits until another instance of the backend server has reported.
-    pub async fn wait_for_instance(&self) {
+    /// Lets the registration check its entry.
+    pub fn signal_registration(&self) {
+        // If the channel is full, the registration has already been signalled.
+        let _ = self.registration_signal.0.try_send(());
+    }
+
+    /// Waits until the registration has to check its entry.
+    pub async fn wait_for_registration(&self) {
         // Never fails: the sender lives as long as the node, so the channel is not
         // closed.
-        let _ = self.instance_signal.1.recv().await;
+        let _ = self.registration_signal.1.recv().await;
     }
 
     /// Waits until the node is leaving for good.
--- a/crates/steer/src/process/driver/register.rs
+++ b/crates/steer/src/process/driver/register.rs
@@ -41,6 +41,7 @@
         listed: Listed { address, role, domain, instance: None },
         modified: 0,
         lease: None,
+        returned: None,
         checked: None,
         has_probed: false,
         probes: 0,
@@ -58,15 +59,15 @@
                     sleep(entry.probe()).await;
                     false
                 };
-                let is_replaced = async {
-                    entry.node.wait_for_instance().await;
+                let is_signalled = async {
+                    entry.node.wait_for_registration().await;
                     false
                 };
                 let leaves = async {
                     entry.node.wait_for_leave().await;
                     true
                 };
-                if or(or(due, is_replaced), leaves).await {
+                if or(or(due, is_signalled), leaves).await {
                     return entry.withdraw().await;
                 }
                 entry.probes = entry.probes.saturating_sub(1);
@@ -94,9 +95,11 @@
     /// Revision at which that was written; 0 if there is none.
     modified: u64,
     /// The lease that the entry is attached to; `None` while there is no entry.
-    lease: Option<Lease>,
+    lease: Option<Held>,
     /// When the lease was last renewed.
     renewed: Millis,
+    /// When it was last noticed that the store had come back from an older copy.
+    returned: Option<Millis>,
     /// When the list was last read after the entry had been written.
     checked: Option<Millis>,
     /// Whether the members that were listed at the start have been asked for heartbeats.
@@ -105,6 +108,16 @@
     probes: u32,
 }
 
+/// A lease and the era of the store that granted it. In a later era it is gone, and its
+/// identifier may have been given out again.
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    /// The lease.
+    lease: Lease,
+    /// The era.
+    era: u64,
+}
+
 impl<L: Link, S: Store, O: Observer> Registration<L, S, O> {
     /// Does what is due: registers, renews the lease, records the instance of the backend
     /// server, and checks the list.
@@ -112,8 +125,13 @@
         match self.lease {
             None if !self.has_probed => self.join().await?,
             None => self.register_entry().await?,
-            Some(lease) if self.until_renewal() == 0 => {
-                match self.store.keep(lease).await {
+            Some(held) if held.era < self.era() => {
+                log::warn!(target: "membership", change = "returned", era = self.era(); "store has come back from an older copy; registering again");
+                self.returned = Some(self.node.now());
+                self.register_again().await?;
+            }
+            Some(held) if self.until_renewal() == 0 => {
+                match self.store.keep(held.lease).await {
                     Ok(_) => self.renewed = self.node.now(),
                     Err(Error::Lapsed { .. }) => {
                         log::warn!(target: "membership", change = "lapsed"; "own membership entry has expired");
@@ -124,12 +142,12 @@
             }
             Some(_) => {}
         }
-        if let Some(lease) = self.lease
+        if let Some(held) = self.lease
             && self
                 .recorded()
                 .is_some_and(|recorded| self.listed.instance != Some(recorded))
         {
-            match self.write_entry(lease).await {
+            match self.write_entry(held.lease).await {
                 Err(Error::Lapsed { .. }) => self.register_again().await?,
                 result => result?,
             }
@@ -164,6 +182,12 @@
         (!stored.is_some_and(is_superseded)).then_some(Recorded { instance, era })
     }
 
+    /// The latest era of the store that this process knows of: from its own calls, or from the
+    /// documents, which other nodes pass on.
+    fn era(&self) -> u64 {
+        self.store.era().max(self.node.revision.read().era)
+    }
+
     /// Time until the lease has to be renewed, in milliseconds.
     fn until_renewal(&self) -> u64 {
         self.renewed.after(RENEWAL_INTERVAL_MS).since(self.node.now())
@@ -173,10 +197,10 @@
     /// calls that don't depend on each other are made at once.
     async fn join(&mut self) -> Result<(), Error> {
         let store = self.store.clone();
-        let grant = store.grant(Duration::from_millis(LEASE_TTL_MS));
-        let (probed, lease) = zip(self.probe_early(), grant).await;
+        let grant = grant(&store);
+        let (probed, held) = zip(self.probe_early(), grant).await;
         probed?;
-        self.write_first(lease?).await
+        self.write_first(held?).await
     }
 
     /// Requests heartbeats from the members that are listed already. Registration takes
@@ -214,22 +238,22 @@
 
     /// Writes the process's own entry under a new lease.
     async fn register_entry(&mut self) -> Result<(), Error> {
-        let lease = self.store.grant(Duration::from_millis(LEASE_TTL_MS)).await?;
-        self.write_first(lease).await
+        let held = grant(&self.store).await?;
+        self.write_first(held).await
     }
 
     /// Writes the process's own entry under a lease that has no entry yet.
-    async fn write_first(&mut self, lease: Lease) -> Result<(), Error> {
-        match self.write_entry(lease).await {
+    async fn write_first(&mut self, held: Held) -> Result<(), Error> {
+        match self.write_entry(held.lease).await {
             Ok(()) => {
-                self.lease = Some(lease);
+                self.lease = Some(held);
                 self.renewed = self.node.now();
                 Ok(())
             }
             Err(error) => {
                 // The call may still take effect, after a later one or after this process
                 // has left. Without its lease it can't.
-                if let Err(cause) = self.store.revoke(lease).await {
+                if let Err(cause) = self.end(held).await {
                     log::warn!(target: "membership", change = "unknown", cause:% = cause; "lease of a failed registration could not be ended; it remains until it expires");
                 }
                 Err(error)
@@ -276,11 +300,19 @@
         self.listed.instance = listed.and_then(|listed| listed.instance);
     }
 
+    /// Ends a lease, unless the store has forgotten it.
+    async fn end(&self, held: Held) -> Result<(), Error> {
+        if held.era < self.store.era() {
+            return Ok(());
+        }
+        self.store.revoke(held.lease).await
+    }
+
     /// Removes the process's own entry, so that new nodes don't wait for an answer from
     /// this one.
     async fn withdraw(&self) {
-        let Some(lease) = self.lease else { return };
-        if let Err(error) = self.store.revoke(lease).await {
+        let Some(held) = self.lease else { return };
+        if let Err(error) = self.end(held).await {
             log::warn!(target: "membership", change = "kept", cause:% = error; "own membership entry could not be removed; it remains until it expires");
         }
     }
@@ -309,9 +341,23 @@
                     }
                 }
             }
-            roster.remove_unlisted(&listed);
+            // Others may not have registered again yet.
+            let is_complete =
+                self.returned.is_none_or(|at| now.since(at) >= LEASE_TTL_MS);
+            if is_complete {
+                roster.remove_unlisted(&listed);
+            }
         }
         self.node.record_members_read();
         listed
     }
 }
+
+/// Creates a lease for an entry. If the store comes back from a copy meanwhile, it counts as one
+/// of the era before, unless this is the first call that tells of an era.
+async fn grant<S: Store>(store: &S) -> Result<Held, Error> {
+    let before = store.era();
+    let lease = store.grant(Duration::from_millis(LEASE_TTL_MS)).await?;
+    let era = if before > 0 { before } else { store.era() };
+    Ok(Held { lease, era })
+}
