Pass an opening on by the newest configuration that is known

Cause: an agent that couldn't admit an opening chose its service again by its own configuration, in the decision and once more in the message, but stated the newer version of the balancer. The next agent that lagged behind believed it.

Change: an agent with an older configuration than the balancer's keeps the service that the balancer chose. The decision carries the service, so the driver doesn't choose it again.

Test: an_opening_is_passed_on_by_the_newest_configuration_that_is_known. Before, the decision didn't carry a service; the message had that of version 1.

--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -121,6 +121,9 @@
         to: SocketAddrV4,
         /// The updated forwarding state.
         forwarding: Forwarding,
+        /// The service to open a flow to, as of [`Forwarding::version`]; `None` for a segment
+        /// of an open flow.
+        service: Option<Name>,
         /// Why it is not delivered here.
         cause: Cause,
     },
--- a/crates/steer/src/process/agent/admit.rs
+++ b/crates/steer/src/process/agent/admit.rs
@@ -308,21 +308,26 @@
         let mut forwarding = arrival.forwarding.clone();
         forwarding.tried.push(self.address);
         forwarding.hops += 1;
-        forwarding.version = forwarding.version.max(routing.version);
         if forwarding.tried.len() > MAX_OPENING_FORWARDS {
             return self.refuse_opening(arrival, cause);
         }
-        let Some(service) = placement::choose_service(routing, &flow) else {
-            return self.refuse_opening(arrival, cause);
+        // An older configuration doesn't decide where a flow goes that was sent by a newer one.
+        let service = if routing.version >= forwarding.version {
+            forwarding.version = routing.version;
+            let service = placement::choose_service(routing, &flow);
+            service.and_then(|service| routing.service(service)).map(|s| s.name.clone())
+        } else {
+            arrival.service.clone()
         };
+        let Some(service) = service else { return self.refuse_opening(arrival, cause) };
         let priority = routing.route(flow.service).map_or(0, |route| route.priority);
-        if roster.floor(service).is_some_and(|floor| priority > floor) {
+        if roster.floor(&service).is_some_and(|floor| priority > floor) {
             return self.refuse_opening(arrival, Cause::Overloaded);
         }
         let domain = self.origin_domain(roster, &forwarding);
-        let request = Request { flow: &flow, service, domain };
+        let request = Request { flow: &flow, service: &service, domain };
         match placement::choose_agent(now, routing, roster, request, &forwarding.tried) {
-            Some(to) => Action::Forward { to, forwarding, cause },
+            Some(to) => Action::Forward { to, forwarding, service: Some(service), cause },
             None => self.refuse_opening(arrival, cause),
         }
     }
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -86,7 +86,12 @@
             Search::Home(rank) => {
                 if let Some(to) = self.indexed_holder(now, roster, &flow, &forwarding) {
                     forwarding.search = Search::Indexed;
-                    return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
+                    return Action::Forward {
+                        to,
+                        forwarding,
+                        service: None,
+                        cause: Cause::Elsewhere,
+                    };
                 }
                 if let Some(action) = self.ask_own(now, routing, arrival, &forwarding) {
                     return action;
@@ -97,13 +102,23 @@
                     && !is_home
                     && forwarding.hops <= MAX_REDIRECTS
                 {
-                    return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
+                    return Action::Forward {
+                        to,
+                        forwarding,
+                        service: None,
+                        cause: Cause::Elsewhere,
+                    };
                 }
                 let plan = self.plan(now, routing, roster, arrival, &forwarding);
                 match other_home {
                     Some(to) if is_home && rank == 0 && !plan.is_proof() => {
                         forwarding.search = Search::Home(1);
-                        Action::Forward { to, forwarding, cause: Cause::Elsewhere }
+                        Action::Forward {
+                            to,
+                            forwarding,
+                            service: None,
+                            cause: Cause::Elsewhere,
+                        }
                     }
                     _ => self.start_walk(now, routing, roster, arrival, forwarding, plan),
                 }
@@ -113,7 +128,12 @@
                 // A home node that stopped may have handed over its index to this one.
                 if let Some(to) = self.indexed_holder(now, roster, &flow, &forwarding) {
                     forwarding.search = Search::Indexed;
-                    return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
+                    return Action::Forward {
+                        to,
+                        forwarding,
+                        service: None,
+                        cause: Cause::Elsewhere,
+                    };
                 }
                 let plan = self.plan(now, routing, roster, arrival, &forwarding);
                 self.start_walk(now, routing, roster, arrival, forwarding, plan)
@@ -127,9 +147,12 @@
                 }
                 forwarding.search = Search::Home(u8::from(was_indexed));
                 match other_home {
-                    Some(to) => {
-                        Action::Forward { to, forwarding, cause: Cause::Elsewhere }
-                    }
+                    Some(to) => Action::Forward {
+                        to,
+                        forwarding,
+                        service: None,
+                        cause: Cause::Elsewhere,
+                    },
                     None => {
                         let plan = self.plan(now, routing, roster, arrival, &forwarding);
                         self.start_walk(now, routing, roster, arrival, forwarding, plan)
@@ -383,7 +406,12 @@
     fn continue_walk(&self, arrival: &Arrival, mut forwarding: Forwarding) -> Action {
         if !forwarding.to_visit.is_empty() {
             let to = forwarding.to_visit.remove(0);
-            return Action::Forward { to, forwarding, cause: Cause::Elsewhere };
+            return Action::Forward {
+                to,
+                forwarding,
+                service: None,
+                cause: Cause::Elsewhere,
+            };
         }
         if forwarding.is_exhaustive {
             self.reset(arrival, Cause::NotFound)
--- a/crates/steer/src/process/driver/agent/action.rs
+++ b/crates/steer/src/process/driver/agent/action.rs
@@ -2,7 +2,6 @@
 
 use std::borrow::Cow;
 
-use lentilreach::Name;
 use lentilreach::process::link::Link;
 
 use super::State;
@@ -10,7 +9,6 @@
 use crate::process::driver::send_datagram;
 use crate::process::metric;
 use crate::request::message::Message;
-use crate::request::placement;
 use crate::request::segment::{Format, Segment};
 
 impl<F: Format, L: Link> State<F, L> {
@@ -65,14 +63,12 @@
                 // If the channel is full, the task has already been signalled.
                 let _ = self.hold_signal.0.try_send(());
             }
-            Action::Forward { to, forwarding, cause } => {
+            Action::Forward { to, forwarding, service, cause } => {
                 metric::count_labelled(&metric::PASSED, cause.as_str());
                 log::info!(
                     target: "passed", flow:% = flow, agent:% = to, cause = cause.as_str(),
                     search = forwarding.search.as_str(), hops = forwarding.hops, version = version; "segment forwarded to another agent"
                 );
-                let service =
-                    if segment.is_opening() { self.service(segment) } else { None };
                 let service = Cow::Borrowed(service.as_deref().unwrap_or_default());
                 let envelope = forwarding.envelope(service, bytes);
                 self.node.send(to, &Message::Segment(envelope));
@@ -104,11 +100,4 @@
             }
         }
     }
-
-    /// Selects the service of an opening segment according to the active routing.
-    fn service(&self, segment: &Segment) -> Option<Name> {
-        let routing = self.node.routing();
-        let service = placement::choose_service(&routing, &segment.flow_from_caller())?;
-        routing.service(service).map(|service| service.name.clone())
-    }
 }
--- a/crates/steer/tests/agent.rs
+++ b/crates/steer/tests/agent.rs
@@ -4,13 +4,13 @@
 
 use fixture::{
     CALENDAR, COLD_LIMIT, FIRST_SEQUENCE, INVOICES, NOW, accept, agent_address,
-    agent_and_roster, arrival, flow, flow_homed_elsewhere, forwarded, from_backend,
-    limits, mark, moved_routing, open, opening, replace, report, request, returned,
-    roster, routing,
+    agent_and_roster, agent_heartbeat, arrival, flow, flow_homed_elsewhere, forwarded,
+    from_backend, limits, mark, moved_routing, open, opening, replace, report, request,
+    returned, roster, routing,
 };
 use lentilreach_steer::process::agent::{Action, BackendAction, Cause, Ended};
 use lentilreach_steer::process::backend::{Change, Refusal, Report};
-use lentilreach_steer::request::message::Search;
+use lentilreach_steer::request::message::{Search, Stage};
 use lentilreach_steer::request::segment::Flags;
 use lentilreach_steer::version::routing::Routing;
 
@@ -132,7 +132,8 @@
     let back = returned(segment, mark(&action));
     let answer = agent.handle_backend_segment(NOW, &routing(1), &roster, &back);
 
-    let Some(BackendAction::Returned(Action::Forward { to, forwarding, cause })) = answer
+    let Some(BackendAction::Returned(Action::Forward { to, forwarding, cause, .. })) =
+        answer
     else {
         panic!("{answer:?}")
     };
@@ -550,3 +551,38 @@
     // There is no configuration yet.
     assert!(!agent.is_foreign(&Routing::default(), &foreign));
 }
+
+/// An agent that lagged behind chose the service of an opening again by its older configuration,
+/// but stated the newer version of the balancer. Another agent that lagged behind believed it,
+/// and the backend server of the old service ran the request.
+#[test]
+fn an_opening_is_passed_on_by_the_newest_configuration_that_is_known() {
+    let forwarded_by = |own: u64, stated: u64| {
+        let (mut agent, roster) = agent_and_roster();
+        agent.report(NOW, Report { is_draining: true, ..report(2) });
+        let segment = opening(flow(1), 0);
+        let mut arrival = arrival(segment, Search::Open, stated);
+        arrival.service = Some(INVOICES.into());
+        let mut routing = routing(own);
+        routing.routes[0].split[0].service = CALENDAR.into();
+        let mut roster = roster;
+        for number in 2..=3 {
+            let mut heartbeat = agent_heartbeat(2, "a", Stage::Ready, 0);
+            if let Some(status) = &mut heartbeat.backend_status {
+                status.service = INVOICES.into();
+            }
+            let recorded =
+                roster.record_heartbeat(NOW, agent_address(number), &heartbeat);
+            recorded.expect("a later heartbeat");
+        }
+        match agent.handle_caller_segment(NOW, &routing, &roster, &arrival) {
+            Action::Forward { forwarding, service, .. } => {
+                (forwarding.version, service.map(|service| service.to_string()))
+            }
+            other => panic!("{other:?}"),
+        }
+    };
+
+    assert_eq!(forwarded_by(1, 2), (2, Some(INVOICES.to_string())));
+    assert_eq!(forwarded_by(2, 1), (2, Some(CALENDAR.to_string())));
+}
