Compress the documents that nodes pass on, so that long ones fit

Cause: documents of more than 24,000 bytes were not passed on. Processes that don't watch the store asked for them all the same, waited 300 ms for nothing, and read the store then.

Ruled out: the watch (the watching agents had it at once). Weighed: more parts (50 datagrams at once to each node of a failure domain delay segments), and an answer that there is none (the read of the store still comes later than at others).

Change: documents are compressed (miniz_oxide), and encoded when a node asks for them rather than with every update. What they expand to is limited.

Tests: two in crates/steer/tests/share.rs. a_long_configuration_fits has 90 kB and more, which were beyond the limit before. The configurations of the other tests there are random now, since regular ones become shorter.

--- a/crates/steer/src/process/documents/share.rs
+++ b/crates/steer/src/process/documents/share.rs
@@ -1,7 +1,9 @@
 //! Passes the operators' documents from node to node, so that not every node has to read
-//! each change from the store.
+//! each change from the store. They are compressed: a long configuration repeats itself.
 
-use lentilreach::process::store::{Entry, Range, Revision};
+use lentilreach::process::store::{Entry, MAX_VALUE_BYTES, Range, Revision};
+use miniz_oxide::deflate::compress_to_vec;
+use miniz_oxide::inflate::decompress_to_vec_with_limit;
 use serde::{Deserialize, Serialize};
 
 use crate::request::message::Chunk;
@@ -13,12 +15,19 @@
 /// all nodes of a failure domain would delay segments.
 const MAX_CHUNKS: usize = 20;
 
+/// Level of compression, from 0 to 10: the fastest one that makes them shorter.
+const COMPRESSION: u8 = 1;
+
+/// Maximum number of bytes before compression, in documents that another node sends: a
+/// configuration is one value of the store.
+const MAX_BYTES: usize = 2 * MAX_VALUE_BYTES;
+
 /// Documents that were encoded for other nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Encoded {
     /// Store revision up to which they contain all changes.
     revision: Revision,
-    /// The encoded documents, at most [`MAX_CHUNKS`] times [`CHUNK_BYTES`].
+    /// The encoded and compressed documents, at most [`MAX_CHUNKS`] times [`CHUNK_BYTES`].
     bytes: Vec<u8>,
 }
 
@@ -28,6 +37,7 @@
         let records: Vec<_> = range.entries.iter().map(Record::from).collect();
         let bytes =
             postcard::to_allocvec(&records).expect("every field has a known length");
+        let bytes = compress_to_vec(&bytes, COMPRESSION);
         let is_short = bytes.len() <= MAX_CHUNKS * CHUNK_BYTES;
         is_short.then_some(Self { revision: range.revision, bytes })
     }
@@ -65,6 +75,7 @@
         let parts: Option<Vec<_>> = self.parts.iter().cloned().collect();
         let bytes = parts?.concat();
         *self = Self::default();
+        let bytes = decompress_to_vec_with_limit(&bytes, MAX_BYTES).ok()?;
         let records: Vec<Record<'_>> = postcard::from_bytes(&bytes).ok()?;
         let mut entries: Vec<_> = records.into_iter().map(Entry::from).collect();
         entries.sort_by(|a, b| a.key.cmp(&b.key));
--- a/crates/steer/src/process/driver/follow.rs
+++ b/crates/steer/src/process/driver/follow.rs
@@ -284,7 +284,7 @@
         for error in self.documents.apply(self.node.now(), update) {
             log::warn!(target: "document", key:% = error.key, cause = error.cause.as_str(); "document rejected");
         }
-        self.node.share_documents(&self.documents.snapshot(unix_s()));
+        self.node.share_documents(self.documents.snapshot(unix_s()));
         let changed = self.documents.last_change();
         let before = std::mem::replace(&mut *self.node.revision.write(), changed);
         if changed.era > before.era {
--- a/crates/steer/src/process/driver/node.rs
+++ b/crates/steer/src/process/driver/node.rs
@@ -16,7 +16,7 @@
 use super::{send_datagram, sleep};
 use crate::connection::flow;
 use crate::process::backend::record::Heard;
-use crate::process::documents::share::{Assembly, Encoded};
+use crate::process::documents::share::Assembly;
 use crate::process::metric;
 use crate::process::pause::Pause;
 use crate::process::roster::{
@@ -28,6 +28,8 @@
 
 mod documents;
 
+use documents::Shared;
+
 /// Maximum time for which segments wait until a starting process is ready, in
 /// milliseconds. Callers give up after 1,400 ms.
 const READY_WAIT_MS: u64 = 1_200;
@@ -89,8 +91,8 @@
     pub traffic: Traffic,
     /// Detects that the process was paused.
     pause: Ranked<Pause>,
-    /// The documents to send to other nodes; `None` while there are none or too many.
-    shared: Ranked<Option<Encoded>>,
+    /// The documents to send to other nodes.
+    shared: Ranked<Shared>,
     /// Documents that are arriving from another node.
     assembly: Ranked<Assembly>,
     /// Documents that have arrived from another node.
@@ -135,7 +137,7 @@
             stated: Ranked::new(tables::SLOTS, Stated::default()),
             revision: Ranked::new(tables::LEDGER, Revision::default()),
             newest: Ranked::new(tables::VIEW, Newest::default()),
-            shared: Ranked::new(tables::KEYS, None),
+            shared: Ranked::new(tables::KEYS, Shared::default()),
             assembly: Ranked::new(tables::DIRECTORY, Assembly::default()),
             documents: async_channel::bounded(1),
             has_read_members: AtomicBool::new(false),
--- a/crates/steer/src/process/driver/node/documents.rs
+++ b/crates/steer/src/process/driver/node/documents.rs
@@ -15,16 +15,27 @@
 /// the time within which a change must be in force remains for reading the store.
 const DOCUMENTS_TIMEOUT_MS: u64 = 300;
 
+/// The documents to send to other nodes.
+#[derive(Debug, Default)]
+pub(super) struct Shared {
+    /// The documents.
+    range: Range,
+    /// Their encoded form, once a node has asked for them; no parts while they are too long.
+    encoded: Option<Option<Encoded>>,
+}
+
 impl<L: Link> Node<L> {
     /// Sets the documents to send to other nodes.
-    pub fn share_documents(&self, range: &Range) {
-        *self.shared.write() = Encoded::new(range);
+    pub fn share_documents(&self, range: Range) {
+        *self.shared.write() = Shared { range, encoded: None };
     }
 
     /// Sends the documents to a node that asked for them.
     pub fn send_documents(&self, to: SocketAddrV4) {
-        let shared = self.shared.read();
-        for chunk in shared.iter().flat_map(Encoded::chunks) {
+        let mut shared = self.shared.write();
+        let Shared { range, encoded } = &mut *shared;
+        let encoded = encoded.get_or_insert_with(|| Encoded::new(range));
+        for chunk in encoded.iter().flat_map(Encoded::chunks) {
             self.send(to, &Message::Documents(chunk));
         }
     }
--- a/crates/steer/tests/share.rs
+++ b/crates/steer/tests/share.rs
@@ -4,7 +4,7 @@
 use lentilreach_steer::process::documents::share::{Assembly, Encoded};
 use lentilreach_steer::request::message::{Chunk, Message};
 
-/// Documents with a long configuration.
+/// Documents with a configuration that doesn't become shorter by compression.
 fn range(revision: u64, bytes: usize) -> Range {
     let entry = |key: &str, value: Vec<u8>| Entry {
         key: key.into(),
@@ -12,7 +12,8 @@
         created: 3,
         modified: revision,
     };
-    let config: Vec<_> = (0..bytes).map(|index| index as u8).collect();
+    let mut rng = fastrand::Rng::with_seed(revision);
+    let config: Vec<_> = (0..bytes).map(|_| rng.u8(..)).collect();
     let entries = vec![entry("op/config", config), entry("op/evacuate/a", Vec::new())];
     Range { revision: revision.into(), entries }
 }
@@ -70,3 +71,37 @@
     assert_eq!(assemble(&mut assembly, &invalid), []);
     assert_eq!(Encoded::new(&range(1, 100_000)), None);
 }
+
+/// Long configurations were not passed on. Processes that don't watch the store asked for them
+/// in vain, and had them in force 300 ms later than the others.
+#[test]
+fn a_long_configuration_fits() {
+    let route = |number: u32| {
+        format!(
+            r#"{{"name":"route-{number}","host":"198.18.{}.{}","prefix":"/8443/",
+            "service":"abo-kalender","routeType":"idempotent","timeoutMs":1500}}"#,
+            number / 250,
+            number % 250
+        )
+    };
+    let routes: Vec<_> = (0..700).map(route).collect();
+    let mut long = range(7, 0);
+    long.entries[0].value = routes.join(",").into_bytes().into();
+    assert!(long.entries[0].value.len() > 90_000);
+
+    let encoded = Encoded::new(&long).expect("short enough");
+    let chunks: Vec<_> = encoded.chunks().collect();
+
+    assert_eq!(assemble(&mut Assembly::default(), &chunks), [long]);
+}
+
+/// A few parts can stand for far more bytes than a configuration may have.
+#[test]
+fn documents_that_are_too_long_once_expanded_are_left_out() {
+    let mut long = range(7, 0);
+    long.entries[0].value = vec![0; 3 << 20].into();
+    let encoded = Encoded::new(&long).expect("short enough");
+    let chunks: Vec<_> = encoded.chunks().collect();
+
+    assert_eq!(assemble(&mut Assembly::default(), &chunks), []);
+}
