Move contradicted instances to a file of their own, and shorten searches

backend.rs had grown by what a contradicted report leaves behind; the six searches of locate.rs repeated how a segment of an open flow is forwarded. A revision after the largest number is that number again. No change of behaviour otherwise.

--- a/crates/lentilreach/src/process/store/revision.rs
+++ b/crates/lentilreach/src/process/store/revision.rs
@@ -22,7 +22,7 @@
     /// The revision after this one.
     #[must_use]
     pub fn next(self) -> Self {
-        Self { number: self.number + 1, ..self }
+        Self { number: self.number.saturating_add(1), ..self }
     }
 }
 
--- a/crates/steer/src/process/agent/action.rs
+++ b/crates/steer/src/process/agent/action.rs
@@ -140,6 +140,13 @@
     Drop(Cause),
 }
 
+impl Action {
+    /// Forwards a segment of an open flow to another agent, where its flow may be.
+    pub(super) fn elsewhere(to: SocketAddrV4, forwarding: Forwarding) -> Self {
+        Self::Forward { to, forwarding, service: None, cause: Cause::Elsewhere }
+    }
+}
+
 /// What an agent does with a segment from its backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub enum BackendAction {
--- a/crates/steer/src/process/agent/locate.rs
+++ b/crates/steer/src/process/agent/locate.rs
@@ -86,12 +86,7 @@
             Search::Home(rank) => {
                 if let Some(to) = self.indexed_holder(now, roster, &flow, &forwarding) {
                     forwarding.search = Search::Indexed;
-                    return Action::Forward {
-                        to,
-                        forwarding,
-                        service: None,
-                        cause: Cause::Elsewhere,
-                    };
+                    return Action::elsewhere(to, forwarding);
                 }
                 if let Some(action) = self.ask_own(now, routing, arrival, &forwarding) {
                     return action;
@@ -102,23 +97,13 @@
                     && !is_home
                     && forwarding.hops <= MAX_REDIRECTS
                 {
-                    return Action::Forward {
-                        to,
-                        forwarding,
-                        service: None,
-                        cause: Cause::Elsewhere,
-                    };
+                    return Action::elsewhere(to, forwarding);
                 }
                 let plan = self.plan(now, routing, roster, arrival, &forwarding);
                 match other_home {
                     Some(to) if is_home && rank == 0 && !plan.is_proof() => {
                         forwarding.search = Search::Home(1);
-                        Action::Forward {
-                            to,
-                            forwarding,
-                            service: None,
-                            cause: Cause::Elsewhere,
-                        }
+                        Action::elsewhere(to, forwarding)
                     }
                     _ => self.start_walk(now, routing, roster, arrival, forwarding, plan),
                 }
@@ -128,12 +113,7 @@
                 // A home node that stopped may have handed over its index to this one.
                 if let Some(to) = self.indexed_holder(now, roster, &flow, &forwarding) {
                     forwarding.search = Search::Indexed;
-                    return Action::Forward {
-                        to,
-                        forwarding,
-                        service: None,
-                        cause: Cause::Elsewhere,
-                    };
+                    return Action::elsewhere(to, forwarding);
                 }
                 let plan = self.plan(now, routing, roster, arrival, &forwarding);
                 self.start_walk(now, routing, roster, arrival, forwarding, plan)
@@ -147,12 +127,7 @@
                 }
                 forwarding.search = Search::Home(u8::from(was_indexed));
                 match other_home {
-                    Some(to) => Action::Forward {
-                        to,
-                        forwarding,
-                        service: None,
-                        cause: Cause::Elsewhere,
-                    },
+                    Some(to) => Action::elsewhere(to, forwarding),
                     None => {
                         let plan = self.plan(now, routing, roster, arrival, &forwarding);
                         self.start_walk(now, routing, roster, arrival, forwarding, plan)
@@ -406,12 +381,7 @@
     fn continue_walk(&self, arrival: &Arrival, mut forwarding: Forwarding) -> Action {
         if !forwarding.to_visit.is_empty() {
             let to = forwarding.to_visit.remove(0);
-            return Action::Forward {
-                to,
-                forwarding,
-                service: None,
-                cause: Cause::Elsewhere,
-            };
+            return Action::elsewhere(to, forwarding);
         }
         if forwarding.is_exhaustive {
             self.reset(arrival, Cause::NotFound)
--- a/crates/steer/src/process/backend.rs
+++ b/crates/steer/src/process/backend.rs
@@ -6,8 +6,10 @@
 use lentilreach::process::clock::Millis;
 
 use crate::request::message::Stage;
+use displaced::{Displaced, Outdated};
 use record::EARLY_REPORTS;
 
+pub mod displaced;
 pub mod record;
 
 /// A backend server whose last report is more than this many report intervals old
@@ -132,40 +134,6 @@
     pub address_reuse_ms: u64,
 }
 
-/// An instance that another one seems to have replaced. A single report may come from another
-/// writer, so the flows of this one are kept until the other one is confirmed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Displaced {
-    /// Its last report.
-    report: Report,
-    /// When that arrived.
-    last_report: Millis,
-    /// When it becomes warm.
-    cold_until: Millis,
-}
-
-impl Displaced {
-    /// When its last report arrived. Flows that were offered later may be at the instance after
-    /// it.
-    pub fn last_report(&self) -> Millis {
-        self.last_report
-    }
-
-    /// The service that it ran.
-    pub fn service(&self) -> &Name {
-        &self.report.service
-    }
-}
-
-/// A report that seemed older than the last one.
-#[derive(Debug, Clone)]
-struct Outdated {
-    /// The report.
-    report: Report,
-    /// When it arrived.
-    since: Millis,
-}
-
 /// The backend server next to an agent.
 #[derive(Debug, Clone)]
 pub struct Backend {
@@ -387,14 +355,15 @@
     /// The last report was not a valid one then, or somebody else said that the backend server
     /// was leaving.
     fn is_alive_after_all(&mut self, now: Millis, report: &Report) -> bool {
-        let is_other = |outdated: &Outdated| !outdated.report.is_same_instance(report);
+        let is_other = |first: &Outdated| !first.report.is_same_instance(report);
         if self.outdated.as_ref().is_none_or(is_other) {
             self.outdated = Some(Outdated { report: report.clone(), since: now });
         }
-        let is_periodic = self.outdated.as_ref().is_some_and(|first| {
-            report.sequence > first.report.sequence
-                && now.since(first.since) >= self.bounds.report_ms / 2
-        });
+        let interval_ms = self.bounds.report_ms / 2;
+        let is_periodic = self
+            .outdated
+            .as_ref()
+            .is_some_and(|first| first.is_followed(now, report, interval_ms));
         let is_current =
             self.report.as_ref().is_some_and(|last| last.is_same_instance(report));
         let is_contested = !is_current && !self.has_reported_again;
